Add the workspace, the design page and a thin path through two routers

Cause: the repository was empty. One request has to be served end to end by separate processes before ownership and failure handling are built on it. Change: kernel types and settings checks, platform plug-ins for HTTP and memory, stand-ins, a router with a static assignment, the demo and the test runner.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments; ``make bench`` runs them."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocol for the model checker."""
--- /dev/null
+++ b/packages/control/mulberryrelay_control/__init__.py
@@ -0,0 +1,1 @@
+"""Control side: platform adapters, coordinator lease, ownership, membership, rules."""
--- /dev/null
+++ b/packages/control/mulberryrelay_control/platform_http.py
@@ -0,0 +1,139 @@
+"""Platform plug-in that speaks HTTP with JSON bodies to the platform's service."""
+
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from mulberryrelay_kernel.ids import InstanceId, RowName, WriteId
+from mulberryrelay_kernel.messages import Condition, ListedInstance, Row, Write
+from mulberryrelay_kernel.options import PlatformOptions
+from mulberryrelay_kernel.platform import Platform
+from mulberryrelay_kernel.registry import register
+from mulberryrelay_kernel.states import StoreFailure
+
+INSTANCE_HEADER = "Mulberry-Instance"
+
+Decoded = TypeVar("Decoded")
+
+
+class ReadBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /table/read``."""
+
+    names: list[RowName]
+
+
+class TransactBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /table/transact``."""
+
+    write_id: WriteId
+    conditions: list[Condition]
+    writes: list[Write]
+
+
+class HttpPlatform:
+    """Client of the platform's table service, object store and instance list."""
+
+    def __init__(self, options: PlatformOptions, instance: InstanceId) -> None:
+        self._url = options.url
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=options.timeout_ms / 1000),
+            headers={INSTANCE_HEADER: instance},
+        )
+
+    async def read(
+        self, names: Sequence[RowName]
+    ) -> Result[dict[RowName, Row], StoreFailure]:
+        body = msgspec.json.encode(ReadBody(list(names)))
+        rows = await self._call("POST", "/table/read", body, list[Row])
+        return rows.map(lambda found: {row.name: row for row in found})
+
+    async def scan(self, prefix: str) -> Result[list[Row], StoreFailure]:
+        return await self._call(
+            "GET", "/table/scan", None, list[Row], {"prefix": prefix}
+        )
+
+    async def transact(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        write_id: WriteId,
+    ) -> Result[None, StoreFailure]:
+        body = msgspec.json.encode(
+            TransactBody(write_id, list(conditions), list(writes))
+        )
+        return await self._call("POST", "/table/transact", body, None)
+
+    async def put_object(self, name: str, body: bytes) -> Result[None, StoreFailure]:
+        return await self._call("PUT", f"/objects/{name}", body, None)
+
+    async def get_object(self, name: str) -> Result[bytes | None, StoreFailure]:
+        reply = await self._exchange("GET", f"/objects/{name}", None, None)
+        if isinstance(reply, StoreFailure):
+            return Failure(reply)
+        status, body = reply
+        if status == 404:
+            return Success(None)
+        if status != 200:
+            return Failure(_failure_of(status))
+        return Success(body)
+
+    async def instances(self) -> Result[list[ListedInstance], StoreFailure]:
+        return await self._call("GET", "/instances", None, list[ListedInstance])
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        reply_type: Any,
+        query: dict[str, str] | None = None,
+    ) -> Result[Any, StoreFailure]:
+        reply = await self._exchange(method, path, body, query)
+        if isinstance(reply, StoreFailure):
+            return Failure(reply)
+        status, content = reply
+        if status != 200:
+            return Failure(_failure_of(status))
+        if reply_type is None:
+            return Success(None)
+        try:
+            return Success(msgspec.json.decode(content, type=reply_type))
+        except msgspec.DecodeError:
+            return Failure(StoreFailure.UNKNOWN)
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        query: dict[str, str] | None,
+    ) -> tuple[int, bytes] | StoreFailure:
+        try:
+            async with self._session.request(
+                method, self._url + path, data=body, params=query
+            ) as response:
+                return response.status, await response.read()
+        except aiohttp.ClientConnectorError:
+            return StoreFailure.UNAVAILABLE
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return StoreFailure.UNKNOWN
+
+
+def _failure_of(status: int) -> StoreFailure:
+    if status == 409:
+        return StoreFailure.CONFLICT
+    if status == 503:
+        return StoreFailure.UNAVAILABLE
+    return StoreFailure.UNKNOWN
+
+
+@register("platform", "http")
+def http_platform(options: PlatformOptions, instance: InstanceId) -> Platform:
+    """Return a platform client; ``options.url`` is the service's base URL."""
+    return HttpPlatform(options, instance)
--- /dev/null
+++ b/packages/ctl/mulberryctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -0,0 +1,90 @@
+"""The options of a router process, as checked by ``settings``."""
+
+import msgspec
+
+from .ids import DataCentre, InstanceId, OperatorName, RequestClass, ServiceName, Tenant
+
+
+class InstanceOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses and place of this process; port 0 takes any free port."""
+
+    name: InstanceId
+    data_centre: DataCentre
+    host: str = "127.0.0.1"
+    caller_port: int = 0
+    peer_port: int = 0
+    admin_port: int = 0
+
+
+class PlatformOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """How to reach the platform."""
+
+    plugin: str = "http"
+    url: str = ""
+    timeout_ms: int = 200
+
+
+class ServiceOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """A service of backend servers."""
+
+    classes: list[RequestClass]
+    """Classes of requests, the most important first; the last is the default."""
+    partitioned: bool = False
+    ranges: int = 256
+    checks_grants: bool = True
+    slots: int = 4
+    connections: int = 100
+    churn_weight: float = 0.5
+    """0 weighs only unavailable time and imbalance, 1 avoids moves most."""
+    default_deadline_ms: int = 5000
+
+
+class TimingOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Periods of leases and heartbeats, in milliseconds."""
+
+    lease_ms: int = 500
+    renew_ms: int = 150
+    margin_ms: int = 50
+    bridge_ms: int = 350
+    promise_ms: int = 1000
+    outage_cap_ms: int = 300_000
+    heartbeat_ms: int = 150
+    suspect_ms: int = 300
+    list_period_ms: int = 1000
+    rules_period_ms: int = 500
+    order_timeout_ms: int = 100
+    settle_ms: int = 1000
+
+
+class LimitOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on memory and work of one process."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 8_388_608
+    buffered_answer_bytes: int = 1_048_576
+    queue_length: int = 512
+    retry_ratio: float = 0.1
+    lower_class_share: float = 0.1
+    slow_start_ms: int = 10_000
+
+
+class OperatorOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator who may use the administration API."""
+
+    name: OperatorName
+    credential: str
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a router process is told by its settings."""
+
+    tenant: Tenant
+    instance: InstanceOptions
+    platform: PlatformOptions
+    data_centres: list[DataCentre]
+    services: dict[ServiceName, ServiceOptions]
+    timing: TimingOptions = TimingOptions()
+    limits: LimitOptions = LimitOptions()
+    operators: list[OperatorOptions] = []
+    routers: int = 9
+    """Planned number of routers; sets the first share of each server's slots."""
--- /dev/null
+++ b/packages/kernel/mulberryrelay_kernel/peerproto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC code of the messages between routers; see ``peer.proto``."""
--- /dev/null
+++ b/packages/router/mulberryrelay_router/__init__.py
@@ -0,0 +1,1 @@
+"""Router process: callers, forwarding, peers and the administration API."""
--- /dev/null
+++ b/packages/router/mulberryrelay_router/inflight.py
@@ -0,0 +1,58 @@
+"""Counts requests in flight, so that moving units and stopping routers can drain."""
+
+from collections import Counter
+
+from reactivex import Observable
+from reactivex.subject import Subject
+
+from mulberryrelay_kernel.hashing import override_unit
+from mulberryrelay_kernel.ids import Key, ServiceName, UnitId
+
+
+class InFlight:
+    """Requests that were sent to a backend server and have not ended."""
+
+    def __init__(self) -> None:
+        self._total = 0
+        self._units: Counter[tuple[ServiceName, UnitId]] = Counter()
+        self._drained: Subject[tuple[ServiceName, UnitId]] = Subject()
+
+    @property
+    def total(self) -> int:
+        """Number of requests in flight."""
+        return self._total
+
+    @property
+    def drained(self) -> Observable[tuple[ServiceName, UnitId]]:
+        """Emits a unit whenever its last request in flight has ended."""
+        return self._drained
+
+    def is_drained(self, service: ServiceName, unit: UnitId) -> bool:
+        """Return whether no request for the unit is in flight.
+
+        A request counts for the unit that it was sent under and for the override of its
+        key, since an override is made while requests run under the key's range.
+        """
+        return not self._units[service, unit]
+
+    def start(self, service: ServiceName, unit: UnitId | None, key: Key | None) -> None:
+        """Count a request directly before it is sent."""
+        self._total += 1
+        for counted in _units_of(unit, key):
+            self._units[service, counted] += 1
+
+    def end(self, service: ServiceName, unit: UnitId | None, key: Key | None) -> None:
+        """Count a request that has ended and can have no later effect."""
+        self._total -= 1
+        for counted in _units_of(unit, key):
+            self._units[service, counted] -= 1
+            if self._units[service, counted]:
+                continue
+            del self._units[service, counted]
+            self._drained.on_next((service, counted))
+
+
+def _units_of(unit: UnitId | None, key: Key | None) -> set[UnitId]:
+    if unit is None or key is None:
+        return set()
+    return {unit, override_unit(key)}
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for people who work on the project."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,245 @@
+"""Stand-in for a backend server.
+
+Checks grants where it is told to, sheds load above its slots, drains, and counts every
+run, so that tests can see double runs and overlapping owners. Query parameters of a
+request choose its behaviour: ``work_ms`` and ``die``.
+"""
+
+import asyncio
+import hashlib
+import os
+import sys
+import uuid
+
+import click
+import msgspec
+from aiohttp import web
+
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.hashing import grants_digest
+from mulberryrelay_kernel.ids import BootId, Epoch, ServerId, Term, UnitId
+from mulberryrelay_kernel.messages import GrantReply, GrantRequest
+from mulberryrelay_kernel.states import NotRunReason, ServerState
+
+SLOTS = 4
+QUEUE_LENGTH = 16
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """One run of a request, with times of the machine's monotonic clock."""
+
+    method: str
+    path: str
+    key: str
+    body_digest: str
+    idempotency_key: str
+    unit: str
+    epoch: int
+    start_ms: float
+    end_ms: float
+
+
+class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /control/behaviour``; replaces the behaviour in force."""
+
+    state: ServerState = ServerState.SERVING
+    work_ms: float = 0.0
+    load: float | None = None
+    """Load to report instead of the true one."""
+    truncate: bool = False
+    """Cut each answer in the middle of its body."""
+    foreign: bool = False
+    """Answer with the id of another request."""
+
+
+class BackendStandin:
+    """State of the stand-in."""
+
+    def __init__(self, server: ServerId, checks_grants: bool) -> None:
+        self._server = server
+        self._checks_grants = checks_grants
+        self._boot_id = BootId(uuid.uuid4().hex)
+        self._behaviour = Behaviour()
+        self._term = Term(0)
+        self._granted: dict[UnitId, Epoch] = {}
+        self._highest: dict[UnitId, Epoch] = {}
+        self._expiry_ms = 0.0
+        self._running: dict[UnitId, int] = {}
+        self._in_flight = 0
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._executions: list[Execution] = []
+
+    def application(self) -> web.Application:
+        """Return the HTTP application of the stand-in."""
+        application = web.Application(client_max_size=64 * 1024 * 1024)
+        add = application.router.add_route
+        add("POST", "/mulberry/grants", self._grants)
+        add("POST", "/control/behaviour", self._set_behaviour)
+        add("GET", "/control/executions", self._list_executions)
+        add("*", "/{path:.*}", self._handle)
+        return application
+
+    async def _grants(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=GrantRequest)
+        accepted = order.term >= self._term or not self._checks_grants
+        if accepted:
+            self._term = max(self._term, order.term)
+            self._apply(order)
+        reply = GrantReply(
+            server=self._server,
+            boot_id=self._boot_id,
+            state=self._behaviour.state,
+            term=self._term,
+            stamp_ms=int(monotonic_ms()),
+            accepted=accepted,
+            digest=grants_digest(self._granted),
+            idle=[
+                revoked.unit
+                for revoked in order.revoked
+                if not self._running.get(revoked.unit)
+            ],
+            load=self._reported_load(),
+        )
+        return web.Response(body=msgspec.json.encode(reply))
+
+    def _apply(self, order: GrantRequest) -> None:
+        if order.full:
+            self._granted.clear()
+        for revoked in order.revoked:
+            if revoked.epoch >= self._granted.get(revoked.unit, Epoch(0)):
+                self._granted.pop(revoked.unit, None)
+        for granted in order.changed:
+            if granted.epoch < self._highest.get(granted.unit, Epoch(0)):
+                continue
+            self._highest[granted.unit] = granted.epoch
+            self._granted[granted.unit] = granted.epoch
+        if order.stamp_ms is not None:
+            self._expiry_ms = max(self._expiry_ms, order.stamp_ms + order.ttl_ms)
+
+    def _reported_load(self) -> float:
+        if self._behaviour.load is not None:
+            return self._behaviour.load
+        return self._in_flight / SLOTS
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        if "die" in request.query:
+            os._exit(1)
+        reason = self._refusal(request)
+        if reason is None and self._in_flight >= SLOTS + QUEUE_LENGTH:
+            reason = NotRunReason.SHED
+        if reason is not None:
+            return self._refuse(request, reason)
+        unit = UnitId(request.headers.get("Mulberry-Unit", ""))
+        self._in_flight += 1
+        self._running[unit] = self._running.get(unit, 0) + 1
+        try:
+            async with self._slots:
+                return await self._run(request, body, unit)
+        finally:
+            self._in_flight -= 1
+            self._running[unit] -= 1
+
+    async def _run(
+        self, request: web.Request, body: bytes, unit: UnitId
+    ) -> web.StreamResponse:
+        reason = self._refusal(request)
+        if reason is not None:
+            return self._refuse(request, reason)
+        start_ms = monotonic_ms()
+        work_ms = float(request.query.get("work_ms", self._behaviour.work_ms))
+        if work_ms:
+            await asyncio.sleep(work_ms / 1000)
+        reason = self._refusal(request)
+        if reason is not None:
+            return self._refuse(request, reason)
+        self._executions.append(
+            Execution(
+                method=request.method,
+                path=request.path,
+                key=request.headers.get("Mulberry-Key", ""),
+                body_digest=hashlib.sha256(body).hexdigest(),
+                idempotency_key=request.headers.get("Idempotency-Key", ""),
+                unit=unit,
+                epoch=int(request.headers.get("Mulberry-Epoch", "0")),
+                start_ms=start_ms,
+                end_ms=monotonic_ms(),
+            )
+        )
+        return await self._answer(request, body)
+
+    async def _answer(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        headers = self._answer_headers(request)
+        if self._behaviour.foreign:
+            headers["Mulberry-Request-Id"] = "another-request"
+        if not self._behaviour.truncate:
+            return web.Response(
+                body=body or request.path.encode(),
+                headers=headers,
+                content_type="application/octet-stream",
+            )
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(body) + 100
+        await response.prepare(request)
+        await response.write(body + b"x")
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
+    def _answer_headers(self, request: web.Request) -> dict[str, str]:
+        return {
+            "Mulberry-Request-Id": request.headers.get("Mulberry-Request-Id", ""),
+            "Mulberry-Server": self._server,
+            "Mulberry-Server-State": self._behaviour.state.value,
+        }
+
+    def _refusal(self, request: web.Request) -> NotRunReason | None:
+        """Return why the request must not run now, if so."""
+        unit = UnitId(request.headers.get("Mulberry-Unit", ""))
+        if not unit or not self._checks_grants:
+            if self._behaviour.state is ServerState.DRAINING and not unit:
+                return NotRunReason.DRAINING
+            return None
+        if monotonic_ms() >= self._expiry_ms:
+            return NotRunReason.NOT_OWNER
+        if int(request.headers.get("Mulberry-Epoch", "0")) != self._granted.get(unit):
+            return NotRunReason.NOT_OWNER
+        return None
+
+    def _refuse(self, request: web.Request, reason: NotRunReason) -> web.Response:
+        headers = self._answer_headers(request)
+        headers["Mulberry-Not-Run"] = reason.value
+        return web.Response(status=503, headers=headers)
+
+    async def _set_behaviour(self, request: web.Request) -> web.Response:
+        self._behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
+        return web.Response()
+
+    async def _list_executions(self, request: web.Request) -> web.Response:
+        return web.Response(body=msgspec.json.encode(self._executions))
+
+
+async def serve(server: ServerId, checks_grants: bool) -> None:
+    """Serve on a free port and print it."""
+    standin = BackendStandin(server, checks_grants)
+    runner = web.AppRunner(standin.application(), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    print(f"event=listening port={runner.addresses[0][1]}", flush=True)
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option("--server", required=True)
+@click.option("--checks-grants/--no-checks-grants", default=True)
+def main(server: str, checks_grants: bool) -> None:
+    """Run one backend server stand-in."""
+    asyncio.run(serve(ServerId(server), checks_grants))
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except KeyboardInterrupt:
+        sys.exit(0)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,233 @@
+"""Runs a deployment of separate processes on this machine.
+
+Starts the platform stand-in, backend server stand-ins and routers, each on free ports
+of the loopback interface, and ends what it started. The demo, tests and bench use it.
+"""
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+HOST = "127.0.0.1"
+
+
+class Process:
+    """A process that prints ``event=listening`` with its ports once it is ready."""
+
+    def __init__(self, name: str, command: list[str], log: Path) -> None:
+        self._name = name
+        self._log = log
+        self._popen = subprocess.Popen(
+            command,
+            stdout=log.open("wb"),
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
+        self._ports: dict[str, int] = {}
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    @property
+    def log(self) -> str:
+        """Everything that the process has printed."""
+        return self._log.read_text(errors="replace")
+
+    def port(self, name: str = "port") -> int:
+        """Return a port of the process; waits until it listens."""
+        if not self._ports:
+            self._ports = self._wait_for_ports()
+        return self._ports[name]
+
+    def url(self, name: str = "port") -> str:
+        """Return the base URL of one of the process's ports."""
+        return f"http://{HOST}:{self.port(name)}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._popen.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._popen.poll() is None
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return the exit status; kills the process after the timeout."""
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.is_running():
+            self._popen.kill()
+        self._popen.wait()
+
+    def _wait_for_ports(self) -> dict[str, int]:
+        give_up = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < give_up:
+            for line in self.log.splitlines():
+                if "event=listening" not in line:
+                    continue
+                pairs = (pair.partition("=") for pair in line.split())
+                return {
+                    name: int(value)
+                    for name, _, value in pairs
+                    if name.endswith("port")
+                }
+            if not self.is_running():
+                break
+            time.sleep(0.02)
+        raise RuntimeError(f"{self._name} did not start:\n{self.log}")
+
+
+class Deployment:
+    """A platform stand-in, backend server stand-ins and routers."""
+
+    def __init__(self, settings: dict[str, Any]) -> None:
+        self._settings = settings
+        self._directory = tempfile.TemporaryDirectory(prefix="mulberryrelay-")
+        self._processes: list[Process] = []
+        self._starts = 0
+        self._platform = self._start("platform", ["-m", "standins.platform"])
+
+    @property
+    def platform(self) -> Process:
+        return self._platform
+
+    @property
+    def processes(self) -> list[Process]:
+        """All processes that were started, in order."""
+        return list(self._processes)
+
+    def start_server(
+        self,
+        name: str,
+        service: str,
+        data_centre: str | None = None,
+        checks_grants: bool = True,
+        listed: bool = True,
+    ) -> Process:
+        """Start a backend server stand-in and list it at the platform."""
+        flag = "--checks-grants" if checks_grants else "--no-checks-grants"
+        process = self._start(name, ["-m", "standins.backend", "--server", name, flag])
+        if listed:
+            self.list_instance(
+                name, "server", process.port(), data_centre, service=service
+            )
+        return process
+
+    def start_router(
+        self, name: str, data_centre: str | None = None, wait: bool = True
+    ) -> Process:
+        """Start a router with the settings of the deployment."""
+        instance = {
+            "name": name,
+            "data_centre": data_centre or self._settings["data_centres"][0],
+        }
+        settings = {
+            **self._settings,
+            "instance": instance,
+            "platform": {"plugin": "http", "url": self._platform.url()},
+        }
+        path = Path(self._directory.name) / f"{name}-{self._starts}.jsonc"
+        path.write_text(json.dumps(settings))
+        program = str(Path(sys.executable).parent / "mulberryrelay")
+        process = self._start(
+            name, [program, "run", "--settings", str(path)], python=False
+        )
+        if wait:
+            process.port("caller_port")
+        return process
+
+    def list_instance(
+        self,
+        name: str,
+        kind: str,
+        port: int,
+        data_centre: str | None = None,
+        state: str = "live",
+        service: str | None = None,
+    ) -> None:
+        """Add or replace an entry of the platform's instance list."""
+        entry = {
+            "name": name,
+            "kind": kind,
+            "data_centre": data_centre or self._settings["data_centres"][0],
+            "host": HOST,
+            "port": port,
+            "state": state,
+            "service": service,
+        }
+        post_json(self._platform.url() + "/control/instances", entry)
+
+    def unlist_instance(self, name: str) -> None:
+        """Remove an entry of the platform's instance list."""
+        request = urllib.request.Request(
+            f"{self._platform.url()}/control/instances/{name}", method="DELETE"
+        )
+        urllib.request.urlopen(request, timeout=5).close()
+
+    def set_faults(self, **faults: Any) -> None:
+        """Replace the faults of the platform; see ``standins.platform.Faults``."""
+        post_json(self._platform.url() + "/control/faults", faults)
+
+    def close(self) -> None:
+        """End every process that was started and remove its files."""
+        for process in reversed(self._processes):
+            process.kill()
+        self._directory.cleanup()
+
+    def __enter__(self) -> "Deployment":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.close()
+
+    def _start(
+        self, name: str, arguments: Iterable[str], python: bool = True
+    ) -> Process:
+        self._starts += 1
+        command = [sys.executable, *arguments] if python else list(arguments)
+        log = Path(self._directory.name) / f"{name}-{self._starts}.log"
+        process = Process(name, command, log)
+        self._processes.append(process)
+        return process
+
+
+def post_json(url: str, body: Any) -> bytes:
+    """Post a JSON body and return the body of the reply.
+
+    Raises:
+        urllib.error.HTTPError: for a status of 400 or above.
+    """
+    request = urllib.request.Request(
+        url,
+        data=json.dumps(body).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(request, timeout=5) as response:
+        content: bytes = response.read()
+        return content
+
+
+def get_json(url: str) -> Any:
+    """Return the decoded JSON body of a URL."""
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return json.loads(response.read())
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,183 @@
+"""Stand-in for the platform's table service, object store and instance list.
+
+Serves ``MemoryPlatform`` over HTTP and stages faults on request of the test.
+"""
+
+import asyncio
+import fnmatch
+import sys
+from collections.abc import Sequence
+from enum import Enum
+
+import msgspec
+from aiohttp import web
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from mulberryrelay_control.platform_http import (
+    INSTANCE_HEADER,
+    ReadBody,
+    TransactBody,
+)
+from mulberryrelay_control.platform_memory import MemoryPlatform
+from mulberryrelay_kernel.ids import InstanceId
+from mulberryrelay_kernel.messages import ListedInstance
+from mulberryrelay_kernel.states import StoreFailure
+
+
+class StoreMode(Enum):
+    """How the store answers."""
+
+    UP = "up"
+    REFUSING = "refusing"
+    """Answers 503 without taking effect."""
+    SILENT = "silent"
+    """Takes requests and never answers."""
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /control/faults``; replaces all faults in force."""
+
+    mode: StoreMode = StoreMode.UP
+    delay_ms: int = 0
+    lose_replies: int = 0
+    """Number of next matching transactions that take effect without a reply."""
+    lose_pattern: str = "*"
+    """Pattern of a row name in the transactions whose replies are lost."""
+    blocked: list[InstanceId] = []
+    """Instances that cannot reach the store."""
+
+
+class PlatformStandin:
+    """State of the stand-in."""
+
+    def __init__(self) -> None:
+        self._platform = MemoryPlatform()
+        self._faults = Faults()
+        self._writes = 0
+        self._reads = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application of the stand-in."""
+        application = web.Application(client_max_size=64 * 1024 * 1024)
+        add = application.router.add_route
+        add("POST", "/table/read", self._read)
+        add("GET", "/table/scan", self._scan)
+        add("POST", "/table/transact", self._transact)
+        add("PUT", "/objects/{name:.+}", self._put_object)
+        add("GET", "/objects/{name:.+}", self._get_object)
+        add("GET", "/instances", self._instances)
+        add("POST", "/control/faults", self._set_faults)
+        add("POST", "/control/instances", self._list_instance)
+        add("DELETE", "/control/instances/{name}", self._unlist_instance)
+        add("GET", "/control/counts", self._counts)
+        return application
+
+    async def _read(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        self._reads += 1
+        body = msgspec.json.decode(await request.read(), type=ReadBody)
+        result = await self._platform.read(body.names)
+        return _reply(result.map(lambda rows: list(rows.values())))
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        self._reads += 1
+        return _reply(await self._platform.scan(request.query["prefix"]))
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        self._writes += 1
+        body = msgspec.json.decode(await request.read(), type=TransactBody)
+        result = await self._platform.transact(
+            body.conditions, body.writes, body.write_id
+        )
+        names = [write.name for write in body.writes]
+        if self._loses_reply(names):
+            self._faults.lose_replies -= 1
+            _drop_connection(request)
+        return _reply(result)
+
+    def _loses_reply(self, names: Sequence[str]) -> bool:
+        if not self._faults.lose_replies:
+            return False
+        return bool(fnmatch.filter(names, self._faults.lose_pattern))
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        self._writes += 1
+        name = request.match_info["name"]
+        return _reply(await self._platform.put_object(name, await request.read()))
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        self._reads += 1
+        found = (await self._platform.get_object(request.match_info["name"])).unwrap()
+        if found is None:
+            return web.Response(status=404)
+        return web.Response(body=found)
+
+    async def _instances(self, request: web.Request) -> web.Response:
+        await self._admit(request)
+        return _reply(await self._platform.instances())
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        self._faults = msgspec.json.decode(await request.read(), type=Faults)
+        return web.Response()
+
+    async def _list_instance(self, request: web.Request) -> web.Response:
+        instance = msgspec.json.decode(await request.read(), type=ListedInstance)
+        self._platform.list_instance(instance)
+        return web.Response()
+
+    async def _unlist_instance(self, request: web.Request) -> web.Response:
+        self._platform.unlist_instance(request.match_info["name"])
+        return web.Response()
+
+    async def _counts(self, request: web.Request) -> web.Response:
+        return web.json_response({"reads": self._reads, "writes": self._writes})
+
+    async def _admit(self, request: web.Request) -> None:
+        """Apply the faults in force to a call of the store."""
+        if self._faults.delay_ms:
+            await asyncio.sleep(self._faults.delay_ms / 1000)
+        if request.headers.get(INSTANCE_HEADER) in self._faults.blocked:
+            _drop_connection(request)
+        if self._faults.mode is StoreMode.REFUSING:
+            raise web.HTTPServiceUnavailable
+        if self._faults.mode is StoreMode.SILENT:
+            # A silent store never takes effect, also not after it is up again.
+            await asyncio.sleep(3600)
+
+
+def _drop_connection(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
+
+
+def _reply(result: Result[object, StoreFailure]) -> web.Response:
+    if is_successful(result):
+        return web.Response(
+            body=msgspec.json.encode(result.unwrap()),
+            content_type="application/json",
+        )
+    status = 409 if result.failure() is StoreFailure.CONFLICT else 503
+    return web.Response(status=status)
+
+
+async def serve() -> None:
+    """Serve on a free port and print it."""
+    runner = web.AppRunner(PlatformStandin().application(), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    print(f"event=listening port={runner.addresses[0][1]}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    try:
+        asyncio.run(serve())
+    except KeyboardInterrupt:
+        sys.exit(0)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,50 @@
+"""Settings: every finding is reported at once with its place."""
+
+from typing import Any
+
+from mulberryrelay_kernel.errors import FindingsError
+from mulberryrelay_kernel.settings import check_settings
+
+VALID: dict[str, Any] = {
+    "tenant": "kwahu",
+    "instance": {"name": "entry-1", "data_centre": "accra-osu"},
+    "platform": {"plugin": "memory"},
+    "data_centres": ["accra-osu"],
+    "services": {"slotfinder": {"classes": ["listing"], "partitioned": True}},
+}
+
+# Each case: changes to the valid settings, and the places of the expected findings.
+CASES: list[tuple[dict[str, Any], list[str]]] = [
+    ({"tenent": "kwahu"}, ["tenent"]),
+    ({"instance": {"name": "entry-1"}}, ["instance.data_centre"]),
+    (
+        {"services": {"slotfinder": {"classes": [3], "slotz": 4}}},
+        ["services.slotfinder.classes[0]", "services.slotfinder.slotz"],
+    ),
+    (
+        {"timing": {"renew_ms": 400, "promise_ms": 100}},
+        ["timing.renew_ms", "timing.promise_ms"],
+    ),
+    (
+        {"operators": [{"name": "ama", "credential": ""}]},
+        ["operators[0].credential"],
+    ),
+]
+
+
+def test_valid_settings_are_accepted() -> None:
+    """Guards against rejecting a correct file."""
+    options = check_settings(VALID, "valid")
+    assert options.services["slotfinder"].partitioned  # type: ignore[index]
+
+
+def test_every_finding_is_reported_with_its_place() -> None:
+    """Guards against reporting only the first of several mistakes."""
+    for changes, places in CASES:
+        try:
+            check_settings({**VALID, **changes}, "case")
+        except FindingsError as error:
+            found = [finding.place for finding in error.findings]
+        else:
+            found = []
+        assert found == places, (changes, found)
