Add rule files: parser, checks, plan and versions in the store

Cause: accepted rule files must take effect exactly as written, and two operators may submit at the same moment.

Ruled out: reading back rules/current after a lost reply, since another operator may already have built on the version; the history row of the version is read instead. Pairwise comparison of rules, which is quadratic in a file of many rules for one key.

Change: mulberryrelay_control.rules (parse, check, active rules), rulestore (load, submit, history) and ruleplan (changes and moved units). A write whose reply was lost is sent again under the same write id up to three times; a conflict is then resolved by the write id of the history row.

Server names are checked for their form only; a name that is not known is a warning.

--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -242,3 +242,143 @@
 
     version: RulesVersion
     text: str
+
+
+# Administration API
+
+# Bodies of the administration API, whose client is ``mulberryctl``. Times are seconds
+# since the Unix epoch.
+
+
+class AdminError(msgspec.Struct, frozen=True):
+    """Body of every answer of the administration API that reports an error."""
+
+    error: str
+    detail: str
+    findings: list[str] = []
+    current: RulesRow | None = None
+    """Version in force, if another operator's submission came first."""
+    diff: str = ""
+    """Unified diff from the base version to ``current``."""
+
+
+class RulesText(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /rules/check`` and ``POST /rules/plan``."""
+
+    text: str
+    file: str = "rules"
+    """Name of the file in findings."""
+
+
+class RulesSubmission(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /rules``."""
+
+    base: RulesVersion
+    """Version that the text was edited from; 0 if there was none."""
+    text: str
+    file: str = "rules"
+
+
+class RulesSubmitted(msgspec.Struct, frozen=True):
+    """Answer to an accepted submission."""
+
+    version: RulesVersion
+    submitter: OperatorName
+
+
+class RulesShown(msgspec.Struct, frozen=True):
+    """Answer to ``GET /rules``."""
+
+    version: RulesVersion
+    text: str
+
+
+class RulesChecked(msgspec.Struct, frozen=True):
+    """Answer to ``POST /rules/check``."""
+
+    findings: list[str]
+    warnings: list[str] = []
+
+
+class RuleChange(msgspec.Struct, frozen=True):
+    """What a new rule file changes about one subject, such as a key or a server."""
+
+    kind: str
+    """First word of the rule."""
+    subject: str
+    before: str | None
+    """Rule in force, with its times; None if there is none."""
+    after: str | None
+
+
+class UnitMove(msgspec.Struct, frozen=True):
+    """A unit that would leave its owner."""
+
+    service: ServiceName
+    unit: UnitId
+    owner: ServerId | None
+    target: str
+    """Server or data centre of a pin; empty if placement chooses."""
+    reason: str
+    starts: str = ""
+    """Booked time in the form of rule files; empty means at once."""
+
+
+class RulesPlan(msgspec.Struct, frozen=True):
+    """Answer to ``POST /rules/plan``."""
+
+    base: RulesVersion
+    """Version that the file was compared with."""
+    changes: list[RuleChange]
+    moves: list[UnitMove]
+    warnings: list[str] = []
+
+
+class RouterRules(msgspec.Struct, frozen=True):
+    """Rules version that one router has confirmed."""
+
+    instance: InstanceId
+    version: RulesVersion
+    lease_left_ms: float
+    """Time left of its routing lease; not positive once it has expired."""
+
+
+class RulesStatus(msgspec.Struct, frozen=True):
+    """Which routers have confirmed which version."""
+
+    applied: RulesVersion
+    """Version applied by the router that answers."""
+    rejected: RulesVersion | None
+    """Newer version that this router could not apply."""
+    stored: RulesRow | None
+    """Row of the current version; None if there is none or the store is down."""
+    store_reached: bool
+    routers: list[RouterRules]
+    complete: bool
+    """Whether ``routers`` lists every router that may hold a routing lease."""
+    in_force: RulesVersion | None
+    """Version confirmed by every live router; None if that is not known."""
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """Answer to ``GET /status``."""
+
+    instance: InstanceId
+    boot_id: BootId
+    tenant: str
+    data_centre: DataCentre
+    ready: bool
+    lease_left_ms: float
+    term: Term
+    assignment: AssignmentVersion
+    servers: int
+    rules: RulesStatus
+
+
+class MemberList(msgspec.Struct, frozen=True):
+    """Answer to ``GET /members``."""
+
+    servers: list[ServerEntry]
+    """Backend servers as this router sees them."""
+    listed: list[ListedInstance] | None
+    """The platform's list; None if the platform does not answer."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,256 @@
+"""Rule files: findings, booked times, and the plan of a file."""
+
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from mulberryrelay_control.ruleplan import rule_changes, unit_moves
+from mulberryrelay_control.rules import (
+    DrainRule,
+    LimitRule,
+    OrderRule,
+    PinRule,
+    PinTarget,
+    Rule,
+    format_rule,
+    parse_rules,
+    unknown_servers,
+)
+from mulberryrelay_kernel.hashing import range_index, range_unit
+from mulberryrelay_kernel.ids import (
+    AssignmentVersion,
+    DataCentre,
+    Epoch,
+    Key,
+    RequestClass,
+    ServerId,
+    ServiceName,
+)
+from mulberryrelay_kernel.messages import Assignment, ServerEntry, Unit
+
+from .fixtures.rules import rule_options, rules_of
+
+BY = " # requested by Ama Mensah"
+SLOTFINDER = ServiceName("slotfinder")
+NOON = datetime(2026, 12, 24, 12, tzinfo=UTC)
+
+# Each case: text of a file, and the beginnings of its findings after the file's name.
+FINDINGS: list[tuple[str, list[str]]] = [
+    ("", []),
+    ("# only a comment\n\n   \t\r\n", []),
+    (f"pin key slotfinder trainer-17 to server s1{BY}, holiday", []),
+    (f'pin key slotfinder "a #b" to data-centre accra-osu{BY}', []),
+    ("drain server s1", ["1:16: rule needs a comment"]),
+    ("drain server s1 # why not", ["1:17: comment must end"]),
+    ("drain server s1 # requested by , x", ["1:17: comment must end"]),
+    ("drain server s1 # requested by ...", ["1:17: comment must end"]),
+    (f"drain{BY}", ["1:6: expected 'server'"]),
+    (f"remove server s1{BY}", ["1:1: unknown rule 'remove'"]),
+    (f"drain server s*{BY}", ["1:14: 's*' is not a server name"]),
+    (f"pin key slots k to server s1{BY}", ["1:9: unknown service 'slots'"]),
+    (f"pin key bookpay k to server s1{BY}", ["1:9: service 'bookpay' is not part"]),
+    (f"pin key slotfinder k to shelf s1{BY}", ["1:25: expected 'server' or"]),
+    (
+        f"pin key slotfinder k to data-centre kumasi{BY}",
+        ["1:37: unknown data centre 'kumasi'"],
+    ),
+    (f'pin key slotfinder "k to server s1{BY}', ["1:20: quoted word does not end"]),
+    (f'pin key slotfinder "\\x" to server s1{BY}', ["1:20: quoted word is not"]),
+    (f'pin key slotfinder "\\n" to server s1{BY}', ["1:20: key is empty or has"]),
+    (
+        "limit bookpay class gold many per-second",
+        [
+            "1:21: service bookpay has no class 'gold'",
+            "1:26: 'many' is not a whole number",
+            "1:41: rule needs a comment",
+        ],
+    ),
+    (f"limit bookpay class booking 0 per-second{BY}", ["1:29: limit must be from 1"]),
+    (f"limit bookpay class booking ٣ per-second{BY}", ["1:29: '٣' is not a whole"]),
+    (f"order bookpay payment{BY}", ["1:7: order must name every class"]),
+    (
+        f"order bookpay payment booking payment{BY}",
+        ["1:31: class 'payment' is named twice"],
+    ),
+    (f"drain server s1 from 2026-12-24{BY}", ["1:22: '2026-12-24' is not a UTC"]),
+    (
+        f"drain server s1 from 2026-02-30T00:00:00Z{BY}",
+        ["1:22: '2026-02-30T00:00:00Z' is not a UTC"],
+    ),
+    (
+        f"drain server s1 until 2026-12-24T18:00:00Z from 2026-12-24T18:00:00Z{BY}",
+        ["1:44: 'until' must be later"],
+    ),
+    (f"drain server s1 now{BY}", ["1:17: expected 'from', 'until' or a comment"]),
+    (f"drain server s1\u202e{BY}", ["1:16: character U+202E is not allowed"]),
+    (
+        f"pin key slotfinder k to server s1{BY}\n"
+        f"pin key slotfinder k to server s2 from 2026-12-24T18:00:00Z{BY}",
+        ["2:1: key 'k' of slotfinder has a rule in line 1"],
+    ),
+    (
+        f"pin key slotfinder k to server s1 until 2026-12-24T18:00:00Z{BY}\n"
+        f"pin key slotfinder k to server s2 from 2026-12-24T18:00:00Z{BY}",
+        [],
+    ),
+    (
+        f"limit bookpay class booking 1 per-second{BY}\n"
+        f"limit bookpay class payment 1 per-second{BY}\n"
+        f"limit bookpay class booking 2 per-second{BY}",
+        ["3:1: limit of class booking of bookpay has a rule in line 1"],
+    ),
+    (
+        f"drain server s1 from 2026-12-24T18:00:00Z{BY}\n"
+        f"pin key slotfinder k to server s1{BY}",
+        ["2:1: key is pinned to server s1, which line 1 drains"],
+    ),
+    (
+        f"drain server s1 from 2026-12-24T18:00:00Z{BY}\n"
+        f"pin key slotfinder k to server s1 until 2026-12-24T18:00:00Z{BY}",
+        [],
+    ),
+]
+
+
+def test_findings_are_reported_with_their_place() -> None:
+    """Guards against accepting a wrong rule, and against findings out of place."""
+    for text, expected in FINDINGS:
+        result = parse_rules(text, "f", rule_options())
+        found = [] if is_successful(result) else [str(x) for x in result.failure()]
+        assert len(found) == len(expected), (text, found)
+        for finding, start in zip(found, expected, strict=True):
+            assert finding.startswith(f"f:{start}"), (text, finding)
+
+
+def test_unknown_server_is_only_a_warning() -> None:
+    """Guards against rejecting a file because a server has just left."""
+    rules = rules_of(f"drain server s1{BY}\ndrain server s2{BY}").rules
+    warnings = unknown_servers(rules, [ServerId("s1")], "f")
+    assert [w.place for w in warnings] == ["2:1"], warnings
+
+
+def test_booked_times_start_and_end() -> None:
+    """Guards against rules in force outside their booked time."""
+    window = "from 2026-12-24T12:00:00Z until 2026-12-24T13:00:00Z"
+    text = f"drain server s1 {window}{BY}"
+    cases = [(-1, False), (0, True), (3599, True), (3600, False)]
+    for offset_s, expected in cases:
+        active = rules_of(text).active(NOON + timedelta(seconds=offset_s))
+        assert (ServerId("s1") in active.drained) is expected, offset_s
+
+
+def test_clock_that_steps_back_changes_nothing() -> None:
+    """Guards against a started rule that ends, or an ended one that is revived."""
+    rules = rules_of(
+        f"drain server s1 from 2026-12-24T12:00:00Z{BY}\n"
+        f"drain server s2 until 2026-12-24T12:00:00Z{BY}"
+    )
+    assert rules.active(NOON - timedelta(seconds=1)).drained == {"s2"}
+    assert rules.active(NOON).drained == {"s1"}
+    assert rules.active(NOON - timedelta(hours=1)).drained == {"s1"}
+    assert rules.next_change(NOON - timedelta(hours=1)) is None
+
+
+def test_plan_lists_changes_and_moves() -> None:
+    """Guards against a plan that hides what a file would move."""
+    current = rules_of(f"limit bookpay class booking 5 per-second{BY}")
+    proposed = rules_of(
+        f"limit bookpay class booking 6 per-second{BY}\n"
+        f"pin key slotfinder stay to server s1{BY}\n"
+        f"pin key slotfinder go to data-centre accra-tema from 2026-12-24T18:00:00Z{BY}"
+        f"\ndrain server s2{BY}"
+    )
+    ranges = [Unit(range_unit(i), ServerId("s1"), Epoch(1)) for i in range(8)]
+    free = next(i for i in range(8) if i != range_index(Key("stay"), 8))
+    ranges[free] = Unit(range_unit(free), ServerId("s2"), Epoch(1))
+    ranges[range_index(Key("go"), 8)] = Unit(
+        range_unit(range_index(Key("go"), 8)), ServerId("s1"), Epoch(1)
+    )
+    assignment = Assignment(AssignmentVersion(1), {SLOTFINDER: ranges}, {})
+    servers = [
+        ServerEntry(ServerId(f"s{n}"), SLOTFINDER, DataCentre("accra-osu"), "", 0)
+        for n in (1, 2)
+    ]
+    changes = rule_changes(current, proposed)
+    assert [(c.kind, c.subject, c.before, c.after) for c in changes] == [
+        (
+            "pin",
+            "key slotfinder go",
+            None,
+            "data-centre accra-tema from 2026-12-24T18:00:00Z",
+        ),
+        ("pin", "key slotfinder stay", None, "server s1"),
+        ("drain", "server s2", None, "drained"),
+        ("limit", "bookpay class booking", "5 per-second", "6 per-second"),
+    ], changes
+    moves = unit_moves(current, proposed, assignment, servers)
+    drained = [u.unit for u in ranges if u.owner == "s2"]
+    assert [(m.unit, m.owner, m.starts) for m in moves] == [
+        ("k:go", "s1", "2026-12-24T18:00:00Z"),
+        *[(unit, "s2", "") for unit in drained],
+    ], moves
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.text(max_size=80) | st.text("pin key slotfinder to server # \t\"\\'\n0Z-"))
+def test_parser_never_raises(text: str) -> None:
+    """Guards against a submitted text that ends the process or the request."""
+    for candidate in (text, f"pin key slotfinder {text} to server s1{BY}", text + BY):
+        result = parse_rules(candidate, "f", rule_options())
+        assert is_successful(result) or result.failure()
+
+
+_TIMES = st.datetimes(
+    datetime(1, 1, 1), datetime(9999, 12, 30), timezones=st.just(UTC)
+).map(lambda time: time.replace(microsecond=0))
+_PRINTABLE = st.characters(codec="utf-8").filter(str.isprintable)
+_SERVERS = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._-]{0,8}", fullmatch=True).map(
+    ServerId
+)
+_TARGETS = _SERVERS.map(lambda name: PinTarget(server=name)) | st.just(
+    PinTarget(data_centre=DataCentre("accra-tema"))
+)
+_CLASSES = ("payment", "booking")
+_ACTIONS = st.one_of(
+    st.builds(
+        PinRule,
+        st.just(SLOTFINDER),
+        st.text(_PRINTABLE, min_size=1, max_size=8).map(Key),
+        _TARGETS,
+    ),
+    st.builds(DrainRule, _SERVERS),
+    st.builds(
+        LimitRule,
+        st.just(ServiceName("bookpay")),
+        st.sampled_from(_CLASSES).map(RequestClass),
+        st.integers(1, 10**9),
+    ),
+    st.permutations(_CLASSES).map(
+        lambda order: OrderRule(
+            ServiceName("bookpay"), tuple(RequestClass(name) for name in order)
+        )
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(_ACTIONS, st.none() | _TIMES, st.none() | st.timedeltas(timedelta(seconds=1)))
+def test_formatted_rule_parses_to_the_same_rule(
+    action: PinRule | DrainRule | LimitRule | OrderRule,
+    starts: datetime | None,
+    length: timedelta | None,
+) -> None:
+    """Guards against keys, times or names that change between text and rule."""
+    ends = None
+    if length is not None:
+        base = starts or datetime(2026, 1, 1, tzinfo=UTC)
+        seconds = 1 + int(length.total_seconds()) % 86_400
+        ends = base + timedelta(seconds=seconds)
+    rule = Rule(
+        action, "Ama Mensah", "why, requested by Ama Mensah", starts, ends, line=1
+    )
+    parsed = parse_rules(format_rule(rule), "f", rule_options())
+    assert is_successful(parsed), (format_rule(rule), parsed.failure())
+    assert parsed.unwrap().rules == (rule,)
