--- a/packages/control/mulberryrelay_control/platform_memory.py
+++ b/packages/control/mulberryrelay_control/platform_memory.py
@@ -80,5 +80,8 @@
 
 @register("platform", "memory")
 def memory_platform(options: PlatformOptions, instance: InstanceId) -> Platform:
-    """Return an empty platform that lives in this process."""
-    return MemoryPlatform()
+    """Return a platform that lives in this process and lists ``options.instances``."""
+    platform = MemoryPlatform()
+    for entry in options.instances:
+        platform.list_instance(entry)
+    return platform
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .ids import DataCentre, InstanceId, OperatorName, RequestClass, ServiceName, Tenant
+from .messages import ListedInstance
 
 
 class InstanceOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -22,6 +23,8 @@
     plugin: str = "http"
     url: str = ""
     timeout_ms: int = 200
+    instances: list[ListedInstance] = []
+    """Entries of the instance list of the plug-in ``memory``."""
 
 
 class ServiceOptions(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/mulberryrelay_kernel/settings.py
+++ b/packages/kernel/mulberryrelay_kernel/settings.py
@@ -16,9 +16,13 @@
 TOP_LEVEL = "settings"
 
 
-def load_settings(paths: list[Path]) -> Options:
+def load_settings(
+    paths: list[Path], overrides: dict[str, Any] | None = None
+) -> Options:
     """Return the checked options of one or more settings files.
 
+    ``overrides`` is a settings document that takes precedence over the files.
+
     Raises:
         FindingsError: with every problem found.
     """
@@ -36,6 +40,7 @@
         merged = _merge(merged, document)
     if findings:
         raise FindingsError(findings)
+    merged = _merge(merged, overrides or {})
     return check_settings(merged, ", ".join(str(path) for path in paths))
 
 
@@ -69,6 +74,8 @@
         report("data_centres", "names a data centre twice")
     if options.platform.plugin == "http" and not options.platform.url:
         report("platform.url", "is needed by the plug-in http")
+    if options.platform.plugin != "memory" and options.platform.instances:
+        report("platform.instances", "is only for the plug-in memory")
     if options.routers < 1:
         report("routers", "must be at least 1")
     if not options.services:
@@ -86,14 +93,23 @@
             report(f"{place}.churn_weight", "must be from 0 to 1")
     _check_timing(options.timing, report)
     names = [operator.name for operator in options.operators]
+    credentials = [operator.credential for operator in options.operators]
     for index, operator in enumerate(options.operators):
         if names.index(operator.name) != index:
             report(f"operators[{index}].name", "names an operator twice")
-        if not operator.credential:
-            report(f"operators[{index}].credential", "must not be empty")
+        place = f"operators[{index}].credential"
+        if not _is_credential(operator.credential):
+            report(place, "must be visible ASCII characters without blanks")
+        if credentials.index(operator.credential) != index:
+            report(place, "is the credential of another operator")
     return findings
 
 
+def _is_credential(credential: str) -> bool:
+    """Return whether a header field can carry the credential unchanged."""
+    return bool(credential) and all("!" <= character <= "~" for character in credential)
+
+
 def _check_timing(timing: TimingOptions, report: Any) -> None:
     for field in msgspec.structs.fields(TimingOptions):
         if getattr(timing, field.name) < 1:
--- a/packages/router/mulberryrelay_router/main.py
+++ b/packages/router/mulberryrelay_router/main.py
@@ -4,21 +4,25 @@
 import os
 import sys
 from pathlib import Path
+from typing import Any
 
 import click
 
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.logs import write_lines_to
+from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.settings import load_settings
 
+# Other processes cannot reach an embedded platform, so there is one router.
+EMBEDDED = {"platform": {"plugin": "memory"}, "routers": 1}
+
 
 @click.group()
 def main() -> None:
     """Route requests to the servers that own their keys."""
 
 
-@main.command()
-@click.option(
+settings_option = click.option(
     "--settings",
     "paths",
     multiple=True,
@@ -26,13 +30,18 @@
     type=click.Path(exists=True, path_type=Path),
     help="Settings file; a later file overrides an earlier one.",
 )
-def run(paths: tuple[Path, ...]) -> None:
+
+
+@main.command()
+@settings_option
+@click.option(
+    "--embedded",
+    is_flag=True,
+    help="Keep the platform in this process; nothing survives it.",
+)
+def run(paths: tuple[Path, ...], embedded: bool) -> None:
     """Run one router until SIGTERM."""
-    try:
-        options = load_settings(list(paths))
-    except FindingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(2)
+    options = _load_or_exit(paths, EMBEDDED if embedded else {})
     # libuv reads this when a loop is created; io_uring must not be used.
     os.environ["UV_USE_IO_URING"] = "0"
     import uvloop
@@ -42,3 +51,19 @@
     write_lines_to(sys.stdout)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run_instance(options))
+
+
+@main.command()
+@settings_option
+def check(paths: tuple[Path, ...]) -> None:
+    """Check settings and report every finding."""
+    options = _load_or_exit(paths, {})
+    click.echo(f"settings of {options.instance.name} are valid")
+
+
+def _load_or_exit(paths: tuple[Path, ...], overrides: dict[str, Any]) -> Options:
+    try:
+        return load_settings(list(paths), overrides)
+    except FindingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
--- a/packages/router/mulberryrelay_router/view.py
+++ b/packages/router/mulberryrelay_router/view.py
@@ -101,6 +101,10 @@
         """Return a backend server by id."""
         return self._servers.get(server)
 
+    def servers(self) -> list[ServerEntry]:
+        """Return all known backend servers."""
+        return list(self._servers.values())
+
     def servers_of(self, service: ServiceName) -> list[ServerEntry]:
         """Return the known backend servers of a service."""
         return self._by_service.get(service, [])
