--- a/packages/router/mulberryrelay_router/admin.py
+++ b/packages/router/mulberryrelay_router/admin.py
@@ -367,7 +367,7 @@
     content = await request.read()
     try:
         return msgspec.json.decode(content, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         raise _failure(400, "malformed-body", str(error)) from None
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,32 +2,24 @@
 
 import asyncio
 import io
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 from reactivex.subject import Subject
 
-from mulberryrelay_control.rulestore import RuleStore
 from mulberryrelay_kernel import logs
-from mulberryrelay_kernel.ids import BootId, InstanceId, RulesVersion
+from mulberryrelay_kernel.ids import InstanceId, RulesVersion
 from mulberryrelay_kernel.messages import RouterRules as RouterRulesStatus
 from mulberryrelay_kernel.messages import RulesDocument
-from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_router.admin import (
     ADMIN_BODY_BYTES,
-    AdminSources,
-    OwnConfirmation,
-    admin_application,
     in_force,
 )
 from mulberryrelay_router.rules import RouterRules
-from mulberryrelay_router.view import RoutingView
 
-from .fixtures.rules import LIMIT_200, LIMIT_300, FaultyPlatform, rule_options
+from .fixtures.admin import open_admin
+from .fixtures.rules import LIMIT_200, LIMIT_300, rule_options
 
 AMA = {"Authorization": "Bearer credential-of-ama"}
 NOON = datetime(2026, 12, 24, 12, tzinfo=UTC)
@@ -38,38 +30,6 @@
     return RulesDocument(RulesVersion(version), text)
 
 
-@asynccontextmanager
-async def open_admin() -> AsyncIterator[tuple[aiohttp.ClientSession, FaultyPlatform]]:
-    """Serve the administration API of one router on a free port."""
-    options = rule_options()
-    platform = FaultyPlatform()
-    view = RoutingView()
-    rules = RouterRules(options, Subject())
-    application = admin_application(
-        AdminSources(
-            options=options,
-            boot_id=BootId("boot"),
-            platform=platform,
-            view=view,
-            metrics=Metrics(options.tenant),
-            store=RuleStore(options, platform),
-            rules=rules,
-            confirmations=OwnConfirmation(options, view, rules),
-            rules_submitted=lambda version: None,
-            is_ready=view.has_lease,
-        )
-    )
-    runner = web.AppRunner(application, access_log=None)
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    url = f"http://127.0.0.1:{runner.addresses[0][1]}"
-    try:
-        async with aiohttp.ClientSession(url) as session:
-            yield session, platform
-    finally:
-        await runner.cleanup()
-
-
 async def call(
     session: aiohttp.ClientSession, method: str, path: str, **options: Any
 ) -> tuple[int, Any]:
