Bound the size of rule files and the number of findings

Cause: a file is parsed in one step of the event loop.

Ruled out: parsing in a thread, since a version could then be confirmed only later and out of order.

Change: rule files hold at most 256 KiB (about 2,600 rules); checking stops after 1,000 findings with a finding that says so.

Conclusion: seen failing with either bound removed.

--- a/packages/control/mulberryrelay_control/rules.py
+++ b/packages/control/mulberryrelay_control/rules.py
@@ -24,8 +24,12 @@
 )
 from mulberryrelay_kernel.options import Options, ServiceOptions
 
-# A file is checked in one step of the event loop; this bounds the time that it takes.
-MAX_RULES_BYTES = 1_048_576
+# A file is checked in one step of the event loop, at about 30 us for each line; this
+# keeps the step below a heartbeat period of 150 ms.
+MAX_RULES_BYTES = 262_144
+
+# Bounds the time and the answer for a text that is not a rule file at all.
+MAX_FINDINGS = 1000
 
 MAX_PER_SECOND = 1_000_000_000
 
@@ -162,10 +166,13 @@
 def parse_rules(
     text: str, file: str, options: Options
 ) -> Result[RuleSet, list[Finding]]:
-    """Return the rules of a file, or every finding in the order of lines."""
+    """Return the rules of a file, or every finding in the order of lines.
+
+    Stops at ``MAX_FINDINGS`` with a last finding that says so.
+    """
     findings: list[Finding] = []
-    if len(text) > MAX_RULES_BYTES:
-        message = f"file is longer than {MAX_RULES_BYTES} characters"
+    if len(text.encode(errors="replace")) > MAX_RULES_BYTES:
+        message = f"file is longer than {MAX_RULES_BYTES} bytes"
         return Failure([Finding(file, "1:1", message)])
     rules: list[Rule] = []
     for number, line in enumerate(text.split("\n"), start=1):
@@ -174,6 +181,9 @@
         findings += parser.findings
         if rule is not None:
             rules.append(rule)
+        if len(findings) >= MAX_FINDINGS:
+            message = "too many findings; the rest of the file was not checked"
+            return Failure([*findings, Finding(file, f"{number}:1", message)])
     findings += _contradictions(rules, file)
     if findings:
         return Failure(sorted(findings, key=_place_order))
--- a/packages/router/mulberryrelay_router/admin.py
+++ b/packages/router/mulberryrelay_router/admin.py
@@ -13,7 +13,12 @@
 from returns.pipeline import is_successful
 
 from mulberryrelay_control.ruleplan import rule_changes, unit_moves
-from mulberryrelay_control.rules import RuleSet, parse_rules, unknown_servers
+from mulberryrelay_control.rules import (
+    MAX_RULES_BYTES,
+    RuleSet,
+    parse_rules,
+    unknown_servers,
+)
 from mulberryrelay_control.rulestore import RuleStore, SubmitFailure, SubmitReason
 from mulberryrelay_kernel.errors import Finding
 from mulberryrelay_kernel.ids import BootId, OperatorName, RulesVersion
@@ -40,7 +45,7 @@
 
 # JSON may take up to six bytes for one character of a rule file; common text takes
 # little more than one. Twice the limit of the text admits every ordinary file.
-ADMIN_BODY_BYTES = 2 * 1_048_576
+ADMIN_BODY_BYTES = 2 * MAX_RULES_BYTES
 
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,6 +8,8 @@
 
 from mulberryrelay_control.ruleplan import rule_changes, unit_moves
 from mulberryrelay_control.rules import (
+    MAX_FINDINGS,
+    MAX_RULES_BYTES,
     DrainRule,
     LimitRule,
     OrderRule,
@@ -124,6 +126,15 @@
             assert finding.startswith(f"f:{start}"), (text, finding)
 
 
+def test_size_and_number_of_findings_are_bounded() -> None:
+    """Guards against a text that occupies the event loop past a heartbeat."""
+    long = parse_rules("#" * (MAX_RULES_BYTES + 1), "f", rule_options()).failure()
+    assert [finding.place for finding in long] == ["1:1"]
+    many = parse_rules("x\n" * 100_000, "f", rule_options()).failure()
+    assert len(many) == MAX_FINDINGS + 1
+    assert "was not checked" in many[-1].message
+
+
 def test_unknown_server_is_only_a_warning() -> None:
     """Guards against rejecting a file because a server has just left."""
     rules = rules_of(f"drain server s1{BY}\ndrain server s2{BY}").rules
