Decode transactions of the HTTP platform that write values

Cause: msgspec decodes a field of type `Raw | None` as null only, so that the platform stand-in answered 500 to every transaction that wrote a row ("Expected `null`, got `object` - at `$.writes[0].value`").

Ruled out: another type for Write.value, which every module that writes rows uses; only the body on the wire changes.

Change: TransactBody carries WriteBody, in which null deletes the row.

--- a/packages/control/mulberryrelay_control/platform_http.py
+++ b/packages/control/mulberryrelay_control/platform_http.py
@@ -16,6 +16,9 @@
 
 INSTANCE_HEADER = "Mulberry-Instance"
 
+_NULL_JSON = b"null"
+_NULL = msgspec.Raw(_NULL_JSON)
+
 Decoded = TypeVar("Decoded")
 
 
@@ -25,12 +28,34 @@
     names: list[RowName]
 
 
+class WriteBody(msgspec.Struct, frozen=True):
+    """A write in a ``TransactBody``.
+
+    msgspec decodes ``Raw | None`` as null only, so that ``Write`` itself cannot be
+    decoded.
+    """
+
+    name: RowName
+    value: msgspec.Raw
+    """JSON of the row; null deletes it."""
+
+    @classmethod
+    def of(cls, write: Write) -> "WriteBody":
+        """Return the body of a write."""
+        return cls(write.name, _NULL if write.value is None else write.value)
+
+    def to_write(self) -> Write:
+        """Return the write; its value does not refer to the request's buffer."""
+        value = bytes(self.value)
+        return Write(self.name, None if value == _NULL_JSON else msgspec.Raw(value))
+
+
 class TransactBody(msgspec.Struct, frozen=True):
     """Body of ``POST /table/transact``."""
 
     write_id: WriteId
     conditions: list[Condition]
-    writes: list[Write]
+    writes: list[WriteBody]
 
 
 class HttpPlatform:
@@ -62,7 +87,11 @@
         write_id: WriteId,
     ) -> Result[None, StoreFailure]:
         body = msgspec.json.encode(
-            TransactBody(write_id, list(conditions), list(writes))
+            TransactBody(
+                write_id,
+                list(conditions),
+                [WriteBody.of(write) for write in writes],
+            )
         )
         return await self._call("POST", "/table/transact", body, None)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -90,7 +90,9 @@
         self._writes += 1
         body = msgspec.json.decode(await request.read(), type=TransactBody)
         result = await self._platform.transact(
-            body.conditions, body.writes, body.write_id
+            body.conditions,
+            [write.to_write() for write in body.writes],
+            body.write_id,
         )
         names = [write.name for write in body.writes]
         if self._loses_reply(names):
