Shorten the tests of rules and of the administration API

Cause: the tests repeated the same wrapping for each coroutine and comment.

Change: async_test runs a coroutine as a test; the findings table holds rules without their comments; /members is among the paths that need a credential. in_force takes the list of routers. Settings cases for credentials that two operators share or that have blanks, and for entries of the instance list.

--- a/packages/router/mulberryrelay_router/admin.py
+++ b/packages/router/mulberryrelay_router/admin.py
@@ -19,7 +19,12 @@
     parse_rules,
     unknown_servers,
 )
-from mulberryrelay_control.rulestore import RuleStore, SubmitFailure, SubmitReason
+from mulberryrelay_control.rulestore import (
+    MAX_HISTORY,
+    RuleStore,
+    SubmitFailure,
+    SubmitReason,
+)
 from mulberryrelay_kernel.errors import Finding
 from mulberryrelay_kernel.ids import BootId, OperatorName, RulesVersion
 from mulberryrelay_kernel.logs import log_event
@@ -48,7 +53,6 @@
 ADMIN_BODY_BYTES = 2 * MAX_RULES_BYTES
 
 DEFAULT_HISTORY = 20
-MAX_HISTORY = 1000
 
 OPEN_PATHS = frozenset({"/health", "/ready"})
 OPERATOR: web.RequestKey[OperatorName] = web.RequestKey("operator", OperatorName)
@@ -163,13 +167,16 @@
     return found
 
 
-def in_force(confirmations: RulesConfirmations) -> RulesVersion | None:
-    """Return the version that every live router has confirmed; None if not known."""
-    if not confirmations.complete:
+def in_force(
+    complete: bool, routers: Sequence[RouterRulesStatus]
+) -> RulesVersion | None:
+    """Return the version that every live router has confirmed; None if not known.
+
+    ``complete`` tells whether ``routers`` has every router that may hold a lease.
+    """
+    if not complete:
         return None
-    versions = [
-        router.version for router in confirmations.routers() if router.lease_left_ms > 0
-    ]
+    versions = [router.version for router in routers if router.lease_left_ms > 0]
     return min(versions, default=None)
 
 
@@ -303,6 +310,8 @@
 async def _router_status(sources: AdminSources) -> RouterStatus:
     options, view, rules = sources.options, sources.view, sources.rules
     row = await sources.store.current()
+    routers = list(sources.confirmations.routers())
+    complete = sources.confirmations.complete
     return RouterStatus(
         instance=options.instance.name,
         boot_id=sources.boot_id,
@@ -318,9 +327,9 @@
             rejected=rules.rejected,
             stored=row.unwrap() if is_successful(row) else None,
             store_reached=is_successful(row),
-            routers=list(sources.confirmations.routers()),
-            complete=sources.confirmations.complete,
-            in_force=in_force(sources.confirmations),
+            routers=routers,
+            complete=complete,
+            in_force=in_force(complete, routers),
         ),
     )
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import json
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -19,11 +20,19 @@
 from mulberryrelay_router.rules import RouterRules
 
 from .fixtures.admin import open_admin
+from .fixtures.loop import async_test
 from .fixtures.rules import LIMIT_200, LIMIT_300, rule_options
 
 AMA = {"Authorization": "Bearer credential-of-ama"}
 NOON = datetime(2026, 12, 24, 12, tzinfo=UTC)
-GUARDED = ["/status", "/metrics", "/rules", "/rules/history", "/assignments"]
+GUARDED = (
+    "/status",
+    "/metrics",
+    "/rules",
+    "/rules/history",
+    "/assignments",
+    "/members",
+)
 
 
 def document(version: int, text: str) -> RulesDocument:
@@ -31,9 +40,15 @@
 
 
 async def call(
-    session: aiohttp.ClientSession, method: str, path: str, **options: Any
+    session: aiohttp.ClientSession,
+    path: str,
+    body: bytes | dict[str, Any] | None = None,
+    headers: dict[str, str] = AMA,
 ) -> tuple[int, Any]:
-    async with session.request(method, path, **options) as response:
+    """Get a path, or post a body to it, and return the status and JSON answer."""
+    method = "GET" if body is None else "POST"
+    data = json.dumps(body).encode() if isinstance(body, dict) else body
+    async with session.request(method, path, headers=headers, data=data) as response:
         return response.status, await response.json()
 
 
@@ -78,7 +93,8 @@
     assert rules.active().drained == {"s1"}
 
 
-def test_credentials_are_needed_and_never_logged() -> None:
+@async_test
+async def test_credentials_are_needed_and_never_logged() -> None:
     """Guards against changes by strangers and against credentials in the log."""
     wrong = [
         {},
@@ -87,36 +103,28 @@
         {"Authorization": "Bearer credential-of-am"},
         {"Authorization": "Basic credential-of-ama"},
     ]
-
-    async def run() -> None:
-        async with open_admin() as (session, platform):
-            for path in ("/health", "/ready"):
-                status, _ = await call(session, "GET", path)
-                assert status != 401, path
-            for headers in wrong:
-                for path in GUARDED:
-                    status, body = await call(session, "GET", path, headers=headers)
-                    assert status == 401, (path, headers)
-                    assert body["error"].endswith("credential")
-                submission = {"base": 0, "text": LIMIT_200}
-                for path in ("/rules", "/rules/check", "/rules/plan"):
-                    status, _ = await call(
-                        session, "POST", path, headers=headers, json=submission
-                    )
-                    assert status == 401, (path, headers)
-            assert (await platform.scan("")).unwrap() == []
-            for path in [*GUARDED, "/members"]:
-                status, _ = await call(session, "GET", path, headers=AMA)
-                assert status == 200, path
-
+    body = {"base": 0, "text": LIMIT_200}
+    posts = [(path, body) for path in ("/rules", "/rules/check", "/rules/plan")]
+    guarded = [*((path, None) for path in GUARDED), *posts]
     lines = io.StringIO()
     logs.write_lines_to(lines)
-    asyncio.run(run())
+    async with open_admin() as (session, platform):
+        for path in ("/health", "/ready"):
+            assert (await call(session, path, headers={}))[0] != 401, path
+        for headers in wrong:
+            for path, sent in guarded:
+                status, answer = await call(session, path, sent, headers)
+                assert status == 401, (path, headers)
+                assert answer["error"].endswith("credential")
+        assert (await platform.scan("")).unwrap() == []
+        for path in GUARDED:
+            assert (await call(session, path))[0] == 200, path
     assert "event=admin_refused" in lines.getvalue()
     assert "credential-of" not in lines.getvalue()
 
 
-def test_malformed_bodies_get_clear_errors() -> None:
+@async_test
+async def test_malformed_bodies_get_clear_errors() -> None:
     """Guards against a malformed request that is accepted or breaks the listener."""
     cases: list[tuple[str, bytes, int, str]] = [
         ("/rules", b"", 400, "malformed-body"),
@@ -132,78 +140,40 @@
         ("/status", b"{}", 405, "method-not-allowed"),
         ("/nothing", b"{}", 404, "not-found"),
     ]
-
-    async def run() -> None:
-        async with open_admin() as (session, platform):
-            for path, body, status, error in cases:
-                found = await call(session, "POST", path, headers=AMA, data=body)
-                assert (found[0], found[1]["error"]) == (status, error), (path, body)
-            long = b" " * (ADMIN_BODY_BYTES + 1)
-            status, _ = await call(session, "POST", "/rules", headers=AMA, data=long)
-            assert status == 413
-            for query in ("limit=0", "limit=x", "limit=-1", "limit=%D9%A3"):
-                path = f"/rules/history?{query}"
-                status, _ = await call(session, "GET", path, headers=AMA)
-                assert status == 400, query
-            assert (await platform.scan("")).unwrap() == []
-
-    asyncio.run(run())
-
-
-def test_submission_records_the_operator_and_tells_the_loser() -> None:
+    async with open_admin() as (session, platform):
+        for path, body, status, error in cases:
+            found = await call(session, path, body)
+            assert (found[0], found[1]["error"]) == (status, error), (path, body)
+        long = b" " * (ADMIN_BODY_BYTES + 1)
+        assert (await call(session, "/rules", long))[0] == 413
+        for query in ("limit=0", "limit=x", "limit=-1", "limit=%D9%A3"):
+            assert (await call(session, f"/rules/history?{query}"))[0] == 400, query
+        assert (await platform.scan("")).unwrap() == []
+
+
+@async_test
+async def test_submission_records_the_operator_and_tells_the_loser() -> None:
     """Guards against changes without a name and against a silent loss."""
-
-    async def run() -> None:
-        async with open_admin() as (session, platform):
-            body = {"base": 0, "text": LIMIT_200}
-            status, answer = await call(
-                session, "POST", "/rules", headers=AMA, json=body
-            )
-            assert (status, answer["version"]) == (200, 1)
-            kofi = {"Authorization": "Bearer credential-of-kofi"}
-            body = {"base": 0, "text": LIMIT_300}
-            status, answer = await call(
-                session, "POST", "/rules", headers=kofi, json=body
-            )
-            assert (status, answer["error"]) == (409, "lost")
-            assert answer["current"]["submitter"] == "Ama Mensah"
-            assert answer["current"]["submitted_s"] > 0
-            assert "+" + LIMIT_200.rstrip() in answer["diff"].splitlines()
-            _, rows = await call(session, "GET", "/rules/history", headers=AMA)
-            assert [row["submitter"] for row in rows] == ["Ama Mensah"]
-            _, shown = await call(session, "GET", "/rules?version=1", headers=AMA)
-            assert shown == {"version": 1, "text": LIMIT_200}
-            _, plan = await call(
-                session, "POST", "/rules/plan", headers=AMA, json={"text": LIMIT_300}
-            )
-            assert plan["base"] == 1
-            assert plan["changes"][0]["after"] == "300 per-second"
-            platform.refuses = True
-            body = {"base": 1, "text": LIMIT_300}
-            status, answer = await call(
-                session, "POST", "/rules", headers=AMA, json=body
-            )
-            assert (status, answer["error"]) == (503, "store-unavailable")
-
-    asyncio.run(run())
-
-
-class Confirmations:
-    """Confirmations with stated values."""
-
-    def __init__(self, complete: bool, routers: list[tuple[int, float]]) -> None:
-        self._complete = complete
-        self._routers = routers
-
-    @property
-    def complete(self) -> bool:
-        return self._complete
-
-    def routers(self) -> list[RouterRulesStatus]:
-        return [
-            RouterRulesStatus(InstanceId(str(index)), RulesVersion(version), left_ms)
-            for index, (version, left_ms) in enumerate(self._routers)
-        ]
+    kofi = {"Authorization": "Bearer credential-of-kofi"}
+    async with open_admin() as (session, platform):
+        status, answer = await call(session, "/rules", {"base": 0, "text": LIMIT_200})
+        assert (status, answer["version"]) == (200, 1)
+        body = {"base": 0, "text": LIMIT_300}
+        status, answer = await call(session, "/rules", body, kofi)
+        assert (status, answer["error"]) == (409, "lost")
+        assert answer["current"]["submitter"] == "Ama Mensah"
+        assert answer["current"]["submitted_s"] > 0
+        assert "+" + LIMIT_200.rstrip() in answer["diff"].splitlines()
+        _, rows = await call(session, "/rules/history")
+        assert [row["submitter"] for row in rows] == ["Ama Mensah"]
+        _, shown = await call(session, "/rules?version=1")
+        assert shown == {"version": 1, "text": LIMIT_200}
+        _, plan = await call(session, "/rules/plan", {"text": LIMIT_300})
+        assert plan["base"] == 1
+        assert plan["changes"][0]["after"] == "300 per-second"
+        platform.refuses = True
+        status, answer = await call(session, "/rules", {"base": 1, "text": LIMIT_300})
+        assert (status, answer["error"]) == (503, "store-unavailable")
 
 
 def test_in_force_needs_every_live_router() -> None:
@@ -216,4 +186,8 @@
         (False, [(3, 10.0)], None),
     ]
     for complete, routers, expected in cases:
-        assert in_force(Confirmations(complete, routers)) == expected, routers
+        states = [
+            RouterRulesStatus(InstanceId("entry"), RulesVersion(version), left_ms)
+            for version, left_ms in routers
+        ]
+        assert in_force(complete, states) == expected, routers
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -1,7 +1,5 @@
 """Platform over HTTP: what the client writes is what the stand-in stores."""
 
-import asyncio
-
 import msgspec
 from aiohttp import web
 from returns.result import Success
@@ -12,31 +10,30 @@
 from mulberryrelay_kernel.options import PlatformOptions
 from standins.platform import PlatformStandin
 
+from .fixtures.loop import async_test
+
 NAME = RowName("rules/current")
 VALUE = b'{"version":1}'
 
 
-def test_rows_are_written_read_and_deleted() -> None:
+@async_test
+async def test_rows_are_written_read_and_deleted() -> None:
     """Guards against a transaction body that the service cannot decode."""
-
-    async def run() -> None:
-        runner = web.AppRunner(PlatformStandin().application(), access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        url = f"http://127.0.0.1:{runner.addresses[0][1]}"
-        options = PlatformOptions(url=url, timeout_ms=5000)
-        platform = HttpPlatform(options, InstanceId("entry-1"))
-        write = Write(NAME, msgspec.Raw(VALUE))
-        absent = [Condition(NAME, 0)]
-        assert await platform.transact(absent, [write], WriteId("a")) == Success(None)
-        row = (await platform.read([NAME])).unwrap()[NAME]
-        assert (bytes(row.value), row.write_id) == (VALUE, "a")
-        present = [Condition(NAME, row.version)]
-        deletion = Write(NAME, None)
-        result = await platform.transact(present, [deletion], WriteId("b"))
-        assert result == Success(None)
-        assert (await platform.read([NAME])).unwrap() == {}
-        await platform.close()
-        await runner.cleanup()
-
-    asyncio.run(run())
+    runner = web.AppRunner(PlatformStandin().application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+    options = PlatformOptions(url=url, timeout_ms=5000)
+    platform = HttpPlatform(options, InstanceId("entry-1"))
+    write = Write(NAME, msgspec.Raw(VALUE))
+    absent = [Condition(NAME, 0)]
+    assert await platform.transact(absent, [write], WriteId("a")) == Success(None)
+    row = (await platform.read([NAME])).unwrap()[NAME]
+    assert (bytes(row.value), row.write_id) == (VALUE, "a")
+    present = [Condition(NAME, row.version)]
+    deletion = Write(NAME, None)
+    result = await platform.transact(present, [deletion], WriteId("b"))
+    assert result == Success(None)
+    assert (await platform.read([NAME])).unwrap() == {}
+    await platform.close()
+    await runner.cleanup()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -38,87 +38,76 @@
 SLOTFINDER = ServiceName("slotfinder")
 NOON = datetime(2026, 12, 24, 12, tzinfo=UTC)
 
-# Each case: text of a file, and the beginnings of its findings after the file's name.
-FINDINGS: list[tuple[str, list[str]]] = [
-    ("", []),
-    ("# only a comment\n\n   \t\r\n", []),
-    (f"pin key slotfinder trainer-17 to server s1{BY}, holiday", []),
-    (f'pin key slotfinder "a #b" to data-centre accra-osu{BY}', []),
-    ("drain server s1", ["1:16: rule needs a comment"]),
-    ("drain server s1 # why not", ["1:17: comment must end"]),
-    ("drain server s1 # requested by , x", ["1:17: comment must end"]),
-    ("drain server s1 # requested by ...", ["1:17: comment must end"]),
-    (f"drain{BY}", ["1:6: expected 'server'"]),
-    (f"remove server s1{BY}", ["1:1: unknown rule 'remove'"]),
-    (f"drain server s*{BY}", ["1:14: 's*' is not a server name"]),
-    (f"pin key slots k to server s1{BY}", ["1:9: unknown service 'slots'"]),
-    (f"pin key bookpay k to server s1{BY}", ["1:9: service 'bookpay' is not part"]),
-    (f"pin key slotfinder k to shelf s1{BY}", ["1:25: expected 'server' or"]),
-    (
-        f"pin key slotfinder k to data-centre kumasi{BY}",
-        ["1:37: unknown data centre 'kumasi'"],
-    ),
-    (f'pin key slotfinder "k to server s1{BY}', ["1:20: quoted word does not end"]),
-    (f'pin key slotfinder "\\x" to server s1{BY}', ["1:20: quoted word is not"]),
-    (f'pin key slotfinder "\\n" to server s1{BY}', ["1:20: key is empty or has"]),
-    (
-        "limit bookpay class gold many per-second",
-        [
-            "1:21: service bookpay has no class 'gold'",
-            "1:26: 'many' is not a whole number",
-            "1:41: rule needs a comment",
-        ],
-    ),
-    (f"limit bookpay class booking 0 per-second{BY}", ["1:29: limit must be from 1"]),
-    (f"limit bookpay class booking ٣ per-second{BY}", ["1:29: '٣' is not a whole"]),
-    (f"order bookpay payment{BY}", ["1:7: order must name every class"]),
-    (
-        f"order bookpay payment booking payment{BY}",
-        ["1:31: class 'payment' is named twice"],
-    ),
-    (f"drain server s1 from 2026-12-24{BY}", ["1:22: '2026-12-24' is not a UTC"]),
-    (
-        f"drain server s1 from 2026-02-30T00:00:00Z{BY}",
-        ["1:22: '2026-02-30T00:00:00Z' is not a UTC"],
-    ),
+X, Y = "2026-12-24T18:00:00Z", "2026-12-25T18:00:00Z"
+
+# Each case: rules without their comments, and the beginnings of the findings.
+RULES: list[tuple[str, list[str]]] = [
+    ("pin key slotfinder trainer-17 to server s1", []),
+    ('pin key slotfinder "a #b" to data-centre accra-osu', []),
+    ("drain", ["1:6: expected 'server'"]),
+    ("remove server s1", ["1:1: unknown rule 'remove'"]),
+    ("drain server s*", ["1:14: 's*' is not a server name"]),
+    ("pin key slots k to server s1", ["1:9: unknown service 'slots'"]),
+    ("pin key bookpay k to server s1", ["1:9: service 'bookpay' is not part"]),
+    ("pin key slotfinder k to shelf s1", ["1:25: expected 'server' or"]),
+    ("pin key slotfinder k to data-centre x", ["1:37: unknown data centre 'x'"]),
+    ('pin key slotfinder "k to server s1', ["1:20: quoted word does not end"]),
+    ('pin key slotfinder "\\x" to server s1', ["1:20: quoted word is not"]),
+    ('pin key slotfinder "\\n" to server s1', ["1:20: key is empty or has"]),
+    ("limit bookpay class gold 5 per-second", ["1:21: service bookpay has no"]),
+    ("limit bookpay class booking 0 per-second", ["1:29: limit must be from 1"]),
+    ("limit bookpay class booking ٣ per-second", ["1:29: '٣' is not a whole"]),
+    ("order bookpay payment", ["1:7: order must name every class"]),
+    ("order bookpay payment booking payment", ["1:31: class 'payment' is named"]),
+    ("drain server s1 from 2026-12-24", ["1:22: '2026-12-24' is not a UTC"]),
+    ("drain server s1 from 2026-02-30T00:00:00Z", ["1:22: '2026-02-30T00:00:00Z'"]),
+    (f"drain server s1 until {X} from {X}", ["1:44: 'until' must be later"]),
+    (f"drain server s1 until {X} until {Y}", ["1:44: 'until' is given twice"]),
+    ("drain server s1 now", ["1:17: expected 'from', 'until' or a comment"]),
+    ("drain server s1\u202e", ["1:16: character U+202E is not allowed"]),
     (
-        f"drain server s1 until 2026-12-24T18:00:00Z from 2026-12-24T18:00:00Z{BY}",
-        ["1:44: 'until' must be later"],
-    ),
-    (f"drain server s1 now{BY}", ["1:17: expected 'from', 'until' or a comment"]),
-    (f"drain server s1\u202e{BY}", ["1:16: character U+202E is not allowed"]),
-    (
-        f"pin key slotfinder k to server s1{BY}\n"
-        f"pin key slotfinder k to server s2 from 2026-12-24T18:00:00Z{BY}",
+        f"pin key slotfinder k to server s1\n"
+        f"pin key slotfinder k to server s2 from {X}",
         ["2:1: key 'k' of slotfinder has a rule in line 1"],
     ),
     (
-        f"pin key slotfinder k to server s1 until 2026-12-24T18:00:00Z{BY}\n"
-        f"pin key slotfinder k to server s2 from 2026-12-24T18:00:00Z{BY}",
+        f"pin key slotfinder k to server s1 until {X}\n"
+        f"pin key slotfinder k to server s2 from {X}",
         [],
     ),
     (
-        f"limit bookpay class booking 1 per-second{BY}\n"
-        f"limit bookpay class payment 1 per-second{BY}\n"
-        f"limit bookpay class booking 2 per-second{BY}",
+        "limit bookpay class booking 1 per-second\n"
+        "limit bookpay class payment 1 per-second\n"
+        "limit bookpay class booking 2 per-second",
         ["3:1: limit of class booking of bookpay has a rule in line 1"],
     ),
     (
-        f"drain server s1 from 2026-12-24T18:00:00Z{BY}\n"
-        f"pin key slotfinder k to server s1{BY}",
+        f"drain server s1 from {X}\npin key slotfinder k to server s1",
         ["2:1: key is pinned to server s1, which line 1 drains"],
     ),
+    (f"drain server s1 from {X}\npin key slotfinder k to server s1 until {X}", []),
+]
+
+# Each case: text of a file, and the beginnings of its findings.
+FILES: list[tuple[str, list[str]]] = [
+    ("", []),
+    ("# only a comment\n\n   \t\r\n", []),
+    (f"drain server s1{BY}, holiday", []),
+    ("drain server s1", ["1:16: rule needs a comment"]),
+    ("drain server s1 # why not", ["1:17: comment must end"]),
+    ("drain server s1 # requested by , x", ["1:17: comment must end"]),
+    ("drain server s1 # requested by ...", ["1:17: comment must end"]),
     (
-        f"drain server s1 from 2026-12-24T18:00:00Z{BY}\n"
-        f"pin key slotfinder k to server s1 until 2026-12-24T18:00:00Z{BY}",
-        [],
+        f"limit bookpay class gold many per-second\ndrain{BY}",
+        ["1:21: service", "1:26: 'many'", "1:41: rule needs", "2:6: expected 'serv"],
     ),
 ]
 
 
 def test_findings_are_reported_with_their_place() -> None:
     """Guards against accepting a wrong rule, and against findings out of place."""
-    for text, expected in FINDINGS:
+    commented = [(text.replace("\n", BY + "\n") + BY, found) for text, found in RULES]
+    for text, expected in [*commented, *FILES]:
         result = parse_rules(text, "f", rule_options())
         found = [] if is_successful(result) else [str(x) for x in result.failure()]
         assert len(found) == len(expected), (text, found)
@@ -173,12 +162,10 @@
         f"pin key slotfinder go to data-centre accra-tema from 2026-12-24T18:00:00Z{BY}"
         f"\ndrain server s2{BY}"
     )
-    ranges = [Unit(range_unit(i), ServerId("s1"), Epoch(1)) for i in range(8)]
-    free = next(i for i in range(8) if i != range_index(Key("stay"), 8))
-    ranges[free] = Unit(range_unit(free), ServerId("s2"), Epoch(1))
-    ranges[range_index(Key("go"), 8)] = Unit(
-        range_unit(range_index(Key("go"), 8)), ServerId("s1"), Epoch(1)
-    )
+    owners = {range_index(Key(key), 8): ServerId("s1") for key in ("stay", "go")}
+    ranges = [
+        Unit(range_unit(i), owners.get(i, ServerId("s2")), Epoch(1)) for i in range(8)
+    ]
     assignment = Assignment(AssignmentVersion(1), {SLOTFINDER: ranges}, {})
     servers = [
         ServerEntry(ServerId(f"s{n}"), SLOTFINDER, DataCentre("accra-osu"), "", 0)
--- a/tests/test_rulestore.py
+++ b/tests/test_rulestore.py
@@ -9,6 +9,7 @@
 from mulberryrelay_kernel.ids import OperatorName, RulesVersion
 from mulberryrelay_kernel.states import StoreFailure
 
+from .fixtures.loop import async_test
 from .fixtures.rules import LIMIT_200, LIMIT_300, FaultyPlatform, rule_options
 
 AMA = OperatorName("Ama Mensah")
@@ -29,142 +30,117 @@
     return succeeds
 
 
-def test_one_of_two_operators_wins_and_the_loser_is_told() -> None:
+@async_test
+async def test_one_of_two_operators_wins_and_the_loser_is_told() -> None:
     """Guards against a submission that silently replaces another operator's."""
-
-    async def run() -> None:
-        store, _ = open_store()
-        results = await asyncio.gather(
-            store.submit(ZERO, LIMIT_200, AMA), store.submit(ZERO, LIMIT_300, KOFI)
-        )
-        winners = [r for r in results if is_successful(r)]
-        losers = [r.failure() for r in results if not is_successful(r)]
-        assert len(winners) == 1, results
-        assert losers[0].reason is SubmitReason.LOST
-        current = (await store.current()).unwrap()
-        assert current is not None
-        assert losers[0].current == current
-        text = (await store.load()).unwrap()
-        assert text is not None
-        assert "+" + text.text.rstrip("\n") in losers[0].diff.splitlines()
-
-    asyncio.run(run())
-
-
-def test_loser_of_the_conditional_write_is_told() -> None:
+    store, _ = open_store()
+    results = await asyncio.gather(
+        store.submit(ZERO, LIMIT_200, AMA), store.submit(ZERO, LIMIT_300, KOFI)
+    )
+    winners = [r for r in results if is_successful(r)]
+    losers = [r.failure() for r in results if not is_successful(r)]
+    assert len(winners) == 1, results
+    assert losers[0].reason is SubmitReason.LOST
+    current = (await store.current()).unwrap()
+    assert current is not None
+    assert losers[0].current == current
+    text = (await store.load()).unwrap()
+    assert text is not None
+    assert "+" + text.text.rstrip("\n") in losers[0].diff.splitlines()
+
+
+@async_test
+async def test_loser_of_the_conditional_write_is_told() -> None:
     """Guards against a race between reading the base and writing the row."""
+    store, platform = open_store()
 
-    async def run() -> None:
-        store, platform = open_store()
-
-        async def submit_another() -> None:
-            (await store.submit(ZERO, LIMIT_300, KOFI)).unwrap()
-
-        platform.on_put = submit_another
-        result = await store.submit(ZERO, LIMIT_200, AMA)
-        assert not is_successful(result)
-        failure = result.failure()
-        assert failure.reason is SubmitReason.LOST
-        assert failure.current is not None
-        assert failure.current.submitter == KOFI
-        document = (await store.load()).unwrap()
-        assert document is not None
-        assert document.text == LIMIT_300
+    async def submit_another() -> None:
+        (await store.submit(ZERO, LIMIT_300, KOFI)).unwrap()
 
-    asyncio.run(run())
+    platform.on_put = submit_another
+    result = await store.submit(ZERO, LIMIT_200, AMA)
+    failure = result.failure()
+    assert failure.reason is SubmitReason.LOST
+    assert failure.current is not None
+    assert failure.current.submitter == KOFI
+    document = (await store.load()).unwrap()
+    assert document is not None
+    assert document.text == LIMIT_300
 
 
-def test_lost_reply_is_read_back() -> None:
+@async_test
+async def test_lost_reply_is_read_back() -> None:
     """Guards against reporting a committed submission as failed."""
-
-    async def run() -> None:
-        for lost_requests, failing in ((0, []), (1, []), (0, [2])):
-            store, platform = open_store()
-            platform.lost_replies = 1
-            platform.lost_requests = lost_requests
-            platform.on_read = fail_reads(failing)
-            result = await store.submit(ZERO, LIMIT_200, AMA)
-            assert is_successful(result), (lost_requests, failing, result)
-            assert result.unwrap() == ONE
-            rows = (await store.history(10)).unwrap()
-            assert [row.version for row in rows] == [1]
-
-    asyncio.run(run())
-
-
-def test_lost_reply_that_cannot_be_read_back_is_unknown() -> None:
-    """Guards against telling an operator that an unknown write failed."""
-
-    async def run() -> None:
+    for lost_requests, failing in ((0, []), (1, []), (0, [2])):
         store, platform = open_store()
-        platform.lost_requests = 100
-        result = await store.submit(ZERO, LIMIT_200, AMA)
-        assert result.failure().reason is SubmitReason.UNKNOWN
-        platform.lost_requests = 0
-        platform.refuses = True
+        platform.lost_replies = 1
+        platform.lost_requests = lost_requests
+        platform.on_read = fail_reads(failing)
         result = await store.submit(ZERO, LIMIT_200, AMA)
-        assert result.failure().reason is SubmitReason.UNAVAILABLE
-
-    asyncio.run(run())
+        assert is_successful(result), (lost_requests, failing, result)
+        assert result.unwrap() == ONE
+        rows = (await store.history(10)).unwrap()
+        assert [row.version for row in rows] == [1]
 
 
-def test_lost_reply_followed_by_another_version_is_still_accepted() -> None:
+@async_test
+async def test_lost_reply_that_cannot_be_read_back_is_unknown() -> None:
+    """Guards against telling an operator that an unknown write failed."""
+    store, platform = open_store()
+    platform.lost_requests = 100
+    result = await store.submit(ZERO, LIMIT_200, AMA)
+    assert result.failure().reason is SubmitReason.UNKNOWN
+    platform.lost_requests = 0
+    platform.refuses = True
+    result = await store.submit(ZERO, LIMIT_200, AMA)
+    assert result.failure().reason is SubmitReason.UNAVAILABLE
+
+
+@async_test
+async def test_lost_reply_followed_by_another_version_is_still_accepted() -> None:
     """Guards against reading only the current row back, which others overwrite."""
+    store, platform = open_store()
 
-    async def run() -> None:
-        store, platform = open_store()
-
-        async def submit_another(number: int) -> bool:
-            if number == 2:
-                (await store.submit(ONE, LIMIT_300, KOFI)).unwrap()
-            return True
-
-        platform.on_read = submit_another
-        platform.lost_replies = 1
-        result = await store.submit(ZERO, LIMIT_200, AMA)
-        assert is_successful(result), result
-        rows = (await store.history(10)).unwrap()
-        assert [(r.version, r.submitter) for r in rows] == [(2, KOFI), (1, AMA)]
+    async def submit_another(number: int) -> bool:
+        if number == 2:
+            (await store.submit(ONE, LIMIT_300, KOFI)).unwrap()
+        return True
 
-    asyncio.run(run())
+    platform.on_read = submit_another
+    platform.lost_replies = 1
+    result = await store.submit(ZERO, LIMIT_200, AMA)
+    assert is_successful(result), result
+    rows = (await store.history(10)).unwrap()
+    assert [(r.version, r.submitter) for r in rows] == [(2, KOFI), (1, AMA)]
 
 
-def test_text_with_findings_is_not_stored() -> None:
+@async_test
+async def test_text_with_findings_is_not_stored() -> None:
     """Guards against a version that no router can apply."""
+    store, _ = open_store()
+    result = await store.submit(ZERO, "drain everything", AMA)
+    failure = result.failure()
+    assert failure.reason is SubmitReason.REJECTED
+    assert failure.findings
+    assert (await store.load()).unwrap() is None
 
-    async def run() -> None:
-        store, _ = open_store()
-        result = await store.submit(ZERO, "drain everything", AMA)
-        failure = result.failure()
-        assert failure.reason is SubmitReason.REJECTED
-        assert failure.findings
-        assert (await store.load()).unwrap() is None
 
-    asyncio.run(run())
-
-
-def test_damaged_object_is_not_loaded() -> None:
+@async_test
+async def test_damaged_object_is_not_loaded() -> None:
     """Guards against applying a text other than the committed one."""
+    store, platform = open_store()
+    (await store.submit(ZERO, LIMIT_200, AMA)).unwrap()
+    row = (await store.current()).unwrap()
+    assert row is not None
+    await platform.put_object(row.object_name, LIMIT_300.encode())
+    assert (await store.load()).failure() is StoreFailure.UNKNOWN
+    assert CURRENT_ROW in (await platform.read([CURRENT_ROW])).unwrap()
 
-    async def run() -> None:
-        store, platform = open_store()
-        (await store.submit(ZERO, LIMIT_200, AMA)).unwrap()
-        row = (await store.current()).unwrap()
-        assert row is not None
-        await platform.put_object(row.object_name, LIMIT_300.encode())
-        assert (await store.load()).failure() is StoreFailure.UNKNOWN
-        assert CURRENT_ROW in (await platform.read([CURRENT_ROW])).unwrap()
-
-    asyncio.run(run())
 
-
-def test_base_that_was_never_committed_is_refused() -> None:
+@async_test
+async def test_base_that_was_never_committed_is_refused() -> None:
     """Guards against versions that skip numbers."""
-
-    async def run() -> None:
-        store, _ = open_store()
-        result = await store.submit(RulesVersion(5), LIMIT_200, AMA)
-        assert result.failure().reason is SubmitReason.LOST
-        assert (await store.current()).unwrap() is None
-
-    asyncio.run(run())
+    store, _ = open_store()
+    result = await store.submit(RulesVersion(5), LIMIT_200, AMA)
+    assert result.failure().reason is SubmitReason.LOST
+    assert (await store.current()).unwrap() is None
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -29,6 +29,22 @@
         {"operators": [{"name": "ama", "credential": ""}]},
         ["operators[0].credential"],
     ),
+    (
+        {
+            "operators": [
+                {"name": n, "credential": c} for n, c in (("a", "x"), ("b", "x"))
+            ]
+        },
+        ["operators[1].credential"],
+    ),
+    (
+        {"operators": [{"name": "ama", "credential": "two words"}]},
+        ["operators[0].credential"],
+    ),
+    (
+        {"platform": {"url": "http://x", "instances": [{"name": "s1"}]}},
+        [f"platform.instances[0].{n}" for n in ("kind", "data_centre", "host", "port")],
+    ),
 ]
 
 
