Interleave the two submissions of the test of simultaneous operators

Cause: with the memory platform the first submission ended before the second began, so that the test passed with the conditions of the transaction removed.

Change: the first submission yields after it has read the current version.

Conclusion: the test now fails with the conditions removed.

--- a/tests/test_rulestore.py
+++ b/tests/test_rulestore.py
@@ -33,7 +33,12 @@
 @async_test
 async def test_one_of_two_operators_wins_and_the_loser_is_told() -> None:
     """Guards against a submission that silently replaces another operator's."""
-    store, _ = open_store()
+    store, platform = open_store()
+
+    async def let_the_other_go_on() -> None:
+        await asyncio.sleep(0)
+
+    platform.on_put = let_the_other_go_on
     results = await asyncio.gather(
         store.submit(ZERO, LIMIT_200, AMA), store.submit(ZERO, LIMIT_300, KOFI)
     )
