Report the column of rules in contradictions and warnings

Cause: findings about a whole rule named column 1 also for indented rules.

Change: a rule keeps the column of its first word.

--- a/packages/control/mulberryrelay_control/rules.py
+++ b/packages/control/mulberryrelay_control/rules.py
@@ -113,6 +113,13 @@
     ends: datetime | None = None
     """UTC, exclusive; None means never."""
     line: int = 0
+    column: int = 1
+    """Column of the first word."""
+
+    @property
+    def place(self) -> str:
+        """Place of the rule in findings."""
+        return f"{self.line}:{self.column}"
 
     @property
     def kind(self) -> RuleKind:
@@ -204,7 +211,7 @@
         if server is None or server in present:
             continue
         message = f"warning: no server {server!r} is known now"
-        warnings.append(Finding(file, f"{rule.line}:1", message))
+        warnings.append(Finding(file, rule.place, message))
     return warnings
 
 
@@ -306,7 +313,7 @@
             message = (
                 f"{subject} has a rule in line {other.line} at an overlapping time"
             )
-            findings.append(Finding(file, f"{rule.line}:1", message))
+            findings.append(Finding(file, rule.place, message))
     findings += _pins_to_drained(rules, file)
     return findings
 
@@ -375,7 +382,7 @@
         if drain is None:
             continue
         message = f"key is pinned to server {server}, which line {drain.line} drains"
-        findings.append(Finding(file, f"{rule.line}:1", message))
+        findings.append(Finding(file, rule.place, message))
     return findings
 
 
@@ -433,6 +440,7 @@
             starts=starts,
             ends=ends,
             line=self._number,
+            column=self._words[0].column,
         )
 
     def _report(self, column: int, message: str) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -20,6 +20,7 @@
 from mulberryrelay_kernel.ids import RulesVersion
 from mulberryrelay_kernel.messages import RulesSubmission
 from mulberryrelay_kernel.settings import load_settings
+from mulberryrelay_router.main import main as router_main
 from standins.deployment import Process
 
 from .fixtures.admin import open_admin
@@ -161,3 +162,8 @@
         assert result.unwrap().rules
         embedded = load_settings([*shared, directory / "embedded.jsonc"])
         assert embedded.platform.instances
+        flags = [word for path in shared for word in ("--settings", str(path))]
+        assert CliRunner().invoke(router_main, ["check", *flags]).exit_code == 0
+        incomplete = CliRunner().invoke(router_main, ["check", *flags[:2]])
+        assert incomplete.exit_code == 2
+        assert "instance: missing setting" in incomplete.output
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,8 +82,8 @@
         ["3:1: limit of class booking of bookpay has a rule in line 1"],
     ),
     (
-        f"drain server s1 from {X}\npin key slotfinder k to server s1",
-        ["2:1: key is pinned to server s1, which line 1 drains"],
+        f"drain server s1 from {X}\n  pin key slotfinder k to server s1",
+        ["2:3: key is pinned to server s1, which line 1 drains"],
     ),
     (f"drain server s1 from {X}\npin key slotfinder k to server s1 until {X}", []),
 ]
