--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -85,7 +85,7 @@
                 (["status", *nowhere], 4, "unreachable"),
                 (["submit", str(good), "--base", "1", *nowhere], 4, "unreachable"),
                 ([*submit, "0", "--timeout", "0.5", *second], 5, "not known to be"),
-                (["frobnicate"], 2, "No such command"),
+                (["remove-everything"], 2, "No such command"),
             ]
             for arguments, code, text in cases:
                 found = run_ctl(arguments, environment)
