--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -169,8 +169,12 @@
     coordinator: InstanceId
     term: Term
     ttl_ms: int
+    sequence: int
+    """Rises with each request of a term to this server. A request that was delayed
+    behind a later one is refused, since its list may name units revoked meanwhile."""
     stamp_ms: int | None
-    """Server's clock in its previous reply; None fetches a first stamp only."""
+    """Server's clock in its previous reply; None fetches a first stamp only, and the
+    lists of the request do not count."""
     changed: list[GrantedUnit] = []
     revoked: list[GrantedUnit] = []
     """The server finishes what it runs for these units, then confirms."""
