Add placement of units and the routers' load counters

Cause: the coordinator has no rule for which server owns which unit.

Change: plan_moves covers initial placement, lost and draining servers, pins, hot keys, their return and rebalancing within the gain threshold, the budget and the cool-down time that churn_weight sets. Baselines with the same signature: static hash, round robin, always rebalance. A range's count includes keys with an override, so that the averages do not jump when an override is made or dropped.

Ruled out: a new override and a voluntary move of its range in one plan, as the override raises the epoch of the range.

Conclusion: first version for the coordinator; defaults are not tuned.

--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -153,6 +153,16 @@
     overrides: dict[ServiceName, dict[Key, Unit]]
 
 
+class UnitCount(msgspec.Struct, frozen=True):
+    """Requests for a range, or for one key in it, that a router has counted."""
+
+    service: ServiceName
+    unit: UnitId
+    """The range, also for a key that has an override."""
+    requests: int
+    key: Key | None = None
+
+
 # Backend servers
 
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,353 @@
+"""Placement: moves planned from the routers' counts, and the counters themselves."""
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberryrelay_control.placement import (
+    VOLUNTARY_REASONS,
+    LoadRates,
+    MoveReason,
+    PlacementPolicy,
+    PlacementState,
+    PlannedMove,
+    ServicePlacement,
+    ServicePolicy,
+    plan_always,
+    plan_moves,
+    plan_round_robin,
+    plan_static_hash,
+    policy_of,
+    server_loads,
+    update_rates,
+)
+from mulberryrelay_kernel.hashing import (
+    is_override,
+    override_unit,
+    range_index,
+    range_unit,
+)
+from mulberryrelay_kernel.ids import (
+    DataCentre,
+    Epoch,
+    Key,
+    ServerId,
+    ServiceName,
+    UnitId,
+)
+from mulberryrelay_kernel.messages import ServerEntry, Unit, UnitCount
+from mulberryrelay_kernel.states import ServerState, UnitState
+from mulberryrelay_router.loadcount import HotKeys, LoadCounter
+
+SLOTFINDER = ServiceName("slotfinder")
+RANGES = 64
+POLICY = policy_of(0.5)
+KEY = Key("trainer-17")
+HOME = range_unit(range_index(KEY, RANGES))
+
+
+class Target(msgspec.Struct, frozen=True):
+    server: ServerId | None = None
+    data_centre: DataCentre | None = None
+
+
+def entry(index: int, state: ServerState = ServerState.SERVING) -> ServerEntry:
+    data_centre = DataCentre(f"dc{index % 3}")
+    return ServerEntry(
+        ServerId(f"s{index}"), SLOTFINDER, data_centre, "127.0.0.1", 1, state
+    )
+
+
+def spread(servers: int) -> list[Unit]:
+    return [
+        Unit(range_unit(index), ServerId(f"s{index % servers}"), Epoch(1))
+        for index in range(RANGES)
+    ]
+
+
+def balanced(servers: int = 4, per_unit: float = 10.0) -> ServicePlacement:
+    rates = {range_unit(index): per_unit for index in range(RANGES)}
+    return ServicePlacement(
+        RANGES, spread(servers), [entry(i) for i in range(servers)], LoadRates(rates)
+    )
+
+
+def plan(
+    placement: ServicePlacement, policy: ServicePolicy = POLICY, now_ms: float = 1e6
+) -> list[PlannedMove]:
+    return plan_moves(
+        PlacementState({SLOTFINDER: placement}),
+        PlacementPolicy({SLOTFINDER: policy}),
+        now_ms,
+    )
+
+
+def applied(
+    placement: ServicePlacement, moves: Sequence[PlannedMove], now_ms: float
+) -> ServicePlacement:
+    """Return the state after the moves were carried out."""
+    units = {unit.unit: unit for unit in placement.units}
+    for move in moves:
+        if move.reason is MoveReason.COOLED:
+            del units[move.unit]
+            continue
+        units[move.unit] = Unit(move.unit, move.target, Epoch(1))
+    planned = [now_ms for move in moves if move.reason in VOLUNTARY_REASONS]
+    return msgspec.structs.replace(
+        placement,
+        units=list(units.values()),
+        moved_ms={**placement.moved_ms, **{move.unit: now_ms for move in moves}},
+        voluntary_ms=[*placement.voluntary_ms, *planned],
+    )
+
+
+def with_hot_key(rate: float) -> ServicePlacement:
+    """Return a service with one hot key in a range that is as busy without it."""
+    placement = balanced()
+    ranges = dict(placement.rates.ranges)
+    ranges[HOME] += 2 * rate
+    return msgspec.structs.replace(placement, rates=LoadRates(ranges, {KEY: rate}))
+
+
+def test_initial_placement_spreads_all_ranges() -> None:
+    """Guards against ranges without an owner and against a lopsided start."""
+    placement = msgspec.structs.replace(balanced(), units=[])
+    moves = plan(placement)
+    assert len({move.unit for move in moves}) == len(moves) == RANGES
+    assert set(Counter(move.target for move in moves).values()) == {RANGES // 4}
+
+
+def test_units_of_lost_and_draining_servers_are_spread() -> None:
+    """Guards against units left behind, or all heaped on one server."""
+    cases = [
+        (ServerState.LOST, MoveReason.LOST),
+        (ServerState.DRAINING, MoveReason.DRAINING),
+    ]
+    for state, reason in cases:
+        servers = [entry(0, state), *(entry(i) for i in range(1, 4))]
+        moves = plan(msgspec.structs.replace(balanced(), servers=servers))
+        assert {move.unit for move in moves} == {
+            unit.unit for unit in spread(4) if unit.owner == "s0"
+        }
+        assert {move.reason for move in moves} == {reason}
+        counts = Counter(move.target for move in moves).values()
+        assert max(counts) - min(counts) <= 1, counts
+
+
+def test_a_drain_rule_empties_its_server() -> None:
+    """Guards against a rule without effect on a server that reports itself serving."""
+    drained = frozenset({ServerId("s1")})
+    moves = plan(msgspec.structs.replace(balanced(), drained=drained))
+    assert len(moves) == RANGES // 4
+    assert {move.reason for move in moves} == {MoveReason.DRAINING}
+
+
+def test_a_pin_moves_its_key_and_keeps_it() -> None:
+    """Guards against a pinned key that is elsewhere, or that rebalancing moves."""
+    target = Target(server=ServerId("s2"))
+    placement = msgspec.structs.replace(with_hot_key(200.0), pins={KEY: target})
+    first = plan(placement)
+    pin = PlannedMove(SLOTFINDER, override_unit(KEY), ServerId("s2"), MoveReason.PIN)
+    assert first[0] == pin, first
+    later = plan(applied(placement, first, 1e6), now_ms=2e6)
+    assert override_unit(KEY) not in {move.unit for move in later}
+
+
+def test_a_pin_to_a_lost_server_waits() -> None:
+    """Guards against taking a key out of service to obey a pin."""
+    servers = [*(entry(i) for i in range(3)), entry(3, ServerState.LOST)]
+    placement = msgspec.structs.replace(
+        balanced(), servers=servers, pins={KEY: Target(server=ServerId("s3"))}
+    )
+    assert override_unit(KEY) not in {move.unit for move in plan(placement)}
+
+
+def test_a_hot_key_moves_alone_and_returns_when_it_has_cooled() -> None:
+    """Guards against moving ranges around a hot key, and overrides that stay."""
+    placement = with_hot_key(60.0)
+    moves = plan(placement)
+    assert (override_unit(KEY), MoveReason.HOT_KEY) in {
+        (move.unit, move.reason) for move in moves
+    }, moves
+    cooled = msgspec.structs.replace(
+        applied(placement, moves, 1e6), rates=balanced().rates
+    )
+    owner = next(unit.owner for unit in cooled.units if unit.unit == HOME)
+    back = PlannedMove(
+        SLOTFINDER, override_unit(KEY), owner or ServerId(""), MoveReason.COOLED
+    )
+    assert back not in plan(cooled, now_ms=1e6 + POLICY.cool_down_ms - 1)
+    assert back in plan(cooled, now_ms=1e6 + POLICY.cool_down_ms)
+
+
+def test_rebalancing_obeys_thresholds_budget_and_rest() -> None:
+    """Guards against churn: small gains, many moves, units moved again at once."""
+    rng = random.Random(3)
+    rates = {
+        unit.unit: rng.uniform(10, 12) * (4 if unit.owner == "s0" else 1)
+        for unit in spread(4)
+    }
+    placement = msgspec.structs.replace(balanced(), rates=LoadRates(rates))
+    moves = plan(placement)
+    assert moves and {move.reason for move in moves} == {MoveReason.REBALANCE}
+
+    def limited(**changes: float) -> list[PlannedMove]:
+        return plan(placement, msgspec.structs.replace(POLICY, **changes))
+
+    assert len(limited(moves_per_minute=2)) == 2
+    assert not limited(imbalance_threshold=4.0)
+    assert not limited(gain_threshold=1.0)
+    spent = msgspec.structs.replace(
+        placement, voluntary_ms=[1e6 - 59_000] * POLICY.moves_per_minute
+    )
+    assert not plan(spent)
+    assert plan(spent, now_ms=1e6 + 1_000)
+    resting = msgspec.structs.replace(
+        placement,
+        moved_ms=dict.fromkeys(rates, 1e6 - POLICY.cool_down_ms + 1),
+    )
+    assert not plan(resting)
+    assert plan(resting, now_ms=1e6 + 1)
+
+
+def test_balanced_and_idle_services_stay_as_they_are() -> None:
+    """Guards against moves without need."""
+    assert not plan(balanced())
+    idle = LoadRates({range_unit(0): 2.0})
+    assert not plan(msgspec.structs.replace(balanced(), rates=idle))
+
+
+def test_always_rebalancing_evens_loads_out_more_than_the_policy_needs() -> None:
+    """Guards against a baseline that is held back by the policy's limits."""
+    rates = LoadRates({range_unit(i): 10.0 + i for i in range(RANGES)})
+    placement = msgspec.structs.replace(balanced(), rates=rates)
+    state = PlacementState({SLOTFINDER: placement})
+    policy = PlacementPolicy({SLOTFINDER: policy_of(1.0)})
+    eager = applied(placement, plan_always(state, policy, 0.0), 0.0)
+    loads = server_loads(eager).values()
+    assert max(loads) < 1.02 * sum(loads) / len(loads), loads
+    assert plan_round_robin(state, policy, 0.0) == []
+
+
+@st.composite
+def placements(draw: st.DrawFn) -> ServicePlacement:
+    """Services in any state: servers of each kind, moving units, pins, hot keys."""
+    states = draw(st.lists(st.sampled_from(ServerState), min_size=1, max_size=6))
+    owners = [None, ServerId("gone"), *(ServerId(f"s{i}") for i in range(len(states)))]
+    keys = [Key(f"key-{index}") for index in range(6)]
+    ranges = 8
+    names = [range_unit(index) for index in range(ranges)]
+    names += [override_unit(key) for key in draw(st.sets(st.sampled_from(keys)))]
+    units = []
+    for name in names:
+        owner = draw(st.sampled_from(owners))
+        target = draw(st.none() | st.sampled_from(owners[1:]))
+        state = UnitState.ACTIVE if target is None else UnitState.MOVING
+        units.append(Unit(name, owner, Epoch(1), state, target))
+    rate = st.floats(0, 1000)
+    servers = [entry(index, state) for index, state in enumerate(states)]
+    targets = [Target(server=owner) for owner in owners[1:]]
+    targets.append(Target(data_centre=DataCentre("dc1")))
+    return ServicePlacement(
+        ranges,
+        units,
+        servers,
+        LoadRates(
+            {name: draw(rate) for name in names[:ranges]},
+            draw(st.dictionaries(st.sampled_from(keys), rate)),
+        ),
+        draw(st.dictionaries(st.sampled_from(keys), st.sampled_from(targets))),
+        draw(st.frozensets(st.sampled_from([server.server for server in servers]))),
+        draw(st.dictionaries(st.sampled_from(names), st.floats(0, 1e6))),
+        draw(st.lists(st.floats(900_000, 1e6), max_size=5)),
+    )
+
+
+@settings(derandomize=True, database=None, deadline=None, max_examples=300)
+@given(placements(), st.integers(0, 8))
+def check_invariants(placement: ServicePlacement, budget: int) -> None:
+    policy = msgspec.structs.replace(POLICY, moves_per_minute=budget)
+    moves = plan(placement, policy)
+    usable = {
+        server.server
+        for server in placement.servers
+        if server.state in (ServerState.SERVING, ServerState.COLD)
+        and server.server not in placement.drained
+    }
+    assert len({move.unit for move in moves}) == len(moves), "two owners"
+    assert all(move.target in usable for move in moves), "unusable target"
+    recent = [ms for ms in placement.voluntary_ms if 1e6 - ms < 60_000]
+    voluntary = [move for move in moves if move.reason in VOLUNTARY_REASONS]
+    assert len(voluntary) <= max(0, budget - len(recent)), "budget"
+    moved = {move.unit for move in moves}
+    for unit in placement.units:
+        if unit.state is UnitState.MOVING:
+            assert unit.unit not in moved or unit.next_owner not in usable
+        elif usable and unit.owner not in usable:
+            assert unit.unit in moved, "left without an owner"
+    new = {move.unit for move in voluntary if move.reason is MoveReason.HOT_KEY}
+    homes = {_home_of(unit, placement.ranges) for unit in new}
+    assert not homes & moved, "a range moves while a key leaves it"
+
+
+def _home_of(unit: UnitId, ranges: int) -> UnitId:
+    return range_unit(range_index(Key(unit.partition(":")[2]), ranges))
+
+
+def test_plans_keep_their_invariants() -> None:
+    """Guards against two owners, unusable targets and an exceeded budget."""
+    check_invariants()
+
+
+def test_static_hash_depends_on_the_servers_alone() -> None:
+    """Guards against a baseline that looks at load."""
+    state = PlacementState({SLOTFINDER: with_hot_key(500.0)})
+    assert plan_static_hash(state, PlacementPolicy({}), 0.0) == []
+
+
+def test_averages_do_not_jump_when_a_key_gets_an_override() -> None:
+    """Guards against a unit that looks idle right after it was split or merged."""
+    counter = LoadCounter(SLOTFINDER, RANGES)
+    rates = LoadRates()
+    for second in range(40):
+        if second == 20:
+            counter.set_overrides({KEY})
+        for _ in range(100):
+            counter.count(KEY)
+        rates = update_rates(rates, counter.take(), 1000.0)
+        if second < 20:
+            continue
+        assert 99 < rates.keys[KEY] < 101
+        assert 99 < rates.ranges[HOME] < 101
+
+
+def test_hot_keys_are_found_in_bounded_memory() -> None:
+    """Guards against unbounded memory, and against keys that only seem hot."""
+    rng = random.Random(11)
+    counter = HotKeys(capacity=50)
+    requests = [Key(f"hot-{index}") for index in range(5) for _ in range(500)]
+    requests += [Key(f"cold-{rng.randrange(10**9)}") for _ in range(10_000)]
+    rng.shuffle(requests)
+    for key in requests:
+        counter.count(key)
+    assert len(counter) == 50
+    top = counter.top(10)
+    assert {key for key, _ in top[:5]} == {f"hot-{index}" for index in range(5)}
+    assert all(count <= 500 for _, count in top)
+    assert all(count <= 5 for _, count in top[5:]), top
+
+
+def test_counts_of_ranges_are_complete() -> None:
+    """Guards against lost counts of a period, and counts kept into the next."""
+    counter = LoadCounter(SLOTFINDER, RANGES)
+    for index in range(1000):
+        counter.count(Key(f"key-{index}"))
+    counts = [count for count in counter.take() if count.key is None]
+    assert sum(count.requests for count in counts) == 1000
+    assert not any(is_override(count.unit) for count in counts)
+    assert counter.take() == []
+    assert update_rates(LoadRates(), [UnitCount(SLOTFINDER, HOME, 5)], 1000.0).ranges
