--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 import aiohttp
 import msgspec
@@ -64,6 +65,10 @@
     def is_revoking(self) -> bool:
         return bool(self._revoking)
 
+    def is_asked(self, unit: UnitId, epoch: Epoch) -> bool:
+        """Return whether the unit is being revoked or has been released."""
+        return self._revoking.get(unit) == epoch or self.is_released(unit, epoch)
+
     def is_released(self, unit: UnitId, epoch: Epoch) -> bool:
         """Return whether the server has confirmed that it is idle for the unit."""
         return (unit, epoch) in self._released
@@ -102,12 +107,12 @@
 
     def wake(self) -> None:
         """Have the next order sent at once."""
-        self._settled.clear()
         self._woken.set()
 
     async def wait_until_settled(self) -> None:
         """Wait until the server has confirmed the list."""
         while not self.is_settled:
+            self._settled.clear()
             await self._settled.wait()
 
     async def wait_for_work(self, timeout_ms: float) -> None:
@@ -177,6 +182,17 @@
         return False
 
 
+class ServerEvent(Enum):
+    """What the replies of a server tell about it."""
+
+    CHANGED = "changed"
+    """Its state, or what it has released."""
+    LOST = "lost"
+    RETURNED = "returned"
+    """It answers again, with the boot id from before the loss."""
+    RESTARTED = "restarted"
+
+
 class GrantKeeper:
     """Sends the grants of one term to all servers."""
 
@@ -186,18 +202,14 @@
         session: aiohttp.ClientSession,
         lease: CoordinatorLease,
         first_order_ms: float,
-        on_change: Callable[[Server], None],
-        on_new_incarnation: Callable[[Server], None],
-        on_lost: Callable[[Server], None],
+        on_event: Callable[[ServerEvent, Server], None],
         clock: Clock,
     ) -> None:
         self._options = options
         self._session = session
         self._lease = lease
         self._first_order_ms = first_order_ms
-        self._on_change = on_change
-        self._on_new_incarnation = on_new_incarnation
-        self._on_lost = on_lost
+        self._on_event = on_event
         self._clock = clock
         self._grants: dict[ServerId, ServerGrants] = {}
 
@@ -240,9 +252,9 @@
         is_new = server.note_reply(reply, self._clock())
         if is_new:
             grants.reset()
-            self._on_new_incarnation(server)
-        if was_lost:
-            log_event("server_returned", server=server.server, new_boot=is_new)
+            self._on_event(ServerEvent.RESTARTED, server)
+        elif was_lost:
+            self._on_event(ServerEvent.RETURNED, server)
         again = grants.note_reply(order, sent, reply, self._clock())
         if reply.term > order.term:
             log_event("order_refused", server=server.server, term=reply.term)
@@ -250,7 +262,7 @@
         if grants.is_settled:
             server.note_reconciled()
         if before != (server.state, server.takes_units) or order.revoked:
-            self._on_change(server)
+            self._on_event(ServerEvent.CHANGED, server)
         if again and not self._must_wait(server):
             return 0.0
         return REPEAT_MS if grants.is_revoking else timing.renew_ms
@@ -290,5 +302,5 @@
         if server.note_failure(self._clock(), timing.suspect_ms):
             # Grants are not renewed any more, so that those sent expire.
             grants.reset()
-            self._on_lost(server)
+            self._on_event(ServerEvent.LOST, server)
         return timing.renew_ms if server.is_lost else RETRY_MS
--- a/packages/control/mulberryrelay_control/moves.py
+++ b/packages/control/mulberryrelay_control/moves.py
@@ -13,7 +13,12 @@
 from returns.pipeline import is_successful
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.hashing import OVERRIDE_PREFIX, is_override
+from mulberryrelay_kernel.hashing import (
+    OVERRIDE_PREFIX,
+    is_override,
+    range_index,
+    range_unit,
+)
 from mulberryrelay_kernel.ids import Epoch, Key, ServerId, ServiceName, UnitId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import (
@@ -23,22 +28,24 @@
     UnitUpdate,
 )
 from mulberryrelay_kernel.options import Options
-from mulberryrelay_kernel.states import ServerState, StoreFailure, UnitState
+from mulberryrelay_kernel.states import UnitState
 
 from .assignment import AssignmentStore
 from .grants import GrantKeeper
 from .lease import CoordinatorLease
 from .membership import Membership, Server
-from .placement import PlannedMove
+from .placement import MoveReason, PlannedMove
 from .sessions import DrainedUnit, RouterSessions
 
 Publish = Callable[[Sequence[UnitUpdate]], None]
 Plan = Callable[[Assignment], list[PlannedMove]]
+"""Returns the moves that are due; moves to servers that take no units are dropped."""
 UnitKey = tuple[ServiceName, UnitId]
 
 # Longest time until an expired grant or routing lease is noticed.
 PENDING_PERIOD_MS = 10.0
-IDLE_PERIOD_MS = 100.0
+# Planning looks at every unit; while moves are pending, it need not run in each pass.
+PLAN_PERIOD_MS = 100.0
 # Pause after a failed write, so that a store with trouble is not flooded.
 STORE_PAUSE_MS = 100.0
 
@@ -124,9 +131,12 @@
         self._clock = clock
         self._at_step = at_step
         self._units: dict[UnitKey, Unit] = {}
-        self._ranges: dict[ServiceName, list[UnitId]] = {}
         self._moves: dict[UnitKey, Move] = {}
+        # Units of lost or restarted servers, with the time at which the grant is void.
         self._orphans: dict[UnitKey, float] = {}
+        # Overrides that end with their present move.
+        self._cooled: set[UnitKey] = set()
+        self._planned_ms = 0.0
         self._is_stale = False
         self._woken = asyncio.Event()
         self._assignment: Assignment | None = None
@@ -139,13 +149,23 @@
         return self._assignment
 
     def wake(self) -> None:
-        """Look at all moves now: a server, router or rule has changed."""
+        """Look at all moves now: a router has drained or a server is idle."""
+        self._woken.set()
+
+    def replan(self) -> None:
+        """Plan now: a server or rule has changed."""
+        self._planned_ms = 0.0
         self._woken.set()
 
     def adopt(self, assignment: Assignment) -> list[UnitUpdate]:
         """Take over what the table holds; return the units that differ."""
         changed = []
-        for update in _updates_of(assignment):
+        found = list(_updates_of(assignment))
+        names = {(update.service, update.unit.unit) for update in found}
+        for service, unit in self._units.keys() - names:
+            gone = Unit(unit, None, self._units[service, unit].epoch)
+            found.append(UnitUpdate(service, gone))
+        for update in found:
             key = (update.service, update.unit.unit)
             if self._units.get(key) == update.unit:
                 continue
@@ -163,7 +183,8 @@
             self._orphans[key] = void_at_ms
             if key in self._moves:
                 self._moves[key].note_lost(void_at_ms)
-        self.wake()
+                self._grants.of(server.server).revoke([self._moves[key].granted])
+        self.replan()
 
     def note_new_incarnation(self, server: Server) -> None:
         """Have the units of a server that started anew fenced and assigned again."""
@@ -197,7 +218,7 @@
         return self._clock() >= self._first_change_ms and self._lease.is_held()
 
     async def _wait_for_work(self) -> None:
-        period_ms = PENDING_PERIOD_MS if self._moves else IDLE_PERIOD_MS
+        period_ms = PENDING_PERIOD_MS if self._moves else PLAN_PERIOD_MS
         try:
             async with asyncio.timeout(period_ms / 1000):
                 await self._woken.wait()
@@ -207,59 +228,85 @@
 
     async def _begin_moves(self) -> bool:
         """Commit and publish ``moving`` for all planned moves."""
-        changes = []
-        initial = []
+        if self._clock() < self._planned_ms + PLAN_PERIOD_MS:
+            return True
+        self._planned_ms = self._clock()
+        changes: dict[UnitKey, Unit] = {}
         for move in self._planned():
-            unit = self._units.get((move.service, move.unit))
-            if unit is None or unit.state is UnitState.MOVING:
-                continue
-            if unit.owner is None:
-                initial.append(_moved(move.service, unit, move.target))
-                continue
-            if unit.owner == move.target and self._is_whole(move.service, unit):
-                continue
-            changes.append(
-                UnitUpdate(
-                    move.service,
-                    Unit(
-                        unit.unit,
-                        unit.owner,
-                        unit.epoch,
-                        UnitState.MOVING,
-                        move.target,
-                    ),
-                )
-            )
-        if not changes and not initial:
+            self._begin_move(move, changes)
+        if not changes:
             return True
+        updates = [UnitUpdate(service, u) for (service, _), u in changes.items()]
         await self._reach(MoveStep.BEFORE_MOVING)
-        if not await self._commit([*changes, *initial]):
+        if not await self._commit(updates):
             return False
         await self._reach(MoveStep.MOVING_COMMITTED)
-        if initial:
-            await self._settle({change.unit.owner for change in initial})
-        self._publish([*changes, *initial])
-        if changes:
-            log_event("moves_started", units=len(changes), services=_services(changes))
-        if initial:
-            log_event("units_assigned", units=len(initial), services=_services(initial))
+        placed = [u for u in updates if u.unit.state is UnitState.ACTIVE]
+        await self._settle({update.unit.owner for update in placed})
+        self._publish(updates)
+        log_event(
+            "moves_started",
+            units=len(updates) - len(placed),
+            placed=len(placed),
+            services=_services(updates),
+        )
         await self._reach(MoveStep.MOVING_PUBLISHED)
         return True
 
     def _planned(self) -> list[PlannedMove]:
-        return self._plan(self.assignment)
+        """Return due moves, restarted servers' units included.
 
-    def _is_whole(self, service: ServiceName, unit: Unit) -> bool:
-        return (service, unit.unit) not in self._orphans
+        The units of a server that started anew stay with it, but under a new epoch.
+        """
+        planned = self._plan(self.assignment)
+        names = {(move.service, move.unit) for move in planned}
+        for key in self._orphans:
+            owner = self._units[key].owner
+            if key in names or owner is None or not self._takes_units(owner):
+                continue
+            planned.append(PlannedMove(*key, owner, MoveReason.INITIAL))
+        return planned
+
+    def _begin_move(self, move: PlannedMove, changes: dict[UnitKey, Unit]) -> None:
+        """Add what begins a planned move to the changes of one transaction."""
+        key = (move.service, move.unit)
+        unit = self._units.get(key)
+        if not self._takes_units(move.target):
+            return
+        if unit is not None and unit.owner is None:
+            changes[key] = _moved(unit, move.target)
+            return
+        if unit is not None and move.reason is not MoveReason.COOLED:
+            if unit.state is UnitState.ACTIVE:
+                changes[key] = _moving(unit, move.target)
+            return
+        # An override begins or ends, and its range gets a new epoch with it, so that
+        # requests under the former grant are refused.
+        home_key = self._home_of(key)
+        home = self._units[home_key]
+        if home.state is UnitState.MOVING or home.owner is None or home_key in changes:
+            return
+        if unit is None:
+            unit = Unit(move.unit, home.owner, home.epoch)
+        elif unit.state is UnitState.MOVING:
+            return
+        else:
+            self._cooled.add(key)
+        changes[key] = _moving(unit, move.target)
+        changes[home_key] = _moving(home, home.owner)
+
+    def _home_of(self, key: UnitKey) -> UnitKey:
+        """Return the range that contains the unit."""
+        service, unit = key
+        if not is_override(unit):
+            return key
+        ranges = self._options.services[service].ranges
+        name = Key(unit.removeprefix(OVERRIDE_PREFIX))
+        return service, range_unit(range_index(name, ranges))
 
     async def _finish_moves(self) -> bool:
         """Fence the old owners; commit, grant and publish what is fenced."""
-        ready = [move for move in self._moves.values() if self._is_fenced(move)]
-        changes = []
-        for move in ready:
-            target = self._target_of(move)
-            if target is not None:
-                changes.append(_moved(move.service, move.unit, target))
+        changes = self._fenced_changes()
         if not changes:
             return True
         await self._reach(MoveStep.FENCED)
@@ -281,6 +328,35 @@
         )
         return True
 
+    def _fenced_changes(self) -> list[UnitUpdate]:
+        """Return the new owners of all units whose old owners are fenced.
+
+        A range and those of its overrides that move at the same time end together: a
+        request for an overridden key may still run under the grant of the range.
+        """
+        fenced = {key: self._is_fenced(move) for key, move in self._moves.items()}
+        waiting = {self._home_of(key) for key, is_fenced in fenced.items() if not is_fenced}
+        changes = {}
+        for key, move in self._moves.items():
+            if self._home_of(key) in waiting:
+                continue
+            target = self._target_of(move)
+            if target is not None:
+                changes[key] = _moved(move.unit, target)
+        for key in self._cooled & changes.keys():
+            self._end_override(key, changes)
+        return [UnitUpdate(service, unit) for (service, _), unit in changes.items()]
+
+    def _end_override(self, key: UnitKey, changes: dict[UnitKey, Unit]) -> None:
+        """Return a key to its range, if both have the same owner now."""
+        override = changes[key]
+        home = changes.get(self._home_of(key))
+        if home is None or home.owner != override.owner:
+            return
+        epoch = max(home.epoch, override.epoch)
+        changes[self._home_of(key)] = Unit(home.unit, home.owner, epoch)
+        changes[key] = Unit(override.unit, None, epoch)
+
     def _is_fenced(self, move: Move) -> bool:
         """Return whether the old owner can run no request for the unit any more."""
         unit = move.unit
@@ -288,18 +364,22 @@
             return True
         drained = self._sessions.have_drained(move.drained)
         checks = self._options.services[move.service].checks_grants
-        server = self._membership.servers.get(unit.owner)
-        if self._grants.of(unit.owner).is_released(unit.unit, unit.epoch):
+        grants = self._grants.of(unit.owner)
+        if grants.is_released(unit.unit, unit.epoch):
             return drained or checks
-        if server is None or server.is_lost or move.void_at_ms is not None:
-            if not checks:
-                return drained
-            return self._clock() >= (move.void_at_ms or self._first_change_ms)
-        if drained:
-            grants = self._grants.of(unit.owner)
-            if not grants.is_asked(unit.unit, unit.epoch):
+        server = self._membership.servers.get(unit.owner)
+        is_gone = server is None or server.is_lost or move.void_at_ms is not None
+        if not is_gone:
+            if drained and not grants.is_asked(unit.unit, unit.epoch):
                 grants.revoke([move.granted])
-        return False
+            return False
+        if unit.unit in grants.wanted:
+            # It was granted again since the loss; only what is not renewed expires.
+            grants.revoke([move.granted])
+            move.note_lost(server.latest_expiry_ms if server else self._clock())
+        if not checks:
+            return drained
+        return self._clock() >= (move.void_at_ms or self._first_change_ms)
 
     def _target_of(self, move: Move) -> ServerId | None:
         """Return the next owner, or another server if that one is gone."""
@@ -343,8 +423,8 @@
         if not is_successful(result):
             failure = result.failure()
             log_event("commit_failed", reason=failure.value, units=len(changes))
-            # What the table holds is unknown after any failure but a refusal.
-            self._is_stale = failure is not StoreFailure.UNAVAILABLE
+            # A part of a long batch may be stored whatever the failure.
+            self._is_stale = True
             return False
         for change in changes:
             self._apply(change)
@@ -369,11 +449,11 @@
         unit = update.unit
         known = self._units.get(key)
         self._units[key] = unit
-        granted = [GrantedUnit(unit.unit, unit.epoch)]
         if unit.state is UnitState.MOVING:
-            self._apply_moving(key, unit, is_taken_over=known is None)
+            self._apply_moving(key, unit)
             return
         move = self._moves.pop(key, None)
+        self._cooled.discard(key)
         if move is not None:
             self._sessions.forget_drained(move.drained)
         if known is not None and known.owner is not None:
@@ -381,17 +461,22 @@
         if known is None or known.epoch != unit.epoch:
             self._orphans.pop(key, None)
         if unit.owner is not None:
-            self._grants.of(unit.owner).grant(granted)
+            self._grants.of(unit.owner).grant([GrantedUnit(unit.unit, unit.epoch)])
+        elif is_override(unit.unit):
+            del self._units[key]
 
-    def _apply_moving(self, key: UnitKey, unit: Unit, is_taken_over: bool) -> None:
+    def _apply_moving(self, key: UnitKey, unit: Unit) -> None:
         move = Move(key[0], unit, self._clock())
         self._moves[key] = move
         if key in self._orphans:
             move.note_lost(self._orphans[key])
         if unit.owner is None:
             return
-        if key in self._orphans or is_taken_over:
-            # The former coordinator may have revoked the unit already.
+        is_taken_over = self._assignment is None
+        is_known = unit.owner in self._membership.servers
+        if key in self._orphans or is_taken_over or not is_known:
+            # The former coordinator may have revoked the unit already, and a server
+            # that comes into view now must not be granted what it loses.
             self._grants.of(unit.owner).revoke([move.granted])
 
     def _assembled(self) -> Assignment:
@@ -422,8 +507,12 @@
             yield UnitUpdate(service, unit)
 
 
-def _moved(service: ServiceName, unit: Unit, target: ServerId) -> UnitUpdate:
-    return UnitUpdate(service, Unit(unit.unit, target, Epoch(unit.epoch + 1)))
+def _moving(unit: Unit, target: ServerId) -> Unit:
+    return Unit(unit.unit, unit.owner, unit.epoch, UnitState.MOVING, target)
+
+
+def _moved(unit: Unit, target: ServerId) -> Unit:
+    return Unit(unit.unit, target, Epoch(unit.epoch + 1))
 
 
 def _services(changes: Sequence[UnitUpdate]) -> str:
--- /dev/null
+++ b/packages/control/mulberryrelay_control/planner.py
@@ -0,0 +1,134 @@
+"""Feeds the placement policy: request rates, recent moves, and what rules demand."""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import Key, ServerId, ServiceName, UnitId
+from mulberryrelay_kernel.messages import Assignment, UnitCount
+from mulberryrelay_kernel.options import Options
+
+from .membership import Membership
+from .placement import (
+    MINUTE_MS,
+    VOLUNTARY_REASONS,
+    LoadRates,
+    PinTarget,
+    PlacementPolicy,
+    PlacementState,
+    PlannedMove,
+    PlanMoves,
+    ServicePlacement,
+    plan_moves,
+    policy_of,
+    update_rates,
+)
+from .sessions import RouterSessions
+
+RATE_PERIOD_MS = 1000.0
+
+
+class PlacementRules(msgspec.Struct, frozen=True):
+    """What the rules in force demand of placement."""
+
+    pins: Mapping[ServiceName, Mapping[Key, PinTarget]] = {}
+    drained: frozenset[ServerId] = frozenset()
+
+
+class Planner:
+    """Plans the moves of one term."""
+
+    def __init__(
+        self,
+        options: Options,
+        membership: Membership,
+        sessions: RouterSessions,
+        rules: Callable[[], PlacementRules],
+        clock: Clock,
+        plan: PlanMoves = plan_moves,
+    ) -> None:
+        self._membership = membership
+        self._sessions = sessions
+        self._rules = rules
+        self._clock = clock
+        self._plan = plan
+        self._ranges = {
+            name: service.ranges
+            for name, service in options.services.items()
+            if service.partitioned
+        }
+        self._policy = PlacementPolicy(
+            {name: policy_of(options.services[name].churn_weight) for name in self._ranges}
+        )
+        self._rates = dict.fromkeys(self._ranges, LoadRates())
+        self._rates_ms = clock()
+        self._moved_ms: dict[ServiceName, dict[UnitId, float]] = {
+            name: {} for name in self._ranges
+        }
+        self._voluntary_ms: dict[ServiceName, list[float]] = {
+            name: [] for name in self._ranges
+        }
+
+    def plan(self, assignment: Assignment) -> list[PlannedMove]:
+        """Return the moves that are due now, to servers that take units."""
+        now_ms = self._clock()
+        self._update_rates(now_ms)
+        rules = self._rules()
+        state = PlacementState(
+            {name: self._placement(name, assignment, rules) for name in self._ranges}
+        )
+        servers = self._membership.servers
+        planned = [
+            move
+            for move in self._plan(state, self._policy, now_ms)
+            if move.target in servers and servers[move.target].takes_units
+        ]
+        for move in planned:
+            self._note_planned(move, now_ms)
+        return planned
+
+    def _placement(
+        self, name: ServiceName, assignment: Assignment, rules: PlacementRules
+    ) -> ServicePlacement:
+        return ServicePlacement(
+            ranges=self._ranges[name],
+            units=[
+                *assignment.ranges.get(name, []),
+                *assignment.overrides.get(name, {}).values(),
+            ],
+            servers=[
+                server.entry
+                for server in self._membership.servers.values()
+                if server.entry.service == name
+            ],
+            rates=self._rates[name],
+            pins=rules.pins.get(name, {}),
+            drained=rules.drained,
+            moved_ms=self._moved_ms[name],
+            voluntary_ms=self._voluntary_ms[name],
+        )
+
+    def _update_rates(self, now_ms: float) -> None:
+        elapsed_ms = now_ms - self._rates_ms
+        if elapsed_ms < RATE_PERIOD_MS:
+            return
+        self._rates_ms = now_ms
+        counts = self._sessions.take_counts()
+        for name in self._ranges:
+            own = [
+                UnitCount(name, UnitId(c.unit), c.requests, Key(c.key) if c.key else None)
+                for c in counts
+                if c.service == name
+            ]
+            self._rates[name] = update_rates(self._rates[name], own, elapsed_ms)
+
+    def _note_planned(self, move: PlannedMove, now_ms: float) -> None:
+        self._moved_ms[move.service][move.unit] = now_ms
+        if move.reason not in VOLUNTARY_REASONS:
+            return
+        recent = self._voluntary_ms[move.service]
+        recent.append(now_ms)
+        self._voluntary_ms[move.service] = [
+            planned_ms for planned_ms in recent if now_ms - planned_ms < MINUTE_MS
+        ]
--- a/packages/control/mulberryrelay_control/sessions.py
+++ b/packages/control/mulberryrelay_control/sessions.py
@@ -62,11 +62,6 @@
         """Version of the assignment that the router has confirmed."""
         return self._assignment_version
 
-    @property
-    def counts(self) -> list[UnitCount]:
-        """The router's last counts of requests by unit."""
-        return self._counts
-
     @property
     def is_connected(self) -> bool:
         return self._queue is not None
@@ -102,7 +97,7 @@
         """Record what the router has applied and drained."""
         self._rules_version = RulesVersion(request.applied_rules_version)
         if request.counts:
-            self._counts = list(request.counts)
+            self._counts.extend(request.counts)
         if not is_current_term:
             return
         self._assignment_version = AssignmentVersion(request.applied_assignment_version)
@@ -115,6 +110,12 @@
                 )
             )
 
+    def take_counts(self) -> list[UnitCount]:
+        """Return the requests by unit that the router counted since the last call."""
+        counts = self._counts
+        self._counts = []
+        return counts
+
     def has_drained(self, unit: DrainedUnit) -> bool:
         """Return whether the router has confirmed the unit as drained."""
         return unit in self._drained
@@ -180,6 +181,10 @@
         for session in self._sessions.values():
             session.forget_drained(unit)
 
+    def take_counts(self) -> list[UnitCount]:
+        """Return the counts of all routers since the last call."""
+        return [c for session in self._sessions.values() for c in session.take_counts()]
+
     def drop_expired(self) -> None:
         """Forget disconnected routers whose leases have expired."""
         now_ms = self._clock()
