--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -44,6 +44,7 @@
 
     lease_ms: int = 500
     renew_ms: int = 150
+    poll_ms: int = 100
     margin_ms: int = 50
     bridge_ms: int = 350
     promise_ms: int = 1000
--- a/packages/kernel/mulberryrelay_kernel/states.py
+++ b/packages/kernel/mulberryrelay_kernel/states.py
@@ -68,3 +68,11 @@
     """The store refused the call before it took effect."""
     UNKNOWN = "unknown"
     """No reply arrived; the call may have taken effect."""
+
+
+class LeaseTransition(Enum):
+    """What happened to this process's coordinator lease."""
+
+    ACQUIRED = "acquired"
+    """A new term of this process has begun."""
+    LOST = "lost"
