--- a/packages/control/mulberryrelay_control/moves.py
+++ b/packages/control/mulberryrelay_control/moves.py
@@ -186,7 +186,7 @@
                 self._grants.of(server.server).revoke([self._moves[key].granted])
         self.replan()
 
-    def note_new_incarnation(self, server: Server) -> None:
+    def note_restarted(self, server: Server) -> None:
         """Have the units of a server that started anew fenced and assigned again."""
         self._grants.of(server.server).forget(
             GrantedUnit(unit.unit, unit.epoch)
--- a/packages/control/mulberryrelay_control/sessions.py
+++ b/packages/control/mulberryrelay_control/sessions.py
@@ -41,7 +41,7 @@
         self._assignment_version = AssignmentVersion(0)
         self._rules_version = RulesVersion(0)
         self._counts: list[UnitCount] = []
-        self._queue: asyncio.Queue[SyncReply] | None = None
+        self._queue: asyncio.Queue[SyncReply | None] | None = None
 
     @property
     def address(self) -> Address:
@@ -66,12 +66,12 @@
     def is_connected(self) -> bool:
         return self._queue is not None
 
-    def connect(self) -> asyncio.Queue[SyncReply]:
+    def connect(self) -> asyncio.Queue[SyncReply | None]:
         """Begin a stream; return the queue of its replies."""
-        self._queue = asyncio.Queue(QUEUE_LENGTH)
+        self._queue = asyncio.Queue()
         return self._queue
 
-    def disconnect(self, queue: asyncio.Queue[SyncReply]) -> None:
+    def disconnect(self, queue: asyncio.Queue[SyncReply | None]) -> None:
         """End a stream, unless another one has replaced it."""
         if self._queue is queue:
             self._queue = None
@@ -80,12 +80,18 @@
         """Queue a message for the router."""
         if self._queue is None:
             return
-        try:
-            self._queue.put_nowait(reply)
-        except asyncio.QueueFull:
+        if self._queue.qsize() >= QUEUE_LENGTH:
+            self.end_stream()
             self._queue = None
+            return
+        self._queue.put_nowait(reply)
+
+    def end_stream(self) -> None:
+        """End the present stream."""
+        if self._queue is not None:
+            self._queue.put_nowait(None)
 
-    def owns(self, queue: asyncio.Queue[SyncReply]) -> bool:
+    def owns(self, queue: asyncio.Queue[SyncReply | None]) -> bool:
         """Return whether the queue belongs to the present stream."""
         return self._queue is queue
 
@@ -160,10 +166,10 @@
         if self._sessions.pop((address.instance, address.boot_id), None):
             log_event("router_left", router=address.instance)
 
-    def push(self, reply: SyncReply) -> None:
-        """Queue a message for each connected router."""
-        for session in self._sessions.values():
-            session.push(reply)
+    def close(self) -> None:
+        """End all streams."""
+        for session in self.connected:
+            session.end_stream()
 
     def have_drained(self, unit: DrainedUnit) -> bool:
         """Return whether no router may send requests for the moving unit.
