Make outcomes of requests true and claim idempotency keys

Cause: aiohttp sends idempotent requests again by itself, writes bodies from a later task than the checks, and its exceptions do not say whether a byte was written. Requests with an idempotency key were not claimed. The platform stand-in decodes transactions, which msgspec refused because of a union of Raw and None. Ruled out: tracing hooks, which report after the write and cost time on each request; the private switch of the session against repeated sends.

--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -212,6 +212,8 @@
     body: bytes | None = None
     created_s: int = 0
     """Seconds since the Unix epoch."""
+    claim_id: str = ""
+    """Unique to the request that inserted the row."""
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -61,6 +61,10 @@
 
     header_bytes: int = 16_384
     body_bytes: int = 8_388_608
+    body_timeout_ms: int = 10_000
+    """Time for a caller to send a whole body."""
+    deadline_ms: int = 120_000
+    """Longest deadline that a caller may ask for."""
     buffered_answer_bytes: int = 1_048_576
     queue_length: int = 512
     retry_ratio: float = 0.1
--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -1,11 +1,13 @@
 """HTTP interface for callers: reads a request, has it routed, writes the answer."""
 
+import asyncio
 import uuid
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 import msgspec
 from aiohttp import web
-from multidict import CIMultiDict
+from multidict import CIMultiDict, istr
 
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import (
@@ -15,17 +17,23 @@
     RequestId,
     ServiceName,
 )
+from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import ErrorBody
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.states import Outcome
 
 from .forward import (
     CLASS_HEADER,
+    CONTENT_LENGTH_HEADER,
     DEADLINE_HEADER,
+    EPOCH_HEADER,
+    HOP_BY_HOP_HEADERS,
     IDEMPOTENCY_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
+    TERM_HEADER,
+    UNIT_HEADER,
     Answer,
     CallerRequest,
 )
@@ -33,6 +41,22 @@
 RouteRequest = Callable[[CallerRequest], Awaitable[Answer]]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
+CONNECTION_HEADER = istr("Connection")
+# The headers that name an owner come from the router only, and the length is that of
+# the body as read. aiohttp would wait for a reply to an Expect that is passed on.
+DROPPED_HEADERS = (
+    *HOP_BY_HOP_HEADERS,
+    CONTENT_LENGTH_HEADER,
+    istr("Host"),
+    istr("Expect"),
+    UNIT_HEADER,
+    EPOCH_HEADER,
+    TERM_HEADER,
+)
+# Longest value of a header that the router itself reads.
+MAX_VALUE_LENGTH = 256
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 class BadRequestError(Exception):
     """A request that no server can be found for."""
@@ -51,20 +75,44 @@
         return self._error
 
 
-def caller_handler(options: Options, route_request: RouteRequest) -> Handler:
-    """Return the handler of the callers' listener."""
+def caller_handler(
+    options: Options, route_request: RouteRequest, is_stopping: Callable[[], bool]
+) -> Handler:
+    """Return the handler of the callers' listener.
+
+    While the router stops, each answer is the last one of its connection.
+    """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
-        request_id = RequestId(request.headers.get(REQUEST_ID_HEADER, uuid.uuid4().hex))
+        request_id = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        if not _is_readable(request_id):
+            request_id = uuid.uuid4().hex
         try:
-            caller_request = await read_request(options, request, request_id)
+            caller_request = await read_request(options, request, RequestId(request_id))
         except BadRequestError as error:
-            return error_response(error.status, error.error, str(error), request_id)
-        answer = await route_request(caller_request)
-        headers = CIMultiDict(answer.headers)
-        headers[REQUEST_ID_HEADER] = request_id
-        headers[OUTCOME_HEADER] = answer.outcome.value
-        return web.Response(status=answer.status, headers=headers, body=answer.body)
+            response = error_response(
+                error.status, error.error, str(error), RequestId(request_id)
+            )
+            # The rest of the request may not have been read.
+            response.force_close()
+            return response
+        try:
+            answer = await route_request(caller_request)
+        except Exception as error:
+            log_event("request_failed", request_id=request_id, error=repr(error))
+            return error_response(
+                500,
+                "internal-error",
+                "the outcome of the request is not known",
+                RequestId(request_id),
+                Outcome.UNKNOWN,
+            )
+        if answer.stream is not None:
+            return await _stream_answer(request, caller_request, answer, is_stopping)
+        response = _whole_answer(caller_request, answer)
+        if is_stopping():
+            response.force_close()
+        return response
 
     return handle
 
@@ -75,22 +123,30 @@
     """Return the request with its body.
 
     Raises:
-        BadRequestError: unknown service or class, missing key or bad deadline.
+        BadRequestError: unknown service or class, missing key, bad deadline, a header
+            with an unusable value, or a request that is too long or arrives too slowly.
     """
-    service_name, _, rest = request.path_qs.lstrip("/").partition("/")
+    size = sum(len(name) + len(value) for name, value in request.raw_headers)
+    if size > options.limits.header_bytes:
+        raise BadRequestError(431, "headers-too-long", f"{size} bytes of headers")
+    if request.method == "CONNECT":
+        raise BadRequestError(405, "bad-method", "CONNECT is not supported")
+    # The raw target, since decoding and encoding it again could change the path.
+    service_name, _, rest = request.raw_path.removeprefix("/").partition("/")
     service = options.services.get(ServiceName(service_name))
     if service is None:
         raise BadRequestError(404, "unknown-service", f"no service {service_name!r}")
-    key = request.headers.get(KEY_HEADER)
+    key = _value_of(request, KEY_HEADER)
     if service.partitioned and not key:
         raise BadRequestError(400, "missing-key", f"{KEY_HEADER} is required")
-    request_class = request.headers.get(CLASS_HEADER, service.classes[-1])
+    request_class = _value_of(request, CLASS_HEADER) or service.classes[-1]
     if request_class not in service.classes:
         raise BadRequestError(400, "unknown-class", f"no class {request_class!r}")
-    deadline = request.headers.get(DEADLINE_HEADER, str(service.default_deadline_ms))
-    if not deadline.isdecimal():
-        raise BadRequestError(400, "bad-deadline", f"{DEADLINE_HEADER} is not a number")
-    idempotency_key = request.headers.get(IDEMPOTENCY_HEADER)
+    deadline = _value_of(request, DEADLINE_HEADER) or str(service.default_deadline_ms)
+    deadline_ms = _deadline_ms(deadline, options.limits.deadline_ms)
+    idempotency_key = _value_of(request, IDEMPOTENCY_HEADER)
+    arrived_ms = monotonic_ms()
+    body = await _read_body(options, request) if request.body_exists else b""
     return CallerRequest(
         request_id=request_id,
         service=ServiceName(service_name),
@@ -99,22 +155,146 @@
         path=f"/{rest}",
         key=Key(key) if key else None,
         idempotency_key=IdempotencyKey(idempotency_key) if idempotency_key else None,
-        headers=CIMultiDict(request.headers),
-        body=await request.read(),
-        deadline_ms=monotonic_ms() + int(deadline),
+        headers=_passed_headers(request),
+        body=body,
+        deadline_ms=arrived_ms + deadline_ms,
     )
 
 
 def error_response(
-    status: int, error: str, detail: str, request_id: RequestId
+    status: int,
+    error: str,
+    detail: str,
+    request_id: RequestId,
+    outcome: Outcome = Outcome.NOT_RUN,
 ) -> web.Response:
-    """Return an answer of the router's own; the request was not run."""
+    """Return an answer of the router's own."""
     return web.Response(
         status=status,
         body=msgspec.json.encode(ErrorBody(error, detail, request_id)),
         content_type="application/json",
-        headers={
-            REQUEST_ID_HEADER: request_id,
-            OUTCOME_HEADER: Outcome.NOT_RUN.value,
-        },
+        headers={REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: outcome.value},
     )
+
+
+def _value_of(request: web.BaseRequest, name: istr) -> str | None:
+    """Return the value of a header that the router reads, None if it is absent.
+
+    Raises:
+        BadRequestError: the value is given twice, too long or not printable.
+    """
+    value = request.headers.get(name)
+    if value is None:
+        return None
+    if not _is_readable(value):
+        raise BadRequestError(400, "bad-header", f"{name} is too long or not printable")
+    if len(request.headers.getall(name)) > 1:
+        raise BadRequestError(400, "bad-header", f"{name} is given twice")
+    return value
+
+
+def _is_readable(value: str) -> bool:
+    return len(value) <= MAX_VALUE_LENGTH and value.isprintable()
+
+
+def _deadline_ms(text: str, longest_ms: int) -> int:
+    # The length is checked first: int() refuses very long numbers.
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        raise BadRequestError(
+            400, "bad-deadline", f"{DEADLINE_HEADER} is not a number of milliseconds"
+        )
+    return min(int(text), longest_ms)
+
+
+def _passed_headers(request: web.BaseRequest) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.headers)
+    connection = headers.get(CONNECTION_HEADER)
+    if connection is not None:
+        # The header names further headers of this connection only.
+        for name in connection.split(","):
+            headers.popall(name.strip(), None)
+    for dropped in DROPPED_HEADERS:
+        headers.popall(dropped, None)
+    return headers
+
+
+async def _read_body(options: Options, request: web.BaseRequest) -> bytes:
+    limit = options.limits.body_bytes
+    if (request.content_length or 0) > limit:
+        raise BadRequestError(413, "body-too-long", f"more than {limit} bytes")
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    if expects and request.transport is not None:
+        request.transport.write(CONTINUE)
+    timeout_ms = options.limits.body_timeout_ms
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            while chunk := await request.content.readany():
+                size += len(chunk)
+                if size > limit:
+                    raise BadRequestError(
+                        413, "body-too-long", f"more than {limit} bytes"
+                    )
+                chunks.append(chunk)
+    except TimeoutError:
+        raise BadRequestError(
+            408, "body-timeout", f"the body took more than {timeout_ms} ms"
+        ) from None
+    except (aiohttp.ClientError, web.RequestPayloadError) as error:
+        raise BadRequestError(400, "bad-body", repr(error)) from None
+    return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+
+
+def _whole_answer(request: CallerRequest, answer: Answer) -> web.Response:
+    if answer.error:
+        response = error_response(
+            answer.status,
+            answer.error,
+            answer.detail,
+            request.request_id,
+            answer.outcome,
+        )
+        response.headers.extend(answer.headers)
+        return response
+    headers = answer.headers
+    if request.method != "HEAD":
+        headers.popall(CONTENT_LENGTH_HEADER, None)
+    headers[REQUEST_ID_HEADER] = request.request_id
+    headers[OUTCOME_HEADER] = answer.outcome.value
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+async def _stream_answer(
+    request: web.BaseRequest,
+    caller_request: CallerRequest,
+    answer: Answer,
+    is_stopping: Callable[[], bool],
+) -> web.StreamResponse:
+    """Pass a long answer on; a broken one ends the caller's connection by a reset."""
+    assert answer.stream is not None
+    answer.headers[REQUEST_ID_HEADER] = caller_request.request_id
+    answer.headers[OUTCOME_HEADER] = answer.outcome.value
+    response = web.StreamResponse(status=answer.status, headers=answer.headers)
+    if CONTENT_LENGTH_HEADER not in answer.headers:
+        response.enable_chunked_encoding()
+    if is_stopping():
+        response.force_close()
+    left_ms = caller_request.deadline_ms - monotonic_ms()
+    try:
+        async with asyncio.timeout(left_ms / 1000):
+            await response.prepare(request)
+            if answer.body:
+                await response.write(answer.body)
+            async for chunk in answer.stream.chunks():
+                await response.write(chunk)
+            await response.write_eof()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        log_event(
+            "answer_cut_off", request_id=caller_request.request_id, error=repr(error)
+        )
+        if request.transport is not None:
+            request.transport.abort()
+    finally:
+        answer.stream.close()
+    return response
--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -1,9 +1,19 @@
-"""Sends one attempt of a request to one backend server and states its outcome."""
+"""Sends one attempt of a request to one backend server and states its outcome.
+
+An attempt is certainly not run if none of its bytes were written or if the server
+refused it. Once a byte was written, only an answer that echoes the request id, as a
+whole, says that it ran.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import msgspec
-from multidict import CIMultiDict
+from multidict import CIMultiDict, istr
+from yarl import URL
 
+from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import (
     Epoch,
     IdempotencyKey,
@@ -17,34 +27,43 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import NotRunReason, Outcome
 
-REQUEST_ID_HEADER = "Mulberry-Request-Id"
-KEY_HEADER = "Mulberry-Key"
-CLASS_HEADER = "Mulberry-Class"
-DEADLINE_HEADER = "Mulberry-Deadline-Ms"
-UNIT_HEADER = "Mulberry-Unit"
-EPOCH_HEADER = "Mulberry-Epoch"
-TERM_HEADER = "Mulberry-Term"
-OUTCOME_HEADER = "Mulberry-Outcome"
-OWNER_HEADER = "Mulberry-Owner"
-NOT_RUN_HEADER = "Mulberry-Not-Run"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
+from .pool import CONNECT_TIMEOUT_S, NotSentError, StaleConnectionError, current_attempt
+
+REQUEST_ID_HEADER = istr("Mulberry-Request-Id")
+KEY_HEADER = istr("Mulberry-Key")
+CLASS_HEADER = istr("Mulberry-Class")
+DEADLINE_HEADER = istr("Mulberry-Deadline-Ms")
+UNIT_HEADER = istr("Mulberry-Unit")
+EPOCH_HEADER = istr("Mulberry-Epoch")
+TERM_HEADER = istr("Mulberry-Term")
+OUTCOME_HEADER = istr("Mulberry-Outcome")
+OWNER_HEADER = istr("Mulberry-Owner")
+NOT_RUN_HEADER = istr("Mulberry-Not-Run")
+IDEMPOTENCY_HEADER = istr("Idempotency-Key")
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-    }
+# Headers of one connection, RFC 9110 section 7.6.1, and those that aiohttp sets.
+HOP_BY_HOP_HEADERS = tuple(
+    istr(name)
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    )
 )
+CONTENT_LENGTH_HEADER = istr("Content-Length")
+TRANSFER_ENCODING_HEADER = istr("Transfer-Encoding")
+# Statuses of answers that have no body, RFC 9110 section 6.4.1.
+BODILESS_STATUSES = frozenset({204, 304})
+# aiohttp rounds longer timeouts up to whole seconds; deadlines are exact.
+EXACT_TIMEOUTS_S = 1e9
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -59,6 +78,7 @@
     key: Key | None
     idempotency_key: IdempotencyKey | None
     headers: CIMultiDict[str]
+    """Headers to pass on; without those of the caller's connection."""
     body: bytes
     deadline_ms: float
     """On the clock of this process."""
@@ -78,82 +98,297 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Result of one attempt."""
+    """Result of one attempt, or of a request."""
 
     outcome: Outcome
     status: int
     headers: CIMultiDict[str]
     body: bytes
     reason: NotRunReason | None = None
+    stream: "AnswerStream | None" = None
+    """The rest of an answer that is too long to be buffered."""
+    error: str = ""
+    """Code of an error of the router's own."""
+    detail: str = ""
+    is_sent: bool = True
+    """Whether the first byte of the request was written."""
+    is_broken: bool = False
+    """Whether the server's connection broke before the answer was complete."""
+    is_late: bool = False
+    """Whether the deadline of the attempt passed."""
+
+
+class AnswerStream:
+    """Rest of an answer that is passed on while it arrives."""
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, on_close: Callable[[], None]
+    ) -> None:
+        self._response = response
+        self._on_close = on_close
+        self._is_closed = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the rest of the body.
+
+        Raises:
+            aiohttp.ClientError: the connection broke before the end.
+            TimeoutError: the deadline of the attempt passed.
+        """
+        while chunk := await self._response.content.readany():
+            yield chunk
+
+    def close(self) -> None:
+        """End the attempt; closes the connection unless the answer is complete."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if not self._response.content.is_eof():
+            self._response.close()
+        self._response.release()
+        self._on_close()
+
+
+class Attempt:
+    """One attempt while it runs.
+
+    ``before_send`` is called directly before the write and returns whether the attempt
+    may be sent; ``on_end`` is called once it can have no later effect.
+    """
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        target: Target,
+        deadline_ms: float,
+        clock: Clock,
+        before_send: Callable[[], bool],
+        on_end: Callable[[], None],
+    ) -> None:
+        self._request = request
+        self._target = target
+        self._deadline_ms = deadline_ms
+        self._clock = clock
+        self._before_send = before_send
+        self._on_end = on_end
+        self._is_sent = False
+
+    @property
+    def body(self) -> bytes:
+        return self._request.body
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the first byte may have been written."""
+        return self._is_sent
+
+    @property
+    def left_ms(self) -> float:
+        """Milliseconds left until the deadline of the attempt."""
+        return self._deadline_ms - self._clock()
+
+    def start(self, headers: CIMultiDict[str]) -> None:
+        """Make the last checks and count the attempt as sent.
+
+        Raises:
+            NotSentError: the attempt must not be sent now, or was sent before.
+        """
+        if self._is_sent:
+            raise NotSentError("aiohttp tried to send the attempt again")
+        left_ms = int(self.left_ms)
+        if left_ms <= 0 or not self._before_send():
+            raise NotSentError("ownership or deadline changed before the send")
+        self._is_sent = True
+        headers[DEADLINE_HEADER] = str(left_ms)
+
+    def end(self, is_settled: bool, checks_grants: bool) -> None:
+        """Call ``on_end``, at once or at the deadline.
+
+        A server that checks grants refuses a request that it reads after the unit has
+        moved. One that does not may still run it until its deadline, unless its answer
+        has settled the outcome.
+        """
+        if not self._is_sent:
+            return
+        if is_settled or checks_grants or self.left_ms <= 0:
+            self._on_end()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.left_ms / 1000, self._on_end)
 
 
 async def send_attempt(
     session: aiohttp.ClientSession,
+    attempt: Attempt,
     request: CallerRequest,
     target: Target,
-    timeout_ms: float,
+    checks_grants: bool,
+    buffer_bytes: int,
 ) -> Answer:
     """Send a request to a server and return the answer with its outcome.
 
-    The timeout is in milliseconds. Connection failures come back as an answer with
-    status 502 or 504, never as an exception.
+    Connection failures come back as an answer with status 502 or 504, never as an
+    exception. Answers of more than ``buffer_bytes`` are returned as a stream, which the
+    receiver has to close.
     """
-    server = target.server
-    url = f"http://{server.host}:{server.port}{request.path}"
-    headers = _attempt_headers(request, target, timeout_ms)
+    is_settled = False
+    is_streaming = False
     try:
-        async with session.request(
-            request.method,
-            url,
-            headers=headers,
-            data=request.body or None,
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
-        ) as response:
-            body = await response.read()
-            if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
-                response.close()
-                return failed_answer(Outcome.UNKNOWN, 502)
-            return _answer_of(response, body)
-    except aiohttp.ClientConnectorError:
-        return failed_answer(Outcome.NOT_RUN, 502)
+        response = await _send(session, attempt, request, target)
+        try:
+            answer = await _read_answer(response, attempt, request, buffer_bytes)
+        except BaseException:
+            response.close()
+            raise
+        is_settled = answer.outcome is not Outcome.UNKNOWN
+        is_streaming = answer.stream is not None
+        return answer
     except TimeoutError:
-        return failed_answer(Outcome.UNKNOWN, 504)
-    except (aiohttp.ClientError, OSError):
-        return failed_answer(Outcome.UNKNOWN, 502)
+        return _failure(attempt, 504, "deadline", "the deadline passed", is_late=True)
+    except (
+        aiohttp.ClientConnectionError,
+        aiohttp.ClientPayloadError,
+        OSError,
+    ) as error:
+        return _failure(attempt, 502, "connection-lost", repr(error), is_broken=True)
+    except NotSentError as error:
+        return _failure(attempt, 503, "not-sent", str(error))
+    except aiohttp.ClientError as error:
+        return _failure(attempt, 502, "bad-answer", repr(error))
+    except ValueError as error:
+        # Raised for headers that cannot be encoded, before anything is written.
+        return _failure(attempt, 400, "bad-header", str(error))
+    finally:
+        if not is_streaming:
+            attempt.end(is_settled, checks_grants)
 
 
-def failed_answer(outcome: Outcome, status: int) -> Answer:
-    """Return an answer without content from the server."""
-    return Answer(outcome, status, CIMultiDict(), b"")
+def failed_answer(
+    outcome: Outcome, status: int, error: str, detail: str = ""
+) -> Answer:
+    """Return an answer of the router's own."""
+    return Answer(
+        outcome, status, CIMultiDict(), b"", error=error, detail=detail, is_sent=False
+    )
 
 
-def _attempt_headers(
-    request: CallerRequest, target: Target, timeout_ms: float
-) -> CIMultiDict[str]:
-    headers = CIMultiDict(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
+def _failure(
+    attempt: Attempt,
+    status: int,
+    error: str,
+    detail: str,
+    is_broken: bool = False,
+    is_late: bool = False,
+) -> Answer:
+    return Answer(
+        Outcome.UNKNOWN if attempt.is_sent else Outcome.NOT_RUN,
+        status,
+        CIMultiDict(),
+        b"",
+        error=error,
+        detail=detail,
+        is_sent=attempt.is_sent,
+        is_broken=is_broken and attempt.is_sent,
+        is_late=is_late,
     )
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    attempt: Attempt,
+    request: CallerRequest,
+    target: Target,
+) -> aiohttp.ClientResponse:
+    server = target.server
+    url = URL(f"http://{server.host}:{server.port}{request.path}", encoded=True)
+    headers = _attempt_headers(request, target)
+    current_attempt.set(attempt)
+    while True:
+        left_s = attempt.left_ms / 1000
+        if left_s <= 0:
+            raise TimeoutError
+        try:
+            return await session.request(
+                request.method,
+                url,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=left_s,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                    ceil_threshold=EXACT_TIMEOUTS_S,
+                ),
+            )
+        except StaleConnectionError:
+            # Nothing was written, and the connection has left the pool.
+            continue
+
+
+def _attempt_headers(request: CallerRequest, target: Target) -> CIMultiDict[str]:
+    headers = request.headers.copy()
     headers[REQUEST_ID_HEADER] = request.request_id
-    headers[DEADLINE_HEADER] = str(int(timeout_ms))
     headers[TERM_HEADER] = str(target.term)
     if target.unit is not None:
         headers[UNIT_HEADER] = target.unit
         headers[EPOCH_HEADER] = str(target.epoch)
+    if request.body:
+        headers[CONTENT_LENGTH_HEADER] = str(len(request.body))
     return headers
 
 
-def _answer_of(response: aiohttp.ClientResponse, body: bytes) -> Answer:
-    headers = CIMultiDict(
-        (name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
-    )
+async def _read_answer(
+    response: aiohttp.ClientResponse,
+    attempt: Attempt,
+    request: CallerRequest,
+    buffer_bytes: int,
+) -> Answer:
+    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+        response.close()
+        return _failure(attempt, 502, "foreign-answer", "not the id of this request")
+    is_chunked = TRANSFER_ENCODING_HEADER in response.headers
+    has_body = request.method != "HEAD" and response.status not in BODILESS_STATUSES
+    if has_body and response.content_length is None and not is_chunked:
+        response.close()
+        # The end of such an answer cannot be told from a broken connection.
+        return _failure(attempt, 502, "unbounded-answer", "answer without a length")
+    headers = CIMultiDict(response.headers)
+    for name in HOP_BY_HOP_HEADERS:
+        headers.popall(name, None)
+    length = response.content_length or 0
+    if has_body and length > buffer_bytes:
+        return _streamed(response, attempt, headers, b"")
+    if not is_chunked or not has_body:
+        return _answer_of(response, attempt, headers, await response.read())
+    chunks = []
+    while chunk := await response.content.readany():
+        chunks.append(chunk)
+        length += len(chunk)
+        if length > buffer_bytes:
+            return _streamed(response, attempt, headers, b"".join(chunks))
+    return _answer_of(response, attempt, headers, b"".join(chunks))
+
+
+def _streamed(
+    response: aiohttp.ClientResponse,
+    attempt: Attempt,
+    headers: CIMultiDict[str],
+    begin: bytes,
+) -> Answer:
+    stream = AnswerStream(response, lambda: attempt.end(True, True))
+    return Answer(Outcome.RAN, response.status, headers, begin, stream=stream)
+
+
+def _answer_of(
+    response: aiohttp.ClientResponse,
+    attempt: Attempt,
+    headers: CIMultiDict[str],
+    body: bytes,
+) -> Answer:
     refused = response.headers.get(NOT_RUN_HEADER)
-    if response.status == 503 and refused is not None:
-        return Answer(
-            Outcome.NOT_RUN, response.status, headers, body, NotRunReason(refused)
-        )
-    return Answer(Outcome.RAN, response.status, headers, body)
+    if response.status != 503 or refused is None:
+        return Answer(Outcome.RAN, response.status, headers, body)
+    try:
+        reason = NotRunReason(refused)
+    except ValueError:
+        return _failure(attempt, 502, "bad-answer", f"unknown refusal {refused!r}")
+    return Answer(Outcome.NOT_RUN, response.status, headers, body, reason)
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -14,42 +14,127 @@
 from mulberryrelay_kernel.registry import load_plugins, plugin
 
 from .bootstrap import load_static_view
-from .callers import caller_handler
-from .pool import open_pool
-from .routing import request_router
+from .callers import Handler, caller_handler
+from .claims import Claims
+from .inflight import InFlight
+from .open_admission import OpenAdmission
+from .pool import Pools
+from .readiness import Readiness
+from .routing import Router
+from .suspects import LocalLink, Suspects
 from .view import RoutingView
 
+LISTEN_BACKLOG = 1024
+# Longest header line; the sum of all lines is limited by limits.header_bytes.
+MAX_HEADER_LINE = 8190
+# Attempts whose outcome stayed unknown may still count as in flight at a server that
+# does not check grants, for at most the rest of a routing lease.
+DRAIN_POLL_S = 0.01
+# Time to record the outcomes of idempotency claims after the last answer.
+CLAIMS_TIMEOUT_S = 2.0
+
 
 async def run_instance(options: Options) -> None:
     """Serve callers and peers until SIGTERM or SIGINT, then shut down gracefully."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
     load_plugins()
     boot_id = BootId(uuid.uuid4().hex)
+    instance = options.instance
     platform = plugin("platform", options.platform.plugin)(
-        options.platform, options.instance.name
+        options.platform, instance.name
     )
     view = RoutingView()
-    metrics = Metrics(options.tenant)
-    session = open_pool(max(s.connections for s in options.services.values()))
-    await load_static_view(options, platform, view)
-    route = request_router(options, view, session, metrics, monotonic_ms)
-    server = web.Server(caller_handler(options, route), access_log=None)
-    runner = web.ServerRunner(server)
-    await runner.setup()
-    site = web.TCPSite(
-        runner, options.instance.host, options.instance.caller_port, backlog=1024
+    readiness = Readiness(view)
+    in_flight = InFlight()
+    pools = Pools(max(s.connections for s in options.services.values()))
+    claims = Claims(platform, instance.name, monotonic_ms)
+    # The link to the coordinator takes the place of LocalLink.
+    suspects = Suspects(LocalLink(), instance.name, boot_id)
+    router = Router(
+        options,
+        view,
+        pools,
+        Metrics(options.tenant),
+        monotonic_ms,
+        in_flight,
+        OpenAdmission(options, monotonic_ms),
+        suspects,
+        claims,
     )
-    await site.start()
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    await load_static_view(options, platform, view)
+    handler = caller_handler(options, router.route, readiness.is_stopping)
+    runner, site = await open_listener(options, handler)
     log_event(
         "listening",
-        instance=options.instance.name,
+        instance=instance.name,
         boot_id=boot_id,
         caller_port=runner.addresses[0][1],
     )
     await stopping.wait()
-    await runner.cleanup()
-    await session.close()
+    log_event("stopping", instance=instance.name, in_flight=in_flight.total)
+    readiness.stop()
+    await stop_listener(options, runner, site)
+    await drain(options, in_flight, claims)
+    # Here the peer task hands over the coordinator role or the successor place.
+    await pools.close()
     await platform.close()
+    log_event("stopped", instance=instance.name)
+
+
+async def open_listener(
+    options: Options, handler: Handler
+) -> tuple[web.ServerRunner, web.TCPSite]:
+    """Listen for callers.
+
+    A handler is cancelled when its caller disconnects. Bodies are passed on as they
+    are, so that they fit the headers that describe them.
+    """
+    line = min(MAX_HEADER_LINE, options.limits.header_bytes)
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        max_line_size=line,
+        max_field_size=line,
+    )
+    runner = web.ServerRunner(
+        server, shutdown_timeout=options.limits.deadline_ms / 1000
+    )
+    await runner.setup()
+    site = web.TCPSite(
+        runner,
+        options.instance.host,
+        options.instance.caller_port,
+        backlog=LISTEN_BACKLOG,
+    )
+    await site.start()
+    return runner, site
+
+
+async def stop_listener(
+    options: Options, runner: web.ServerRunner, site: web.TCPSite
+) -> None:
+    """Let the load balancer settle, then end the listener without cutting requests.
+
+    During the settle time every answer closes its connection, so that afterwards only
+    connections that were idle all that time are closed by the router.
+    """
+    await asyncio.sleep(options.timing.settle_ms / 1000)
+    await site.stop()
+    await runner.cleanup()
+
+
+async def drain(options: Options, in_flight: InFlight, claims: Claims) -> None:
+    """Wait until no attempt can have a later effect and all claims are recorded."""
+    give_up_ms = monotonic_ms() + options.timing.lease_ms + options.timing.bridge_ms
+    while in_flight.total and monotonic_ms() < give_up_ms:
+        await asyncio.sleep(DRAIN_POLL_S)
+    try:
+        async with asyncio.timeout(CLAIMS_TIMEOUT_S):
+            await claims.drain()
+    except TimeoutError:
+        log_event("claims_not_recorded")
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -1,80 +1,396 @@
 """Routes a request: finds its server, sends attempts and records the outcome."""
 
-import random
+import asyncio
+from collections import Counter
+from math import inf
 
-import aiohttp
+import msgspec
+from returns.pipeline import is_successful
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import Key
-from mulberryrelay_kernel.messages import ServerEntry
+from mulberryrelay_kernel.ids import ServerId, ServiceName
+from mulberryrelay_kernel.messages import ServerEntry, Unit
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.options import Options
-from mulberryrelay_kernel.states import Outcome, ServerState, UnitState
+from mulberryrelay_kernel.peerproto.peer_pb2 import (
+    PROBATION_RESULT_ANSWERED,
+    PROBATION_RESULT_NOT_SENT,
+    PROBATION_RESULT_SERVER_DIED,
+    ProbationResult,
+    Suspect,
+)
+from mulberryrelay_kernel.states import (
+    NotRunReason,
+    Outcome,
+    ServerState,
+    UnitState,
+)
 
-from .callers import RouteRequest
+from .claims import Claims
 from .forward import (
     OWNER_HEADER,
     Answer,
+    Attempt,
     CallerRequest,
     Target,
     failed_answer,
     send_attempt,
 )
+from .inflight import InFlight
+
+# Replaced by admission.Admission, which has the same interface.
+from .open_admission import Observation, OpenAdmission, Slot
+from .pool import Pools
+from .suspects import PERMIT_PAUSE_S, Suspects
 from .view import RoutingView
 
+# Attempts that count against the retry budget.
+MAX_ATTEMPTS = 3
+# Pauses before an owner that refused is asked again under the same view: its grant may
+# arrive just after the view.
+FIRST_PAUSE_MS = 5.0
+LAST_PAUSE_MS = 160.0
+
+SERVING_STATES = (ServerState.SERVING, ServerState.COLD)
+OWNERSHIP_REFUSALS = (NotRunReason.NOT_OWNER, NotRunReason.DRAINING)
+
+
+class Router:
+    """Routes the requests of callers."""
 
-def request_router(
-    options: Options,
-    view: RoutingView,
-    session: aiohttp.ClientSession,
-    metrics: Metrics,
-    clock: Clock,
-) -> RouteRequest:
-    """Return the function that routes one request of a caller."""
+    def __init__(
+        self,
+        options: Options,
+        view: RoutingView,
+        pools: Pools,
+        metrics: Metrics,
+        clock: Clock,
+        in_flight: InFlight,
+        admission: OpenAdmission,
+        suspects: Suspects,
+        claims: Claims,
+    ) -> None:
+        self._options = options
+        self._view = view
+        self._pools = pools
+        self._metrics = metrics
+        self._clock = clock
+        self._in_flight = in_flight
+        self._admission = admission
+        self._suspects = suspects
+        self._claims = claims
+        self._waiting: Counter[ServiceName] = Counter()
+        self._probations: set[asyncio.Task[Answer]] = set()
 
-    async def route(request: CallerRequest) -> Answer:
-        started_ms = clock()
-        answer = await _route(request)
-        metrics.record(
+    async def route(self, request: CallerRequest) -> Answer:
+        """Return the answer to a request; failures are answers too."""
+        started_ms = self._clock()
+        if request.idempotency_key is None or request.is_idempotent:
+            answer = await self._forward(request)
+        else:
+            answer = await self._claims.run(
+                request, request.idempotency_key, self._forward
+            )
+        self._metrics.record(
             request.service,
             request.request_class,
             answer.outcome,
-            clock() - started_ms,
+            self._clock() - started_ms,
         )
         return answer
 
-    async def _route(request: CallerRequest) -> Answer:
+    async def _forward(self, request: CallerRequest) -> Answer:
+        """Send attempts until one is final."""
+        refused_by: set[ServerId] = set()
+        attempts = 0
+        pause_ms = FIRST_PAUSE_MS
+        # Whether an earlier attempt may have run, which no later one can undo.
+        is_uncertain = False
+        last: Answer | None = None
         while True:
-            left_ms = request.deadline_ms - clock()
-            if left_ms <= 0:
-                return failed_answer(Outcome.NOT_RUN, 504)
-            target = _find_target(request) if view.has_lease() else None
-            if target is None:
-                await view.wait_for_change(left_ms)
+            suspect = self._suspects.find(request)
+            if suspect is not None:
+                answer = await self._forward_suspect(request, suspect)
+                return _combine(answer, is_uncertain)
+            found = await self._find_server(request, refused_by, last)
+            if isinstance(found, Answer):
+                return _combine(found, is_uncertain)
+            last = answer = await self._attempt(request, found, refused_by)
+            if answer.outcome is Outcome.RAN:
+                return answer
+            if answer.is_broken:
+                await self._suspects.report(request)
+            if answer.outcome is Outcome.UNKNOWN:
+                is_uncertain = True
+                if not request.is_idempotent:
+                    return answer
+            if answer.error == "view-changed":
                 continue
-            answer = await send_attempt(session, request, target, left_ms)
-            answer.headers[OWNER_HEADER] = target.server.server
-            return answer
-
-    def _find_target(request: CallerRequest) -> Target | None:
-        if options.services[request.service].partitioned:
-            return _owner_target(request, Key(request.key or ""))
-        servers = [s for s in view.servers_of(request.service) if _takes_work(s)]
-        if not servers:
-            return None
-        return Target(random.choice(servers), view.term)
+            if _is_final(answer):
+                return _combine(answer, is_uncertain)
+            if not _waits_for_owner(found, answer):
+                attempts += 1
+                if attempts >= MAX_ATTEMPTS:
+                    return _combine(answer, is_uncertain)
+                if not self._admission.may_retry(request.service):
+                    return _combine(answer, is_uncertain)
+            if found.unit is None:
+                refused_by.add(ServerId(answer.headers[OWNER_HEADER]))
+                continue
+            if not await self._wait_for_view(request, pause_ms):
+                return _combine(answer, is_uncertain)
+            pause_ms = min(pause_ms * 2, LAST_PAUSE_MS)
+
+    async def _find_server(
+        self, request: CallerRequest, refused_by: set[ServerId], last: Answer | None
+    ) -> Target | Answer:
+        """Return the server for the next attempt; waits while there is none."""
+        while True:
+            if request.deadline_ms <= self._clock():
+                return last or _not_run(504, "deadline", "no server in time")
+            if not self._view.has_lease():
+                return last or _not_run(503, "not-ready", "no routing lease")
+            target = self._target(request, refused_by)
+            if target is not None:
+                return target
+            if last is not None and refused_by:
+                return last
+            if not await self._wait_for_view(request):
+                return _not_run(503, "queue-full", "too many requests wait for a move")
+
+    async def _wait_for_view(
+        self, request: CallerRequest, pause_ms: float = inf
+    ) -> bool:
+        """Wait for a change of the view; return False if the queue is full."""
+        if self._waiting[request.service] >= self._options.limits.queue_length:
+            return False
+        self._waiting[request.service] += 1
+        try:
+            left_ms = request.deadline_ms - self._clock()
+            await self._view.wait_for_change(min(pause_ms, max(left_ms, 0)))
+        finally:
+            self._waiting[request.service] -= 1
+        return True
+
+    def _target(
+        self, request: CallerRequest, refused_by: set[ServerId]
+    ) -> Target | None:
+        """Return where the request may be sent under the current view.
 
-    def _owner_target(request: CallerRequest, key: Key) -> Target | None:
-        unit = view.unit_of(request.service, key)
+        Without a unit the server is only an example: admission chooses among all.
+        """
+        if not self._options.services[request.service].partitioned:
+            servers = self._candidates(request, refused_by)
+            return Target(servers[0], self._view.term) if servers else None
+        unit = self._unit(request)
         if unit is None or unit.state is UnitState.MOVING or unit.owner is None:
             return None
-        server = view.server(unit.owner)
+        server = self._view.server(unit.owner)
         if server is None:
             return None
-        return Target(server, view.term, unit.unit, unit.epoch)
+        return Target(server, self._view.term, unit.unit, unit.epoch)
+
+    def _unit(self, request: CallerRequest) -> Unit | None:
+        if request.key is None:
+            return None
+        return self._view.unit_of(request.service, request.key)
+
+    def _candidates(
+        self, request: CallerRequest, refused_by: set[ServerId]
+    ) -> list[ServerEntry]:
+        return [
+            server
+            for server in self._view.servers_of(request.service)
+            if server.state in SERVING_STATES and server.server not in refused_by
+        ]
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        target: Target,
+        refused_by: set[ServerId],
+        is_probation: bool = False,
+    ) -> Answer:
+        """Run one attempt in a slot of admission."""
+
+        def candidates() -> list[ServerEntry]:
+            if target.unit is None:
+                return self._candidates(request, refused_by)
+            return [target.server] if self._is_current(request, target) else []
+
+        acquired = await self._admission.acquire(request, candidates)
+        if not is_successful(acquired):
+            # A refusal names its cause; a changed view is looked at again.
+            if target.unit is not None and not self._is_current(request, target):
+                return _not_run(503, "view-changed", "the unit has moved")
+            return _not_run(503, "overloaded", acquired.failure().value)
+        slot = acquired.unwrap()
+        started_ms = self._clock()
+        answer = None
+        try:
+            answer = await self._send(request, target, slot, is_probation)
+        finally:
+            self._admission.release(
+                slot, _observation(answer), self._clock() - started_ms
+            )
+        answer.headers[OWNER_HEADER] = slot.server.server
+        return answer
+
+    async def _send(
+        self, request: CallerRequest, target: Target, slot: Slot, is_probation: bool
+    ) -> Answer:
+        if target.unit is None:
+            target = msgspec.structs.replace(target, server=slot.server)
+        checks_grants = self._options.services[request.service].checks_grants
+        deadline_ms = request.deadline_ms
+        if not checks_grants:
+            # Nothing but the deadline ends a late run on such a server.
+            until_ms = self._clock() + self._view.lease_left_ms
+            deadline_ms = min(deadline_ms, until_ms)
+
+        def before_send() -> bool:
+            if not self._view.has_lease() or not self._is_current(request, target):
+                return False
+            self._in_flight.start(request.service, target.unit, request.key)
+            return True
+
+        attempt = Attempt(
+            request,
+            target,
+            deadline_ms,
+            self._clock,
+            before_send,
+            lambda: self._in_flight.end(request.service, target.unit, request.key),
+        )
+        answer = await send_attempt(
+            self._pools.fresh if is_probation else self._pools.kept,
+            attempt,
+            request,
+            target,
+            checks_grants,
+            self._options.limits.buffered_answer_bytes,
+        )
+        if not answer.is_sent and not self._is_current(request, target):
+            return _not_run(503, "view-changed", "ownership changed before the send")
+        return answer
+
+    def _is_current(self, request: CallerRequest, target: Target) -> bool:
+        """Return whether the view still has the target own the request's unit."""
+        if target.unit is None:
+            known = self._view.server(target.server.server)
+            return known is not None and known.state in SERVING_STATES
+        unit = self._unit(request)
+        return (
+            unit is not None
+            and unit.unit == target.unit
+            and unit.epoch == target.epoch
+            and unit.owner == target.server.server
+            and unit.state is UnitState.ACTIVE
+        )
+
+    async def _forward_suspect(
+        self, request: CallerRequest, suspect: Suspect
+    ) -> Answer:
+        """Run a suspect under probation.
+
+        The run goes on if its caller leaves, since the coordinator needs its result.
+        """
+        if suspect.blocked:
+            return _blocked()
+        task = asyncio.create_task(self._run_probation(request))
+        self._probations.add(task)
+        task.add_done_callback(self._probations.discard)
+        return await asyncio.shield(task)
+
+    async def _run_probation(self, request: CallerRequest) -> Answer:
+        lock = self._suspects.lock(request.service)
+        last: Answer | None = None
+        while request.deadline_ms > self._clock():
+            suspect = self._suspects.find(request)
+            if suspect is None:
+                return await self._forward(request)
+            if suspect.blocked:
+                return _blocked()
+            if not lock.locked():
+                async with lock:
+                    answer = await self._try_probation(request)
+                if answer is not None:
+                    if answer.outcome is not Outcome.NOT_RUN:
+                        return answer
+                    last = answer
+            await asyncio.sleep(PERMIT_PAUSE_S)
+        return last or _not_run(
+            503, "quarantined", "a request that broke a server's connection waits"
+        )
+
+    async def _try_probation(self, request: CallerRequest) -> Answer | None:
+        """Ask for a permit and run the request; None if it was not permitted."""
+        left_ms = request.deadline_ms - self._clock()
+        reply = await self._suspects.ask_permit(request, left_ms)
+        if reply is None or not reply.permitted:
+            return None
+        answer = None
+        try:
+            target = self._target(request, set())
+            if target is not None and self._view.has_lease():
+                answer = await self._attempt(request, target, set(), True)
+        finally:
+            await self._suspects.record_result(
+                request, _probation_result(answer), max(left_ms, 0)
+            )
+        return answer
+
+
+def _is_final(answer: Answer) -> bool:
+    """Return whether another attempt could not help."""
+    if answer.reason is not None:
+        return answer.reason is NotRunReason.DEADLINE
+    return answer.status == 400 or answer.error == "overloaded"
+
+
+def _waits_for_owner(target: Target, answer: Answer) -> bool:
+    """Return whether another attempt costs the servers next to nothing.
+
+    An owner that refuses or cannot be reached is about to be replaced, and a key has no
+    other server. Such attempts are outside the retry budget.
+    """
+    if answer.reason in OWNERSHIP_REFUSALS:
+        return True
+    return target.unit is not None and not answer.is_sent and answer.reason is None
+
+
+def _combine(answer: Answer, is_uncertain: bool) -> Answer:
+    """Return the answer; "not run" only if no earlier attempt may have run."""
+    if not is_uncertain or answer.outcome is not Outcome.NOT_RUN:
+        return answer
+    return msgspec.structs.replace(answer, outcome=Outcome.UNKNOWN)
+
+
+def _not_run(status: int, error: str, detail: str) -> Answer:
+    return failed_answer(Outcome.NOT_RUN, status, error, detail)
+
+
+def _blocked() -> Answer:
+    return _not_run(422, "blocked", "this request has broken two servers")
+
 
-    return route
+def _observation(answer: Answer | None) -> Observation:
+    if answer is None:
+        return Observation.FAILED
+    if answer.reason is NotRunReason.SHED:
+        return Observation.SHED
+    if answer.outcome is Outcome.RAN or answer.reason is not None:
+        return Observation.ANSWERED
+    if answer.is_late and answer.is_sent:
+        return Observation.TIMED_OUT
+    if answer.is_sent or answer.error == "connection-lost":
+        return Observation.FAILED
+    return Observation.NOT_SENT
 
 
-def _takes_work(server: ServerEntry) -> bool:
-    return server.state in (ServerState.SERVING, ServerState.COLD)
+def _probation_result(answer: Answer | None) -> ProbationResult:
+    if answer is not None and answer.is_broken:
+        return PROBATION_RESULT_SERVER_DIED
+    if answer is not None and answer.outcome is Outcome.RAN:
+        return PROBATION_RESULT_ANSWERED
+    return PROBATION_RESULT_NOT_SENT
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,11 +17,10 @@
 from mulberryrelay_control.platform_http import (
     INSTANCE_HEADER,
     ReadBody,
-    TransactBody,
 )
 from mulberryrelay_control.platform_memory import MemoryPlatform
-from mulberryrelay_kernel.ids import InstanceId
-from mulberryrelay_kernel.messages import ListedInstance
+from mulberryrelay_kernel.ids import InstanceId, RowName, WriteId
+from mulberryrelay_kernel.messages import Condition, ListedInstance, Write
 from mulberryrelay_kernel.states import StoreFailure
 
 
@@ -48,6 +47,26 @@
     """Instances that cannot reach the store."""
 
 
+class ReceivedWrite(msgspec.Struct, frozen=True):
+    """A ``Write`` as received; msgspec decodes no union of Raw and None."""
+
+    name: RowName
+    value: msgspec.Raw
+
+    def decoded(self) -> Write:
+        if bytes(self.value) == b"null":
+            return Write(self.name, None)
+        return Write(self.name, self.value)
+
+
+class ReceivedTransaction(msgspec.Struct, frozen=True):
+    """A ``TransactBody`` as received."""
+
+    write_id: WriteId
+    conditions: list[Condition]
+    writes: list[ReceivedWrite]
+
+
 class PlatformStandin:
     """State of the stand-in."""
 
@@ -88,11 +107,10 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await self._admit(request)
         self._writes += 1
-        body = msgspec.json.decode(await request.read(), type=TransactBody)
-        result = await self._platform.transact(
-            body.conditions, body.writes, body.write_id
-        )
-        names = [write.name for write in body.writes]
+        body = msgspec.json.decode(await request.read(), type=ReceivedTransaction)
+        writes = [write.decoded() for write in body.writes]
+        result = await self._platform.transact(body.conditions, writes, body.write_id)
+        names = [write.name for write in writes]
         if self._loses_reply(names):
             self._faults.lose_replies -= 1
             _drop_connection(request)
