Wire the coordinator and the peer task into the router

Cause: routers took a static assignment from the bootstrap module. Change: one router holds the lease, grants units to servers, and gives the others routing leases and views through Sync. bootstrap is removed; the demo uses servers that check grants. Grant requests carry a sequence number.

--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -378,7 +378,7 @@
         session.push(reply)
 
     def _complete(self, session: RouterSession, reply: SyncReply) -> None:
-        """Add what must be read directly before sending: versions and the lease.
+        """Add what must be read directly before sending: versions, rules and the lease.
 
         A reply that waited behind a later change names the version of that change.
         Named from the time of queueing, it could renew the lease of a router that was
@@ -387,6 +387,8 @@
         reply.term = self._term
         reply.assignment_version = self._version
         reply.rules_version = self._rules.version
+        if reply.HasField("rules_text"):
+            reply.rules_text = self._rules.text
         left_ms = self._lease.left_ms
         if not reply.sequence or left_ms <= 0:
             return
--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -231,8 +231,7 @@
         order = grants.next_order(
             self._options.instance.name,
             self._lease.term,
-            int(min(timing.lease_ms, max(self._lease.left_ms, 0.0)))
-            + timing.bridge_ms,
+            int(min(timing.lease_ms, max(self._lease.left_ms, 0.0))) + timing.bridge_ms,
             stamp_only=self._must_wait(server),
         )
         sent = dict(grants.wanted)
--- a/packages/control/mulberryrelay_control/moves.py
+++ b/packages/control/mulberryrelay_control/moves.py
@@ -335,7 +335,7 @@
         request for an overridden key may still run under the grant of the range.
         """
         fenced = {key: self._is_fenced(move) for key, move in self._moves.items()}
-        waiting = {self._home_of(key) for key, is_fenced in fenced.items() if not is_fenced}
+        waiting = {self._home_of(key) for key, done in fenced.items() if not done}
         changes = {}
         for key, move in self._moves.items():
             if self._home_of(key) in waiting:
--- a/packages/control/mulberryrelay_control/planner.py
+++ b/packages/control/mulberryrelay_control/planner.py
@@ -8,6 +8,7 @@
 from mulberryrelay_kernel.ids import Key, ServerId, ServiceName, UnitId
 from mulberryrelay_kernel.messages import Assignment, UnitCount
 from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.peerproto import peer_pb2
 
 from .membership import Membership
 from .placement import (
@@ -17,8 +18,8 @@
     PinTarget,
     PlacementPolicy,
     PlacementState,
-    PlannedMove,
     PlanMoves,
+    PlannedMove,
     ServicePlacement,
     plan_moves,
     policy_of,
@@ -59,7 +60,10 @@
             if service.partitioned
         }
         self._policy = PlacementPolicy(
-            {name: policy_of(options.services[name].churn_weight) for name in self._ranges}
+            {
+                name: policy_of(options.services[name].churn_weight)
+                for name in self._ranges
+            }
         )
         self._rates = dict.fromkeys(self._ranges, LoadRates())
         self._rates_ms = clock()
@@ -116,11 +120,7 @@
         self._rates_ms = now_ms
         counts = self._sessions.take_counts()
         for name in self._ranges:
-            own = [
-                UnitCount(name, UnitId(c.unit), c.requests, Key(c.key) if c.key else None)
-                for c in counts
-                if c.service == name
-            ]
+            own = [_unit_count(count) for count in counts if count.service == name]
             self._rates[name] = update_rates(self._rates[name], own, elapsed_ms)
 
     def _note_planned(self, move: PlannedMove, now_ms: float) -> None:
@@ -132,3 +132,12 @@
         self._voluntary_ms[move.service] = [
             planned_ms for planned_ms in recent if now_ms - planned_ms < MINUTE_MS
         ]
+
+
+def _unit_count(count: peer_pb2.UnitCount) -> UnitCount:
+    return UnitCount(
+        ServiceName(count.service),
+        UnitId(count.unit),
+        count.requests,
+        Key(count.key) if count.key else None,
+    )
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -3,25 +3,33 @@
 import asyncio
 import signal
 import uuid
+from collections.abc import Sequence
 
+import aiohttp
 from aiohttp import web
+from returns.result import Result, Success
 
+from mulberryrelay_control.coordinator import Coordinator
+from mulberryrelay_control.lease import CoordinatorLease
+from mulberryrelay_control.suspects import SuspectRegistry
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import BootId
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.messages import Address, RulesDocument
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.registry import load_plugins, plugin
+from mulberryrelay_kernel.states import StoreFailure
 
-from .bootstrap import load_static_view
 from .callers import Handler, caller_handler
 from .claims import Claims
 from .inflight import InFlight
 from .open_admission import OpenAdmission
+from .peers import PeerChannels, PeerServicer, PeerTask, open_peer_server, serve_peers
 from .pool import Pools
 from .readiness import Readiness
 from .routing import Router
-from .suspects import LocalLink, Suspects
+from .suspects import Suspects
 from .view import RoutingView
 
 LISTEN_BACKLOG = 1024
@@ -51,8 +59,26 @@
     in_flight = InFlight()
     pools = Pools(max(s.connections for s in options.services.values()))
     claims = Claims(platform, instance.name, monotonic_ms)
-    # The link to the coordinator takes the place of LocalLink.
-    suspects = Suspects(LocalLink(), instance.name, boot_id)
+    peer_server, peer_port = await open_peer_server(options)
+    me = Address(instance.name, boot_id, instance.data_centre, instance.host, peer_port)
+    channels = PeerChannels(me)
+    orders = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    lease = CoordinatorLease(
+        options,
+        platform,
+        me,
+        channels.ask_promise,
+        lambda: coordinator.candidates,
+        monotonic_ms,
+    )
+    coordinator = Coordinator(
+        options, platform, lease, orders, no_rules, SuspectRegistry, view.servers
+    )
+    peers = PeerTask(options, me, lease, view, in_flight, channels, list, monotonic_ms)
+    servicer = PeerServicer(me, lease, coordinator)
+    serve_peers(peer_server, servicer)
+    await peer_server.start()
+    suspects = Suspects(peers, instance.name, boot_id)
     router = Router(
         options,
         view,
@@ -64,7 +90,11 @@
         suspects,
         claims,
     )
-    await load_static_view(options, platform, view)
+    tasks = [
+        asyncio.create_task(lease.run()),
+        asyncio.create_task(coordinator.run()),
+        asyncio.create_task(peers.run()),
+    ]
     handler = caller_handler(options, router.route, readiness.is_stopping)
     runner, site = await open_listener(options, handler)
     log_event(
@@ -72,18 +102,46 @@
         instance=instance.name,
         boot_id=boot_id,
         caller_port=runner.addresses[0][1],
+        peer_port=peer_port,
     )
-    await stopping.wait()
+    await wait_until_stopped(stopping, tasks)
     log_event("stopping", instance=instance.name, in_flight=in_flight.total)
     readiness.stop()
     await stop_listener(options, runner, site)
     await drain(options, in_flight, claims)
-    # Here the peer task hands over the coordinator role or the successor place.
+    await peers.leave()
+    await lease.release()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await peer_server.stop(grace=None)
+    await channels.close()
+    await orders.close()
     await pools.close()
     await platform.close()
     log_event("stopped", instance=instance.name)
 
 
+async def wait_until_stopped(
+    stopping: asyncio.Event, tasks: Sequence[asyncio.Task[None]]
+) -> None:
+    """Wait for the signal to stop.
+
+    Raises:
+        Exception: of a task that must run as long as the process.
+    """
+    stop = asyncio.create_task(stopping.wait())
+    await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        if task.done():
+            task.result()
+
+
+async def no_rules() -> Result[RulesDocument | None, StoreFailure]:
+    """Stand for the rule store."""
+    return Success(None)
+
+
 async def open_listener(
     options: Options, handler: Handler
 ) -> tuple[web.ServerRunner, web.TCPSite]:
--- /dev/null
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -0,0 +1,530 @@
+"""Connections between routers: the gRPC server, and the stream to the coordinator.
+
+The peer task keeps a stream to whoever holds the lease row. It applies what the
+coordinator publishes to the view, and its heartbeats renew the routing lease.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any
+
+import grpc
+from reactivex import Observable
+from reactivex.subject import Subject
+
+from mulberryrelay_control.coordinator import Coordinator, NotCoordinatorError
+from mulberryrelay_control.lease import CoordinatorLease
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.hashing import OVERRIDE_PREFIX, is_override
+from mulberryrelay_kernel.ids import (
+    AssignmentVersion,
+    DataCentre,
+    Epoch,
+    InstanceId,
+    Key,
+    RulesVersion,
+    ServerId,
+    ServiceName,
+    Term,
+    UnitId,
+)
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.messages import (
+    Address,
+    Assignment,
+    RulesDocument,
+    ServerEntry,
+    Unit,
+    UnitCount,
+    UnitUpdate,
+)
+from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.peerproto import peer_pb2, peer_pb2_grpc
+from mulberryrelay_kernel.peerproto.peer_pb2 import (
+    ProbationReply,
+    ProbationRequest,
+    Suspect,
+    SyncReply,
+    SyncRequest,
+)
+from mulberryrelay_kernel.states import ServerState, UnitState
+
+from .inflight import InFlight
+from .view import RoutingView
+
+CHANNEL_OPTIONS = [
+    # Each stream gets a connection of its own, so that a new stream never waits for the
+    # backoff of a former one to the same address.
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+]
+SERVER_OPTIONS = [("grpc.so_reuseport", 0)]
+
+# Pause before the next attempt to reach the coordinator. The routing lease runs on
+# meanwhile, with at least BRIDGE left.
+RECONNECT_PAUSE_MS = 20.0
+# Heartbeats without a reply after which the stream is given up.
+SILENT_HEARTBEATS = 3
+COUNT_PERIOD_MS = 1000.0
+PROBATION_TIMEOUT_S = 0.5
+LEAVE_TIMEOUT_S = 0.5
+
+
+class PeerServicer(peer_pb2_grpc.PeerServicer):
+    """Answers the calls of other routers, and the own stream to itself."""
+
+    def __init__(
+        self, me: Address, lease: CoordinatorLease, coordinator: Coordinator
+    ) -> None:
+        self._me = me
+        self._lease = lease
+        self._coordinator = coordinator
+
+    async def Sync(  # noqa: N802
+        self, request_iterator: AsyncIterator[SyncRequest], context: Any
+    ) -> AsyncIterator[SyncReply]:
+        try:
+            async for reply in self._coordinator.sync(request_iterator):
+                yield reply
+        except NotCoordinatorError:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
+
+    async def Promise(  # noqa: N802
+        self, request: peer_pb2.PromiseRequest, context: Any
+    ) -> peer_pb2.PromiseReply:
+        # A process that was started anew knows nothing of former promises.
+        promised = request.boot_id == self._me.boot_id and self._lease.promise(
+            InstanceId(request.holder), Term(request.term), request.promise_ms
+        )
+        return peer_pb2.PromiseReply(promised=promised, boot_id=self._me.boot_id)
+
+    async def Probation(  # noqa: N802
+        self, request: ProbationRequest, context: Any
+    ) -> ProbationReply:
+        try:
+            return self._coordinator.probation(request)
+        except NotCoordinatorError:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
+            raise
+
+    async def RulesChanged(  # noqa: N802
+        self, request: peer_pb2.RulesNotice, context: Any
+    ) -> peer_pb2.RulesNoticeReply:
+        self._coordinator.rules_changed()
+        return peer_pb2.RulesNoticeReply()
+
+
+async def open_peer_server(options: Options) -> tuple[grpc.aio.Server, int]:
+    """Return a server that was not started, and its port."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    instance = options.instance
+    port = server.add_insecure_port(f"{instance.host}:{instance.peer_port}")
+    return server, port
+
+
+class PeerChannels:
+    """Channels for single calls to other routers."""
+
+    def __init__(self, me: Address) -> None:
+        self._me = me
+        self._channels: dict[tuple[str, int], grpc.aio.Channel] = {}
+
+    def stub(self, address: Address) -> Any:
+        """Return a stub for calls to a router."""
+        place = (address.host, address.port)
+        if place not in self._channels:
+            self._channels[place] = open_channel(address)
+        return open_stub(self._channels[place])
+
+    async def ask_promise(self, address: Address, term: Term, period_ms: int) -> bool:
+        """Ask a successor for a promise of ``period_ms``; see ``CoordinatorLease``."""
+        request = peer_pb2.PromiseRequest(
+            holder=self._me.instance,
+            boot_id=address.boot_id,
+            term=term,
+            promise_ms=period_ms,
+        )
+        try:
+            reply = await self.stub(address).Promise(request, timeout=period_ms / 1000)
+        except grpc.aio.AioRpcError:
+            return False
+        return bool(reply.promised and reply.boot_id == address.boot_id)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            await channel.close(grace=None)
+
+
+def open_channel(address: Address) -> grpc.aio.Channel:
+    """Return a channel to a router."""
+    return grpc.aio.insecure_channel(
+        f"{address.host}:{address.port}", options=CHANNEL_OPTIONS
+    )
+
+
+def open_stub(channel: grpc.aio.Channel) -> Any:
+    """Return a stub for calls through a channel."""
+    return peer_pb2_grpc.PeerStub(channel)  # type: ignore[no-untyped-call]
+
+
+def serve_peers(server: grpc.aio.Server, servicer: PeerServicer) -> None:
+    """Have a server that was not started answer the calls of peers."""
+    add = peer_pb2_grpc.add_PeerServicer_to_server
+    add(servicer, server)  # type: ignore[no-untyped-call]
+
+
+class PeerTask:
+    """The stream to the coordinator; also the ``PeerLink`` of the request path."""
+
+    def __init__(
+        self,
+        options: Options,
+        me: Address,
+        lease: CoordinatorLease,
+        view: RoutingView,
+        in_flight: InFlight,
+        channels: PeerChannels,
+        take_counts: Callable[[], Sequence[UnitCount]],
+        clock: Clock,
+    ) -> None:
+        self._options = options
+        self._me = me
+        self._lease = lease
+        self._view = view
+        self._in_flight = in_flight
+        self._channels = channels
+        self._take_counts = take_counts
+        self._clock = clock
+        self._sequence = 0
+        self._started_ms: dict[int, float] = {}
+        self._waiters: dict[int, asyncio.Future[None]] = {}
+        self._moving: dict[tuple[ServiceName, UnitId], Epoch] = {}
+        self._drained: list[peer_pb2.UnitRef] = []
+        self._reports: dict[str, Suspect] = {}
+        self._suspects: dict[str, Suspect] = {}
+        self._counted_ms = clock()
+        self._woken = asyncio.Event()
+        self._is_leaving = False
+        self._is_connected = False
+        self._silence_ms = SILENT_HEARTBEATS * options.timing.heartbeat_ms
+        self._rules: Subject[RulesDocument] = Subject()
+        self._suspect_updates: Subject[Suspect] = Subject()
+        in_flight.drained.subscribe(self._note_drained)
+
+    @property
+    def rules(self) -> Observable[RulesDocument]:
+        """Emits each newer version of the rules.
+
+        What subscribers do synchronously counts as applied; the routing lease is
+        renewed only afterwards.
+        """
+        return self._rules
+
+    @property
+    def suspect_updates(self) -> Observable[Suspect]:
+        """Emits each suspect that the coordinator has changed."""
+        return self._suspect_updates
+
+    async def report_suspects(
+        self, suspects: Sequence[Suspect], timeout_ms: float
+    ) -> bool:
+        """Report suspects; return whether the coordinator confirmed in time."""
+        self._reports.update({suspect.fingerprint: suspect for suspect in suspects})
+        sequence = self._sequence + 1
+        confirmed = self._waiters.setdefault(
+            sequence, asyncio.get_running_loop().create_future()
+        )
+        self._woken.set()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await asyncio.shield(confirmed)
+        except (TimeoutError, ConnectionError):
+            return False
+        return True
+
+    async def probation(self, request: ProbationRequest) -> ProbationReply | None:
+        """Ask for a permit or report a result; None if no reply arrived."""
+        holder = self._lease.holder
+        if holder is None:
+            return None
+        try:
+            reply: ProbationReply = await self._channels.stub(holder).Probation(
+                request, timeout=PROBATION_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return reply
+
+    async def notify_rules(self, version: RulesVersion) -> None:
+        """Tell the coordinator that a rule file was committed."""
+        holder = self._lease.holder
+        if holder is None:
+            return
+        try:
+            await self._channels.stub(holder).RulesChanged(
+                peer_pb2.RulesNotice(rules_version=version), timeout=PROBATION_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            # The coordinator reads the row periodically too.
+            pass
+
+    async def run(self) -> None:
+        """Keep a stream to the coordinator until this router has left."""
+        while not self._is_leaving:
+            holder = self._lease.holder
+            if holder is not None:
+                reason = await self._follow(holder)
+                if self._is_connected:
+                    log_event(
+                        "coordinator_disconnected", peer=holder.instance, why=reason
+                    )
+                self._is_connected = False
+            await asyncio.sleep(RECONNECT_PAUSE_MS / 1000)
+
+    async def leave(self) -> None:
+        """Give the routing lease up, after all requests have ended."""
+        self._is_leaving = True
+        self._view.revoke_lease()
+        sequence = self._sequence + 1
+        confirmed = self._waiters.setdefault(
+            sequence, asyncio.get_running_loop().create_future()
+        )
+        self._woken.set()
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await confirmed
+        except (TimeoutError, ConnectionError):
+            pass
+
+    async def _follow(self, holder: Address) -> str:
+        """Run one stream; return why it ended."""
+        async with open_channel(holder) as channel:
+            stream = open_stub(channel).Sync()
+            reader = asyncio.create_task(self._read(stream))
+            try:
+                return await self._write(stream, holder, reader)
+            except grpc.aio.AioRpcError as error:
+                return str(error.details())
+            except asyncio.InvalidStateError:
+                return "ended before a request was written"
+            except TimeoutError:
+                return "request not taken"
+            finally:
+                reader.cancel()
+                stream.cancel()
+                await asyncio.gather(reader, return_exceptions=True)
+                self._end_stream()
+
+    async def _write(
+        self, stream: Any, holder: Address, reader: asyncio.Task[str]
+    ) -> str:
+        """Send heartbeats until the stream is of no use any more."""
+        # The full view that begins each stream brings up all moving units again.
+        self._drained = []
+        is_first = True
+        while True:
+            self._woken.clear()
+            request = self._next_request(is_first)
+            is_first = False
+            # The lease counts from before the request is sent.
+            self._started_ms[request.sequence] = self._clock()
+            # Without a timeout, a peer that is stopped could hold this task here.
+            async with asyncio.timeout(self._silence_ms / 1000):
+                await stream.write(request)
+            if request.leaving:
+                await stream.done_writing()
+                await asyncio.wait({reader}, timeout=LEAVE_TIMEOUT_S)
+                self._confirm(request.sequence)
+                return "leaving"
+            await self._wait_for_work(reader)
+            if reader.done():
+                return reader.result()
+            if self._lease.holder != holder:
+                return "the lease has another holder"
+            if len(self._started_ms) > SILENT_HEARTBEATS:
+                return "no reply"
+
+    async def _wait_for_work(self, reader: asyncio.Task[str]) -> None:
+        """Wait until a request is due, or the stream has ended."""
+        woken = asyncio.ensure_future(self._woken.wait())
+        await asyncio.wait(
+            {woken, reader},
+            timeout=self._options.timing.heartbeat_ms / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        woken.cancel()
+
+    def _next_request(self, is_first: bool) -> SyncRequest:
+        self._sequence += 1
+        drained, self._drained = self._drained, []
+        reports, self._reports = self._reports, {}
+        # A new coordinator knows no suspects yet.
+        suspects = {**self._suspects, **reports} if is_first else reports
+        return SyncRequest(
+            instance=self._me.instance,
+            boot_id=self._me.boot_id,
+            data_centre=self._me.data_centre,
+            host=self._me.host,
+            peer_port=self._me.port,
+            sequence=self._sequence,
+            term=self._view.term,
+            applied_assignment_version=self._view.assignment.version,
+            applied_rules_version=self._view.rules_version,
+            drained=drained,
+            counts=self._due_counts(),
+            suspects=list(suspects.values()),
+            leaving=self._is_leaving,
+        )
+
+    def _due_counts(self) -> list[peer_pb2.UnitCount]:
+        now_ms = self._clock()
+        if now_ms < self._counted_ms + COUNT_PERIOD_MS:
+            return []
+        self._counted_ms = now_ms
+        return [
+            peer_pb2.UnitCount(
+                service=count.service,
+                unit=count.unit,
+                requests=count.requests,
+                key=count.key or "",
+            )
+            for count in self._take_counts()
+        ]
+
+    async def _read(self, stream: Any) -> str:
+        """Apply replies until the stream ends; return why it ended."""
+        try:
+            async for reply in stream:
+                if reply.term < self._view.term:
+                    return "an older term"
+                self._apply(reply)
+        except grpc.aio.AioRpcError as error:
+            return str(error.details())
+        return "ended by the peer"
+
+    def _apply(self, reply: SyncReply) -> None:
+        """Apply one message; the lease comes last, as it depends on the versions."""
+        self._is_connected = True
+        if reply.servers:
+            self._view.apply_servers([_server_entry(s) for s in reply.servers])
+        if reply.full:
+            self._view.apply_assignment(Term(reply.term), _assignment_of(reply))
+            log_event("view_received", term=reply.term, version=reply.view_version)
+            self._note_units(_updates_of(reply), is_full=True)
+        elif reply.view_version:
+            updates = _updates_of(reply)
+            self._view.apply_units(AssignmentVersion(reply.view_version), updates)
+            self._note_units(updates, is_full=False)
+        if reply.HasField("rules_text"):
+            self._apply_rules(reply)
+        for suspect in reply.suspects:
+            self._note_suspect(suspect)
+        if reply.sequence:
+            self._apply_lease(reply)
+
+    def _apply_rules(self, reply: SyncReply) -> None:
+        version = RulesVersion(reply.rules_version)
+        if version <= self._view.rules_version:
+            return
+        self._rules.on_next(RulesDocument(version, reply.rules_text))
+        self._view.apply_rules(version)
+        log_event("rules_applied", rules=version)
+        self._woken.set()
+
+    def _apply_lease(self, reply: SyncReply) -> None:
+        started_ms = self._started_ms.get(reply.sequence)
+        for sequence in [s for s in self._started_ms if s <= reply.sequence]:
+            del self._started_ms[sequence]
+        self._confirm(reply.sequence)
+        if started_ms is None or not reply.routing_lease_ms or self._is_leaving:
+            return
+        self._view.offer_lease(
+            started_ms + reply.routing_lease_ms,
+            Term(reply.term),
+            AssignmentVersion(reply.assignment_version),
+            RulesVersion(reply.rules_version),
+        )
+
+    def _confirm(self, sequence: int) -> None:
+        """Wake those who wait for a reply up to this sequence."""
+        for waited in [s for s in self._waiters if s <= sequence]:
+            waiter = self._waiters.pop(waited)
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _end_stream(self) -> None:
+        self._started_ms.clear()
+        for waiter in self._waiters.values():
+            if not waiter.done():
+                waiter.set_exception(ConnectionError("the stream has ended"))
+                # A waiter that timed out does not look at it.
+                waiter.exception()
+        self._waiters.clear()
+
+    def _note_suspect(self, suspect: Suspect) -> None:
+        if suspect.cleared:
+            self._suspects.pop(suspect.fingerprint, None)
+        else:
+            self._suspects[suspect.fingerprint] = suspect
+        self._suspect_updates.on_next(suspect)
+
+    def _note_units(self, updates: Sequence[UnitUpdate], is_full: bool) -> None:
+        """Confirm moving units that are drained already, and remember the others."""
+        if is_full:
+            self._moving.clear()
+        for update in updates:
+            key = (update.service, update.unit.unit)
+            if update.unit.state is not UnitState.MOVING:
+                self._moving.pop(key, None)
+                continue
+            self._moving[key] = update.unit.epoch
+            self._note_drained(key)
+
+    def _note_drained(self, key: tuple[ServiceName, UnitId]) -> None:
+        epoch = self._moving.get(key)
+        if epoch is None or not self._in_flight.is_drained(*key):
+            return
+        self._drained.append(peer_pb2.UnitRef(service=key[0], unit=key[1], epoch=epoch))
+        self._woken.set()
+
+
+def _server_entry(server: peer_pb2.Server) -> ServerEntry:
+    return ServerEntry(
+        ServerId(server.server),
+        ServiceName(server.service),
+        DataCentre(server.data_centre),
+        server.host,
+        server.port,
+        ServerState(server.state),
+    )
+
+
+def _updates_of(reply: SyncReply) -> list[UnitUpdate]:
+    return [
+        UnitUpdate(
+            ServiceName(unit.service),
+            Unit(
+                UnitId(unit.unit),
+                ServerId(unit.owner) if unit.owner else None,
+                Epoch(unit.epoch),
+                UnitState(unit.state),
+                ServerId(unit.next_owner) if unit.next_owner else None,
+            ),
+        )
+        for unit in reply.units
+    ]
+
+
+def _assignment_of(reply: SyncReply) -> Assignment:
+    ranges: dict[ServiceName, list[Unit]] = {}
+    overrides: dict[ServiceName, dict[Key, Unit]] = {}
+    for update in _updates_of(reply):
+        unit = update.unit
+        if is_override(unit.unit):
+            key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
+            overrides.setdefault(update.service, {})[key] = unit
+            continue
+        ranges.setdefault(update.service, []).append(unit)
+    return Assignment(AssignmentVersion(reply.view_version), ranges, overrides)
--- a/packages/router/mulberryrelay_router/view.py
+++ b/packages/router/mulberryrelay_router/view.py
@@ -5,13 +5,18 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from reactivex import Observable
 from reactivex.subject import Subject
 
 from mulberryrelay_kernel.clock import Clock, monotonic_ms
-from mulberryrelay_kernel.hashing import range_index
+from mulberryrelay_kernel.hashing import (
+    OVERRIDE_PREFIX,
+    RANGE_PREFIX,
+    is_override,
+    range_index,
+)
 from mulberryrelay_kernel.ids import (
     AssignmentVersion,
     Key,
@@ -39,6 +44,8 @@
         self._servers: dict[ServerId, ServerEntry] = {}
         self._by_service: dict[ServiceName, list[ServerEntry]] = {}
         self._lease_until_ms = 0.0
+        # A lease that counts once these versions are applied.
+        self._offered = (Term(0), AssignmentVersion(0), RulesVersion(0), 0.0)
         self._unit_changes: Subject[UnitUpdate] = Subject()
         self._server_changes: Subject[ServerEntry] = Subject()
         self._changed = asyncio.Event()
@@ -79,12 +86,26 @@
 
     def extend_lease(self, until_ms: float) -> None:
         """Extend the routing lease to ``until_ms`` on this process's clock."""
+        had_lease = self.has_lease()
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        self._notify()
+        if not had_lease:
+            self._notify()
+
+    def offer_lease(
+        self,
+        until_ms: float,
+        term: Term,
+        assignment_version: AssignmentVersion,
+        rules_version: RulesVersion,
+    ) -> None:
+        """Extend the routing lease once at least these versions are applied."""
+        self._offered = (term, assignment_version, rules_version, until_ms)
+        self._accept_offer()
 
     def revoke_lease(self) -> None:
         """Give the routing lease up at once."""
         self._lease_until_ms = 0.0
+        self._offered = (Term(0), AssignmentVersion(0), RulesVersion(0), 0.0)
         self._notify()
 
     def unit_of(self, service: ServiceName, key: Key) -> Unit | None:
@@ -101,6 +122,10 @@
         """Return a backend server by id."""
         return self._servers.get(server)
 
+    def servers(self) -> list[ServerEntry]:
+        """Return all known backend servers."""
+        return list(self._servers.values())
+
     def servers_of(self, service: ServiceName) -> list[ServerEntry]:
         """Return the known backend servers of a service."""
         return self._by_service.get(service, [])
@@ -112,8 +137,32 @@
         for service, units in assignment.ranges.items():
             for unit in units:
                 self._unit_changes.on_next(UnitUpdate(service, unit))
+        self._accept_offer()
+        self._notify()
+
+    def apply_units(
+        self, version: AssignmentVersion, updates: Sequence[UnitUpdate]
+    ) -> None:
+        """Apply changed units; an override without an owner is removed."""
+        known = self._assignment
+        ranges = dict(known.ranges)
+        overrides = dict(known.overrides)
+        for service in {update.service for update in updates}:
+            ranges[service] = list(known.ranges.get(service, []))
+            overrides[service] = dict(known.overrides.get(service, {}))
+        for update in updates:
+            _apply_unit(update.unit, ranges[update.service], overrides[update.service])
+        self._assignment = Assignment(version, ranges, overrides)
+        for update in updates:
+            self._unit_changes.on_next(update)
+        self._accept_offer()
         self._notify()
 
+    def apply_rules(self, version: RulesVersion) -> None:
+        """Record that a version of the rules is in force in this process."""
+        self._rules_version = version
+        self._accept_offer()
+
     def apply_servers(self, servers: Iterable[ServerEntry]) -> None:
         """Replace the list of backend servers."""
         known = self._servers
@@ -133,7 +182,25 @@
             return False
         return True
 
+    def _accept_offer(self) -> None:
+        term, assignment_version, rules_version, until_ms = self._offered
+        if term != self._term or assignment_version > self._assignment.version:
+            return
+        if rules_version <= self._rules_version:
+            self.extend_lease(until_ms)
+
     def _notify(self) -> None:
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
+
+
+def _apply_unit(unit: Unit, ranges: list[Unit], overrides: dict[Key, Unit]) -> None:
+    if not is_override(unit.unit):
+        ranges[int(unit.unit.removeprefix(RANGE_PREFIX))] = unit
+        return
+    key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
+    if unit.owner is None:
+        overrides.pop(key, None)
+        return
+    overrides[key] = unit
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -15,7 +15,7 @@
             "classes": ["listing"],
             "partitioned": True,
             "ranges": 64,
-            "checks_grants": False,
+            "checks_grants": True,
         },
         "bookpay": {"classes": ["payment", "booking"]},
     },
@@ -25,8 +25,8 @@
 def main() -> int:
     """Run the demo; return 0 if every request was answered."""
     with Deployment(SETTINGS) as deployment:
-        deployment.start_server("slotfinder-1", "slotfinder", checks_grants=False)
-        deployment.start_server("slotfinder-2", "slotfinder", checks_grants=False)
+        deployment.start_server("slotfinder-1", "slotfinder")
+        deployment.start_server("slotfinder-2", "slotfinder")
         deployment.start_server("bookpay-1", "bookpay", "accra-legon")
         routers = [
             deployment.start_router("entry-1", "accra-osu"),
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -63,6 +63,7 @@
         self._term = Term(0)
         self._granted: dict[UnitId, Epoch] = {}
         self._highest: dict[UnitId, Epoch] = {}
+        self._sequence = 0
         self._expiry_ms = 0.0
         self._running: dict[UnitId, int] = {}
         self._in_flight = 0
@@ -81,9 +82,9 @@
 
     async def _grants(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read(), type=GrantRequest)
-        accepted = order.term >= self._term or not self._checks_grants
-        if accepted:
-            self._term = max(self._term, order.term)
+        now_ms = monotonic_ms()
+        accepted = not self._checks_grants or self._accepts(order, now_ms)
+        if accepted and order.stamp_ms is not None:
             self._apply(order)
         reply = GrantReply(
             server=self._server,
@@ -102,6 +103,18 @@
         )
         return web.Response(body=msgspec.json.encode(reply))
 
+    def _accepts(self, order: GrantRequest, now_ms: float) -> bool:
+        """Return whether an order is neither overtaken nor expired."""
+        if (order.term, order.sequence) <= (self._term, self._sequence):
+            return False
+        self._term = order.term
+        self._sequence = order.sequence
+        if order.stamp_ms is None:
+            return True
+        # The list of an order that waited in the socket may name units that other
+        # servers own by now.
+        return now_ms < order.stamp_ms + order.ttl_ms
+
     def _apply(self, order: GrantRequest) -> None:
         if order.full:
             self._granted.clear()
