--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -41,6 +41,7 @@
 from .lease import CoordinatorLease
 from .membership import Membership, Server
 from .moves import Moves, MoveStep
+from .placement import PlanMoves, plan_moves
 from .planner import PlacementRules, Planner
 from .sessions import RouterSession, RouterSessions
 
@@ -78,6 +79,7 @@
         new_suspects: Callable[[], Suspects],
         known_servers: Callable[[], Iterable[ServerEntry]],
         placement_rules: Callable[[], PlacementRules] = PlacementRules,
+        plan: PlanMoves = plan_moves,
         clock: Clock = monotonic_ms,
         at_step: AtStep | None = None,
     ) -> None:
@@ -89,6 +91,7 @@
         self._new_suspects = new_suspects
         self._known_servers = known_servers
         self._placement_rules = placement_rules
+        self._plan = plan
         self._clock = clock
         self._at_step = at_step
         self._tenure: _Tenure | None = None
@@ -151,6 +154,7 @@
             self._load_rules,
             self._new_suspects(),
             self._placement_rules,
+            self._plan,
             self._clock,
             self._at_step,
         )
@@ -184,6 +188,7 @@
         load_rules: LoadRules,
         suspects: Suspects,
         placement_rules: Callable[[], PlacementRules],
+        plan: PlanMoves,
         clock: Clock,
         at_step: AtStep | None,
     ) -> None:
@@ -206,7 +211,7 @@
             options, session, lease, first_change_ms, self._note_server, clock
         )
         planner = Planner(
-            options, self._membership, self._sessions, placement_rules, clock
+            options, self._membership, self._sessions, placement_rules, clock, plan
         )
         self._moves = Moves(
             options,
--- a/packages/control/mulberryrelay_control/planner.py
+++ b/packages/control/mulberryrelay_control/planner.py
@@ -21,7 +21,6 @@
     PlanMoves,
     PlannedMove,
     ServicePlacement,
-    plan_moves,
     policy_of,
     update_rates,
 )
@@ -47,7 +46,7 @@
         sessions: RouterSessions,
         rules: Callable[[], PlacementRules],
         clock: Clock,
-        plan: PlanMoves = plan_moves,
+        plan: PlanMoves,
     ) -> None:
         self._membership = membership
         self._sessions = sessions
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -80,6 +80,10 @@
         add("*", "/{path:.*}", self._handle)
         return application
 
+    def holds(self, unit: UnitId) -> bool:
+        """Return whether a request for the unit could run now."""
+        return unit in self._granted and monotonic_ms() < self._expiry_ms
+
     async def _grants(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read(), type=GrantRequest)
         now_ms = monotonic_ms()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -31,6 +31,7 @@
             for freeze_s in (0.6, 0.6, 0.6, 2.5):
                 freeze(running, "s1", freeze_s)
                 freeze(running, "s2", freeze_s)
+        with load(running, CHECKED, work_ms=400):
             pause_coordinator_during_move(running)
         report(running, CHECKED, "frozen servers and coordinator")
         assert sum(answer.outcome == "ran" for answer in answers) > 100
@@ -52,10 +53,11 @@
                 running.set_state(server, "serving")
                 time.sleep(0.3)
         check_exclusive(running, UNCHECKED)
-        running.servers["p1"].signal(signal.SIGSTOP)
+        # All units are on p2 now.
+        running.servers["p2"].signal(signal.SIGSTOP)
         served_s = running.serve_all(running.routers["e1"])
         figure("unchecked server frozen: served again", served_s)
-        running.servers["p1"].signal(signal.SIGCONT)
+        running.servers["p2"].signal(signal.SIGCONT)
         time.sleep(1)
         with load(running, UNCHECKED):
             time.sleep(0.5)
@@ -89,7 +91,8 @@
 
     Store outage: requests to owners go on, and the keys of a lost server wait.
     """
-    with cluster({**FOUR_SERVERS, "s3": CHECKED}) as running:
+    servers = {"s1": CHECKED, "s2": CHECKED, "s3": CHECKED, "p1": UNCHECKED}
+    with cluster(servers) as running:
         survivor, lost = running.others()
         running.servers["s1"].kill()
         served_s = running.serve_all(running.routers[survivor])
@@ -123,10 +126,14 @@
 
 
 def pause_coordinator_during_move(running: Cluster) -> None:
-    """Stop the coordinator while units move, until another one has taken over."""
-    for delay_s in (0.05, 0.16):
-        running.set_state("s1", "draining")
-        time.sleep(delay_s)
+    """Stop the coordinator while units move, until another one has taken over.
+
+    The requests in flight keep the units moving long enough to be caught at it.
+    """
+    for server in ("s1", "s2"):
+        # The second move takes all units back from the server that the first filled.
+        running.set_state(server, "draining")
+        time.sleep(0.3)
         name = running.coordinator()
         paused = running.routers.pop(name)
         paused.signal(signal.SIGSTOP)
@@ -134,7 +141,7 @@
         figure("coordinator paused during a move: served again", served_s)
         time.sleep(0.5)
         assert running.coordinator() != name
-        running.set_state("s1", "serving")
+        running.set_state(server, "serving")
         paused.signal(signal.SIGCONT)
         time.sleep(0.3)
         running.routers[name] = paused
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,234 @@
+"""Moves, routing leases and orders, with the coordinator lost at each step."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from mulberryrelay_control.moves import MoveStep
+from mulberryrelay_control.placement import (
+    MoveReason,
+    PlacementPolicy,
+    PlacementState,
+    PlannedMove,
+)
+from mulberryrelay_kernel.hashing import grants_digest, override_unit, range_index
+from mulberryrelay_kernel.ids import (
+    Epoch,
+    InstanceId,
+    Key,
+    RulesVersion,
+    ServerId,
+    Term,
+    UnitId,
+)
+from mulberryrelay_kernel.messages import (
+    GrantedUnit,
+    GrantReply,
+    GrantRequest,
+    RulesDocument,
+    Unit,
+)
+from mulberryrelay_kernel.peerproto.peer_pb2 import SyncReply
+from mulberryrelay_kernel.states import ServerState, UnitState
+from standins.backend import Behaviour
+from tests.fixtures.terms import RANGES, SERVICE, TIMING, FakeRouter, Stage, stage
+
+DRAINING = Behaviour(state=ServerState.DRAINING)
+
+
+def test_move_survives_the_coordinator_at_each_step() -> None:
+    """Guards against units that stay moving, or that two servers hold, afterwards."""
+
+    async def check(step: MoveStep) -> None:
+        async with stage() as running:
+            reached = asyncio.Event()
+            armed = asyncio.Event()
+
+            async def at_step(passed: MoveStep) -> None:
+                if armed.is_set() and passed is step:
+                    reached.set()
+                    await asyncio.Event().wait()
+
+            coordinator, lease = await running.begin_term(1, at_step)
+            await running.wait_for(_all_owned)
+            running.spawn(FakeRouter(coordinator).run())
+            running.spawn(running.watch())
+            before = await running.units()
+            armed.set()
+            await running.set_state("s1", DRAINING)
+            async with asyncio.timeout(5):
+                await reached.wait()
+            lease.end()
+            # A successor cannot take over earlier.
+            await asyncio.sleep((TIMING.lease_ms + TIMING.margin_ms) / 1000)
+            await running.begin_term(2)
+            await running.wait_for(lambda units: _owners(units) == {"s2"})
+            await _wait_until_held(running, "s2")
+            for name, unit in (await running.units()).items():
+                moved = before[name].owner != "s2"
+                assert unit.epoch == before[name].epoch + moved, (step, unit)
+            assert not running.overlaps, (step, running.overlaps[:5])
+
+    for step in MoveStep:
+        asyncio.run(check(step))
+
+
+def test_new_coordinator_waits_for_leases_of_the_former_term() -> None:
+    """Guards against a takeover that moves units under grants still in force.
+
+    A server that is gone for the new coordinator may hold a grant of the former one.
+    """
+
+    async def check() -> None:
+        async with stage() as running:
+            _, lease = await running.begin_term(1)
+            await running.wait_for(_all_owned)
+            running.spawn(running.watch())
+            await asyncio.sleep(0.1)
+            lease.end()
+            running.platform.unlist_instance("s1")
+            await asyncio.sleep((TIMING.lease_ms + TIMING.margin_ms) / 1000)
+            await running.begin_term(2)
+            await running.wait_for(lambda units: _owners(units) == {"s2"})
+            await _wait_until_held(running, "s2")
+            assert not running.overlaps, running.overlaps[:5]
+
+    asyncio.run(check())
+
+
+def test_lease_names_the_versions_at_sending() -> None:
+    """Guards against renewing an expired lease for a router that misses a move.
+
+    The reply waits in the queue while the lease expires and a unit begins to move.
+    """
+
+    async def check() -> None:
+        async with stage() as running:
+            running.rules = RulesDocument(RulesVersion(3), "# rules")
+            coordinator, _ = await running.begin_term(1)
+            await running.wait_for(_all_owned)
+            router = FakeRouter(coordinator)
+            replies = router.open()
+            full = await anext(replies)
+            assert (full.full, full.rules_text) == (True, "# rules")
+            first = await anext(replies)
+            assert first.routing_lease_ms > TIMING.bridge_ms
+            router.send()
+            await asyncio.sleep(0.05)
+            await running.set_state("s1", DRAINING)
+            await running.wait_for(lambda units: _owners(units) == {"s2"})
+            late: list[SyncReply] = []
+            async for reply in replies:
+                if any(unit.state == "moving" for unit in reply.units):
+                    break
+                late += [reply] if reply.sequence else []
+            assert late
+            for before in late:
+                assert before.routing_lease_ms
+                assert before.assignment_version >= reply.view_version
+
+    asyncio.run(check())
+
+
+def test_override_begins_and_ends_with_a_new_epoch_of_its_range() -> None:
+    """Guards against runs under the range's grant after its key has moved alone."""
+
+    async def check() -> None:
+        key = Key("trainer-17")
+        home = f"r{range_index(key, RANGES)}"
+        planned: list[PlannedMove] = []
+
+        def plan(
+            state: PlacementState, policy: PlacementPolicy, now_ms: float
+        ) -> list[PlannedMove]:
+            units = {unit.unit: unit for unit in state.services[SERVICE].units}
+            initial = [
+                PlannedMove(SERVICE, name, ServerId("s1"), MoveReason.INITIAL)
+                for name, unit in units.items()
+                if unit.owner is None
+            ]
+            return initial + planned
+
+        async with stage() as running:
+            coordinator, _ = await running.begin_term(1, plan=plan)
+            await running.wait_for(_all_owned)
+            running.spawn(running.watch())
+            running.spawn(FakeRouter(coordinator).run())
+            override = override_unit(key)
+            planned.append(
+                PlannedMove(SERVICE, override, ServerId("s2"), MoveReason.PIN)
+            )
+            await running.wait_for(lambda u: override in u and _all_owned(u))
+            planned.clear()
+            units = await running.units()
+            assert units[override].owner == "s2"
+            assert units[override].epoch == units[home].epoch == 2, units
+            assert units[home].owner == "s1"
+            planned.append(
+                PlannedMove(SERVICE, override, ServerId("s1"), MoveReason.COOLED)
+            )
+            await running.wait_for(lambda u: override not in u and _all_owned(u))
+            planned.clear()
+            assert (await running.units())[home].epoch == 3
+            assert not running.overlaps
+
+    asyncio.run(check())
+
+
+def test_server_refuses_an_order_that_was_overtaken() -> None:
+    """Guards against a delayed list that brings back units revoked meanwhile."""
+
+    async def check() -> None:
+        unit = GrantedUnit(UnitId("r1"), Epoch(1))
+
+        def order(sequence: int, stamp_ms: int | None, full: bool) -> GrantRequest:
+            held = {unit.unit: unit.epoch} if full else {}
+            return GrantRequest(
+                InstanceId("e1"),
+                Term(1),
+                500,
+                sequence,
+                stamp_ms,
+                changed=[unit] if full else [],
+                revoked=[] if full else [unit],
+                full=full,
+                digest=grants_digest(held),
+            )
+
+        async with stage() as running, aiohttp.ClientSession() as session:
+
+            async def send(request: GrantRequest) -> GrantReply:
+                response = await session.post(
+                    running.urls[ServerId("s1")] + "/mulberry/grants",
+                    data=msgspec.json.encode(request),
+                )
+                return msgspec.json.decode(await response.read(), type=GrantReply)
+
+            stamp_ms = (await send(order(1, None, full=False))).stamp_ms
+            assert (await send(order(2, stamp_ms, full=True))).accepted
+            revoked = await send(order(4, stamp_ms, full=False))
+            assert (revoked.accepted, revoked.idle) == (True, [unit.unit])
+            assert not (await send(order(3, stamp_ms, full=True))).accepted
+            assert not running.servers[ServerId("s1")].holds(unit.unit)
+            assert not (await send(order(5, stamp_ms - 500, full=True))).accepted
+
+    asyncio.run(check())
+
+
+def _all_owned(units: dict[str, Unit]) -> bool:
+    ranges = [unit for name, unit in units.items() if name.startswith("r")]
+    is_settled = all(unit.state is UnitState.ACTIVE for unit in units.values())
+    return len(ranges) == RANGES and is_settled and all(u.owner for u in ranges)
+
+
+def _owners(units: dict[str, Unit]) -> set[str | None]:
+    states = {unit.state for unit in units.values()}
+    return {unit.owner for unit in units.values()} if len(states) == 1 else set()
+
+
+async def _wait_until_held(running: Stage, server: str) -> None:
+    standin = running.servers[ServerId(server)]
+    async with asyncio.timeout(5):
+        while not all(standin.holds(UnitId(unit)) for unit in await running.units()):
+            await asyncio.sleep(0.005)
