--- a/packages/control/mulberryrelay_control/moves.py
+++ b/packages/control/mulberryrelay_control/moves.py
@@ -472,11 +472,9 @@
             move.note_lost(self._orphans[key])
         if unit.owner is None:
             return
-        is_taken_over = self._assignment is None
         is_known = unit.owner in self._membership.servers
-        if key in self._orphans or is_taken_over or not is_known:
-            # The former coordinator may have revoked the unit already, and a server
-            # that comes into view now must not be granted what it loses.
+        if key in self._orphans or not is_known:
+            # A server that comes back, or into view, must not be granted what it loses.
             self._grants.of(unit.owner).revoke([move.granted])
 
     def _assembled(self) -> Assignment:
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -64,6 +64,9 @@
 # Pause before the next attempt to reach the coordinator. The routing lease runs on
 # meanwhile, with at least BRIDGE left.
 RECONNECT_PAUSE_MS = 20.0
+# Period in which the holder of the lease is compared with the peer of the stream. A
+# takeover is found by reading the lease row, and the routing lease is short by then.
+HOLDER_PERIOD_MS = 20.0
 # Heartbeats without a reply after which the stream is given up.
 SILENT_HEARTBEATS = 3
 COUNT_PERIOD_MS = 1000.0
@@ -302,59 +305,64 @@
         """Run one stream; return why it ended."""
         async with open_channel(holder) as channel:
             stream = open_stub(channel).Sync()
-            reader = asyncio.create_task(self._read(stream))
+            # The one that ends first tells why the stream is of no use any more. A peer
+            # that is stopped can hold up both reading and writing.
+            tasks = [
+                asyncio.create_task(self._read(stream)),
+                asyncio.create_task(self._write(stream)),
+                asyncio.create_task(self._watch_holder(holder)),
+            ]
             try:
-                return await self._write(stream, holder, reader)
-            except grpc.aio.AioRpcError as error:
-                return str(error.details())
-            except asyncio.InvalidStateError:
-                return "ended before a request was written"
-            except TimeoutError:
-                return "request not taken"
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                return done.pop().result()
             finally:
-                reader.cancel()
+                for task in tasks:
+                    task.cancel()
                 stream.cancel()
-                await asyncio.gather(reader, return_exceptions=True)
+                await asyncio.gather(*tasks, return_exceptions=True)
                 self._end_stream()
 
-    async def _write(
-        self, stream: Any, holder: Address, reader: asyncio.Task[str]
-    ) -> str:
+    async def _watch_holder(self, holder: Address) -> str:
+        """Return once the lease has another holder."""
+        while self._lease.holder == holder:
+            await asyncio.sleep(HOLDER_PERIOD_MS / 1000)
+        return "the lease has another holder"
+
+    async def _write(self, stream: Any) -> str:
         """Send heartbeats until the stream is of no use any more."""
         # The full view that begins each stream brings up all moving units again.
         self._drained = []
         is_first = True
-        while True:
-            self._woken.clear()
-            request = self._next_request(is_first)
-            is_first = False
-            # The lease counts from before the request is sent.
-            self._started_ms[request.sequence] = self._clock()
-            # Without a timeout, a peer that is stopped could hold this task here.
-            async with asyncio.timeout(self._silence_ms / 1000):
-                await stream.write(request)
-            if request.leaving:
-                await stream.done_writing()
-                await asyncio.wait({reader}, timeout=LEAVE_TIMEOUT_S)
-                self._confirm(request.sequence)
-                return "leaving"
-            await self._wait_for_work(reader)
-            if reader.done():
-                return reader.result()
-            if self._lease.holder != holder:
-                return "the lease has another holder"
-            if len(self._started_ms) > SILENT_HEARTBEATS:
-                return "no reply"
-
-    async def _wait_for_work(self, reader: asyncio.Task[str]) -> None:
-        """Wait until a request is due, or the stream has ended."""
-        woken = asyncio.ensure_future(self._woken.wait())
-        await asyncio.wait(
-            {woken, reader},
-            timeout=self._options.timing.heartbeat_ms / 1000,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        woken.cancel()
+        try:
+            while len(self._started_ms) <= SILENT_HEARTBEATS:
+                self._woken.clear()
+                request = self._next_request(is_first)
+                is_first = False
+                # The lease counts from before the request is sent.
+                self._started_ms[request.sequence] = self._clock()
+                async with asyncio.timeout(self._silence_ms / 1000):
+                    await stream.write(request)
+                if request.leaving:
+                    await stream.done_writing()
+                    # The peer ends the stream once it has taken the request in.
+                    await asyncio.sleep(LEAVE_TIMEOUT_S)
+                    return "leaving"
+                await self._wait_for_work()
+        except grpc.aio.AioRpcError as error:
+            return str(error.details())
+        except asyncio.InvalidStateError:
+            return "ended before a request was written"
+        except TimeoutError:
+            pass
+        return "no reply"
+
+    async def _wait_for_work(self) -> None:
+        """Wait until a request is due."""
+        try:
+            async with asyncio.timeout(self._options.timing.heartbeat_ms / 1000):
+                await self._woken.wait()
+        except TimeoutError:
+            pass
 
     def _next_request(self, is_first: bool) -> SyncRequest:
         self._sequence += 1
@@ -456,6 +464,8 @@
 
     def _end_stream(self) -> None:
         self._started_ms.clear()
+        if self._is_leaving:
+            self._confirm(self._sequence)
         for waiter in self._waiters.values():
             if not waiter.done():
                 waiter.set_exception(ConnectionError("the stream has ended"))
