Bind grants to the server process that gave the stamp

Cause: a server that was started anew at the same address could take an order with the stamp of its former process. If its clock started anew as well, the grant would last far too long, and the list would belong to the former process. Change: a grant request names the boot id of the reply that its stamp is from; the stand-in refuses other ones. Conclusion: closed for servers that check grants.

--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -13,7 +13,14 @@
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.hashing import grants_digest
-from mulberryrelay_kernel.ids import Epoch, InstanceId, ServerId, Term, UnitId
+from mulberryrelay_kernel.ids import (
+    BootId,
+    Epoch,
+    InstanceId,
+    ServerId,
+    Term,
+    UnitId,
+)
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import GrantedUnit, GrantReply, GrantRequest
 from mulberryrelay_kernel.options import Options
@@ -39,6 +46,7 @@
         self._sequence = 0
         self._stamp_ms: int | None = None
         self._stamp_received_ms = 0.0
+        self._boot_id: BootId | None = None
         self._woken = asyncio.Event()
         self._settled = asyncio.Event()
 
@@ -130,7 +138,7 @@
         self._woken.clear()
         self._sequence += 1
         if stamp_only or self._stamp_ms is None:
-            return GrantRequest(coordinator, term, ttl_ms, self._sequence, None)
+            return GrantRequest(coordinator, term, ttl_ms, self._sequence, None, None)
         changed = [
             GrantedUnit(unit, epoch)
             for unit, epoch in self._wanted.items()
@@ -142,6 +150,7 @@
             ttl_ms=ttl_ms,
             sequence=self._sequence,
             stamp_ms=self._stamp_ms,
+            boot_id=self._boot_id,
             changed=changed,
             revoked=[
                 GrantedUnit(unit, epoch) for unit, epoch in self._revoking.items()
@@ -164,6 +173,7 @@
         had_stamp = order.stamp_ms is not None
         self._stamp_ms = reply.stamp_ms
         self._stamp_received_ms = now_ms
+        self._boot_id = reply.boot_id
         if not had_stamp:
             return True
         self._needs_full = not reply.accepted or reply.digest != order.digest
--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -185,6 +185,9 @@
     stamp_ms: int | None
     """Server's clock in its previous reply; None fetches a first stamp only, and the
     lists of the request do not count."""
+    boot_id: BootId | None
+    """Boot id in the same reply. A server that was started since refuses the request,
+    as its clock may have started anew too and would extend the grant."""
     changed: list[GrantedUnit] = []
     revoked: list[GrantedUnit] = []
     """The server finishes what it runs for these units, then confirms."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -115,6 +115,8 @@
         self._sequence = order.sequence
         if order.stamp_ms is None:
             return True
+        if order.boot_id != self._boot_id:
+            return False
         # The list of an order that waited in the socket may name units that other
         # servers own by now.
         return now_ms < order.stamp_ms + order.ttl_ms
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -14,6 +14,7 @@
 )
 from mulberryrelay_kernel.hashing import grants_digest, override_unit, range_index
 from mulberryrelay_kernel.ids import (
+    BootId,
     Epoch,
     InstanceId,
     Key,
@@ -176,13 +177,18 @@
     asyncio.run(check())
 
 
-def test_server_refuses_an_order_that_was_overtaken() -> None:
-    """Guards against a delayed list that brings back units revoked meanwhile."""
+def test_server_refuses_late_orders() -> None:
+    """Guards against a delayed list that brings back units revoked meanwhile.
+
+    It may be overtaken, expired, or meant for the former process at the address.
+    """
 
     async def check() -> None:
         unit = GrantedUnit(UnitId("r1"), Epoch(1))
 
-        def order(sequence: int, stamp_ms: int | None, full: bool) -> GrantRequest:
+        def order(
+            sequence: int, stamp_ms: int | None, boot_id: BootId | None, full: bool
+        ) -> GrantRequest:
             held = {unit.unit: unit.epoch} if full else {}
             return GrantRequest(
                 InstanceId("e1"),
@@ -190,6 +196,7 @@
                 500,
                 sequence,
                 stamp_ms,
+                boot_id,
                 changed=[unit] if full else [],
                 revoked=[] if full else [unit],
                 full=full,
@@ -205,13 +212,18 @@
                 )
                 return msgspec.json.decode(await response.read(), type=GrantReply)
 
-            stamp_ms = (await send(order(1, None, full=False))).stamp_ms
-            assert (await send(order(2, stamp_ms, full=True))).accepted
-            revoked = await send(order(4, stamp_ms, full=False))
+            first = await send(order(1, None, None, full=False))
+            stamp_ms, boot_id = first.stamp_ms, first.boot_id
+            assert (await send(order(2, stamp_ms, boot_id, full=True))).accepted
+            revoked = await send(order(4, stamp_ms, boot_id, full=False))
             assert (revoked.accepted, revoked.idle) == (True, [unit.unit])
-            assert not (await send(order(3, stamp_ms, full=True))).accepted
-            assert not running.servers[ServerId("s1")].holds(unit.unit)
-            assert not (await send(order(5, stamp_ms - 500, full=True))).accepted
+            for late in (
+                order(3, stamp_ms, boot_id, full=True),
+                order(5, stamp_ms - 500, boot_id, full=True),
+                order(6, stamp_ms, BootId("former"), full=True),
+            ):
+                assert not (await send(late)).accepted, late
+                assert not running.servers[ServerId("s1")].holds(unit.unit)
 
     asyncio.run(check())
 
