--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -64,8 +64,8 @@
 # Pause before the next attempt to reach the coordinator. The routing lease runs on
 # meanwhile, with at least BRIDGE left.
 RECONNECT_PAUSE_MS = 20.0
-# Period in which the holder of the lease is compared with the peer of the stream. A
-# takeover is found by reading the lease row, and the routing lease is short by then.
+# Period in which the holder of the lease is compared with the peer of a stream that is
+# silent. The routing lease is short by the time that a takeover shows in the lease row.
 HOLDER_PERIOD_MS = 20.0
 # Heartbeats without a reply after which the stream is given up.
 SILENT_HEARTBEATS = 3
@@ -324,8 +324,11 @@
 
     async def _watch_holder(self, holder: Address) -> str:
         """Return once the lease has another holder."""
+        heartbeat_ms = self._options.timing.heartbeat_ms
         while self._lease.holder == holder:
-            await asyncio.sleep(HOLDER_PERIOD_MS / 1000)
+            is_silent = len(self._started_ms) > 1
+            period_ms = HOLDER_PERIOD_MS if is_silent else heartbeat_ms
+            await asyncio.sleep(period_ms / 1000)
         return "the lease has another holder"
 
     async def _write(self, stream: Any) -> str:
