--- a/packages/control/mulberryrelay_control/lease.py
+++ b/packages/control/mulberryrelay_control/lease.py
@@ -329,7 +329,11 @@
         try:
             async with asyncio.timeout(self._timing.order_timeout_ms / 1000):
                 promised = await self._ask_promise(successor, self._term, period_ms)
-        except (TimeoutError, OSError):
+        except TimeoutError:
+            return
+        except Exception as error:
+            # A failing peer link must not end the holder's task.
+            log_event("promise_failed", successor=successor.instance, error=str(error))
             return
         if promised:
             self._collected.record(successor, asked_ms, period_ms)
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,245 @@
+"""Coordinator lease: at most one holder, whatever fails.
+
+``LeaseRouters.run`` checks throughout each test that no two routers hold the lease.
+"""
+
+from mulberryrelay_control.lease import LEASE_ROW, TERM_ROW
+from mulberryrelay_control.successors import choose_successors
+from mulberryrelay_kernel.ids import BootId, DataCentre, InstanceId
+from mulberryrelay_kernel.messages import Address
+from mulberryrelay_kernel.states import LeaseTransition
+
+from .fixtures.faulty_platform import once, writes_row
+from .fixtures.lease_routers import LeaseRouter, LeaseRouters, with_routers
+from .fixtures.virtual_time import now_ms
+
+LEASE_MS, MARGIN_MS, PROMISE_MS, CAP_MS = 500, 50, 1000, 300_000
+
+
+def cut_off(router: LeaseRouter) -> None:
+    """Separate a router from the store and from its peers; it goes on running."""
+    router.cut_off = True
+    router.platform.silent = True
+
+
+@with_routers(4)
+async def test_takeover_waits_for_expiry(routers: LeaseRouters) -> None:
+    """Guards against a successor that takes a valid lease over."""
+    first = routers.holder()
+    await routers.run(3000)
+    assert routers.holder() is first
+    cut_off(first)
+    second = await routers.run_until_term(2, 1000)
+    assert second.address.instance in ("entry-2", "entry-3")
+
+
+@with_routers(3)
+async def test_resumed_holder_finds_its_lease_expired(routers: LeaseRouters) -> None:
+    """Guards against a stopped holder that goes on as coordinator when it resumes."""
+    first = routers.holder()
+    first.skip(LEASE_MS)
+    assert not first.lease.is_held() and first.lease.left_ms < 0
+    await routers.run_until_term(2, 2000)
+    expected = [LeaseTransition.ACQUIRED, LeaseTransition.LOST]
+    assert first.transitions[:2] == expected
+
+
+@with_routers(3)
+async def test_renewals_with_lost_replies_count(routers: LeaseRouters) -> None:
+    """Guards against taking a lost reply for a failed renewal."""
+    first = routers.holder()
+    first.cut_off = True
+    first.platform.lose_reply = writes_row(LEASE_ROW)
+    await routers.run(3000)
+    assert routers.holder() is first and first.lease.term == 1
+
+
+@with_routers(3)
+async def test_takeover_with_lost_reply_counts(routers: LeaseRouters) -> None:
+    """Guards against taking a lost reply for a failed takeover."""
+    cut_off(routers.holder())
+    for router in routers.members[1:]:
+        router.platform.lose_reply = once(writes_row(TERM_ROW))
+    await routers.run_until_term(2, 1200)
+    await routers.run(2000)
+    assert routers.holder().lease.term == 2
+
+
+async def lose_successor_change(routers: LeaseRouters, applied: bool) -> None:
+    first, second, third, fourth = routers.members
+    # The holder replaces entry-2 by entry-4 and hears nothing from the store after.
+    routers.hidden.add(second.address.instance)
+    change = once(writes_row(LEASE_ROW))
+
+    def changes(writes: object) -> bool:
+        first.platform.silent = first.platform.silent or change(writes)  # type: ignore[arg-type]
+        return first.platform.silent
+
+    if applied:
+        first.platform.lose_reply = changes
+    else:
+        first.platform.delay = changes
+    # Whoever the stored row names besides entry-3 cannot be asked and is free.
+    unreachable = fourth if applied else second
+    unreachable.cut_off = True
+    third.platform.silent = True
+    taken_over = await routers.run_until_term(2, 3000)
+    assert taken_over is unreachable
+
+
+@with_routers(4)
+async def test_both_sets_promise_after_lost_change(routers: LeaseRouters) -> None:
+    """Guards against relying on the old set while the new one may be in force."""
+    await lose_successor_change(routers, applied=True)
+
+
+@with_routers(4)
+async def test_both_sets_promise_after_open_change(routers: LeaseRouters) -> None:
+    """Guards against relying on the new set while the old one may be in force."""
+    await lose_successor_change(routers, applied=False)
+
+
+@with_routers(4)
+async def test_gone_successor_is_replaced(routers: LeaseRouters) -> None:
+    """Guards against naming routers that are gone."""
+    routers.members[1].kill()
+    await routers.run(400)
+    named = {address.instance for address in (await routers.row()).successors}
+    assert named == {"entry-3", "entry-4"}
+
+
+@with_routers(3)
+async def test_promises_carry_the_lease_through_an_outage(
+    routers: LeaseRouters,
+) -> None:
+    """Guards against losing the coordinator with the store, and against renewing from
+    the arrival of a promise instead of the question."""
+    first = routers.holder()
+    first.reply_delay_ms = 80
+    for router in routers.members:
+        router.platform.silent = True
+    for _ in range(2000):
+        await routers.run(5)
+        assert 0 < first.lease.left_ms <= PROMISE_MS - first.reply_delay_ms
+    for router in routers.members:
+        router.platform.silent = False
+    await routers.run(2000)
+    assert routers.holder() is first and first.lease.term == 1
+
+
+@with_routers(3)
+async def test_partition_from_one_successor_ends_the_lease(
+    routers: LeaseRouters,
+) -> None:
+    """Guards against relying on the promise of one successor only."""
+    first, second, third = routers.members
+    first.platform.silent = True
+    await routers.run(5000)
+    assert routers.holder() is first
+    third.cut_off = True
+    assert await routers.run_until_term(2, 3000) is third
+    assert not second.lease.is_held()
+
+
+@with_routers(3)
+async def test_promise_binds_the_successor(routers: LeaseRouters) -> None:
+    """Guards against a takeover in spite of a promise."""
+    first, *successors = routers.members
+    for router in successors:
+        assert router.lease.promise(first.address.instance, first.lease.term, 5000)
+    promised_ms = now_ms()
+    first.kill()
+    await routers.run_until_term(2, 6000)
+    assert now_ms() - promised_ms >= 5000
+
+
+@with_routers(3)
+async def test_no_promise_during_an_own_takeover(routers: LeaseRouters) -> None:
+    """Guards against a promise while a takeover write may still take effect."""
+    first, second, third = routers.members
+    third.platform.silent = True
+    second.platform.delay = writes_row(TERM_ROW)
+    cut_off(first)
+    await routers.run(2000)
+    second.platform.silent = True
+    await routers.run(1000)
+    assert not second.lease.promise(first.address.instance, first.lease.term, 1000)
+    assert any(await second.platform.deliver_delayed())
+
+
+@with_routers(3)
+async def test_restarted_routers_wait_for_the_outage_cap(
+    routers: LeaseRouters,
+) -> None:
+    """Guards against an early takeover by a process without the old one's promise."""
+    for router in list(routers.members):
+        router.kill()
+    killed_ms = now_ms()
+    restarted = [routers.add(index) for index in (1, 2, 3)]
+    await routers.run(CAP_MS)
+    assert not routers.holders()
+    await routers.run_until_term(2, 2000)
+    waited_ms = now_ms() - killed_ms
+    assert waited_ms >= CAP_MS + LEASE_MS + MARGIN_MS + PROMISE_MS
+    assert routers.holder() in restarted
+
+
+@with_routers(4, outage_cap_ms=3000)
+async def test_outage_cap_counts_from_the_last_write(routers: LeaseRouters) -> None:
+    """Guards against an extension past the wait of a router that is not named."""
+    first = routers.holder()
+    started_ms = now_ms()
+    first.platform.silent = True
+    first.platform.readable = True
+    await routers.run_until_term(2, 6000)
+    assert LEASE_MS < now_ms() - started_ms <= 3000 + 2 * PROMISE_MS
+
+
+@with_routers(3)
+async def test_released_lease_is_taken_at_once(routers: LeaseRouters) -> None:
+    """Guards against a slow orderly leave, and against changes of owner before the
+    routing leases of the released term have ended."""
+    first = routers.holder()
+    first.platform.lose_reply = once(writes_row(LEASE_ROW))
+    released_ms = now_ms()
+    await first.lease.release()
+    assert first.transitions[-1] is LeaseTransition.LOST
+    second = await routers.run_until_term(2, 400)
+    assert second.lease.taken_over_ms >= released_ms + LEASE_MS
+    await routers.run(3000)
+    assert routers.holder() is second
+
+
+@with_routers(4)
+async def test_leaving_successor_is_replaced(routers: LeaseRouters) -> None:
+    """Guards against a successor that leaves while its promise may be needed."""
+    second = routers.members[1]
+    routers.hidden.add(second.address.instance)
+    await second.lease.release()
+    assert second.address not in (await routers.row()).successors
+    assert len((await routers.row()).successors) == 2
+
+
+def test_successors_are_in_other_data_centres() -> None:
+    """Guards against losing holder and successors with one data centre."""
+    cases = [
+        ("b1 c1", "", "b1 c1"),
+        ("a2 b1 b2 c1", "", "b1 c1"),
+        ("a2 a3 b1", "", "b1 a2"),
+        ("b1 b2 c1 c2", "b2 c2", "b2 c2"),
+        ("b1 b2 c1", "b2 c2", "b2 c1"),
+        ("", "b1 c1", "b1 c1"),
+        ("c1", "b1 c2", "c1 b1"),
+    ]
+    for candidates, current, expected in cases:
+        chosen = choose_successors(
+            address("a1"),
+            [address(name) for name in current.split()],
+            [address(name) for name in candidates.split()],
+        )
+        assert [entry.instance for entry in chosen] == expected.split(), candidates
+
+
+def address(name: str) -> Address:
+    """Return an address whose data centre is the first letter of its name."""
+    return Address(InstanceId(name), BootId(name), DataCentre(name[0]), "127.0.0.1", 1)
