Decode transactions in the platform stand-in

Cause: every transaction over HTTP failed with 500 ("Expected null, got object"): msgspec encodes Raw | None, but decodes only null for it. Ruled out: a change of Write in the kernel; its None for a deletion is used elsewhere, and the encoding is right. Change: the stand-in decodes into records with a Raw value and takes null for a deletion.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,13 +17,30 @@
 from mulberryrelay_control.platform_http import (
     INSTANCE_HEADER,
     ReadBody,
-    TransactBody,
 )
 from mulberryrelay_control.platform_memory import MemoryPlatform
-from mulberryrelay_kernel.ids import InstanceId
-from mulberryrelay_kernel.messages import ListedInstance
+from mulberryrelay_kernel.ids import InstanceId, RowName, WriteId
+from mulberryrelay_kernel.messages import Condition, ListedInstance, Write
 from mulberryrelay_kernel.states import StoreFailure
 
+NULL = msgspec.Raw(b"null")
+
+
+class _ReceivedWrite(msgspec.Struct, frozen=True):
+    """A ``Write`` as decoded, since msgspec decodes no raw JSON in a union."""
+
+    name: RowName
+    value: msgspec.Raw
+    """``null`` deletes the row."""
+
+
+class _ReceivedTransaction(msgspec.Struct, frozen=True):
+    """A ``TransactBody`` as decoded."""
+
+    write_id: WriteId
+    conditions: list[Condition]
+    writes: list[_ReceivedWrite]
+
 
 class StoreMode(Enum):
     """How the store answers."""
@@ -88,11 +105,13 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await self._admit(request)
         self._writes += 1
-        body = msgspec.json.decode(await request.read(), type=TransactBody)
-        result = await self._platform.transact(
-            body.conditions, body.writes, body.write_id
-        )
-        names = [write.name for write in body.writes]
+        body = msgspec.json.decode(await request.read(), type=_ReceivedTransaction)
+        writes = [
+            Write(write.name, None if write.value == NULL else write.value.copy())
+            for write in body.writes
+        ]
+        result = await self._platform.transact(body.conditions, writes, body.write_id)
+        names = [write.name for write in writes]
         if self._loses_reply(names):
             self._faults.lose_replies -= 1
             _drop_connection(request)
