--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,6 +23,24 @@
 from mulberryrelay_kernel.messages import Condition, ListedInstance, Write
 from mulberryrelay_kernel.states import StoreFailure
 
+NULL = msgspec.Raw(b"null")
+
+
+class _ReceivedWrite(msgspec.Struct, frozen=True):
+    """A ``Write`` as decoded, since msgspec decodes no raw JSON in a union."""
+
+    name: RowName
+    value: msgspec.Raw
+    """``null`` deletes the row."""
+
+
+class _ReceivedTransaction(msgspec.Struct, frozen=True):
+    """A ``TransactBody`` as decoded."""
+
+    write_id: WriteId
+    conditions: list[Condition]
+    writes: list[_ReceivedWrite]
+
 
 class StoreMode(Enum):
     """How the store answers."""
@@ -47,26 +65,6 @@
     """Instances that cannot reach the store."""
 
 
-class ReceivedWrite(msgspec.Struct, frozen=True):
-    """A ``Write`` as received; msgspec decodes no union of Raw and None."""
-
-    name: RowName
-    value: msgspec.Raw
-
-    def decoded(self) -> Write:
-        if bytes(self.value) == b"null":
-            return Write(self.name, None)
-        return Write(self.name, self.value)
-
-
-class ReceivedTransaction(msgspec.Struct, frozen=True):
-    """A ``TransactBody`` as received."""
-
-    write_id: WriteId
-    conditions: list[Condition]
-    writes: list[ReceivedWrite]
-
-
 class PlatformStandin:
     """State of the stand-in."""
 
@@ -107,8 +105,11 @@
     async def _transact(self, request: web.Request) -> web.Response:
         await self._admit(request)
         self._writes += 1
-        body = msgspec.json.decode(await request.read(), type=ReceivedTransaction)
-        writes = [write.decoded() for write in body.writes]
+        body = msgspec.json.decode(await request.read(), type=_ReceivedTransaction)
+        writes = [
+            Write(write.name, None if write.value == NULL else write.value.copy())
+            for write in body.writes
+        ]
         result = await self._platform.transact(body.conditions, writes, body.write_id)
         names = [write.name for write in writes]
         if self._loses_reply(names):
