Fix slots lost to cancelled requests and idle cold servers; test admission

Cause: asyncio.wait_for of Python 3.11 may swallow a cancellation that arrives together with the result, so the slot of a caller that hung up was never released. An idle cold server lost every comparison of two, as its weight counted in the draw and again at zero requests in flight.

Change: a waiting request ends by its own timer, and a granted slot is returned on cancellation. Servers compare by requests in flight over warmth, so an idle cold server is chosen as often as it is drawn.

Conclusion: test_a_slot_granted_to_a_cancelled_request_is_returned and test_cold_servers_start_slowly failed before the change and pass now.

--- a/packages/router/mulberryrelay_router/admission.py
+++ b/packages/router/mulberryrelay_router/admission.py
@@ -85,7 +85,14 @@
         self.request = request
         self.candidates = candidates
         self.group: Group = ()
-        self.admitted: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+        self.admitted: asyncio.Future[Slot | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        """Ends with None when the deadline passes first."""
+
+    def expire(self) -> None:
+        if not self.admitted.done():
+            self.admitted.set_result(None)
 
 
 class _ServiceQueue:
@@ -309,26 +316,24 @@
         queue.add(waiter, _group_of(self._eligible(service, candidates)))
         self._dispatch(service)
         left_s = max(0.0, request.deadline_ms - self._clock()) / 1000
+        timer = asyncio.get_running_loop().call_later(left_s, waiter.expire)
         try:
-            slot = await asyncio.wait_for(asyncio.shield(waiter.admitted), left_s)
-        except TimeoutError:
-            self._abandon(queue, waiter)
-            return Failure(_expired())
+            slot = await waiter.admitted
         except asyncio.CancelledError:
-            self._abandon(queue, waiter)
+            if not waiter.admitted.cancelled():
+                self._return_unused(waiter.admitted.result())
             raise
-        if self._clock() >= request.deadline_ms:
-            self.release(slot, Observation.NOT_SENT, 0.0)
+        finally:
+            timer.cancel()
+            queue.remove(waiter)
+        if slot is None or self._clock() >= request.deadline_ms:
+            self._return_unused(slot)
             return Failure(_expired())
         return Success(slot)
 
-    def _abandon(self, queue: _ServiceQueue, waiter: _Waiter) -> None:
-        queue.remove(waiter)
-        if not waiter.admitted.done():
-            waiter.admitted.cancel()
-            return
-        if not waiter.admitted.cancelled():
-            self.release(waiter.admitted.result(), Observation.NOT_SENT, 0.0)
+    def _return_unused(self, slot: Slot | None) -> None:
+        if slot is not None:
+            self.release(slot, Observation.NOT_SENT, 0.0)
 
     def _regroup(self, queue: _ServiceQueue, waiter: _Waiter) -> None:
         group = _group_of(self._eligible(waiter.request.service, waiter.candidates))
@@ -370,7 +375,8 @@
         if waiter is None:
             return False
         queue.remove(waiter)
-        if self._clock() >= waiter.request.deadline_ms:
+        if waiter.admitted.done() or self._clock() >= waiter.request.deadline_ms:
+            waiter.expire()
             return True
         entries = self._eligible(service, waiter.candidates)
         chosen = [entry for entry in entries if entry.server == server]
--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -203,7 +203,7 @@
 
     def _pressure(self, entry: ServerEntry) -> float:
         track = self.track(entry.service, entry.server)
-        return (track.in_flight + 1) / self.warmth(track)
+        return track.in_flight / self.warmth(track)
 
     def _learn_answer(
         self,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -26,8 +26,8 @@
     ServiceOptions,
 )
 from mulberryrelay_kernel.states import ServerState
-from mulberryrelay_router.admission import Admission, Slot
-from mulberryrelay_router.balance import Observation
+from mulberryrelay_router.admission import Admission, RefusalReason, Slot
+from mulberryrelay_router.balance import Balancer, Observation
 
 BOOKPAY = ServiceName("bookpay")
 SLOTFINDER = ServiceName("slotfinder")
@@ -136,3 +136,331 @@
     waiting = [Request()] * 5 + [Request(request_class=LISTING)] * 5
     order = await served_order(admission, waiting, servers(1))
     assert order[:5] == [LISTING] * 5, order
+
+
+@in_virtual_time
+async def test_each_class_has_a_bounded_queue_of_its_own() -> None:
+    """Guards against unbounded memory, and a class that fills the queue of others."""
+    admission = make_admission(queue_length=3)
+    await slot_of(admission, Request(), servers(1))
+    low = Request(request_class=LISTING)
+    tasks = [
+        asyncio.create_task(admission.acquire(low, lambda: servers(1)))
+        for _ in range(3)
+    ]
+    await asyncio.sleep(0)
+    refused = await admission.acquire(low, lambda: servers(1))
+    assert refused.failure().reason is RefusalReason.QUEUE_FULL
+    tasks.append(asyncio.create_task(admission.acquire(Request(), lambda: servers(1))))
+    await asyncio.sleep(0)
+    assert admission.queued(BOOKPAY) == {PAYMENT: 1, LISTING: 3}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert admission.queued(BOOKPAY) == {PAYMENT: 0, LISTING: 0}
+
+
+@in_virtual_time
+async def test_expired_requests_are_never_sent() -> None:
+    """Guards against work for a caller that has given up, and slots lost to it."""
+    admission = make_admission()
+    entries = servers(1)
+    late = await admission.acquire(Request(deadline_ms=0.0), lambda: entries)
+    assert late.failure().reason is RefusalReason.DEADLINE
+    blocker = await slot_of(admission, Request(), entries)
+    # One expires in the queue; the other at the very moment that a slot is free.
+    for deadline_ms in (20.0, 50.0):
+        request = Request(deadline_ms=deadline_ms)
+        task = asyncio.create_task(admission.acquire(request, lambda: entries))
+        await asyncio.sleep(0.025)
+        if deadline_ms == 50.0:
+            admission.release(blocker, Observation.NOT_SENT, 0.0)
+        result = await task
+        assert result.failure().reason is RefusalReason.DEADLINE
+    assert admission.queued(BOOKPAY)[PAYMENT] == 0
+    assert admission.balancer.track(BOOKPAY, ServerId("b0")).in_flight == 0
+
+
+@in_virtual_time
+async def test_a_slot_granted_to_a_cancelled_request_is_returned() -> None:
+    """Guards against concurrency that leaks when callers hang up."""
+    admission = make_admission()
+    entries = servers(1)
+    blocker = await slot_of(admission, Request(), entries)
+    task = asyncio.create_task(admission.acquire(Request(), lambda: entries))
+    await asyncio.sleep(0)
+    admission.release(blocker, Observation.NOT_SENT, 0.0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert admission.balancer.track(BOOKPAY, ServerId("b0")).in_flight == 0
+
+
+@in_virtual_time
+async def test_retries_stay_within_a_tenth_of_requests() -> None:
+    """Guards against retries that multiply an overload."""
+    admission = make_admission()
+    retries = 0
+    for _ in range(1000):
+        slot = await slot_of(admission, Request(), servers(1))
+        admission.release(slot, Observation.NOT_SENT, 0.0)
+        while admission.may_retry(BOOKPAY):
+            retries += 1
+            slot = await slot_of(admission, Request(), servers(1))
+            admission.release(slot, Observation.NOT_SENT, 0.0)
+    assert 95 <= retries <= 100, retries
+
+
+@in_virtual_time
+async def test_rate_limits_hold_per_class_and_are_lifted_with_their_rule() -> None:
+    """Guards against a ``limit`` rule without effect or that outlives its rule."""
+    admission = make_admission()
+
+    async def admitted(request_class: RequestClass) -> int:
+        count = 0
+        for _ in range(2000):
+            request = Request(request_class=request_class)
+            result = await admission.acquire(request, lambda: servers(1))
+            if is_successful(result):
+                count += 1
+                admission.release(result.unwrap(), Observation.NOT_SENT, 0.0)
+            await asyncio.sleep(0.005)
+        return count
+
+    # 90 per second over nine routers is 10 per second here, for 10 seconds.
+    admission.set_rules(Rules(limits={BOOKPAY: {LISTING: 90}}))
+    assert 100 <= await admitted(LISTING) <= 103
+    assert await admitted(PAYMENT) == 2000
+    admission.set_rules(Rules())
+    assert await admitted(LISTING) == 2000
+
+
+@in_virtual_time
+async def test_shedding_lowers_the_limit_once_per_round_and_answers_raise_it() -> None:
+    """Guards against a limit that ignores shedding, collapses or never recovers."""
+    admission = make_admission()
+    entries = servers(1)
+    track = admission.balancer.track(BOOKPAY, ServerId("b0"))
+
+    async def round_of(observations: Sequence[Observation]) -> None:
+        slots = [await slot_of(admission, Request(), entries) for _ in observations]
+        await asyncio.sleep(0.01)
+        for slot, observation in zip(slots, observations, strict=True):
+            admission.release(slot, observation, 10.0)
+
+    for _ in range(100):
+        await round_of([Observation.ANSWERED] * int(track.limit))
+    assert 8.0 < track.limit <= 100 / 9, track.limit
+    before = track.limit
+    await round_of([Observation.SHED] * int(before))
+    assert 0.5 * before < track.limit < 0.8 * before, (before, track.limit)
+    after = track.limit
+    for _ in range(20):
+        await round_of([Observation.ANSWERED])
+    assert track.limit == after, "an unused limit must not grow"
+    await round_of([Observation.ANSWERED] * int(after))
+    assert track.limit > after
+
+
+@in_virtual_time
+async def test_nine_routers_share_a_server_that_has_fewer_slots() -> None:
+    """Guards against routers that cannot see each other shedding most requests."""
+    routers = [
+        Admission(make_options(), virtual_clock, random.Random(seed))
+        for seed in range(9)
+    ]
+    running = 0
+    ended = dict.fromkeys(Observation, 0)
+
+    async def call(admission: Admission) -> None:
+        nonlocal running
+        while virtual_clock() < 20_000:
+            slot = await slot_of(admission, Request(), servers(1))
+            if running >= 4:
+                observation = Observation.SHED
+                await asyncio.sleep(0.002)
+            else:
+                running += 1
+                observation = Observation.ANSWERED
+                await asyncio.sleep(0.012)
+                running -= 1
+            ended[observation] += 1
+            admission.release(slot, observation, 12.0)
+
+    await asyncio.gather(*(call(admission) for admission in routers for _ in range(4)))
+    served = ended[Observation.ANSWERED]
+    assert served > 0.6 * 20_000 / 12 * 4, ended
+    assert ended[Observation.SHED] < 0.5 * served, ended
+
+
+@in_virtual_time
+async def test_cold_servers_start_slowly() -> None:
+    """Guards against a cold server that gets a full share at once."""
+    balancer = Balancer(make_options(), virtual_clock, random.Random(5))
+    entries = [server("b0", ServerState.COLD), server("b1"), server("b2")]
+    balancer.note_listed(entries)
+    for entry in entries:
+        balancer.track(BOOKPAY, entry.server).limit = 10.0
+
+    def share() -> float:
+        chosen = [balancer.choose(BOOKPAY, entries) for _ in range(900)]
+        return sum(entry is entries[0] for entry in chosen) / 900
+
+    assert share() < 0.08
+    await asyncio.sleep(5)
+    halfway = share()
+    balancer.note_listed([server("b0"), *entries[1:]])
+    assert share() < 0.25, "the start goes on when the server reports itself serving"
+    await asyncio.sleep(5)
+    assert 0.1 < halfway < 0.25 < share()
+
+
+def make_balancer(count: int) -> tuple[Balancer, Callable[[str, int, float], None]]:
+    """Return a balancer and a function that fails a server a number of times."""
+    balancer = Balancer(make_options(), virtual_clock, random.Random(5))
+    balancer.note_listed(servers(count))
+
+    def fail(name: str, times: int, latency_ms: float = 500.0) -> None:
+        for _ in range(times):
+            balancer.start(BOOKPAY, ServerId(name))
+            balancer.finish(
+                BOOKPAY, ServerId(name), 0.0, Observation.TIMED_OUT, latency_ms
+            )
+
+    return balancer, fail
+
+
+def ejected(balancer: Balancer, count: int) -> set[str]:
+    return {
+        entry.server
+        for entry in servers(count)
+        if balancer.track(BOOKPAY, entry.server).is_ejected(virtual_clock())
+    }
+
+
+@in_virtual_time
+async def test_failures_eject_for_two_seconds_doubling_to_thirty() -> None:
+    """Guards against a broken server kept in use, or left out for too long."""
+    balancer, fail = make_balancer(4)
+    fail("b0", 4, 500.0)
+    assert ejected(balancer, 4) == set()
+    fail("b0", 1, 500.0)
+    for period_s in (2, 4, 8, 16, 30, 30):
+        assert ejected(balancer, 4) == {"b0"}
+        chosen = [balancer.choose(BOOKPAY, servers(4)) for _ in range(50)]
+        assert all(entry and entry.server != "b0" for entry in chosen)
+        # Requests that were in flight already must not lengthen the ejection.
+        fail("b0", 1, 500.0)
+        await asyncio.sleep(period_s - 0.001)
+        assert ejected(balancer, 4) == {"b0"}, period_s
+        await asyncio.sleep(0.002)
+        assert ejected(balancer, 4) == set(), period_s
+        balancer.note_listed(servers(4))
+        fail("b0", 1, 500.0)
+    await asyncio.sleep(61)
+    balancer.note_listed(servers(4))
+    fail("b0", 1, 500.0)
+    await asyncio.sleep(2.001)
+    assert ejected(balancer, 4) == set(), "forgiven after a long time without"
+
+
+@in_virtual_time
+async def test_at_most_half_of_a_service_is_ejected() -> None:
+    """Guards against ejecting all servers for a fault that they share."""
+    for count in (1, 2, 5):
+        balancer, fail = make_balancer(count)
+        for entry in servers(count):
+            fail(entry.server, 20, 500.0)
+        assert len(ejected(balancer, count)) == count // 2
+
+
+@in_virtual_time
+async def test_slow_servers_are_ejected_but_short_deadlines_are_no_failure() -> None:
+    """Guards against a server slowing its callers, and callers ejecting servers."""
+    balancer, fail = make_balancer(4)
+
+    def answer(name: str, latency_ms: float) -> None:
+        for _ in range(30):
+            balancer.start(BOOKPAY, ServerId(name))
+            balancer.finish(
+                BOOKPAY, ServerId(name), 0.0, Observation.ANSWERED, latency_ms
+            )
+
+    for name in ("b1", "b2", "b3"):
+        answer(name, 20.0)
+    fail("b1", 20, 5.0)
+    assert ejected(balancer, 4) == set()
+    answer("b0", 300.0)
+    assert ejected(balancer, 4) == {"b0"}
+
+
+@in_virtual_time
+async def test_waiting_requests_are_sent_when_an_ejection_ends() -> None:
+    """Guards against a queue that nothing looks at after the last release."""
+    admission = make_admission()
+    entries = servers(2)
+    admission.balancer.note_listed(entries)
+    for _ in range(5):
+        admission.balancer.start(BOOKPAY, ServerId("b0"))
+        admission.balancer.finish(BOOKPAY, ServerId("b0"), 0.0, Observation.FAILED, 1.0)
+    other = await slot_of(admission, Request(), entries)
+    assert other.server.server == "b1"
+    slot = await slot_of(admission, Request(deadline_ms=5000.0), entries)
+    assert slot.server.server == "b0"
+    assert 2000 <= virtual_clock() < 2100
+
+
+@in_virtual_time
+async def test_own_data_centre_goes_first_while_it_has_room() -> None:
+    """Guards against needless latency, and against a server that idles far away."""
+    admission = make_admission()
+    entries = [server("far", data_centre=FAR), server("near")]
+    chosen = [(await slot_of(admission, Request(), entries)).server.server]
+    chosen.append((await slot_of(admission, Request(), entries)).server.server)
+    assert chosen == ["near", "far"]
+
+
+@in_virtual_time
+async def test_drained_servers_get_no_new_work() -> None:
+    """Guards against work for a server that is leaving."""
+    admission = make_admission()
+    admission.set_rules(Rules(drained=frozenset({ServerId("b0")})))
+    entries = [server("b0"), server("b1", ServerState.DRAINING), server("b2")]
+    slot = await slot_of(admission, Request(), entries)
+    assert slot.server.server == "b2"
+    late = await admission.acquire(Request(deadline_ms=50.0), lambda: entries)
+    assert late.failure().reason is RefusalReason.DEADLINE
+
+
+@in_virtual_time
+async def test_an_owner_is_queued_for_and_never_replaced() -> None:
+    """Guards against a key at another server, and a busy owner that blocks others."""
+    admission = make_admission()
+    owner = server("s0", service=SLOTFINDER)
+    other = server("s1", service=SLOTFINDER)
+    request = Request(service=SLOTFINDER)
+    for _ in range(10):
+        slot = await slot_of(admission, request, [owner])
+        admission.release(slot, Observation.FAILED, 500.0)
+    held = await slot_of(admission, request, [owner])
+    current: list[ServerEntry] = [owner]
+    waiting = [
+        asyncio.create_task(admission.acquire(request, lambda: current))
+        for _ in range(3)
+    ]
+    await asyncio.sleep(0)
+    free = await slot_of(admission, request, [other])
+    assert free.server.server == "s1"
+    assert not any(task.done() for task in waiting)
+    # The key moves: it is held while it has no owner, then goes to the new one.
+    current = []
+    admission.wake()
+    admission.release(held, Observation.ANSWERED, 10.0)
+    await asyncio.sleep(0.01)
+    assert not any(task.done() for task in waiting)
+    current = [server("s2", service=SLOTFINDER)]
+    admission.wake()
+    slot = (await waiting[0]).unwrap()
+    assert slot.server.server == "s2"
+    for task in waiting[1:]:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
