Drop queued requests that can hardly be answered before their deadline

Cause: under overload requests leave the queue just before their deadline, time out at the server and end as unknown.

Change: a waiting request is dropped if less is left than the median over servers of their average latency.

Ruled out: the average of the chosen server.

--- a/packages/router/mulberryrelay_router/admission.py
+++ b/packages/router/mulberryrelay_router/admission.py
@@ -375,7 +375,12 @@
         if waiter is None:
             return False
         queue.remove(waiter)
-        if waiter.admitted.done() or self._clock() >= waiter.request.deadline_ms:
+        # A request that waited and can hardly be answered in time would end as
+        # unknown. One that finds free concurrency at once is always sent, so that a
+        # latency that has become too high is corrected.
+        usual_ms = self._balancer.usual_latency_ms(service)
+        left_ms = waiter.request.deadline_ms - self._clock()
+        if waiter.admitted.done() or left_ms <= usual_ms:
             waiter.expire()
             return True
         entries = self._eligible(service, waiter.candidates)
--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -126,6 +126,18 @@
         track = self.track(service, server)
         return max(track.paused_until_ms, track.ejected_until_ms)
 
+    def usual_latency_ms(self, service: ServiceName) -> float:
+        """Return the median over servers of their average latency; 0 if unknown.
+
+        A server that was frozen for a while does not raise it.
+        """
+        known = [
+            track.latency_ms
+            for track in self._tracks.get(service, {}).values()
+            if track.samples
+        ]
+        return statistics.median(known) if known else 0.0
+
     def usable(
         self, service: ServiceName, entries: Sequence[ServerEntry]
     ) -> list[ServerEntry]:
@@ -248,12 +260,7 @@
         return max(1.0, connections / self._options.routers)
 
     def _was_hasty(self, service: ServiceName, latency_ms: float) -> bool:
-        known = [
-            track.latency_ms
-            for track in self._tracks[service].values()
-            if track.samples
-        ]
-        return bool(known) and latency_ms < HASTY_FACTOR * statistics.median(known)
+        return latency_ms < HASTY_FACTOR * self.usual_latency_ms(service)
 
     def _is_slow(self, service: ServiceName, track: ServerTrack) -> bool:
         if track.samples < SLOW_SAMPLES or track.latency_ms < SLOW_LEAST_MS:
