Prefer near servers only up to this router's share of their slots

Change: a near server is preferred while this router has less than its share of the server's slots in flight, at least one request.

--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -91,8 +91,7 @@
         tracks = self._tracks.setdefault(service, {})
         found = tracks.get(server)
         if found is None:
-            share = self._options.services[service].slots / self._options.routers
-            found = ServerTrack(max(1.0, share), self._clock())
+            found = ServerTrack(max(1.0, self._share(service)), self._clock())
             tracks[server] = found
         return found
 
@@ -165,7 +164,7 @@
             for entry in self.usable(service, entries)
             if self.has_room(service, entry.server)
         ]
-        near = [entry for entry in free if self.is_near(entry.data_centre)]
+        near = [entry for entry in free if self._is_near_and_calm(entry)]
         pool = near or free
         if len(pool) < 2:
             return pool[0] if pool else None
@@ -207,6 +206,19 @@
                     self._learn_failure(service, track)
         self._pause(track)
 
+    def _is_near_and_calm(self, entry: ServerEntry) -> bool:
+        """Return whether a near server has less than this router's share of slots.
+
+        Beyond it a learned limit allows queueing on the server, which takes longer
+        than the way to another data centre.
+        """
+        track = self.track(entry.service, entry.server)
+        share = max(1.0, self._share(entry.service))
+        return self.is_near(entry.data_centre) and track.in_flight < share
+
+    def _share(self, service: ServiceName) -> float:
+        return self._options.services[service].slots / self._options.routers
+
     def _draw_two(self, weights: list[float]) -> tuple[int, int]:
         indexes = range(len(weights))
         first = self._rng.choices(indexes, weights)[0]
