Raise the learned concurrency limit more slowly

Cause: at twice capacity about 1% of payments and 3.5% of the next class were refused, because shedding used up the retry budget.

Change: the limit rises by 0.25 instead of 0.5 per round of answers.

Tried and reverted: a decrease to 0.85 instead of 0.7 per shed.

--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -20,7 +20,7 @@
 """A limit below 1 is kept by pauses between requests, since nine routers with one
 request each already exceed the four slots of a server."""
 LIMIT_DECREASE = 0.7
-LIMIT_INCREASE = 0.5
+LIMIT_INCREASE = 0.25
 """Added to the limit for each ``limit`` answers."""
 LATENCY_WEIGHT = 0.1
 """Weight of the newest answer in the moving average of latency."""
