--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -20,7 +20,7 @@
 """A limit below 1 is kept by pauses between requests, since nine routers with one
 request each already exceed the four slots of a server."""
 LIMIT_DECREASE = 0.7
-LIMIT_INCREASE = 0.5
+LIMIT_INCREASE = 0.25
 """Added to the limit for each ``limit`` answers."""
 LATENCY_WEIGHT = 0.1
 """Weight of the newest answer in the moving average of latency."""
@@ -91,8 +91,7 @@
         tracks = self._tracks.setdefault(service, {})
         found = tracks.get(server)
         if found is None:
-            share = self._options.services[service].slots / self._options.routers
-            found = ServerTrack(max(1.0, share), self._clock())
+            found = ServerTrack(max(1.0, self._share(service)), self._clock())
             tracks[server] = found
         return found
 
@@ -126,6 +125,18 @@
         track = self.track(service, server)
         return max(track.paused_until_ms, track.ejected_until_ms)
 
+    def usual_latency_ms(self, service: ServiceName) -> float:
+        """Return the median over servers of their average latency; 0 if unknown.
+
+        A server that was frozen for a while does not raise it.
+        """
+        known = [
+            track.latency_ms
+            for track in self._tracks.get(service, {}).values()
+            if track.samples
+        ]
+        return statistics.median(known) if known else 0.0
+
     def usable(
         self, service: ServiceName, entries: Sequence[ServerEntry]
     ) -> list[ServerEntry]:
@@ -153,7 +164,7 @@
             for entry in self.usable(service, entries)
             if self.has_room(service, entry.server)
         ]
-        near = [entry for entry in free if self.is_near(entry.data_centre)]
+        near = [entry for entry in free if self._is_near_and_calm(entry)]
         pool = near or free
         if len(pool) < 2:
             return pool[0] if pool else None
@@ -195,6 +206,19 @@
                     self._learn_failure(service, track)
         self._pause(track)
 
+    def _is_near_and_calm(self, entry: ServerEntry) -> bool:
+        """Return whether a near server has less than this router's share of slots.
+
+        Beyond it a learned limit allows queueing on the server, which takes longer
+        than the way to another data centre.
+        """
+        track = self.track(entry.service, entry.server)
+        share = max(1.0, self._share(entry.service))
+        return self.is_near(entry.data_centre) and track.in_flight < share
+
+    def _share(self, service: ServiceName) -> float:
+        return self._options.services[service].slots / self._options.routers
+
     def _draw_two(self, weights: list[float]) -> tuple[int, int]:
         indexes = range(len(weights))
         first = self._rng.choices(indexes, weights)[0]
@@ -203,7 +227,7 @@
 
     def _pressure(self, entry: ServerEntry) -> float:
         track = self.track(entry.service, entry.server)
-        return (track.in_flight + 1) / self.warmth(track)
+        return track.in_flight / self.warmth(track)
 
     def _learn_answer(
         self,
@@ -248,12 +272,7 @@
         return max(1.0, connections / self._options.routers)
 
     def _was_hasty(self, service: ServiceName, latency_ms: float) -> bool:
-        known = [
-            track.latency_ms
-            for track in self._tracks[service].values()
-            if track.samples
-        ]
-        return bool(known) and latency_ms < HASTY_FACTOR * statistics.median(known)
+        return latency_ms < HASTY_FACTOR * self.usual_latency_ms(service)
 
     def _is_slow(self, service: ServiceName, track: ServerTrack) -> bool:
         if track.samples < SLOW_SAMPLES or track.latency_ms < SLOW_LEAST_MS:
