--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -126,9 +126,7 @@
         BadRequestError: unknown service or class, missing key, bad deadline, a header
             with an unusable value, or a request that is too long or arrives too slowly.
     """
-    size = sum(len(name) + len(value) for name, value in request.raw_headers)
-    if size > options.limits.header_bytes:
-        raise BadRequestError(431, "headers-too-long", f"{size} bytes of headers")
+    _check_headers(options, request)
     if request.method == "CONNECT":
         raise BadRequestError(405, "bad-method", "CONNECT is not supported")
     # The raw target, since decoding and encoding it again could change the path.
@@ -177,6 +175,25 @@
     )
 
 
+def _check_headers(options: Options, request: web.BaseRequest) -> None:
+    size = 0
+    for name, value in request.raw_headers:
+        size += len(name) + len(value)
+        if not value.isascii() and not _is_utf8(value):
+            # aiohttp would leave out the bytes that it cannot encode.
+            raise BadRequestError(400, "bad-header", f"{name!r} is not valid UTF-8")
+    if size > options.limits.header_bytes:
+        raise BadRequestError(431, "headers-too-long", f"{size} bytes of headers")
+
+
+def _is_utf8(value: bytes) -> bool:
+    try:
+        value.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def _value_of(request: web.BaseRequest, name: istr) -> str | None:
     """Return the value of a header that the router reads, None if it is absent.
 
--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -191,10 +191,12 @@
         """Make the last checks and count the attempt as sent.
 
         Raises:
-            NotSentError: the attempt must not be sent now, or was sent before.
+            NotSentError: the attempt must not be sent now.
+            aiohttp.ClientConnectionError: it was sent before.
         """
         if self._is_sent:
-            raise NotSentError("aiohttp tried to send the attempt again")
+            # aiohttp does so for a read whose kept connection broke.
+            raise aiohttp.ClientConnectionError("connection broke after the send")
         left_ms = int(self.left_ms)
         if left_ms <= 0 or not self._before_send():
             raise NotSentError("ownership or deadline changed before the send")
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -304,6 +304,7 @@
 
     async def _run_probation(self, request: CallerRequest) -> Answer:
         lock = self._suspects.lock(request.service)
+        attempts = 0
         last: Answer | None = None
         while request.deadline_ms > self._clock():
             suspect = self._suspects.find(request)
@@ -315,8 +316,11 @@
                 async with lock:
                     answer = await self._try_probation(request)
                 if answer is not None:
+                    attempts += 1
                     if answer.outcome is not Outcome.NOT_RUN:
                         return answer
+                    if attempts >= MAX_ATTEMPTS or _is_final(answer):
+                        return answer
                     last = answer
             await asyncio.sleep(PERMIT_PAUSE_S)
         return last or _not_run(
