Send attempts over the connector directly

Change: Pool.send takes a connection of the connector, makes the last checks and writes head and body in one call; it never writes twice, so the guard against aiohttp's own resend goes away. Bodies that arrived with their headers are read without a timer. Servers that say that they drain get no new work; waiting runs under probation queue on a lock; a run under probation outlives its caller. Ruled out: own parsing of answers; aiohttp's parser and response stay. The new tests failed with the shield, the fresh connections and the draining check removed.

--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict, istr
 
 from mulberryrelay_kernel.clock import monotonic_ms
@@ -237,8 +238,7 @@
 
 async def _read_body(options: Options, request: web.BaseRequest) -> bytes:
     limit = options.limits.body_bytes
-    if (request.content_length or 0) > limit:
-        raise BadRequestError(413, "body-too-long", f"more than {limit} bytes")
+    _check_size(request.content_length or 0, limit)
     expects = request.headers.get("Expect", "").lower() == "100-continue"
     if expects and request.transport is not None:
         request.transport.write(CONTINUE)
@@ -246,23 +246,30 @@
     chunks = []
     size = 0
     try:
+        if request.content.is_eof():
+            # Most bodies arrive together with their headers and need no timer.
+            body = request.content.read_nowait()
+            _check_size(len(body), limit)
+            return body
         async with asyncio.timeout(timeout_ms / 1000):
             while chunk := await request.content.readany():
                 size += len(chunk)
-                if size > limit:
-                    raise BadRequestError(
-                        413, "body-too-long", f"more than {limit} bytes"
-                    )
+                _check_size(size, limit)
                 chunks.append(chunk)
     except TimeoutError:
         raise BadRequestError(
             408, "body-timeout", f"the body took more than {timeout_ms} ms"
         ) from None
-    except (aiohttp.ClientError, web.RequestPayloadError) as error:
+    except (aiohttp.ClientError, HttpProcessingError, web.RequestPayloadError) as error:
         raise BadRequestError(400, "bad-body", repr(error)) from None
     return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise BadRequestError(413, "body-too-long", f"more than {limit} bytes")
+
+
 def _whole_answer(request: CallerRequest, answer: Answer) -> web.Response:
     if answer.error:
         response = error_response(
--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -11,7 +11,6 @@
 import aiohttp
 import msgspec
 from multidict import CIMultiDict, istr
-from yarl import URL
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import (
@@ -27,7 +26,7 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import NotRunReason, Outcome
 
-from .pool import CONNECT_TIMEOUT_S, NotSentError, StaleConnectionError, current_attempt
+from .pool import NotSentError, Pool
 
 REQUEST_ID_HEADER = istr("Mulberry-Request-Id")
 KEY_HEADER = istr("Mulberry-Key")
@@ -39,6 +38,7 @@
 OUTCOME_HEADER = istr("Mulberry-Outcome")
 OWNER_HEADER = istr("Mulberry-Owner")
 NOT_RUN_HEADER = istr("Mulberry-Not-Run")
+SERVER_STATE_HEADER = istr("Mulberry-Server-State")
 IDEMPOTENCY_HEADER = istr("Idempotency-Key")
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
@@ -62,8 +62,6 @@
 TRANSFER_ENCODING_HEADER = istr("Transfer-Encoding")
 # Statuses of answers that have no body, RFC 9110 section 6.4.1.
 BODILESS_STATUSES = frozenset({204, 304})
-# aiohttp rounds longer timeouts up to whole seconds; deadlines are exact.
-EXACT_TIMEOUTS_S = 1e9
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -192,11 +190,7 @@
 
         Raises:
             NotSentError: the attempt must not be sent now.
-            aiohttp.ClientConnectionError: it was sent before.
         """
-        if self._is_sent:
-            # aiohttp does so for a read whose kept connection broke.
-            raise aiohttp.ClientConnectionError("connection broke after the send")
         left_ms = int(self.left_ms)
         if left_ms <= 0 or not self._before_send():
             raise NotSentError("ownership or deadline changed before the send")
@@ -220,7 +214,7 @@
 
 
 async def send_attempt(
-    session: aiohttp.ClientSession,
+    pool: Pool,
     attempt: Attempt,
     request: CallerRequest,
     target: Target,
@@ -236,12 +230,20 @@
     is_settled = False
     is_streaming = False
     try:
-        response = await _send(session, attempt, request, target)
-        try:
-            answer = await _read_answer(response, attempt, request, buffer_bytes)
-        except BaseException:
-            response.close()
-            raise
+        async with asyncio.timeout(attempt.left_ms / 1000):
+            response = await pool.send(
+                target.server.host,
+                target.server.port,
+                request.method,
+                request.path,
+                _attempt_headers(request, target),
+                attempt,
+            )
+            try:
+                answer = await _read_answer(response, attempt, request, buffer_bytes)
+            except BaseException:
+                response.close()
+                raise
         is_settled = answer.outcome is not Outcome.UNKNOWN
         is_streaming = answer.stream is not None
         return answer
@@ -295,37 +297,6 @@
     )
 
 
-async def _send(
-    session: aiohttp.ClientSession,
-    attempt: Attempt,
-    request: CallerRequest,
-    target: Target,
-) -> aiohttp.ClientResponse:
-    server = target.server
-    url = URL(f"http://{server.host}:{server.port}{request.path}", encoded=True)
-    headers = _attempt_headers(request, target)
-    current_attempt.set(attempt)
-    while True:
-        left_s = attempt.left_ms / 1000
-        if left_s <= 0:
-            raise TimeoutError
-        try:
-            return await session.request(
-                request.method,
-                url,
-                headers=headers,
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=left_s,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                    ceil_threshold=EXACT_TIMEOUTS_S,
-                ),
-            )
-        except StaleConnectionError:
-            # Nothing was written, and the connection has left the pool.
-            continue
-
-
 def _attempt_headers(request: CallerRequest, target: Target) -> CIMultiDict[str]:
     headers = request.headers.copy()
     headers[REQUEST_ID_HEADER] = request.request_id
@@ -333,7 +304,7 @@
     if target.unit is not None:
         headers[UNIT_HEADER] = target.unit
         headers[EPOCH_HEADER] = str(target.epoch)
-    if request.body:
+    if request.body or not request.is_idempotent:
         headers[CONTENT_LENGTH_HEADER] = str(len(request.body))
     return headers
 
--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -1,31 +1,36 @@
 """HTTP connections to backend servers.
 
-The last checks of an attempt and the only write of its bytes are made in
-``AttemptRequest.send``, which aiohttp calls with the connection that it has chosen.
+``Pool.send`` takes a connection of the connector, makes the last checks and writes
+the whole request in one step. ``ClientSession.request`` is not used: it writes a body
+from another task, some time after any check, and sends an idempotent request again on
+its own if a kept connection breaks.
 """
 
-from contextvars import ContextVar
+import asyncio
 from typing import Protocol
 
 import aiohttp
 from aiohttp.connector import Connection
+from aiohttp.helpers import TimerNoop
 from aiohttp.http import StreamWriter
 from multidict import CIMultiDict
+from yarl import URL
 
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 30.0
+READ_BUFFER_BYTES = 65_536
+# Bounds the memory for servers that have left.
+MAX_TEMPLATES = 4096
+
+CONNECT_TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
 class NotSentError(aiohttp.ClientError):
     """The attempt ended before its first byte was written."""
 
 
-class StaleConnectionError(NotSentError):
-    """A pooled connection was closed, or holds bytes that nobody asked for."""
-
-
 class SendHook(Protocol):
-    """What ``send`` needs of the attempt that it sends."""
+    """What ``Pool.send`` needs of the attempt that it sends."""
 
     @property
     def body(self) -> bytes: ...
@@ -34,97 +39,161 @@
         """Make the last checks and count the attempt as sent.
 
         Raises:
-            NotSentError: the attempt must not be sent now, or was sent before.
+            NotSentError: the attempt must not be sent now.
         """
 
 
-current_attempt: ContextVar[SendHook] = ContextVar("current_attempt")
+class Pool:
+    """Connections that are kept for later attempts, or used for one attempt each.
 
+    Answers are passed on as they are: no decompression, redirects or cookies.
+    """
 
-class AttemptRequest(aiohttp.ClientRequest):
-    """Writes a request in one piece, directly after the last checks.
+    def __init__(self, connections_per_server: int, force_close: bool = False) -> None:
+        self._force_close = force_close
+        self._connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=connections_per_server,
+            keepalive_timeout=None if force_close else KEEPALIVE_S,
+            force_close=force_close,
+            use_dns_cache=False,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+        self._loop = asyncio.get_running_loop()
+        self._templates: dict[tuple[str, int], aiohttp.ClientRequest] = {}
+
+    async def send(
+        self,
+        host: str,
+        port: int,
+        method: str,
+        path: str,
+        headers: CIMultiDict[str],
+        attempt: SendHook,
+    ) -> aiohttp.ClientResponse:
+        """Send a request and return the answer as soon as its headers are there.
+
+        ``headers`` are completed here and by the attempt. The caller sets the timeout.
 
-    aiohttp itself writes a body from another task, some time after ``send``, and sends
-    an idempotent request again on its own if a kept connection breaks. Here
-    ``SendHook.start`` refuses a second send.
-    """
+        Raises:
+            NotSentError: the attempt must not be sent now.
+            aiohttp.ClientError: the connection or the answer is broken.
+        """
+        template = self._template(host, port)
+        headers["Host"] = f"{host}:{port}"
+        if self._force_close:
+            headers["Connection"] = "close"
+        while True:
+            connection = await self._connect(template)
+            if _is_usable(connection):
+                break
+            # Nothing was written. Closing takes the connection out of the pool.
+            connection.close()
+        try:
+            response = await self._write(
+                connection, template, method, path, headers, attempt
+            )
+            try:
+                await response.start(connection)
+            except BaseException:
+                response.close()
+                raise
+        except BaseException:
+            connection.close()
+            raise
+        return response
 
-    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        protocol = conn.protocol
-        transport = conn.transport
-        if protocol is None or transport is None:
-            raise StaleConnectionError("connection is closed")
-        if transport.is_closing() or protocol.should_close:
-            raise StaleConnectionError("connection cannot be used again")
-        attempt = current_attempt.get()
-        writer = StreamWriter(protocol, self.loop)
-        attempt.start(self.headers)
-        # write_headers only fills a buffer; write_eof writes it with the body.
-        await writer.write_headers(
-            f"{self.method} {self.url.raw_path_qs} HTTP/1.1", self.headers
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    def _template(self, host: str, port: int) -> aiohttp.ClientRequest:
+        """Return the request by which the connector knows a server."""
+        template = self._templates.get((host, port))
+        if template is not None:
+            return template
+        if len(self._templates) >= MAX_TEMPLATES:
+            self._templates.clear()
+        template = aiohttp.ClientRequest(
+            "GET", URL.build(scheme="http", host=host, port=port), loop=self._loop
+        )
+        self._templates[host, port] = template
+        return template
+
+    async def _connect(self, template: aiohttp.ClientRequest) -> Connection:
+        try:
+            return await self._connector.connect(template, [], CONNECT_TIMEOUTS)
+        except TimeoutError:
+            # A timeout of the caller arrives as a cancellation.
+            raise aiohttp.ConnectionTimeoutError("connection timeout") from None
+
+    async def _write(
+        self,
+        connection: Connection,
+        template: aiohttp.ClientRequest,
+        method: str,
+        path: str,
+        headers: CIMultiDict[str],
+        attempt: SendHook,
+    ) -> aiohttp.ClientResponse:
+        protocol = connection.protocol
+        assert protocol is not None
+        protocol.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
         )
+        writer = StreamWriter(protocol, self._loop)
+        attempt.start(headers)
+        # write_headers only fills a buffer; write_eof writes it with the body.
+        await writer.write_headers(f"{method} {path} HTTP/1.1", headers)
         await writer.write_eof(attempt.body)
-        protocol.start_timeout()
-        response = aiohttp.ClientResponse(
-            self.method,
-            self.original_url,
+        return aiohttp.ClientResponse(
+            method,
+            template.url,
             writer=None,
             continue100=None,
-            timer=self._timer,
-            request_info=self.request_info,
-            traces=self._traces,
-            loop=self.loop,
-            session=self.session,
+            timer=TimerNoop(),
+            request_info=template.request_info,
+            traces=[],
+            loop=self._loop,
+            session=self._session,
             stream_writer=writer,
         )
-        self.response = response  # type: ignore[assignment]
-        return response
-
-
-def open_pool(
-    connections_per_server: int, force_close: bool = False
-) -> aiohttp.ClientSession:
-    """Return a session that reuses connections, or opens one for each attempt.
-
-    Answers are passed on as they are: no decompression, redirects or cookies. Each
-    attempt sets its own timeout.
-    """
-    connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=connections_per_server,
-        keepalive_timeout=None if force_close else KEEPALIVE_S,
-        force_close=force_close,
-        use_dns_cache=False,
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        request_class=AttemptRequest,
-        skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
-    )
 
 
 class Pools:
     """Connections of one router to all backend servers."""
 
     def __init__(self, connections_per_server: int) -> None:
-        self._kept = open_pool(connections_per_server)
+        self._kept = Pool(connections_per_server)
         # A run under probation needs a connection of its own: on a kept one, a break
         # may only mean that the server closed it while idle.
-        self._fresh = open_pool(connections_per_server, force_close=True)
+        self._fresh = Pool(connections_per_server, force_close=True)
 
     @property
-    def kept(self) -> aiohttp.ClientSession:
-        """Session whose connections are reused."""
+    def kept(self) -> Pool:
+        """Connections that are reused."""
         return self._kept
 
     @property
-    def fresh(self) -> aiohttp.ClientSession:
-        """Session that opens a connection for each attempt."""
+    def fresh(self) -> Pool:
+        """Opens a connection for each attempt."""
         return self._fresh
 
     async def close(self) -> None:
         """Close all connections."""
         await self._kept.close()
         await self._fresh.close()
+
+
+def _is_usable(connection: Connection) -> bool:
+    """Return whether a connection is open and holds no bytes that nobody asked for."""
+    protocol = connection.protocol
+    transport = connection.transport
+    if protocol is None or transport is None:
+        return False
+    return not transport.is_closing() and not protocol.should_close
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -29,6 +29,7 @@
 from .claims import Claims
 from .forward import (
     OWNER_HEADER,
+    SERVER_STATE_HEADER,
     Answer,
     Attempt,
     CallerRequest,
@@ -51,6 +52,10 @@
 FIRST_PAUSE_MS = 5.0
 LAST_PAUSE_MS = 160.0
 
+# A server that says that it drains gets no new work for this long, by when the
+# coordinator has told the routers.
+DRAINING_MS = 2000.0
+
 SERVING_STATES = (ServerState.SERVING, ServerState.COLD)
 OWNERSHIP_REFUSALS = (NotRunReason.NOT_OWNER, NotRunReason.DRAINING)
 
@@ -80,6 +85,7 @@
         self._suspects = suspects
         self._claims = claims
         self._waiting: Counter[ServiceName] = Counter()
+        self._draining_until_ms: dict[ServerId, float] = {}
         self._probations: set[asyncio.Task[Answer]] = set()
 
     async def route(self, request: CallerRequest) -> Answer:
@@ -201,9 +207,20 @@
         return [
             server
             for server in self._view.servers_of(request.service)
-            if server.state in SERVING_STATES and server.server not in refused_by
+            if server.state in SERVING_STATES
+            and server.server not in refused_by
+            and not self._is_draining(server.server)
         ]
 
+    def _is_draining(self, server: ServerId) -> bool:
+        until_ms = self._draining_until_ms.get(server)
+        if until_ms is None:
+            return False
+        if self._clock() < until_ms:
+            return True
+        del self._draining_until_ms[server]
+        return False
+
     async def _attempt(
         self,
         request: CallerRequest,
@@ -233,6 +250,9 @@
             self._admission.release(
                 slot, _observation(answer), self._clock() - started_ms
             )
+        if answer.headers.get(SERVER_STATE_HEADER) == ServerState.DRAINING.value:
+            until_ms = self._clock() + DRAINING_MS
+            self._draining_until_ms[slot.server.server] = until_ms
         answer.headers[OWNER_HEADER] = slot.server.server
         return answer
 
@@ -305,29 +325,38 @@
     async def _run_probation(self, request: CallerRequest) -> Answer:
         lock = self._suspects.lock(request.service)
         attempts = 0
-        last: Answer | None = None
-        while request.deadline_ms > self._clock():
+        refused_by: set[ServerId] = set()
+        last = _not_run(
+            503, "quarantined", "a request that broke a server's connection waits"
+        )
+        while (left_ms := request.deadline_ms - self._clock()) > 0:
             suspect = self._suspects.find(request)
             if suspect is None:
                 return await self._forward(request)
             if suspect.blocked:
                 return _blocked()
-            if not lock.locked():
-                async with lock:
-                    answer = await self._try_probation(request)
-                if answer is not None:
-                    attempts += 1
-                    if answer.outcome is not Outcome.NOT_RUN:
-                        return answer
-                    if attempts >= MAX_ATTEMPTS or _is_final(answer):
-                        return answer
-                    last = answer
+            if not await _acquire(lock, left_ms):
+                break
+            try:
+                if self._suspects.find(request) is not suspect:
+                    continue
+                answer = await self._try_probation(request, refused_by)
+            finally:
+                lock.release()
+            if answer is not None:
+                attempts += 1
+                last = answer
+                if answer.outcome is not Outcome.NOT_RUN or _is_final(answer):
+                    return answer
+                if attempts >= MAX_ATTEMPTS:
+                    return answer
+                refused_by.add(ServerId(answer.headers.get(OWNER_HEADER, "")))
             await asyncio.sleep(PERMIT_PAUSE_S)
-        return last or _not_run(
-            503, "quarantined", "a request that broke a server's connection waits"
-        )
+        return last
 
-    async def _try_probation(self, request: CallerRequest) -> Answer | None:
+    async def _try_probation(
+        self, request: CallerRequest, refused_by: set[ServerId]
+    ) -> Answer | None:
         """Ask for a permit and run the request; None if it was not permitted."""
         left_ms = request.deadline_ms - self._clock()
         reply = await self._suspects.ask_permit(request, left_ms)
@@ -335,9 +364,9 @@
             return None
         answer = None
         try:
-            target = self._target(request, set())
+            target = self._target(request, refused_by)
             if target is not None and self._view.has_lease():
-                answer = await self._attempt(request, target, set(), True)
+                answer = await self._attempt(request, target, refused_by, True)
         finally:
             await self._suspects.record_result(
                 request, _probation_result(answer), max(left_ms, 0)
@@ -345,6 +374,15 @@
         return answer
 
 
+async def _acquire(lock: asyncio.Lock, timeout_ms: float) -> bool:
+    """Acquire a lock; return False after the timeout."""
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            return await lock.acquire()
+    except TimeoutError:
+        return False
+
+
 def _is_final(answer: Answer) -> bool:
     """Return whether another attempt could not help."""
     if answer.reason is not None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -69,6 +69,8 @@
             assert b" 413 " in cut, cut
             long = await send(port, "Content-Length: 1001", [])
             assert b" 413 " in long, long
+            bad = await send(port, "Transfer-Encoding: chunked", [b"zz\r\nb\r\n"])
+            assert b" 400 " in bad, bad
             asked = "Expect: 100-continue\r\nContent-Length: 3"
             assert b" 100 " in await send(port, asked, [])
             bad_note = b"GET /till/a HTTP/1.1\r\nHost: r\r\nX-Note: \xff\r\n\r\n"
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -349,6 +349,26 @@
     asyncio.run(run())
 
 
+def test_server_that_drains_gets_no_new_work() -> None:
+    """Guards against work for a leaving server until the coordinator has told."""
+
+    async def draining(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        more = "Mulberry-Server-State: draining\r\n"
+        writer.write(answer_bytes(request.request_id, b"", more=more))
+
+    async def run() -> None:
+        async with (
+            raw_server(draining) as leaving,
+            raw_server() as other,
+            running_router([leaving.entry("a"), other.entry("b")]) as router,
+        ):
+            for _ in range(30):
+                assert (await router.send()).outcome == "ran"
+            assert len(leaving.received) <= 1
+
+    asyncio.run(run())
+
+
 def test_long_answers_are_whole_or_visibly_broken() -> None:
     """Guards against a cut answer that looks complete, with and without a length."""
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -140,6 +140,68 @@
     asyncio.run(run())
 
 
+def test_run_under_probation_outlives_its_caller() -> None:
+    """Guards against a third death because the caller left before the second.
+
+    Fails without the shield around the run.
+    """
+
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            servers: list[RawServer] = []
+
+            async def respond(
+                request: RawRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                await asyncio.sleep(0.1)
+                port = writer.get_extra_info("sockname")[1]
+                next(server for server in servers if server.port == port).die()
+
+            for _ in range(4):
+                servers.append(await stack.enter_async_context(raw_server(respond)))
+            entries = [s.entry(f"server-{n}") for n, s in enumerate(servers)]
+            router = await stack.enter_async_context(running_router(entries))
+            assert (await router.send(body=POISON)).outcome == "unknown"
+            for _ in range(4):
+                router.view.apply_servers(
+                    [e for e, s in zip(entries, servers, strict=True) if s.is_alive]
+                )
+                call = asyncio.create_task(router.send(body=POISON))
+                await asyncio.sleep(0.05)
+                call.cancel()
+                await asyncio.sleep(0.2)
+            assert sum(len(server.received) for server in servers) == 2
+
+    asyncio.run(run())
+
+
+def test_kept_connection_that_was_closed_is_no_death() -> None:
+    """Guards against blocking a read because its server closed idle connections.
+
+    Fails if a run under probation uses a kept connection.
+    """
+
+    async def run() -> None:
+        used: set[int] = set()
+
+        async def once(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            if request.connection in used:
+                writer.close()
+                return
+            used.add(request.connection)
+            await asyncio.sleep(0.05)
+            await echo(request, writer)
+
+        async with (
+            raw_server(once) as server,
+            running_router([server.entry()]) as router,
+        ):
+            await asyncio.gather(*(router.send() for _ in range(3)))
+            assert (await router.send(method="GET")).outcome == "ran"
+
+    asyncio.run(run())
+
+
 def test_caller_waits_for_the_report_only_for_a_while() -> None:
     """Guards against an answer held up by a coordinator that does not reply."""
 
