Wait for the former process of a restarted server; log readiness

Cause: units of a server that started anew under the same name, at another address, were asked back from the new process. It confirmed at once that it was idle, so that the next owner got them while the former process could still hold its grant. Ruled out: relying on the new boot id as proof of the end of the former process; that holds only if the same address was bound again. Change: what a restarted server releases does not count; the former grant expires. The router logs ready and not_ready, and the deployment stand-in waits for ready, since a request that arrives before the first routing lease is answered as not run.

--- a/packages/control/mulberryrelay_control/moves.py
+++ b/packages/control/mulberryrelay_control/moves.py
@@ -136,6 +136,9 @@
         self._moves: dict[UnitKey, Move] = {}
         # Units of lost or restarted servers, with the time at which the grant is void.
         self._orphans: dict[UnitKey, float] = {}
+        # Units whose owner started anew: what the present process releases says nothing
+        # about the former one, whose grant has to expire.
+        self._restarted: set[UnitKey] = set()
         # Overrides that end with their present move.
         self._cooled: set[UnitKey] = set()
         self._planned_ms = 0.0
@@ -185,22 +188,23 @@
             self._orphans[key] = void_at_ms
             if key in self._moves:
                 self._moves[key].note_lost(void_at_ms)
-                self._grants.of(server.server).revoke([self._moves[key].granted])
+                self._withdraw(key)
         self.replan()
 
     def note_restarted(self, server: Server) -> None:
         """Have the units of a server that started anew fenced and assigned again."""
-        self._grants.of(server.server).forget(
-            GrantedUnit(unit.unit, unit.epoch)
-            for unit in self._units.values()
-            if unit.owner == server.server
-        )
+        for key, unit in self._units.items():
+            if unit.owner == server.server:
+                self._restarted.add(key)
+                self._withdraw(key)
         self.note_lost(server)
 
     def note_returned(self, server: Server) -> None:
         """Keep units that no transaction has taken from a server that is back."""
         for key, unit in self._units.items():
-            if unit.owner == server.server and key not in self._moves:
+            if unit.owner != server.server or key in self._moves:
+                continue
+            if key not in self._restarted:
                 self._orphans.pop(key, None)
 
     async def run(self) -> None:
@@ -373,7 +377,8 @@
         drained = self._sessions.have_drained(move.drained)
         checks = self._options.services[move.service].checks_grants
         grants = self._grants.of(unit.owner)
-        if grants.is_released(unit.unit, unit.epoch):
+        key = (move.service, unit.unit)
+        if grants.is_released(unit.unit, unit.epoch) and key not in self._restarted:
             return drained or checks
         server = self._membership.servers.get(unit.owner)
         is_gone = server is None or server.is_lost or move.void_at_ms is not None
@@ -383,7 +388,7 @@
             return False
         if unit.unit in grants.wanted:
             # It was granted again since the loss; only what is not renewed expires.
-            grants.revoke([move.granted])
+            self._withdraw(key)
             move.note_lost(server.latest_expiry_ms if server else self._clock())
         if not checks:
             return drained
@@ -468,6 +473,7 @@
             self._grants.of(known.owner).forget([GrantedUnit(known.unit, known.epoch)])
         if known is None or known.epoch != unit.epoch:
             self._orphans.pop(key, None)
+            self._restarted.discard(key)
         if unit.owner is not None:
             self._grants.of(unit.owner).grant([GrantedUnit(unit.unit, unit.epoch)])
         elif is_override(unit.unit):
@@ -483,7 +489,19 @@
         is_known = unit.owner in self._membership.servers
         if key in self._orphans or not is_known:
             # A server that comes back, or into view, must not be granted what it loses.
-            self._grants.of(unit.owner).revoke([move.granted])
+            self._withdraw(key)
+
+    def _withdraw(self, key: UnitKey) -> None:
+        """Take a unit from its owner's list; only the process that held it is asked."""
+        unit = self._units[key]
+        if unit.owner is None:
+            return
+        grants = self._grants.of(unit.owner)
+        granted = [GrantedUnit(unit.unit, unit.epoch)]
+        if key in self._restarted:
+            grants.forget(granted)
+        else:
+            grants.revoke(granted)
 
     def _assembled(self) -> Assignment:
         """Return the assignment as a record."""
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -38,6 +38,8 @@
 # Attempts whose outcome stayed unknown may still count as in flight at a server that
 # does not check grants, for at most the rest of a routing lease.
 DRAIN_POLL_S = 0.01
+# An expired routing lease is no change of the view, and is found by looking.
+READINESS_PERIOD_MS = 100.0
 # Time to record the outcomes of idempotency claims after the last answer.
 CLAIMS_TIMEOUT_S = 2.0
 
@@ -94,6 +96,7 @@
         asyncio.create_task(lease.run()),
         asyncio.create_task(coordinator.run()),
         asyncio.create_task(peers.run()),
+        asyncio.create_task(log_readiness(view, readiness)),
     ]
     handler = caller_handler(options, router.route, readiness.is_stopping)
     runner, site = await open_listener(options, handler)
@@ -122,6 +125,16 @@
     log_event("stopped", instance=instance.name)
 
 
+async def log_readiness(view: RoutingView, readiness: Readiness) -> None:
+    """Log each time that the router becomes ready or stops to be ready."""
+    was_ready = False
+    while True:
+        if readiness.is_ready() is not was_ready:
+            was_ready = not was_ready
+            log_event("ready" if was_ready else "not_ready", term=view.term)
+        await view.wait_for_change(READINESS_PERIOD_MS)
+
+
 async def wait_until_stopped(
     stopping: asyncio.Event, tasks: Sequence[asyncio.Task[None]]
 ) -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -79,22 +79,26 @@
             self._popen.kill()
         self._popen.wait()
 
-    def _wait_for_ports(self) -> dict[str, int]:
+    def wait_for(self, text: str) -> str:
+        """Wait until the process has printed a line that contains the word ``text``.
+
+        Raises:
+            RuntimeError: the process ended, or did not print it in time.
+        """
         give_up = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < give_up:
             for line in self.log.splitlines():
-                if "event=listening" not in line:
-                    continue
-                pairs = (pair.partition("=") for pair in line.split())
-                return {
-                    name: int(value)
-                    for name, _, value in pairs
-                    if name.endswith("port")
-                }
+                if text in line.split():
+                    return line
             if not self.is_running():
                 break
             time.sleep(0.02)
-        raise RuntimeError(f"{self._name} did not start:\n{self.log}")
+        raise RuntimeError(f"{self._name} did not print {text}:\n{self.log}")
+
+    def _wait_for_ports(self) -> dict[str, int]:
+        line = self.wait_for("event=listening")
+        pairs = (pair.partition("=") for pair in line.split())
+        return {name: int(value) for name, _, value in pairs if name.endswith("port")}
 
 
 class Deployment:
@@ -136,7 +140,7 @@
     def start_router(
         self, name: str, data_centre: str | None = None, wait: bool = True
     ) -> Process:
-        """Start a router with the settings of the deployment."""
+        """Start a router with the settings of the deployment, and wait until ready."""
         instance = {
             "name": name,
             "data_centre": data_centre or self._settings["data_centres"][0],
@@ -153,7 +157,7 @@
             name, [program, "run", "--settings", str(path)], python=False
         )
         if wait:
-            process.port("caller_port")
+            process.wait_for("event=ready")
         return process
 
     def list_instance(
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -5,11 +5,15 @@
 
 import importlib
 import inspect
+import os
 import pkgutil
 import unittest
 from collections.abc import Iterator
 from types import ModuleType
 
+# gRPC would write a line to the output of the tests for each closed connection.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 
 def load_tests(
     loader: unittest.TestLoader, standard_tests: unittest.TestSuite, pattern: str | None
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -98,6 +98,37 @@
     asyncio.run(check())
 
 
+def test_restarted_server_waits_for_the_grant_of_its_former_process() -> None:
+    """Guards against two processes of one name that hold a unit at the same time.
+
+    The former process is cut off, but runs on until its grant expires.
+    """
+
+    async def check() -> None:
+        async with stage() as running:
+            coordinator, _ = await running.begin_term(1)
+            await running.wait_for(_all_owned)
+            running.spawn(FakeRouter(coordinator).run())
+            running.spawn(running.watch())
+            before = await running.units()
+            former = running.servers.pop(ServerId("s1"))
+            running.servers[ServerId("former")] = former
+            await running.cut_off("s1")
+            await running.add_server("s1")
+            lost = {name for name, unit in before.items() if unit.owner == "s1"}
+            await running.wait_for(
+                lambda units: (
+                    _all_owned(units) and all(units[name].epoch == 2 for name in lost)
+                )
+            )
+            await asyncio.sleep(TIMING.lease_ms / 1000)
+            assert not running.overlaps, running.overlaps[:5]
+            held = [unit for unit in before if former.holds(UnitId(unit))]
+            assert not held, held
+
+    asyncio.run(check())
+
+
 def test_lease_names_the_versions_at_sending() -> None:
     """Guards against renewing an expired lease for a router that misses a move.
 
