Run the tests of moves and peers on the real coordinator lease

Cause: the tests had a lease of their own, with its own idea of a takeover. Change: they run CoordinatorLease on the memory platform; the peer task takes a function that returns the holder instead of the whole lease. Conclusion: takeovers in these tests obey the waits of the lease.

--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -76,7 +76,16 @@
     coordinator = Coordinator(
         options, platform, lease, orders, no_rules, SuspectRegistry, view.servers
     )
-    peers = PeerTask(options, me, lease, view, in_flight, channels, list, monotonic_ms)
+    peers = PeerTask(
+        options,
+        me,
+        lambda: lease.holder,
+        view,
+        in_flight,
+        channels,
+        list,
+        monotonic_ms,
+    )
     servicer = PeerServicer(me, lease, coordinator)
     serve_peers(peer_server, servicer)
     await peer_server.start()
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -179,13 +179,16 @@
 
 
 class PeerTask:
-    """The stream to the coordinator; also the ``PeerLink`` of the request path."""
+    """The stream to the coordinator; also the ``PeerLink`` of the request path.
+
+    ``holder`` returns the holder of the coordinator lease as last read.
+    """
 
     def __init__(
         self,
         options: Options,
         me: Address,
-        lease: CoordinatorLease,
+        holder: Callable[[], Address | None],
         view: RoutingView,
         in_flight: InFlight,
         channels: PeerChannels,
@@ -194,7 +197,7 @@
     ) -> None:
         self._options = options
         self._me = me
-        self._lease = lease
+        self._holder = holder
         self._view = view
         self._in_flight = in_flight
         self._channels = channels
@@ -249,7 +252,7 @@
 
     async def probation(self, request: ProbationRequest) -> ProbationReply | None:
         """Ask for a permit or report a result; None if no reply arrived."""
-        holder = self._lease.holder
+        holder = self._holder()
         if holder is None:
             return None
         try:
@@ -262,7 +265,7 @@
 
     async def notify_rules(self, version: RulesVersion) -> None:
         """Tell the coordinator that a rule file was committed."""
-        holder = self._lease.holder
+        holder = self._holder()
         if holder is None:
             return
         try:
@@ -276,7 +279,7 @@
     async def run(self) -> None:
         """Keep a stream to the coordinator until this router has left."""
         while not self._is_leaving:
-            holder = self._lease.holder
+            holder = self._holder()
             if holder is not None:
                 reason = await self._follow(holder)
                 if self._is_connected:
@@ -325,7 +328,7 @@
     async def _watch_holder(self, holder: Address) -> str:
         """Return once the lease has another holder."""
         heartbeat_ms = self._options.timing.heartbeat_ms
-        while self._lease.holder == holder:
+        while self._holder() == holder:
             is_silent = len(self._started_ms) > 1
             period_ms = HOLDER_PERIOD_MS if is_silent else heartbeat_ms
             await asyncio.sleep(period_ms / 1000)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -51,7 +51,7 @@
                     reached.set()
                     await asyncio.Event().wait()
 
-            coordinator, lease = await running.begin_term(1, at_step)
+            coordinator, lease = running.begin_term("e1", at_step=at_step)
             await running.wait_for(_all_owned)
             running.spawn(FakeRouter(coordinator).run())
             running.spawn(running.watch())
@@ -60,10 +60,8 @@
             await running.set_state("s1", DRAINING)
             async with asyncio.timeout(5):
                 await reached.wait()
-            lease.end()
-            # A successor cannot take over earlier.
-            await asyncio.sleep((TIMING.lease_ms + TIMING.margin_ms) / 1000)
-            await running.begin_term(2)
+            running.lose(lease)
+            running.begin_term("e2")
             await running.wait_for(lambda units: _owners(units) == {"s2"})
             await _wait_until_held(running, "s2")
             for name, unit in (await running.units()).items():
@@ -83,14 +81,13 @@
 
     async def check() -> None:
         async with stage() as running:
-            _, lease = await running.begin_term(1)
+            _, lease = running.begin_term("e1")
             await running.wait_for(_all_owned)
             running.spawn(running.watch())
             await asyncio.sleep(0.1)
-            lease.end()
+            running.lose(lease)
             running.platform.unlist_instance("s1")
-            await asyncio.sleep((TIMING.lease_ms + TIMING.margin_ms) / 1000)
-            await running.begin_term(2)
+            running.begin_term("e2")
             await running.wait_for(lambda units: _owners(units) == {"s2"})
             await _wait_until_held(running, "s2")
             assert not running.overlaps, running.overlaps[:5]
@@ -106,7 +103,7 @@
 
     async def check() -> None:
         async with stage() as running:
-            coordinator, _ = await running.begin_term(1)
+            coordinator, _ = running.begin_term("e1")
             await running.wait_for(_all_owned)
             running.spawn(FakeRouter(coordinator).run())
             running.spawn(running.watch())
@@ -138,7 +135,7 @@
     async def check() -> None:
         async with stage() as running:
             running.rules = RulesDocument(RulesVersion(3), "# rules")
-            coordinator, _ = await running.begin_term(1)
+            coordinator, _ = running.begin_term("e1")
             await running.wait_for(_all_owned)
             router = FakeRouter(coordinator)
             replies = router.open()
@@ -183,7 +180,7 @@
             return initial + planned
 
         async with stage() as running:
-            coordinator, _ = await running.begin_term(1, plan=plan)
+            coordinator, _ = running.begin_term("e1", plan=plan)
             await running.wait_for(_all_owned)
             running.spawn(running.watch())
             running.spawn(FakeRouter(coordinator).run())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,19 +1,12 @@
 """The stream between a router and the coordinator, over gRPC in one process."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from mulberryrelay_control.coordinator import Coordinator
+from mulberryrelay_control.lease import CoordinatorLease
 from mulberryrelay_kernel.clock import monotonic_ms
-from mulberryrelay_kernel.ids import (
-    AssignmentVersion,
-    BootId,
-    DataCentre,
-    InstanceId,
-    RulesVersion,
-    Term,
-)
+from mulberryrelay_kernel.ids import AssignmentVersion, RulesVersion, Term
 from mulberryrelay_kernel.messages import Address, Assignment, RulesDocument
 from mulberryrelay_kernel.peerproto.peer_pb2 import ProbationRequest, Suspect
 from mulberryrelay_router.inflight import InFlight
@@ -25,29 +18,33 @@
     serve_peers,
 )
 from mulberryrelay_router.view import RoutingView
-from tests.fixtures.terms import OPTIONS, SERVICE, TIMING, HeldLease, Stage, stage
+from tests.fixtures.terms import OPTIONS, SERVICE, TIMING, Stage, address, stage
 
 
 @asynccontextmanager
-async def served(coordinator: Coordinator, lease: HeldLease) -> AsyncIterator[Address]:
-    """Serve the calls of peers for a coordinator."""
+async def coordinating(
+    running: Stage, name: str
+) -> AsyncIterator[tuple[Address, CoordinatorLease]]:
+    """Run a coordinator and serve the calls of its peers."""
     server, port = await open_peer_server(OPTIONS)
-    me = Address(InstanceId("e1"), BootId("b1"), DataCentre("a"), "127.0.0.1", port)
+    coordinator, lease = running.begin_term(name, port)
+    me = address(name, port)
     serve_peers(server, PeerServicer(me, lease, coordinator))
     await server.start()
-    lease.serve_at(me)
     try:
-        yield me
+        yield me, lease
     finally:
         await server.stop(grace=None)
 
 
-def router(running: Stage, name: str, lease: HeldLease) -> tuple[PeerTask, RoutingView]:
+def router(
+    running: Stage, name: str, holder: Callable[[], Address]
+) -> tuple[PeerTask, RoutingView]:
     """Run the peer task of a router."""
-    me = Address(InstanceId(name), BootId(name), DataCentre("a"), "127.0.0.1", 1)
     view = RoutingView()
+    me = address(name)
     task = PeerTask(
-        OPTIONS, me, lease, view, InFlight(), PeerChannels(me), list, monotonic_ms
+        OPTIONS, me, holder, view, InFlight(), PeerChannels(me), list, monotonic_ms
     )
     running.spawn(task.run())
     return task, view
@@ -66,10 +63,9 @@
     async def check() -> None:
         async with stage() as running:
             running.rules = RulesDocument(RulesVersion(1), "# one")
-            coordinator, lease = await running.begin_term(1)
-            async with served(coordinator, lease):
-                first, first_view = router(running, "r1", lease)
-                second, second_view = router(running, "r2", lease)
+            async with coordinating(running, "e1") as (holder, _):
+                first, first_view = router(running, "r1", lambda: holder)
+                second, second_view = router(running, "r2", lambda: holder)
                 texts: list[str] = []
                 told: list[Suspect] = []
                 second.rules.subscribe(lambda document: texts.append(document.text))
@@ -100,24 +96,23 @@
     asyncio.run(check())
 
 
-def test_router_without_coordinator_loses_its_lease() -> None:
-    """Guards against sending after the routing lease, and against a slow return."""
+def test_router_follows_the_holder_and_has_no_lease_without_one() -> None:
+    """Guards against sending after the routing lease, and against staying cut off."""
 
     async def check() -> None:
         async with stage() as running:
-            coordinator, lease = await running.begin_term(1)
-            async with served(coordinator, lease):
-                _, view = router(running, "r1", lease)
-                await until_leased(view)
-                await running.wait_for(lambda units: len(units) > 0)
-            await asyncio.sleep(
-                (TIMING.lease_ms + TIMING.bridge_ms + TIMING.margin_ms) / 1000
-            )
-            assert not view.has_lease()
-            async with served(coordinator, lease):
-                begin_ms = monotonic_ms()
+            holders: list[Address] = []
+            async with coordinating(running, "e1") as (first, lease):
+                holders.append(first)
+                _, view = router(running, "r1", lambda: holders[-1])
                 await until_leased(view)
-                assert monotonic_ms() - begin_ms < 2000
+                running.lose(lease)
+                await asyncio.sleep((TIMING.lease_ms + TIMING.bridge_ms) / 1000)
+                assert not view.has_lease()
+                async with coordinating(running, "e2") as (second, _):
+                    holders.append(second)
+                    await until_leased(view)
+                    assert view.term == 2
 
     asyncio.run(check())
 
