Test that a move waits for routers that do not confirm

Change: the test in one process measures that no owner changes before the unconfirmed router's lease is over; it fails without the wait. Conclusion: the guard no longer depends on the order in which a process resumes.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -12,6 +12,7 @@
     PlacementState,
     PlannedMove,
 )
+from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.hashing import grants_digest, override_unit, range_index
 from mulberryrelay_kernel.ids import (
     BootId,
@@ -126,10 +127,12 @@
     asyncio.run(check())
 
 
-def test_lease_names_the_versions_at_sending() -> None:
-    """Guards against renewing an expired lease for a router that misses a move.
+def test_move_waits_for_a_router_that_does_not_confirm() -> None:
+    """Guards against a new owner while a router with a lease may send to the old one.
 
-    The reply waits in the queue while the lease expires and a unit begins to move.
+    A reply that waits in the queue while the lease expires and the units move must not
+    renew the lease for the view from before the move, so that it names the versions at
+    its sending.
     """
 
     async def check() -> None:
@@ -138,6 +141,7 @@
             coordinator, _ = running.begin_term("e1")
             await running.wait_for(_all_owned)
             router = FakeRouter(coordinator)
+            begin_ms = monotonic_ms()
             replies = router.open()
             full = await anext(replies)
             assert (full.full, full.rules_text) == (True, "# rules")
@@ -147,6 +151,7 @@
             await asyncio.sleep(0.05)
             await running.set_state("s1", DRAINING)
             await running.wait_for(lambda units: _owners(units) == {"s2"})
+            assert monotonic_ms() >= begin_ms + first.routing_lease_ms
             late: list[SyncReply] = []
             async for reply in replies:
                 if any(unit.state == "moving" for unit in reply.units):
