Check orderly release and servers without grant checks in the model

Cause: the model had no orderly leave and assumed that servers check grants. A release ends a lease that may have LEASE left, so the waits have to count from LEASE after the takeover, as CoordinatorLease.taken_over_ms does. Change: the action release, the fault RELEASE_NOT_AWAITED, and a run for servers that do not check grants, where only routing leases protect.

--- a/model/check.py
+++ b/model/check.py
@@ -25,7 +25,9 @@
     """``time: action`` for each step."""
 
 
-def find_violation(fault: Fault, bound: int) -> Violation | None:
+def find_violation(
+    fault: Fault, bound: int, checks_grants: bool = True
+) -> Violation | None:
     """Return a shortest violation within ``bound`` steps, or None if there is none."""
     solver = z3.SolverFor("QF_BV")
     states = [variables(0)]
@@ -35,10 +37,10 @@
     for step in range(bound):
         after = variables(step + 1)
         choice = z3.BitVec(f"choice@{step}", WIDTH)
-        names = _add_step(solver, states[-1], after, choice, fault)
+        names = _add_step(solver, states[-1], after, choice, fault, checks_grants)
         states.append(after)
         choices.append(choice)
-        broken = violations(after)
+        broken = violations(after, checks_grants)
         solver.push()
         solver.add(z3.Or(*broken.values()))
         if solver.check() == z3.sat:
@@ -50,14 +52,20 @@
 
 
 def _add_step(
-    solver: Any, before: State, after: State, choice: Any, fault: Fault
+    solver: Any,
+    before: State,
+    after: State,
+    choice: Any,
+    fault: Fault,
+    checks_grants: bool,
 ) -> list[str]:
     """Add one step; return the names of the actions by their choice."""
     solver.add(after["now"] >= before["now"])
     solver.add(after["now"] <= before["now"] + MAX_WAIT)
     # Sums of a time and a duration stay below the value for an unread row.
     solver.add(after["now"] < UNREAD - 2 * MAX_WAIT)
-    found = list(actions(before | {"now": after["now"]}, fault))
+    advanced = before | {"now": after["now"]}
+    found = list(actions(advanced, fault, checks_grants))
     solver.add(z3.ULT(choice, len(found)))
     for index, action in enumerate(found):
         solver.add(z3.Implies(choice == index, action.guard))
--- a/model/spec.py
+++ b/model/spec.py
@@ -2,9 +2,9 @@
 
 Three routers contend for the coordinator lease (router 0 holds it at first, each names
 the two others as successors), one router routes requests for one unit, and two servers
-check grants. A step lets any time pass and takes one action. Whatever may fail does so
-by not happening: a lost message, a crash, a pause or a store outage is an action that
-is never taken. All clocks run at the same rate, so that MARGIN is 0 here.
+check grants or do not. A step lets any time pass and takes one action. Whatever may
+fail does so by not happening: a lost message, a crash, a pause or a store outage is an
+action that is never taken. All clocks run at the same rate, so that MARGIN is 0 here.
 
 Times are small bit vectors: the horizon of a bounded run fits, and z3 decides them much
 faster than integers.
@@ -40,6 +40,7 @@
     LOST_REPLY_FAILS = "a lost reply is taken for a failed commit"
     PROMISE_DROPPED = "a successor ignores its promise"
     PROMISE_FROM_ARRIVAL = "the holder counts a promise from its arrival"
+    RELEASE_NOT_AWAITED = "the waits after a release are those after an expiry"
     REVOCATION_FORGOTTEN = "a server accepts a late grant after a revocation"
 
 
@@ -62,7 +63,7 @@
     "now term holder owner epoch next view_until view_owner view_epoch view_term "
     "request_epoch request_server asked_at asked_term asker"
 )
-FLAGS = _names("moving view_moving request_sent ran_outdated")
+FLAGS = _names("released moving view_moving request_sent ran_outdated")
 ROUTER_NUMBERS = _names(
     "own_term valid first_read promised got taken_over granted_until leased_until "
     "m_owner m_epoch m_next"
@@ -121,20 +122,30 @@
     ]
 
 
-def actions(state: State, fault: Fault) -> Iterator[Action]:
+def actions(state: State, fault: Fault, checks_grants: bool) -> Iterator[Action]:
     """Yield every action in ``state``, in which ``now`` has advanced already."""
     for router in ROUTERS:
         yield from _lease_actions(state, router, fault)
         yield from _promise_actions(state, router, fault)
         yield from _lending_actions(state, router)
-        yield from _move_actions(state, router, fault)
+        yield from _move_actions(state, router, fault, checks_grants)
     yield from _request_actions(state, fault)
 
 
-def violations(state: State) -> dict[str, Any]:
+def violations(state: State, checks_grants: bool) -> dict[str, Any]:
     """Return the invariants' negations."""
     now = state["now"]
     held = [state[f"valid{router}"] > now for router in ROUTERS]
+    if not checks_grants:
+        # Such a server runs whatever a router sends, so that the routing lease alone
+        # has to keep a router from sending to an earlier owner.
+        may_send = z3.And(state["view_until"] > now, z3.Not(state["view_moving"]))
+        return {
+            "two holders": z3.AtLeast(*held, 2),
+            "router sends under an earlier epoch": z3.And(
+                may_send, state["view_epoch"] != state["epoch"]
+            ),
+        }
     served = [state[f"grant_until{server}"] > now for server in SERVERS]
     return {
         "two holders": z3.AtLeast(*held, 2),
@@ -188,22 +199,32 @@
         z3.And(state["holder"] != router, state[f"first_read{router}"] == UNREAD),
         {f"first_read{router}": now},
     )
-    allowed = [
-        state["holder"] != router,
+    yield Action(
+        f"release {router}",
+        z3.And(in_term, state[f"valid{router}"] > now, z3.Not(state["released"])),
+        {f"valid{router}": z3.BitVecVal(0, WIDTH), "released": z3.BoolVal(True)}
+        | _row_written(router),
+    )
+    unchanged = [
         state[f"first_read{router}"] != UNREAD,
         now >= state[f"first_read{router}"] + LEASE,
     ]
     if fault is not Fault.PROMISE_DROPPED:
-        allowed.append(now >= state[f"promised{router}"])
+        unchanged.append(now >= state[f"promised{router}"])
+    # The released holder's routing leases may be based on a full lease.
+    begun = now + z3.If(state["released"], z3.BitVecVal(LEASE, WIDTH), 0)
+    if fault is Fault.RELEASE_NOT_AWAITED:
+        begun = now
     yield Action(
         f"take over {router}",
-        z3.And(*allowed),
+        z3.And(state["holder"] != router, z3.Or(state["released"], z3.And(*unchanged))),
         {
+            "released": z3.BoolVal(False),
             "term": state["term"] + 1,
             "holder": z3.BitVecVal(router, WIDTH),
             f"own_term{router}": state["term"] + 1,
             f"valid{router}": now + LEASE,
-            f"taken_over{router}": now,
+            f"taken_over{router}": begun,
             f"granted_until{router}": z3.BitVecVal(0, WIDTH),
             f"leased_until{router}": z3.BitVecVal(0, WIDTH),
             f"m_revoked{router}": z3.BoolVal(False),
@@ -338,7 +359,9 @@
     )
 
 
-def _move_actions(state: State, router: int, fault: Fault) -> Iterator[Action]:
+def _move_actions(
+    state: State, router: int, fault: Fault, checks_grants: bool
+) -> Iterator[Action]:
     now = state["now"]
     own_term = state[f"own_term{router}"]
     moving = state[f"m_moving{router}"]
@@ -391,10 +414,11 @@
             }
             | revoked,
         )
+    expired = z3.And(bridged, now >= state[f"granted_until{router}"])
+    if not checks_grants:
+        expired = z3.Or(drained, unleased)
     yield Action(
-        f"{router} waits for expiry",
-        z3.And(commits, moving, bridged, now >= state[f"granted_until{router}"]),
-        revoked,
+        f"{router} waits for expiry", z3.And(commits, moving, expired), revoked
     )
     ready = z3.And(commits, moving, state[f"m_revoked{router}"])
     stored = {
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -10,6 +10,7 @@
     Fault.BRIDGE_DROPPED: (4, "server other than stored"),
     Fault.LOST_REPLY_FAILS: (6, "server other than stored"),
     Fault.REVOCATION_FORGOTTEN: (6, "server other than stored"),
+    Fault.RELEASE_NOT_AWAITED: (5, "server other than stored"),
     Fault.PROMISE_DROPPED: (7, "two holders"),
     Fault.PROMISE_FROM_ARRIVAL: (7, "two holders"),
     Fault.EPOCH_UNCHECKED: (8, "request of an earlier epoch has run"),
@@ -18,8 +19,9 @@
 
 def test_protocol_holds_within_the_bound() -> None:
     """Guards against a protocol with a short run that breaks an invariant."""
-    violation = find_violation(Fault.NONE, CORRECT_BOUND)
-    assert violation is None, violation
+    for checks_grants in (True, False):
+        violation = find_violation(Fault.NONE, CORRECT_BOUND, checks_grants)
+        assert violation is None, violation
 
 
 def test_seeded_faults_are_found() -> None:
