Change successors only with half of the lease left

Cause: a change of successors makes the promises of both sets necessary until its reply arrives. Begun late in the lease, it could end a lease that depends on promises of the old set. Conclusion: successors change only while the store answers quickly.

--- a/packages/control/mulberryrelay_control/lease.py
+++ b/packages/control/mulberryrelay_control/lease.py
@@ -292,11 +292,12 @@
         """Return the successors to name; the same ones while the store is failing.
 
         A change makes the promises of both sets necessary until its reply arrives, so
-        that none is begun while the lease already depends on promises.
+        that none is begun unless half of the lease is left without any promise.
         """
         assert self._row is not None
         current = self._row.successors
-        if self._attempts or self._clock() >= self._renewed_ms + self._timing.lease_ms:
+        settled_until_ms = self._renewed_ms + self._timing.lease_ms / 2
+        if self._attempts or self._clock() >= settled_until_ms:
             return current
         return choose_successors(self._me, current, self._candidates())
 
