Replay recorded traces against stated outcomes

Change: four small traces (moving hot keys, a lost server, misleading load reports, a cold join followed by a leave) with the bound of 1.3 of the design page, the budget of the policy and the servers that may own units at the end.

--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,53 @@
+"""Replays recorded traces through placement and compares the stated outcomes."""
+
+from pathlib import Path
+
+import msgspec
+
+from bench.placement_replay import Trace, replay
+from mulberryrelay_control.placement import VOLUNTARY_REASONS, plan_moves, policy_of
+from mulberryrelay_kernel.ids import ServerId
+
+TRACES = Path(__file__).parent / "traces"
+
+
+class Outcome(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the rules of the design page require of a trace."""
+
+    imbalance: float
+    moves_a_minute: int
+    owned_by: set[ServerId]
+    same_without_reports: bool = False
+
+
+class Recorded(msgspec.Struct, frozen=True):
+    """A trace with its stated outcome."""
+
+    trace: Trace
+    churn_weight: float
+    outcome: Outcome
+
+
+def test_recorded_traces_end_as_stated() -> None:
+    """Guards against imbalance, churn and units left at servers that went away."""
+    paths = sorted(TRACES.glob("*.json"))
+    assert len(paths) == 4
+    for path in paths:
+        recorded = msgspec.json.decode(path.read_bytes(), type=Recorded)
+        stated = recorded.outcome
+        settings = policy_of(recorded.churn_weight)
+        result = replay(recorded.trace, plan_moves, settings)
+        voluntary = [m for m in result.moves if m.reason in VOLUNTARY_REASONS]
+        assert result.steady_imbalances, path.name
+        assert max(result.steady_imbalances) <= stated.imbalance, path.name
+        assert set(result.owners.values()) == stated.owned_by, path.name
+        minutes = 1 + result.seconds // 60
+        assert len(voluntary) <= stated.moves_a_minute * minutes, path.name
+        if not stated.same_without_reports:
+            continue
+        events = [
+            msgspec.structs.replace(event, reported_load=None)
+            for event in recorded.trace.events
+        ]
+        honest = msgspec.structs.replace(recorded.trace, events=events)
+        assert replay(honest, plan_moves, settings).moves == result.moves
