Test pins, owners and split ranges more closely

Cause: mutations survived: ejecting owners, moving a pinned key for balance or after it cooled, moving the range of a new override, and sending to an owner that changed before admission was told.

Change: a case for each. The second check for services partitioned by key in Balancer.usable is removed, since owners are never ejected.

--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -142,11 +142,9 @@
     ) -> list[ServerEntry]:
         """Return the entries that may be chosen at all, whether or not they have room.
 
-        The owner of a key is never left out. If every candidate is ejected, all are
-        used, since a doubtful server is better than none.
+        If every candidate is ejected, all are used, since a doubtful server is better
+        than none.
         """
-        if self._options.services[service].partitioned:
-            return list(entries)
         now_ms = self._clock()
         kept = [
             entry
@@ -297,6 +295,7 @@
         track.ejected_until_ms = now_ms + period_ms
 
     def _may_eject(self, service: ServiceName, now_ms: float) -> bool:
+        # The owner of a key has no substitute, so it is only queued for.
         if self._options.services[service].partitioned:
             return False
         listed = [
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -319,19 +319,22 @@
     assert 0.1 < halfway < 0.25 < share()
 
 
-def make_balancer(count: int) -> tuple[Balancer, Callable[[str, int, float], None]]:
-    """Return a balancer and a function that fails a server a number of times."""
+def make_balancer(count: int) -> Balancer:
     balancer = Balancer(make_options(), virtual_clock, random.Random(5))
     balancer.note_listed(servers(count))
+    return balancer
 
-    def fail(name: str, times: int, latency_ms: float = 500.0) -> None:
-        for _ in range(times):
-            balancer.start(BOOKPAY, ServerId(name))
-            balancer.finish(
-                BOOKPAY, ServerId(name), 0.0, Observation.TIMED_OUT, latency_ms
-            )
 
-    return balancer, fail
+def observe(
+    balancer: Balancer,
+    name: str,
+    times: int,
+    latency_ms: float = 500.0,
+    observation: Observation = Observation.TIMED_OUT,
+) -> None:
+    for _ in range(times):
+        balancer.start(BOOKPAY, ServerId(name))
+        balancer.finish(BOOKPAY, ServerId(name), 0.0, observation, latency_ms)
 
 
 def ejected(balancer: Balancer, count: int) -> set[str]:
@@ -345,25 +348,25 @@
 @in_virtual_time
 async def test_failures_eject_for_two_seconds_doubling_to_thirty() -> None:
     """Guards against a broken server kept in use, or left out for too long."""
-    balancer, fail = make_balancer(4)
-    fail("b0", 4, 500.0)
+    balancer = make_balancer(4)
+    observe(balancer, "b0", 4)
     assert ejected(balancer, 4) == set()
-    fail("b0", 1, 500.0)
+    observe(balancer, "b0", 1)
     for period_s in (2, 4, 8, 16, 30, 30):
         assert ejected(balancer, 4) == {"b0"}
         chosen = [balancer.choose(BOOKPAY, servers(4)) for _ in range(50)]
         assert all(entry and entry.server != "b0" for entry in chosen)
         # Requests that were in flight already must not lengthen the ejection.
-        fail("b0", 1, 500.0)
+        observe(balancer, "b0", 1)
         await asyncio.sleep(period_s - 0.001)
         assert ejected(balancer, 4) == {"b0"}, period_s
         await asyncio.sleep(0.002)
         assert ejected(balancer, 4) == set(), period_s
         balancer.note_listed(servers(4))
-        fail("b0", 1, 500.0)
+        observe(balancer, "b0", 1)
     await asyncio.sleep(61)
     balancer.note_listed(servers(4))
-    fail("b0", 1, 500.0)
+    observe(balancer, "b0", 1)
     await asyncio.sleep(2.001)
     assert ejected(balancer, 4) == set(), "forgiven after a long time without"
 
@@ -372,29 +375,21 @@
 async def test_at_most_half_of_a_service_is_ejected() -> None:
     """Guards against ejecting all servers for a fault that they share."""
     for count in (1, 2, 5):
-        balancer, fail = make_balancer(count)
+        balancer = make_balancer(count)
         for entry in servers(count):
-            fail(entry.server, 20, 500.0)
+            observe(balancer, entry.server, 20)
         assert len(ejected(balancer, count)) == count // 2
 
 
 @in_virtual_time
 async def test_slow_servers_are_ejected_but_short_deadlines_are_no_failure() -> None:
     """Guards against a server slowing its callers, and callers ejecting servers."""
-    balancer, fail = make_balancer(4)
-
-    def answer(name: str, latency_ms: float) -> None:
-        for _ in range(30):
-            balancer.start(BOOKPAY, ServerId(name))
-            balancer.finish(
-                BOOKPAY, ServerId(name), 0.0, Observation.ANSWERED, latency_ms
-            )
-
+    balancer = make_balancer(4)
     for name in ("b1", "b2", "b3"):
-        answer(name, 20.0)
-    fail("b1", 20, 5.0)
+        observe(balancer, name, 30, 20.0, Observation.ANSWERED)
+    observe(balancer, "b1", 20, 5.0)
     assert ejected(balancer, 4) == set()
-    answer("b0", 300.0)
+    observe(balancer, "b0", 30, 300.0, Observation.ANSWERED)
     assert ejected(balancer, 4) == {"b0"}
 
 
@@ -404,9 +399,7 @@
     admission = make_admission()
     entries = servers(2)
     admission.balancer.note_listed(entries)
-    for _ in range(5):
-        admission.balancer.start(BOOKPAY, ServerId("b0"))
-        admission.balancer.finish(BOOKPAY, ServerId("b0"), 0.0, Observation.FAILED, 1.0)
+    observe(admission.balancer, "b0", 5)
     other = await slot_of(admission, Request(), entries)
     assert other.server.server == "b1"
     slot = await slot_of(admission, Request(deadline_ms=5000.0), entries)
@@ -456,9 +449,9 @@
     free = await slot_of(admission, request, [other])
     assert free.server.server == "s1"
     assert not any(task.done() for task in waiting)
-    # The key moves: it is held while it has no owner, then goes to the new one.
+    # The key moves: it is held while it has no owner, then goes to the new one, even
+    # if a slot of the old owner is free before admission is told.
     current = []
-    admission.wake()
     admission.release(held, Observation.ANSWERED, 10.0)
     await asyncio.sleep(0.01)
     assert not any(task.done() for task in waiting)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -131,8 +131,15 @@
     first = plan(placement)
     pin = PlannedMove(SLOTFINDER, override_unit(KEY), ServerId("s2"), MoveReason.PIN)
     assert first[0] == pin, first
-    later = plan(applied(placement, first, 1e6), now_ms=2e6)
-    assert override_unit(KEY) not in {move.unit for move in later}
+    # Neither a busy server nor a cooled key is a reason to move it.
+    ranges = {
+        unit.unit: 30.0 if unit.owner == "s2" else 10.0 for unit in placement.units
+    }
+    for rate in (60.0, 0.0):
+        rates = LoadRates({**ranges, HOME: 10.0 + rate}, {KEY: rate})
+        kept = msgspec.structs.replace(applied(placement, first, 1e6), rates=rates)
+        later = {move.unit for move in plan(kept, now_ms=2e6)}
+        assert later and override_unit(KEY) not in later
 
 
 def test_a_pin_to_a_lost_server_waits() -> None:
@@ -146,11 +153,14 @@
 
 def test_a_hot_key_moves_alone_and_returns_when_it_has_cooled() -> None:
     """Guards against moving ranges around a hot key, and overrides that stay."""
-    placement = with_hot_key(60.0)
+    busy = next(unit.owner for unit in spread(4) if unit.unit == HOME)
+    ranges = {unit.unit: 20.0 if unit.owner == busy else 10.0 for unit in spread(4)}
+    rates = LoadRates({**ranges, HOME: 120.0}, {KEY: 80.0})
+    placement = msgspec.structs.replace(balanced(), rates=rates)
     moves = plan(placement)
-    assert (override_unit(KEY), MoveReason.HOT_KEY) in {
-        (move.unit, move.reason) for move in moves
-    }, moves
+    reasons = {move.unit: move.reason for move in moves}
+    assert reasons[override_unit(KEY)] is MoveReason.HOT_KEY, moves
+    assert HOME not in reasons, "the new override raises the epoch of its range"
     cooled = msgspec.structs.replace(
         applied(placement, moves, 1e6), rates=balanced().rates
     )
@@ -249,6 +259,8 @@
     recent = [ms for ms in placement.voluntary_ms if 1e6 - ms < 60_000]
     voluntary = [move for move in moves if move.reason in VOLUNTARY_REASONS]
     assert len(voluntary) <= max(0, budget - len(recent)), "budget"
+    pinned = {override_unit(key) for key in placement.pins}
+    assert not pinned & {move.unit for move in voluntary}, "a pinned key moves"
     moved = {move.unit for move in moves}
     for unit in placement.units:
         if unit.state is UnitState.MOVING:
