--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -447,9 +447,11 @@
     owner = server("s0", service=SLOTFINDER)
     other = server("s1", service=SLOTFINDER)
     request = Request(service=SLOTFINDER)
+    admission.balancer.note_listed([owner, other])
     for _ in range(10):
         slot = await slot_of(admission, request, [owner])
         admission.release(slot, Observation.FAILED, 500.0)
+    assert not admission.balancer.track(SLOTFINDER, owner.server).is_ejected(0.0)
     held = await slot_of(admission, request, [owner])
     current: list[ServerEntry] = [owner]
     waiting = [
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -170,6 +170,7 @@
     )
     assert back not in plan(cooled, now_ms=1e6 + POLICY.cool_down_ms - 1)
     assert back in plan(cooled, now_ms=1e6 + POLICY.cool_down_ms)
+    assert not plan(cooled, replace(POLICY, moves_per_minute=0), 1e9)
 
 
 def test_rebalancing_obeys_thresholds_budget_and_rest() -> None:
