Choose among servers in one pass, and forget servers that left

Tracks of servers that left were kept forever.

Change: choose looks each track up once; a track is dropped when its server was no candidate for ten minutes.

--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -42,6 +42,8 @@
 """A timeout below this multiple of the usual latency is due to a short deadline."""
 LISTED_MS = 10_000.0
 """A server counts as one of its service for this long after it was a candidate."""
+FORGOTTEN_MS = 600_000.0
+"""Servers leave all day; one that was no candidate for this long is forgotten."""
 COLD_WEIGHT = 0.1
 
 
@@ -84,13 +86,16 @@
         self._options = options
         self._clock = clock
         self._rng = rng
-        self._tracks: dict[ServiceName, dict[ServerId, ServerTrack]] = {}
+        self._tracks: dict[ServiceName, dict[ServerId, ServerTrack]] = {
+            service: {} for service in options.services
+        }
 
     def track(self, service: ServiceName, server: ServerId) -> ServerTrack:
         """Return what is known of a server; a new one starts at its share of slots."""
-        tracks = self._tracks.setdefault(service, {})
+        tracks = self._tracks[service]
         found = tracks.get(server)
         if found is None:
+            self._forget_gone(tracks)
             found = ServerTrack(max(1.0, self._share(service)), self._clock())
             tracks[server] = found
         return found
@@ -114,11 +119,7 @@
 
     def has_room(self, service: ServiceName, server: ServerId) -> bool:
         """Return whether the server has free concurrency now."""
-        track = self.track(service, server)
-        if self._clock() < track.paused_until_ms:
-            return False
-        limit = max(1.0, track.limit * self.warmth(track))
-        return track.in_flight < math.floor(limit)
+        return self._has_room(self.track(service, server), self._clock())
 
     def ready_ms(self, service: ServiceName, server: ServerId) -> float:
         """Return the time before which the server takes nothing from this router."""
@@ -132,7 +133,7 @@
         """
         known = [
             track.latency_ms
-            for track in self._tracks.get(service, {}).values()
+            for track in self._tracks[service].values()
             if track.samples
         ]
         return statistics.median(known) if known else 0.0
@@ -157,18 +158,24 @@
         self, service: ServiceName, entries: Sequence[ServerEntry]
     ) -> ServerEntry | None:
         """Return the server for one request, or None if none has free concurrency."""
-        free = [
-            entry
-            for entry in self.usable(service, entries)
-            if self.has_room(service, entry.server)
-        ]
-        near = [entry for entry in free if self._is_near_and_calm(entry)]
+        now_ms = self._clock()
+        # Beyond its share of slots a learned limit allows queueing on the server, which
+        # takes longer than the way to another data centre.
+        share = max(1.0, self._share(service))
+        free: list[tuple[ServerEntry, ServerTrack]] = []
+        near: list[tuple[ServerEntry, ServerTrack]] = []
+        for entry in self.usable(service, entries):
+            track = self.track(service, entry.server)
+            if not self._has_room(track, now_ms):
+                continue
+            free.append((entry, track))
+            if track.in_flight < share and self.is_near(entry.data_centre):
+                near.append((entry, track))
         pool = near or free
         if len(pool) < 2:
-            return pool[0] if pool else None
-        warmths = [self.warmth(self.track(service, entry.server)) for entry in pool]
-        first, second = self._draw_two(warmths)
-        return min((pool[first], pool[second]), key=lambda entry: self._pressure(entry))
+            return pool[0][0] if pool else None
+        first, second = self._draw_two([self.warmth(track) for _, track in pool])
+        return min((pool[first], pool[second]), key=self._pressure)[0]
 
     def is_near(self, data_centre: DataCentre) -> bool:
         """Return whether servers there are in this router's own data centre."""
@@ -204,15 +211,17 @@
                     self._learn_failure(service, track)
         self._pause(track)
 
-    def _is_near_and_calm(self, entry: ServerEntry) -> bool:
-        """Return whether a near server has less than this router's share of slots.
+    def _has_room(self, track: ServerTrack, now_ms: float) -> bool:
+        if now_ms < track.paused_until_ms:
+            return False
+        limit = max(1.0, track.limit * self.warmth(track))
+        return track.in_flight < math.floor(limit)
 
-        Beyond it a learned limit allows queueing on the server, which takes longer
-        than the way to another data centre.
-        """
-        track = self.track(entry.service, entry.server)
-        share = max(1.0, self._share(entry.service))
-        return self.is_near(entry.data_centre) and track.in_flight < share
+    def _forget_gone(self, tracks: dict[ServerId, ServerTrack]) -> None:
+        oldest_ms = self._clock() - FORGOTTEN_MS
+        for server, track in list(tracks.items()):
+            if track.listed_ms < oldest_ms and not track.in_flight:
+                del tracks[server]
 
     def _share(self, service: ServiceName) -> float:
         return self._options.services[service].slots / self._options.routers
@@ -223,8 +232,8 @@
         rest = [0.0 if index == first else weights[index] for index in indexes]
         return first, self._rng.choices(indexes, rest)[0]
 
-    def _pressure(self, entry: ServerEntry) -> float:
-        track = self.track(entry.service, entry.server)
+    def _pressure(self, candidate: tuple[ServerEntry, ServerTrack]) -> float:
+        _, track = candidate
         return track.in_flight / self.warmth(track)
 
     def _learn_answer(
