Join wakes of admission

Cause: the request path wakes admission for each changed unit, so a complete assignment of 256 ranges would read the candidates of every waiting request 256 times.

Change: wake schedules one look, at the end of the current step of the event loop.

Conclusion: the owner test fails without the joining and passes with it.

--- a/packages/router/mulberryrelay_router/admission.py
+++ b/packages/router/mulberryrelay_router/admission.py
@@ -198,6 +198,7 @@
         self._drained: frozenset[ServerId] = frozenset()
         self._entries: dict[ServerId, ServerEntry] = {}
         self._arrivals = 0
+        self._is_waking = False
 
     @property
     def balancer(self) -> Balancer:
@@ -241,7 +242,18 @@
         self._dispatch(server.service)
 
     def wake(self) -> None:
-        """Look at waiting requests again, since candidates may have changed."""
+        """Look at waiting requests again soon, since candidates may have changed.
+
+        Calls in a row are joined: a complete assignment changes hundreds of units at
+        once, and each look reads the candidates of every waiting request.
+        """
+        if self._is_waking or all(queue.is_empty for queue in self._queues.values()):
+            return
+        self._is_waking = True
+        asyncio.get_running_loop().call_soon(self._look_again)
+
+    def _look_again(self) -> None:
+        self._is_waking = False
         for service, queue in self._queues.items():
             for waiter in queue.waiters():
                 self._regroup(queue, waiter)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -454,9 +454,15 @@
     assert not admission.balancer.track(SLOTFINDER, owner.server).is_ejected(0.0)
     held = await slot_of(admission, request, [owner])
     current: list[ServerEntry] = [owner]
+    asked = 0
+
+    def owners() -> list[ServerEntry]:
+        nonlocal asked
+        asked += 1
+        return current
+
     waiting = [
-        asyncio.create_task(admission.acquire(request, lambda: current))
-        for _ in range(3)
+        asyncio.create_task(admission.acquire(request, owners)) for _ in range(3)
     ]
     await asyncio.sleep(0)
     free = await slot_of(admission, request, [other])
@@ -469,7 +475,10 @@
     await asyncio.sleep(0.01)
     assert not any(task.done() for task in waiting)
     current = [server("s2", service=SLOTFINDER)]
-    admission.wake()
+    asked = 0
+    for _ in range(100):
+        admission.wake()
     slot = (await waiting[0]).unwrap()
     assert slot.server.server == "s2"
+    assert asked < 10, "a wake for each of many changes stalls the process"
     await cancel(waiting[1:])
