--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -197,7 +197,7 @@
         self._is_sent = True
         headers[DEADLINE_HEADER] = str(left_ms)
 
-    def end(self, is_settled: bool, checks_grants: bool) -> None:
+    def end(self, is_settled: bool, is_fenced: bool) -> None:
         """Call ``on_end``, at once or at the deadline.
 
         A server that checks grants refuses a request that it reads after the unit has
@@ -206,7 +206,7 @@
         """
         if not self._is_sent:
             return
-        if is_settled or checks_grants or self.left_ms <= 0:
+        if is_settled or is_fenced or self.left_ms <= 0:
             self._on_end()
             return
         loop = asyncio.get_running_loop()
@@ -218,7 +218,7 @@
     attempt: Attempt,
     request: CallerRequest,
     target: Target,
-    checks_grants: bool,
+    is_fenced: bool,
     buffer_bytes: int,
 ) -> Answer:
     """Send a request to a server and return the answer with its outcome.
@@ -264,7 +264,7 @@
         return _failure(attempt, 400, "bad-header", str(error))
     finally:
         if not is_streaming:
-            attempt.end(is_settled, checks_grants)
+            attempt.end(is_settled, is_fenced)
 
 
 def failed_answer(
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -261,9 +261,12 @@
     ) -> Answer:
         if target.unit is None:
             target = msgspec.structs.replace(target, server=slot.server)
-        checks_grants = self._options.services[request.service].checks_grants
+        # A service without units has no owners that a late run could overlap.
+        is_fenced = (
+            target.unit is None or self._options.services[request.service].checks_grants
+        )
         deadline_ms = request.deadline_ms
-        if not checks_grants:
+        if not is_fenced:
             # Nothing but the deadline ends a late run on such a server.
             until_ms = self._clock() + self._view.lease_left_ms
             deadline_ms = min(deadline_ms, until_ms)
@@ -287,7 +290,7 @@
             attempt,
             request,
             target,
-            checks_grants,
+            is_fenced,
             self._options.limits.buffered_answer_bytes,
         )
         if not answer.is_sent and not self._is_current(request, target):
