--- a/packages/router/mulberryrelay_router/inflight.py
+++ b/packages/router/mulberryrelay_router/inflight.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._total = 0
+        self._started = 0
         self._units: Counter[tuple[ServiceName, UnitId]] = Counter()
         self._drained: Subject[tuple[ServiceName, UnitId]] = Subject()
 
@@ -22,6 +23,11 @@
         """Number of requests in flight."""
         return self._total
 
+    @property
+    def started(self) -> int:
+        """Number of requests sent since the process started."""
+        return self._started
+
     @property
     def drained(self) -> Observable[tuple[ServiceName, UnitId]]:
         """Emits a unit whenever its last request in flight has ended."""
@@ -38,6 +44,7 @@
     def start(self, service: ServiceName, unit: UnitId | None, key: Key | None) -> None:
         """Count a request directly before it is sent."""
         self._total += 1
+        self._started += 1
         for counted in _units_of(unit, key):
             self._units[service, counted] += 1
 
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -11,6 +11,7 @@
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.platform import Platform
 from mulberryrelay_kernel.registry import load_plugins, plugin
 
 from .bootstrap import load_static_view
@@ -21,7 +22,7 @@
 from .pool import Pools
 from .readiness import Readiness
 from .routing import Router
-from .suspects import LocalLink, Suspects
+from .suspects import LocalLink, PeerLink, Suspects
 from .view import RoutingView
 
 LISTEN_BACKLOG = 1024
@@ -34,6 +35,62 @@
 CLAIMS_TIMEOUT_S = 2.0
 
 
+class RequestPath:
+    """Everything between the callers' listener and the backend servers."""
+
+    def __init__(
+        self,
+        options: Options,
+        view: RoutingView,
+        platform: Platform,
+        link: PeerLink,
+        boot_id: BootId,
+    ) -> None:
+        instance = options.instance.name
+        self._pools = Pools(max(s.connections for s in options.services.values()))
+        self._in_flight = InFlight()
+        self._claims = Claims(platform, instance, monotonic_ms)
+        self._readiness = Readiness(view)
+        router = Router(
+            options,
+            view,
+            self._pools,
+            Metrics(options.tenant),
+            monotonic_ms,
+            self._in_flight,
+            OpenAdmission(options, monotonic_ms),
+            Suspects(link, instance, boot_id),
+            self._claims,
+        )
+        self._handler = caller_handler(
+            options, router.route, self._readiness.is_stopping
+        )
+
+    @property
+    def handler(self) -> Handler:
+        """Handler of the callers' listener."""
+        return self._handler
+
+    @property
+    def in_flight(self) -> InFlight:
+        """Requests sent and not ended."""
+        return self._in_flight
+
+    @property
+    def claims(self) -> Claims:
+        """Idempotency claims of this router."""
+        return self._claims
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether the router takes work."""
+        return self._readiness
+
+    async def close(self) -> None:
+        """Close the connections to backend servers."""
+        await self._pools.close()
+
+
 async def run_instance(options: Options) -> None:
     """Serve callers and peers until SIGTERM or SIGINT, then shut down gracefully."""
     stopping = asyncio.Event()
@@ -47,26 +104,10 @@
         options.platform, instance.name
     )
     view = RoutingView()
-    readiness = Readiness(view)
-    in_flight = InFlight()
-    pools = Pools(max(s.connections for s in options.services.values()))
-    claims = Claims(platform, instance.name, monotonic_ms)
     # The link to the coordinator takes the place of LocalLink.
-    suspects = Suspects(LocalLink(), instance.name, boot_id)
-    router = Router(
-        options,
-        view,
-        pools,
-        Metrics(options.tenant),
-        monotonic_ms,
-        in_flight,
-        OpenAdmission(options, monotonic_ms),
-        suspects,
-        claims,
-    )
+    path = RequestPath(options, view, platform, LocalLink(), boot_id)
     await load_static_view(options, platform, view)
-    handler = caller_handler(options, router.route, readiness.is_stopping)
-    runner, site = await open_listener(options, handler)
+    runner, site = await open_listener(options, path.handler)
     log_event(
         "listening",
         instance=instance.name,
@@ -74,12 +115,12 @@
         caller_port=runner.addresses[0][1],
     )
     await stopping.wait()
-    log_event("stopping", instance=instance.name, in_flight=in_flight.total)
-    readiness.stop()
+    log_event("stopping", instance=instance.name, in_flight=path.in_flight.total)
+    path.readiness.stop()
     await stop_listener(options, runner, site)
-    await drain(options, in_flight, claims)
+    await drain(options, path)
     # Here the peer task hands over the coordinator role or the successor place.
-    await pools.close()
+    await path.close()
     await platform.close()
     log_event("stopped", instance=instance.name)
 
@@ -128,13 +169,13 @@
     await runner.cleanup()
 
 
-async def drain(options: Options, in_flight: InFlight, claims: Claims) -> None:
+async def drain(options: Options, path: RequestPath) -> None:
     """Wait until no attempt can have a later effect and all claims are recorded."""
     give_up_ms = monotonic_ms() + options.timing.lease_ms + options.timing.bridge_ms
-    while in_flight.total and monotonic_ms() < give_up_ms:
+    while path.in_flight.total and monotonic_ms() < give_up_ms:
         await asyncio.sleep(DRAIN_POLL_S)
     try:
         async with asyncio.timeout(CLAIMS_TIMEOUT_S):
-            await claims.drain()
+            await path.claims.drain()
     except TimeoutError:
         log_event("claims_not_recorded")
