Tell a connect timeout from a passed deadline

Cause: aiohttp's timeout while connecting is a TimeoutError too, so a server that accepts nothing was reported as a passed deadline and admission would not have counted a failure. A request with an idempotency key claimed its row even while the router had no routing lease. Change: connection errors are told apart first; without a lease the answer is 'not run' before any claim; changes of the view wake admission; the request path shows its metrics and admission for the administration API.

--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -247,13 +247,12 @@
         is_settled = answer.outcome is not Outcome.UNKNOWN
         is_streaming = answer.stream is not None
         return answer
+    except (aiohttp.ClientConnectionError, aiohttp.ClientPayloadError) as error:
+        # A timeout while connecting is one of these and also a TimeoutError.
+        return _failure(attempt, 502, "connection-lost", repr(error), is_broken=True)
     except TimeoutError:
         return _failure(attempt, 504, "deadline", "the deadline passed", is_late=True)
-    except (
-        aiohttp.ClientConnectionError,
-        aiohttp.ClientPayloadError,
-        OSError,
-    ) as error:
+    except OSError as error:
         return _failure(attempt, 502, "connection-lost", repr(error), is_broken=True)
     except NotSentError as error:
         return _failure(attempt, 503, "not-sent", str(error))
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -51,14 +51,18 @@
         self._in_flight = InFlight()
         self._claims = Claims(platform, instance, monotonic_ms)
         self._readiness = Readiness(view)
+        self._metrics = Metrics(options.tenant)
+        self._admission = OpenAdmission(options, monotonic_ms)
+        view.unit_changes.subscribe(lambda _: self._admission.wake())
+        view.server_changes.subscribe(lambda _: self._admission.wake())
         router = Router(
             options,
             view,
             self._pools,
-            Metrics(options.tenant),
+            self._metrics,
             monotonic_ms,
             self._in_flight,
-            OpenAdmission(options, monotonic_ms),
+            self._admission,
             Suspects(link, instance, boot_id),
             self._claims,
         )
@@ -86,6 +90,16 @@
         """Whether the router takes work."""
         return self._readiness
 
+    @property
+    def admission(self) -> OpenAdmission:
+        """Queues and limits, which take the rules in force."""
+        return self._admission
+
+    @property
+    def metrics(self) -> Metrics:
+        """Latencies and outcomes of this router."""
+        return self._metrics
+
     async def close(self) -> None:
         """Close the connections to backend servers."""
         await self._pools.close()
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -93,6 +93,9 @@
         started_ms = self._clock()
         if request.idempotency_key is None or request.is_idempotent:
             answer = await self._forward(request)
+        elif not self._view.has_lease():
+            # Spares the store a claim that could not be used.
+            answer = _not_run(503, "not-ready", "no routing lease")
         else:
             answer = await self._claims.run(
                 request, request.idempotency_key, self._forward
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import socket
 from typing import Any
 
 import aiohttp
@@ -122,6 +123,14 @@
         server.die()
         reply = await router.send(body=b"pay")
         assert (reply.status, reply.outcome) == (502, "not-run")
+    # A server that accepts nothing, with a full backlog: the connection times out.
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+        server = RawServer(echo)
+        server.port = full.getsockname()[1]
+        with socket.create_connection(full.getsockname()):
+            async with running_router([server.entry()]) as router:
+                reply = await router.send(body=b"pay")
+                assert (reply.status, reply.outcome) == (502, "not-run")
     server = RawServer(echo)
     async with await asyncio.start_server(cut_early, "127.0.0.1", 0) as listener:
         server.port = listener.sockets[0].getsockname()[1]
