--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -18,6 +18,7 @@
 from mulberryrelay_kernel.messages import Address, RulesDocument
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.platform import Platform
 from mulberryrelay_kernel.registry import load_plugins, plugin
 from mulberryrelay_kernel.states import StoreFailure
 
@@ -29,7 +30,7 @@
 from .pool import Pools
 from .readiness import Readiness
 from .routing import Router
-from .suspects import Suspects
+from .suspects import PeerLink, Suspects
 from .view import RoutingView
 
 LISTEN_BACKLOG = 1024
@@ -44,6 +45,155 @@
 CLAIMS_TIMEOUT_S = 2.0
 
 
+class RequestPath:
+    """Everything between the callers' listener and the backend servers."""
+
+    def __init__(
+        self,
+        options: Options,
+        view: RoutingView,
+        platform: Platform,
+        link: PeerLink,
+        boot_id: BootId,
+        in_flight: InFlight | None = None,
+    ) -> None:
+        instance = options.instance.name
+        self._pools = Pools(max(s.connections for s in options.services.values()))
+        self._in_flight = in_flight or InFlight()
+        self._claims = Claims(platform, instance, monotonic_ms)
+        self._readiness = Readiness(view)
+        self._metrics = Metrics(options.tenant)
+        self._admission = OpenAdmission(options, monotonic_ms)
+        view.unit_changes.subscribe(lambda _: self._admission.wake())
+        view.server_changes.subscribe(lambda _: self._admission.wake())
+        router = Router(
+            options,
+            view,
+            self._pools,
+            self._metrics,
+            monotonic_ms,
+            self._in_flight,
+            self._admission,
+            Suspects(link, instance, boot_id),
+            self._claims,
+        )
+        self._handler = caller_handler(
+            options, router.route, self._readiness.is_stopping
+        )
+
+    @property
+    def handler(self) -> Handler:
+        """Handler of the callers' listener."""
+        return self._handler
+
+    @property
+    def in_flight(self) -> InFlight:
+        """Requests sent and not ended."""
+        return self._in_flight
+
+    @property
+    def claims(self) -> Claims:
+        """Idempotency claims of this router."""
+        return self._claims
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether the router takes work."""
+        return self._readiness
+
+    @property
+    def admission(self) -> OpenAdmission:
+        """Queues and limits, which take the rules in force."""
+        return self._admission
+
+    @property
+    def metrics(self) -> Metrics:
+        """Latencies and outcomes of this router."""
+        return self._metrics
+
+    async def close(self) -> None:
+        """Close the connections to backend servers."""
+        await self._pools.close()
+
+
+class ControlPath:
+    """The coordinator lease, the coordinator, and the connections between routers."""
+
+    def __init__(
+        self,
+        options: Options,
+        view: RoutingView,
+        platform: Platform,
+        in_flight: InFlight,
+        boot_id: BootId,
+    ) -> None:
+        instance = options.instance
+        self._server, self._port = open_peer_server(options)
+        me = Address(
+            instance.name, boot_id, instance.data_centre, instance.host, self._port
+        )
+        self._channels = PeerChannels(me)
+        self._orders = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._lease = CoordinatorLease(
+            options,
+            platform,
+            me,
+            self._channels.ask_promise,
+            lambda: self._coordinator.candidates,
+            monotonic_ms,
+        )
+        self._coordinator = Coordinator(
+            options,
+            platform,
+            self._lease,
+            self._orders,
+            no_rules,
+            SuspectRegistry,
+            view.servers,
+        )
+        self._peers = PeerTask(
+            options,
+            me,
+            lambda: self._lease.holder,
+            view,
+            in_flight,
+            self._channels,
+            list,
+            monotonic_ms,
+        )
+        serve_peers(self._server, PeerServicer(me, self._lease, self._coordinator))
+
+    @property
+    def port(self) -> int:
+        """Port for the calls of other routers."""
+        return self._port
+
+    @property
+    def peers(self) -> PeerTask:
+        """The stream to the coordinator."""
+        return self._peers
+
+    async def start(self) -> list[asyncio.Task[None]]:
+        """Serve peers; return the tasks that run as long as the process."""
+        await self._server.start()
+        return [
+            asyncio.create_task(self._lease.run()),
+            asyncio.create_task(self._coordinator.run()),
+            asyncio.create_task(self._peers.run()),
+        ]
+
+    async def leave(self) -> None:
+        """Give up the routing lease, then the coordinator role or successor place."""
+        await self._peers.leave()
+        await self._lease.release()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.stop(grace=None)
+        await self._channels.close()
+        await self._orders.close()
+
+
 async def run_instance(options: Options) -> None:
     """Serve callers and peers until SIGTERM or SIGINT, then shut down gracefully."""
     stopping = asyncio.Event()
@@ -57,79 +207,30 @@
         options.platform, instance.name
     )
     view = RoutingView()
-    readiness = Readiness(view)
     in_flight = InFlight()
-    pools = Pools(max(s.connections for s in options.services.values()))
-    claims = Claims(platform, instance.name, monotonic_ms)
-    peer_server, peer_port = await open_peer_server(options)
-    me = Address(instance.name, boot_id, instance.data_centre, instance.host, peer_port)
-    channels = PeerChannels(me)
-    orders = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-    lease = CoordinatorLease(
-        options,
-        platform,
-        me,
-        channels.ask_promise,
-        lambda: coordinator.candidates,
-        monotonic_ms,
-    )
-    coordinator = Coordinator(
-        options, platform, lease, orders, no_rules, SuspectRegistry, view.servers
-    )
-    peers = PeerTask(
-        options,
-        me,
-        lambda: lease.holder,
-        view,
-        in_flight,
-        channels,
-        list,
-        monotonic_ms,
-    )
-    servicer = PeerServicer(me, lease, coordinator)
-    serve_peers(peer_server, servicer)
-    await peer_server.start()
-    suspects = Suspects(peers, instance.name, boot_id)
-    router = Router(
-        options,
-        view,
-        pools,
-        Metrics(options.tenant),
-        monotonic_ms,
-        in_flight,
-        OpenAdmission(options, monotonic_ms),
-        suspects,
-        claims,
-    )
-    tasks = [
-        asyncio.create_task(lease.run()),
-        asyncio.create_task(coordinator.run()),
-        asyncio.create_task(peers.run()),
-        asyncio.create_task(log_readiness(view, readiness)),
-    ]
-    handler = caller_handler(options, router.route, readiness.is_stopping)
-    runner, site = await open_listener(options, handler)
+    control = ControlPath(options, view, platform, in_flight, boot_id)
+    path = RequestPath(options, view, platform, control.peers, boot_id, in_flight)
+    tasks = await control.start()
+    tasks.append(asyncio.create_task(log_readiness(view, path.readiness)))
+    runner, site = await open_listener(options, path.handler)
     log_event(
         "listening",
         instance=instance.name,
         boot_id=boot_id,
         caller_port=runner.addresses[0][1],
-        peer_port=peer_port,
+        peer_port=control.port,
     )
     await wait_until_stopped(stopping, tasks)
     log_event("stopping", instance=instance.name, in_flight=in_flight.total)
-    readiness.stop()
+    path.readiness.stop()
     await stop_listener(options, runner, site)
-    await drain(options, in_flight, claims)
-    await peers.leave()
-    await lease.release()
+    await drain(options, path)
+    await control.leave()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    await peer_server.stop(grace=None)
-    await channels.close()
-    await orders.close()
-    await pools.close()
+    await control.close()
+    await path.close()
     await platform.close()
     log_event("stopped", instance=instance.name)
 
@@ -208,13 +309,13 @@
     await runner.cleanup()
 
 
-async def drain(options: Options, in_flight: InFlight, claims: Claims) -> None:
+async def drain(options: Options, path: RequestPath) -> None:
     """Wait until no attempt can have a later effect and all claims are recorded."""
     give_up_ms = monotonic_ms() + options.timing.lease_ms + options.timing.bridge_ms
-    while in_flight.total and monotonic_ms() < give_up_ms:
+    while path.in_flight.total and monotonic_ms() < give_up_ms:
         await asyncio.sleep(DRAIN_POLL_S)
     try:
         async with asyncio.timeout(CLAIMS_TIMEOUT_S):
-            await claims.drain()
+            await path.claims.drain()
     except TimeoutError:
         log_event("claims_not_recorded")
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -118,7 +118,7 @@
         return peer_pb2.RulesNoticeReply()
 
 
-async def open_peer_server(options: Options) -> tuple[grpc.aio.Server, int]:
+def open_peer_server(options: Options) -> tuple[grpc.aio.Server, int]:
     """Return a server that was not started, and its port."""
     server = grpc.aio.server(options=SERVER_OPTIONS)
     instance = options.instance
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -26,7 +26,7 @@
     running: Stage, name: str
 ) -> AsyncIterator[tuple[Address, CoordinatorLease]]:
     """Run a coordinator and serve the calls of its peers."""
-    server, port = await open_peer_server(OPTIONS)
+    server, port = open_peer_server(OPTIONS)
     coordinator, lease = running.begin_term(name, port)
     me = address(name, port)
     serve_peers(server, PeerServicer(me, lease, coordinator))
