--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -2,20 +2,22 @@
 
 import asyncio
 import signal
+import uuid
 from collections.abc import Sequence
 
 from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.ids import BootId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.registry import load_plugins, plugin
 
-from .admin import start_admin
-from .callers import caller_handler
-from .claims import Claims
+from .admin import AdminSources, start_admin
+from .controlpath import ControlPath
 from .inflight import InFlight
 from .listener import open_listener, stop_listener
-from .parts import Parts, open_parts
+from .loadcount import LoadCounters
 from .readiness import Readiness
+from .requestpath import RequestPath
 from .view import RoutingView
 
 # Attempts whose outcome stayed unknown may still count as in flight at a server that
@@ -34,50 +36,59 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     load_plugins()
+    boot_id = BootId(uuid.uuid4().hex)
     instance = options.instance
     platform = plugin("platform", options.platform.plugin)(
         options.platform, instance.name
     )
-    parts = await open_parts(options, platform)
-    await parts.peer_server.start()
-    tasks = start_tasks(parts)
-    admin = await start_admin(parts.admin)
-    handler = caller_handler(options, parts.router.route, parts.readiness.is_stopping)
-    runner, site = await open_listener(options, handler)
+    view = RoutingView()
+    in_flight = InFlight()
+    load = LoadCounters(options)
+    view.unit_changes.subscribe(load.note_unit)
+    control = ControlPath(options, view, platform, in_flight, load, boot_id)
+    path = RequestPath(options, view, platform, control.peers, boot_id, in_flight, load)
+    control.rule_changes.subscribe(path.set_rules)
+    tasks = await control.start()
+    tasks.append(asyncio.create_task(log_readiness(view, path.readiness)))
+    admin = await start_admin(
+        AdminSources(
+            options=options,
+            boot_id=boot_id,
+            platform=platform,
+            view=view,
+            metrics=path.metrics,
+            store=control.rule_store,
+            rules=control.rules,
+            routers=control.peers.routers,
+            rules_submitted=control.peers.notify_rules,
+            is_ready=path.readiness.is_ready,
+        )
+    )
+    runner, site = await open_listener(options, path.handler)
     log_event(
         "listening",
         instance=instance.name,
-        boot_id=parts.me.boot_id,
+        boot_id=boot_id,
         caller_port=runner.addresses[0][1],
-        peer_port=parts.me.port,
+        peer_port=control.port,
         admin_port=admin.addresses[0][1],
     )
     await wait_until_stopped(stopping, tasks)
-    log_event("stopping", instance=instance.name, in_flight=parts.in_flight.total)
-    parts.readiness.stop()
+    log_event("stopping", instance=instance.name, in_flight=in_flight.total)
+    path.readiness.stop()
     await stop_listener(options, runner, site)
-    await drain(options, parts.in_flight, parts.claims)
-    await parts.peers.leave()
-    await parts.lease.release()
+    await drain(options, path)
+    await control.leave()
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await admin.cleanup()
-    await close_parts(parts)
+    await control.close()
+    await path.close()
+    await platform.close()
     log_event("stopped", instance=instance.name)
 
 
-def start_tasks(parts: Parts) -> list[asyncio.Task[None]]:
-    """Start the tasks that must run as long as the process."""
-    return [
-        asyncio.create_task(parts.lease.run()),
-        asyncio.create_task(parts.coordinator.run()),
-        asyncio.create_task(parts.peers.run()),
-        asyncio.create_task(parts.rules.run()),
-        asyncio.create_task(log_readiness(parts.view, parts.readiness)),
-    ]
-
-
 async def log_readiness(view: RoutingView, readiness: Readiness) -> None:
     """Log each time that the router becomes ready or stops to be ready."""
     was_ready = False
@@ -103,22 +114,13 @@
             task.result()
 
 
-async def drain(options: Options, in_flight: InFlight, claims: Claims) -> None:
+async def drain(options: Options, path: RequestPath) -> None:
     """Wait until no attempt can have a later effect and all claims are recorded."""
     give_up_ms = monotonic_ms() + options.timing.lease_ms + options.timing.bridge_ms
-    while in_flight.total and monotonic_ms() < give_up_ms:
+    while path.in_flight.total and monotonic_ms() < give_up_ms:
         await asyncio.sleep(DRAIN_POLL_S)
     try:
         async with asyncio.timeout(CLAIMS_TIMEOUT_S):
-            await claims.drain()
+            await path.claims.drain()
     except TimeoutError:
         log_event("claims_not_recorded")
-
-
-async def close_parts(parts: Parts) -> None:
-    """Close all connections."""
-    await parts.peer_server.stop(grace=None)
-    await parts.channels.close()
-    await parts.orders.close()
-    await parts.pools.close()
-    await parts.platform.close()
--- /dev/null
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -0,0 +1,90 @@
+"""Everything between the callers' listener and the backend servers of one process."""
+
+from mulberryrelay_control.rules import ActiveRules
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.ids import BootId
+from mulberryrelay_kernel.metrics import Metrics
+from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.platform import Platform
+
+from .admission import Admission
+from .callers import Handler, caller_handler
+from .claims import Claims
+from .inflight import InFlight
+from .loadcount import LoadCounters
+from .pool import Pools
+from .readiness import Readiness
+from .routing import Router
+from .suspects import PeerLink, Suspects
+from .view import RoutingView
+
+
+class RequestPath:
+    """The parts that a request passes through."""
+
+    def __init__(
+        self,
+        options: Options,
+        view: RoutingView,
+        platform: Platform,
+        link: PeerLink,
+        boot_id: BootId,
+        in_flight: InFlight | None = None,
+        load: LoadCounters | None = None,
+    ) -> None:
+        instance = options.instance.name
+        self._pools = Pools(max(s.connections for s in options.services.values()))
+        self._in_flight = in_flight or InFlight()
+        self._claims = Claims(platform, instance, monotonic_ms)
+        self._readiness = Readiness(view)
+        self._metrics = Metrics(options.tenant)
+        self._admission = Admission(options, monotonic_ms)
+        view.changes.subscribe(lambda _: self._admission.wake())
+        router = Router(
+            options,
+            view,
+            self._pools,
+            self._metrics,
+            monotonic_ms,
+            self._in_flight,
+            self._admission,
+            Suspects(link, instance, boot_id),
+            self._claims,
+            load or LoadCounters(options),
+        )
+        self._handler = caller_handler(
+            options, router.route, self._readiness.is_stopping
+        )
+
+    @property
+    def handler(self) -> Handler:
+        """Handler of the callers' listener."""
+        return self._handler
+
+    @property
+    def in_flight(self) -> InFlight:
+        """Requests sent and not ended."""
+        return self._in_flight
+
+    @property
+    def claims(self) -> Claims:
+        """Idempotency claims of this router."""
+        return self._claims
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether the router takes work."""
+        return self._readiness
+
+    @property
+    def metrics(self) -> Metrics:
+        """Latencies and outcomes of this router."""
+        return self._metrics
+
+    def set_rules(self, rules: ActiveRules) -> None:
+        """Follow these rules from now on."""
+        self._admission.set_rules(rules)
+
+    async def close(self) -> None:
+        """Close the connections to backend servers."""
+        await self._pools.close()
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -104,6 +104,9 @@
             self._load.count(request.service, request.key)
         if request.idempotency_key is None or request.is_idempotent:
             answer = await self._forward(request)
+        elif not self._view.has_lease():
+            # Spares the store a claim that could not be used.
+            answer = _not_run(503, "not-ready", "no routing lease")
         else:
             answer = await self._claims.run(
                 request, request.idempotency_key, self._forward
@@ -274,9 +277,12 @@
     ) -> Answer:
         if target.unit is None:
             target = msgspec.structs.replace(target, server=slot.server)
-        checks_grants = self._options.services[request.service].checks_grants
+        # A service without units has no owners that a late run could overlap.
+        is_fenced = (
+            target.unit is None or self._options.services[request.service].checks_grants
+        )
         deadline_ms = request.deadline_ms
-        if not checks_grants:
+        if not is_fenced:
             # Nothing but the deadline ends a late run on such a server.
             until_ms = self._clock() + self._view.lease_left_ms
             deadline_ms = min(deadline_ms, until_ms)
@@ -300,7 +306,7 @@
             attempt,
             request,
             target,
-            checks_grants,
+            is_fenced,
             self._options.limits.buffered_answer_bytes,
         )
         if not answer.is_sent and not self._is_current(request, target):
