Give the test of refusals a server with the real number of slots

Cause: with 400 slots a server that always sheds is chosen until the retry budget is used up; limits are learned from a server's slots. Change: the test sets slots to 4, as each backend server has. Ruled out: more retries; the budget of a tenth is a requirement.

--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -268,7 +268,8 @@
                 full.entry("full"),
                 leaving.entry("leaving"),
                 good.entry("good"),
-            ]
+            ],
+            slots=4,
         ) as router,
     ):
         router.own("old")
