Remove what nothing reads from the records of servers and routers

Cause: servers' load reports and the routers' applied assignment version were kept and never used; placement must not use load reports, and drained units name their epoch.

--- a/packages/control/mulberryrelay_control/membership.py
+++ b/packages/control/mulberryrelay_control/membership.py
@@ -42,7 +42,6 @@
         self._own_state = ServerState.SERVING
         self._last_reply_ms = now_ms
         self._failures = 0
-        self._load = 0.0
         self._latest_expiry_ms = 0.0
         self._is_reconciled = False
         self._is_dropped = False
@@ -105,11 +104,6 @@
         """Boot id in the last reply; None before the first reply."""
         return self._boot_id
 
-    @property
-    def load(self) -> float:
-        """The server's own report; it may mislead."""
-        return self._load
-
     @property
     def latest_expiry_ms(self) -> float:
         """Latest time at which a grant of this server may expire, on the own clock."""
@@ -166,7 +160,6 @@
             self._is_reconciled = False
         self._boot_id = reply.boot_id
         self._own_state = reply.state
-        self._load = reply.load
         self._last_reply_ms = now_ms
         self._failures = 0
         self._is_lost = False
--- a/packages/control/mulberryrelay_control/sessions.py
+++ b/packages/control/mulberryrelay_control/sessions.py
@@ -6,7 +6,6 @@
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import (
-    AssignmentVersion,
     BootId,
     DataCentre,
     Epoch,
@@ -38,7 +37,6 @@
         self._address = address
         self._latest_expiry_ms = 0.0
         self._drained: set[DrainedUnit] = set()
-        self._assignment_version = AssignmentVersion(0)
         self._rules_version = RulesVersion(0)
         self._counts: list[UnitCount] = []
         self._queue: asyncio.Queue[SyncReply | None] | None = None
@@ -57,11 +55,6 @@
         """Version of the rules that the router has confirmed."""
         return self._rules_version
 
-    @property
-    def assignment_version(self) -> AssignmentVersion:
-        """Version of the assignment that the router has confirmed."""
-        return self._assignment_version
-
     @property
     def is_connected(self) -> bool:
         return self._queue is not None
@@ -106,7 +99,6 @@
             self._counts.extend(request.counts)
         if not is_current_term:
             return
-        self._assignment_version = AssignmentVersion(request.applied_assignment_version)
         for drained in request.drained:
             self._drained.add(
                 DrainedUnit(
