Withdraw claims whose insertion takes effect after an outage

Cause: a claim whose insertion got no reply was withdrawn for eight looks, 3.6 s with a silent store. In a longer outage all looks failed, the row stayed claimed, and every resend of a payment that certainly was not run was answered "unknown" for good.

Ruled out: the handling of resends; the row held the claim id of the first request.

Change: looks that the store does not answer are counted apart, with a pause that grows to 1 s. A refused insertion has no effect and is not looked for. The platform stand-in reads a transaction before it delays it, so that it takes effect although the caller has given up; the delay had dropped such transactions.

Seen failing first: test_outage with `delay_ms` 400 for 5 s, before the change; the payment was still not run 2 s after the store was back, and is run once now.

--- a/packages/router/mulberryrelay_router/claims.py
+++ b/packages/router/mulberryrelay_router/claims.py
@@ -41,8 +41,14 @@
 # Attempts to record an outcome, two minutes, before the row is left claimed.
 FINISH_ATTEMPTS = 480
 FINISH_PAUSE_S = 0.25
-# An insertion that timed out is looked for during two seconds, ten store timeouts.
-WITHDRAW_ATTEMPTS = 8
+# An insertion that timed out is looked for during two seconds, ten store timeouts, in
+# which the store answers.
+WITHDRAW_LOOKS = 8
+# Pause between looks while the store does not answer, at most half of the time in which
+# a key is to be served again.
+WITHDRAW_LAST_PAUSE_S = 1.0
+# Looks without an answer, about five minutes, before the row is left claimed.
+WITHDRAW_FAILURES = 300
 # Rounds of an insertion in which others took some of the rows.
 INSERT_ROUNDS = 5
 # An answer waits this long for its outcome to be recorded, about two store calls.
@@ -75,6 +81,8 @@
     found: ClaimRow | None = None
     """The row of another request that was found instead."""
     version: int = 0
+    is_refused: bool = False
+    """Whether the store refused the insertion, so that it has no effect."""
 
 
 class _Finish(msgspec.Struct, frozen=True):
@@ -181,7 +189,7 @@
         version = 0
         while True:
             inserted = await self._insert(_Insert(claim, version), request.deadline_ms)
-            if inserted is None:
+            if inserted is None or inserted.is_refused:
                 return failed_answer(
                     Outcome.NOT_RUN,
                     503,
@@ -244,9 +252,17 @@
         Its request is never sent. Without this, a resend would be answered "unknown".
         """
         row = msgspec.structs.replace(claim.row, state=ClaimState.NOT_RUN)
-        for _ in range(WITHDRAW_ATTEMPTS):
-            await self._finishes.submit(_Finish(claim, row))
-            await asyncio.sleep(FINISH_PAUSE_S)
+        looks = failures = 0
+        pause_s = FINISH_PAUSE_S
+        while looks < WITHDRAW_LOOKS and failures < WITHDRAW_FAILURES:
+            if await self._finishes.submit(_Finish(claim, row)):
+                looks += 1
+                pause_s = FINISH_PAUSE_S
+            else:
+                # Counted apart: an outage may be longer than all looks together.
+                failures += 1
+                pause_s = min(pause_s * 2, WITHDRAW_LAST_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def _commit_inserts(
         self, inserts: Sequence[_Insert]
@@ -254,14 +270,19 @@
         # One name may occur once per transaction; its repetitions find the first one.
         first = {insert.claim.name: insert for insert in reversed(inserts)}
         rows = await self._try_inserts(list(first.values()))
-        if rows is None:
+        if rows is StoreFailure.UNAVAILABLE:
+            return [_Inserted(False, is_refused=True)] * len(inserts)
+        if isinstance(rows, StoreFailure):
             return [None] * len(inserts)
         return [_inserted(insert, rows.get(insert.claim.name)) for insert in inserts]
 
     async def _try_inserts(
         self, inserts: Sequence[_Insert]
-    ) -> dict[RowName, Row] | None:
-        """Insert what can be inserted; return the rows, or None if they are unknown."""
+    ) -> dict[RowName, Row] | StoreFailure:
+        """Insert what can be inserted; return the rows, or why they are not known.
+
+        ``UNAVAILABLE`` means that nothing was inserted, ``UNKNOWN`` that it may be.
+        """
         names = [insert.claim.name for insert in inserts]
         write_id = WriteId(uuid.uuid4().hex)
         rows: dict[RowName, Row] = {}
@@ -280,22 +301,22 @@
                     rows[insert.claim.name] = Row(insert.claim.name, 0, value, write_id)
                 return rows
             if result.failure() is StoreFailure.UNAVAILABLE:
-                return None
+                return StoreFailure.UNAVAILABLE
             found = await self._platform.read(names)
             if not is_successful(found):
-                return None
+                return StoreFailure.UNKNOWN
             rows = found.unwrap()
             if any(row.write_id == write_id for row in rows.values()):
                 return rows
             if result.failure() is StoreFailure.UNKNOWN:
-                return None
+                return StoreFailure.UNKNOWN
             # A conflict: others hold some of the rows. The rest is tried again.
             pending = [
                 insert
                 for insert in pending
                 if _version_of(rows, insert.claim.name) == insert.version
             ]
-        return None
+        return StoreFailure.UNKNOWN
 
     async def _finish(self, claim: Claim, row: ClaimRow) -> None:
         """Record an outcome; goes on in the background if the store is slow."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,9 +18,11 @@
     INSTANCE_HEADER,
     ReadBody,
     TransactBody,
+    WriteBody,
 )
 from mulberryrelay_control.platform_memory import MemoryPlatform
-from mulberryrelay_kernel.ids import InstanceId
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.ids import InstanceId, RowName
 from mulberryrelay_kernel.messages import ListedInstance
 from mulberryrelay_kernel.states import StoreFailure
 
@@ -44,10 +46,24 @@
     """Number of next matching transactions that take effect without a reply."""
     lose_pattern: str = "*"
     """Pattern of a row name in the transactions whose replies are lost."""
+    keep_list: bool = False
+    """Whether the instance list answers whatever the mode of the store."""
     blocked: list[InstanceId] = []
     """Instances that cannot reach the store."""
 
 
+# Rows whose commits the journal keeps: ownership of units and terms.
+JOURNALLED = ("assignment/", "overrides/", "coordinator/term")
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """A row that was committed, with the time of the machine's monotonic clock."""
+
+    at_ms: float
+    name: RowName
+    value: msgspec.Raw
+
+
 class PlatformStandin:
     """State of the stand-in."""
 
@@ -56,6 +72,7 @@
         self._faults = Faults()
         self._writes = 0
         self._reads = 0
+        self._journal: list[Commit] = []
 
     def application(self) -> web.Application:
         """Return the HTTP application of the stand-in."""
@@ -71,6 +88,7 @@
         add("POST", "/control/instances", self._list_instance)
         add("DELETE", "/control/instances/{name}", self._unlist_instance)
         add("GET", "/control/counts", self._counts)
+        add("GET", "/control/journal", self._list_journal)
         return application
 
     async def _read(self, request: web.Request) -> web.Response:
@@ -86,20 +104,33 @@
         return _reply(await self._platform.scan(request.query["prefix"]))
 
     async def _transact(self, request: web.Request) -> web.Response:
+        # Read before a delay, so that a transaction takes effect although its caller
+        # has given up meanwhile.
+        content = await request.read()
         await self._admit(request)
         self._writes += 1
-        body = msgspec.json.decode(await request.read(), type=TransactBody)
+        body = msgspec.json.decode(content, type=TransactBody)
         result = await self._platform.transact(
             body.conditions,
             [write.to_write() for write in body.writes],
             body.write_id,
         )
+        if is_successful(result):
+            self._note_commits(body.writes)
         names = [write.name for write in body.writes]
         if self._loses_reply(names):
             self._faults.lose_replies -= 1
             _drop_connection(request)
         return _reply(result)
 
+    def _note_commits(self, writes: Sequence[WriteBody]) -> None:
+        now_ms = monotonic_ms()
+        for write in writes:
+            # The value refers to the buffer of the request.
+            value = msgspec.Raw(bytes(write.value))
+            if write.name.startswith(JOURNALLED):
+                self._journal.append(Commit(now_ms, write.name, value))
+
     def _loses_reply(self, names: Sequence[str]) -> bool:
         if not self._faults.lose_replies:
             return False
@@ -120,7 +151,8 @@
         return web.Response(body=found)
 
     async def _instances(self, request: web.Request) -> web.Response:
-        await self._admit(request)
+        if not self._faults.keep_list:
+            await self._admit(request)
         return _reply(await self._platform.instances())
 
     async def _set_faults(self, request: web.Request) -> web.Response:
@@ -139,6 +171,9 @@
     async def _counts(self, request: web.Request) -> web.Response:
         return web.json_response({"reads": self._reads, "writes": self._writes})
 
+    async def _list_journal(self, request: web.Request) -> web.Response:
+        return web.Response(body=msgspec.json.encode(self._journal))
+
     async def _admit(self, request: web.Request) -> None:
         """Apply the faults in force to a call of the store."""
         if self._faults.delay_ms:
