Find the coordinator without the store; withdraw rules that fail to apply

Cause: a router that was started while the store was down knew no coordinator until the store was back. An exception in a subscriber of rule changes ended its subscription and the router with it; where it was caught, the router would have served on under the former rules. `limits` were not checked.

Change: without a routing lease, a router also tries the routers of the new setting `peers` and of the platform's list. One that is not the coordinator refuses the stream. SyncRequest names the tenant, since addresses are reused and another deployment's coordinator must refuse. Followers of rule changes are called through `RouterRules.follow`: after an exception the version counts as not applied, the routing lease is given up, and all followers are called again. `limits` must be positive, ratios from 0 to 1.

Ruled out: asking peers while a routing lease is valid, since a silent peer could delay the return to a new holder.

--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -123,7 +123,8 @@
         """Serve one stream of a router.
 
         Raises:
-            NotCoordinatorError: this router cannot issue routing leases now.
+            NotCoordinatorError: this router cannot issue routing leases now, or not
+                to routers of that tenant.
         """
         tenure = self._ready_tenure()
         async for reply in tenure.sync(requests):
@@ -285,6 +286,9 @@
     ) -> AsyncIterator[SyncReply]:
         """Serve one stream of a router."""
         first = await anext(requests)
+        if first.tenant != self._options.tenant:
+            log_event("router_refused", router=first.instance, tenant=first.tenant)
+            raise NotCoordinatorError
         session = self._sessions.open(first)
         queue = session.connect()
         session.push(self._full_view(first))
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -94,5 +94,8 @@
     timing: TimingOptions = TimingOptions()
     limits: LimitOptions = LimitOptions()
     operators: list[OperatorOptions] = []
+    peers: list[str] = []
+    """Peer ports of routers as ``host:port``, asked for the coordinator when the store
+    does not tell it; none of them needs to run."""
     routers: int = 9
     """Planned number of routers; sets the first share of each server's slots."""
--- a/packages/kernel/mulberryrelay_kernel/settings.py
+++ b/packages/kernel/mulberryrelay_kernel/settings.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from .errors import Finding, FindingsError
-from .options import Options, TimingOptions
+from .options import LimitOptions, Options, TimingOptions
 
 TOP_LEVEL = "settings"
 
@@ -92,6 +92,10 @@
         if not 0 <= service.churn_weight <= 1:
             report(f"{place}.churn_weight", "must be from 0 to 1")
     _check_timing(options.timing, report)
+    _check_limits(options.limits, report)
+    for index, peer in enumerate(options.peers):
+        if split_host_port(peer) is None:
+            report(f"peers[{index}]", "must be host:port")
     names = [operator.name for operator in options.operators]
     credentials = [operator.credential for operator in options.operators]
     for index, operator in enumerate(options.operators):
@@ -105,6 +109,15 @@
     return findings
 
 
+def split_host_port(text: str) -> tuple[str, int] | None:
+    """Return the parts of ``host:port``, or None if it is not of this form."""
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not host or not is_number or not 1 <= int(port) <= 65535:
+        return None
+    return host, int(port)
+
+
 def _is_credential(credential: str) -> bool:
     """Return whether a header field can carry the credential unchanged."""
     return bool(credential) and all("!" <= character <= "~" for character in credential)
@@ -124,6 +137,18 @@
         report("timing.promise_ms", "must be at least lease_ms")
 
 
+def _check_limits(limits: LimitOptions, report: Any) -> None:
+    for field in msgspec.structs.fields(LimitOptions):
+        place = f"limits.{field.name}"
+        value = getattr(limits, field.name)
+        if field.type is not float:
+            if value < 1:
+                report(place, "must be at least 1")
+            continue
+        if not 0 <= value <= 1:
+            report(place, "must be from 0 to 1")
+
+
 def _merge(base: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
     merged = dict(base)
     for name, value in over.items():
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -3,18 +3,18 @@
 import asyncio
 
 import aiohttp
-from reactivex import Observable
 
 from mulberryrelay_control.coordinator import Coordinator
 from mulberryrelay_control.lease import CoordinatorLease
-from mulberryrelay_control.rules import ActiveRules
 from mulberryrelay_control.rulestore import RuleStore
 from mulberryrelay_control.suspects import SuspectRegistry
 from mulberryrelay_kernel.clock import monotonic_ms
-from mulberryrelay_kernel.ids import BootId
+from mulberryrelay_kernel.ids import BootId, DataCentre, InstanceId
 from mulberryrelay_kernel.messages import Address
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.platform import Platform
+from mulberryrelay_kernel.settings import split_host_port
+from mulberryrelay_kernel.states import InstanceKind
 
 from .inflight import InFlight
 from .loadcount import LoadCounters
@@ -23,6 +23,24 @@
 from .view import RoutingView
 
 
+async def find_peers(
+    options: Options, platform: Platform, me: Address
+) -> list[Address]:
+    """Return the other routers of the settings and of the platform's list."""
+    places = [place for peer in options.peers if (place := split_host_port(peer))]
+    listed = await platform.instances()
+    places += [
+        (entry.host, entry.port)
+        for entry in listed.value_or([])
+        if entry.kind is InstanceKind.ROUTER
+    ]
+    return [
+        Address(InstanceId(f"{host}:{port}"), BootId(""), DataCentre(""), host, port)
+        for host, port in dict.fromkeys(places)
+        if (host, port) != (me.host, me.port)
+    ]
+
+
 class ControlPath:
     """The coordinator lease, the coordinator, and the connections between routers."""
 
@@ -73,8 +91,10 @@
             load.take,
             self._rules.apply,
             monotonic_ms,
+            lambda: find_peers(options, platform, me),
         )
-        self._rules.changes.subscribe(lambda _: self._coordinator.replan())
+        self._rules.follow(lambda _: self._coordinator.replan())
+        self._rules.failures.subscribe(lambda _: view.withdraw_rules())
         serve_peers(self._server, PeerServicer(me, self._lease, self._coordinator))
 
     @property
@@ -97,11 +117,6 @@
         """All versions of the rules."""
         return self._rule_store
 
-    @property
-    def rule_changes(self) -> Observable[ActiveRules]:
-        """Emits the active rules whenever they have changed."""
-        return self._rules.changes
-
     async def start(self) -> list[asyncio.Task[None]]:
         """Serve peers; return the tasks that run as long as the process."""
         await self._server.start()
--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -47,7 +47,7 @@
     view.unit_changes.subscribe(load.note_unit)
     control = ControlPath(options, view, platform, in_flight, load, boot_id)
     path = RequestPath(options, view, platform, control.peers, boot_id, in_flight, load)
-    control.rule_changes.subscribe(path.set_rules)
+    control.rules.follow(path.set_rules)
     tasks = await control.start()
     tasks.append(asyncio.create_task(log_readiness(view, path.readiness)))
     admin = await start_admin(
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
 import grpc
@@ -76,6 +76,10 @@
 LEAVE_TIMEOUT_S = 0.5
 
 
+FindPeers = Callable[[], Awaitable[Sequence[Address]]]
+"""Returns routers that may be the coordinator, without their boot ids."""
+
+
 class PeerServicer(peer_pb2_grpc.PeerServicer):
     """Answers the calls of other routers, and the own stream to itself."""
 
@@ -193,7 +197,8 @@
     """The stream to the coordinator; also the ``PeerLink`` of the request path.
 
     ``holder`` returns the holder of the coordinator lease as last read. ``apply_rules``
-    returns whether a version of the rules is in use in this process now.
+    returns whether a version of the rules is in use in this process now. ``find_peers``
+    returns routers to ask while the store does not tell which one is the coordinator.
     """
 
     def __init__(
@@ -207,10 +212,14 @@
         take_counts: Callable[[], Sequence[UnitCount]],
         apply_rules: Callable[[RulesDocument], bool],
         clock: Clock,
+        find_peers: FindPeers | None = None,
     ) -> None:
         self._options = options
         self._me = me
         self._holder = holder
+        self._find_peers = find_peers
+        self._untried: list[Address] = []
+        self._followed: Address | None = None
         self._view = view
         self._in_flight = in_flight
         self._channels = channels
@@ -256,7 +265,7 @@
 
     async def probation(self, request: ProbationRequest) -> ProbationReply | None:
         """Ask for a permit or report a result; None if no reply arrived."""
-        holder = self._holder()
+        holder = self._coordinator()
         if holder is None:
             return None
         try:
@@ -269,7 +278,7 @@
 
     async def notify_rules(self, version: RulesVersion) -> None:
         """Tell the coordinator that a rule file was committed."""
-        holder = self._holder()
+        holder = self._coordinator()
         if holder is None:
             return
         try:
@@ -282,7 +291,7 @@
 
     async def routers(self) -> RouterList | None:
         """Return the routers as the coordinator knows them, or None if unreachable."""
-        holder = self._holder()
+        holder = self._coordinator()
         if holder is None:
             return None
         try:
@@ -306,12 +315,9 @@
         while not self._is_leaving:
             holder = self._holder()
             if holder is not None:
-                reason = await self._follow(holder)
-                if self._is_connected:
-                    log_event(
-                        "coordinator_disconnected", peer=holder.instance, why=reason
-                    )
-                self._is_connected = False
+                await self._try(holder)
+            if not self._view.has_lease() and not self._is_leaving:
+                await self._try_next_peer()
             await asyncio.sleep(RECONNECT_PAUSE_MS / 1000)
 
     async def leave(self) -> None:
@@ -329,6 +335,31 @@
         except (TimeoutError, ConnectionError):
             pass
 
+    def _coordinator(self) -> Address | None:
+        """Return the router that answers as coordinator, or the holder as last read."""
+        return self._followed if self._is_connected else self._holder()
+
+    async def _try(self, address: Address) -> None:
+        """Follow a router for as long as it is the coordinator."""
+        self._followed = address
+        reason = await self._follow(address)
+        if self._is_connected:
+            log_event("coordinator_disconnected", peer=address.instance, why=reason)
+        self._is_connected = False
+
+    async def _try_next_peer(self) -> None:
+        """Try a router that may be the coordinator, since the store tells of none.
+
+        A router that is not the coordinator refuses the stream. One that is issues
+        routing leases under its own lease, whoever asks.
+        """
+        if self._find_peers is None:
+            return
+        if not self._untried:
+            self._untried = list(await self._find_peers())
+        if self._untried:
+            await self._try(self._untried.pop(0))
+
     async def _follow(self, holder: Address) -> str:
         """Run one stream; return why it ended."""
         async with open_channel(holder) as channel:
@@ -351,9 +382,10 @@
                 self._end_stream()
 
     async def _watch_holder(self, holder: Address) -> str:
-        """Return once the lease has another holder."""
+        """Return once another holder of the lease was read than at the beginning."""
         heartbeat_ms = self._options.timing.heartbeat_ms
-        while self._holder() == holder:
+        known = self._holder()
+        while self._holder() in (known, holder):
             is_silent = len(self._started_ms) > 1
             period_ms = HOLDER_PERIOD_MS if is_silent else heartbeat_ms
             await asyncio.sleep(period_ms / 1000)
@@ -415,6 +447,7 @@
             counts=self._due_counts(),
             suspects=list(suspects.values()),
             leaving=self._is_leaving,
+            tenant=self._options.tenant if is_first else "",
         )
 
     def _due_counts(self) -> list[peer_pb2.UnitCount]:
--- a/packages/router/mulberryrelay_router/rules.py
+++ b/packages/router/mulberryrelay_router/rules.py
@@ -42,7 +42,9 @@
         self._rules = RuleSet()
         self._rejected: RulesVersion | None = None
         self._active = ActiveRules()
+        self._is_followed = True
         self._changes: Subject[ActiveRules] = Subject()
+        self._failures: Subject[RulesVersion] = Subject()
 
     @property
     def version(self) -> RulesVersion:
@@ -61,7 +63,7 @@
 
     @property
     def rejected(self) -> RulesVersion | None:
-        """Newer version with findings under this router's settings, or None."""
+        """Version that this router could not apply, or None."""
         return self._rejected
 
     @property
@@ -69,6 +71,28 @@
         """Emits the active rules whenever they have changed."""
         return self._changes
 
+    @property
+    def failures(self) -> Observable[RulesVersion]:
+        """Emits the version in use each time that a follower has failed with it."""
+        return self._failures
+
+    def follow(self, use: Callable[[ActiveRules], None]) -> None:
+        """Call ``use`` whenever the active rules have changed.
+
+        After an exception the version counts as not applied, and all followers are
+        called again at the next check. An exception that reached the subject would end
+        the subscription, and the router would go on under the former rules.
+        """
+
+        def use_or_fail(rules: ActiveRules) -> None:
+            try:
+                use(rules)
+            except Exception as error:
+                self._is_followed = False
+                self._reject(self.version, f"{type(error).__name__}: {error}")
+
+        self._changes.subscribe(use_or_fail)
+
     def active(self) -> ActiveRules:
         """Return the rules that apply now."""
         self._refresh()
@@ -77,7 +101,8 @@
     def apply(self, document: RulesDocument) -> bool:
         """Use a version if it is newer; return whether it is in use now."""
         if document.version <= self.version:
-            return document.version == self.version
+            self._refresh()
+            return document.version == self.version and self._is_followed
         parsed = parse_rules(document.text, f"rules {document.version}", self._options)
         if not is_successful(parsed):
             # Not confirmed: this router must not claim rules that it cannot apply.
@@ -87,9 +112,10 @@
         self._rules = parsed.unwrap()
         if self._rejected is not None and self._rejected <= document.version:
             self._rejected = None
-        log_event("rules_applied", version=document.version)
         self._refresh()
-        return True
+        if self._is_followed:
+            log_event("rules_applied", version=document.version)
+        return self._is_followed
 
     async def run(self) -> None:
         """Emit changes at booked times until cancelled."""
@@ -99,10 +125,15 @@
 
     def _refresh(self) -> None:
         active = self._rules.active(self._now())
-        if active == self._active:
+        if active == self._active and self._is_followed:
             return
         self._active = active
+        self._is_followed = True
         self._changes.on_next(active)
+        if not self._is_followed:
+            self._failures.on_next(self.version)
+        elif self._rejected == self.version:
+            self._rejected = None
 
     def _reject(self, version: RulesVersion, finding: str) -> None:
         if version == self._rejected:
--- a/packages/router/mulberryrelay_router/view.py
+++ b/packages/router/mulberryrelay_router/view.py
@@ -169,6 +169,11 @@
         self._rules_version = version
         self._accept_offer()
 
+    def withdraw_rules(self) -> None:
+        """Give the lease up until rules are applied, since those in use are not."""
+        self._rules_version = RulesVersion(0)
+        self.revoke_lease()
+
     def apply_servers(self, servers: Iterable[ServerEntry]) -> None:
         """Replace the list of backend servers."""
         known = self._servers
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,11 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import msgspec
+
 from mulberryrelay_control.lease import CoordinatorLease
 from mulberryrelay_kernel.clock import monotonic_ms
-from mulberryrelay_kernel.ids import AssignmentVersion, RulesVersion, Term
+from mulberryrelay_kernel.ids import AssignmentVersion, RulesVersion, Tenant, Term
 from mulberryrelay_kernel.messages import Address, Assignment, RulesDocument
 from mulberryrelay_kernel.peerproto.peer_pb2 import ProbationRequest, Suspect
 from mulberryrelay_router.inflight import InFlight
@@ -42,12 +44,13 @@
     name: str,
     holder: Callable[[], Address],
     apply_rules: Callable[[RulesDocument], bool] = lambda document: True,
+    tenant: Tenant = OPTIONS.tenant,
 ) -> tuple[PeerTask, RoutingView]:
     """Run the peer task of a router."""
     view = RoutingView()
     me = address(name)
     task = PeerTask(
-        OPTIONS,
+        msgspec.structs.replace(OPTIONS, tenant=tenant),
         me,
         holder,
         view,
@@ -132,6 +135,22 @@
     asyncio.run(check())
 
 
+def test_router_of_another_tenant_is_refused() -> None:
+    """Guards against a view of foreign servers where an address was used again."""
+
+    async def check() -> None:
+        async with stage() as running, coordinating(running, "e1") as (holder, _):
+            _, own = router(running, "r1", lambda: holder)
+            other = Tenant("wattlebrook")
+            _, foreign = router(running, "r2", lambda: holder, tenant=other)
+            await until_leased(own)
+            await asyncio.sleep(0.2)
+            assert not foreign.has_lease()
+            assert not foreign.assignment.ranges
+
+    asyncio.run(check())
+
+
 def test_lease_counts_only_with_the_versions_that_it_names() -> None:
     """Guards against sending under an older view or older rules than promised."""
     # Each case: term, assignment and rules version of the offer, and whether it counts.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,6 +10,7 @@
 from mulberryrelay_control.rules import (
     MAX_FINDINGS,
     MAX_RULES_BYTES,
+    ActiveRules,
     DrainRule,
     LimitRule,
     OrderRule,
@@ -27,10 +28,19 @@
     Epoch,
     Key,
     RequestClass,
+    RulesVersion,
     ServerId,
     ServiceName,
+    Term,
 )
-from mulberryrelay_kernel.messages import Assignment, ServerEntry, Unit
+from mulberryrelay_kernel.messages import (
+    Assignment,
+    RulesDocument,
+    ServerEntry,
+    Unit,
+)
+from mulberryrelay_router.rules import RouterRules
+from mulberryrelay_router.view import RoutingView
 
 from .fixtures.rules import rule_options, rules_of
 
@@ -191,6 +201,42 @@
     ], moves
 
 
+def test_failing_follower_withdraws_the_rules() -> None:
+    """Guards against a router that ends, or serves on, when a rule has no effect.
+
+    Neither the other followers nor a later attempt may suffer from the exception.
+    """
+    now = NOON - timedelta(seconds=1)
+    rules = RouterRules(rule_options(), lambda: now)
+    view = RoutingView(lambda: 0.0)
+    rules.failures.subscribe(lambda _: view.withdraw_rules())
+    is_broken = True
+    followed: list[ActiveRules] = []
+
+    def fail(_: ActiveRules) -> None:
+        if is_broken:
+            raise ValueError("no such class")
+
+    rules.follow(fail)
+    rules.follow(followed.append)
+    booked = f"drain server s1 from 2026-12-24T12:00:00Z{BY}"
+    document = RulesDocument(RulesVersion(1), booked)
+
+    def heartbeat() -> tuple[bool, bool, RulesVersion | None]:
+        if rules.apply(document):
+            view.apply_rules(document.version)
+        view.offer_lease(100.0, Term(0), AssignmentVersion(0), document.version)
+        return view.has_lease(), bool(followed), rules.rejected
+
+    assert heartbeat() == (True, False, None)
+    now = NOON
+    assert rules.active().drained == {"s1"}
+    assert not view.has_lease()
+    assert heartbeat() == (False, True, 1)
+    is_broken = False
+    assert heartbeat() == (True, True, None)
+
+
 @settings(derandomize=True, max_examples=400, deadline=None)
 @given(st.text(max_size=80) | st.text("pin key slotfinder to server # \t\"\\'\n0Z-"))
 def test_parser_never_raises(text: str) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -25,6 +25,14 @@
         {"timing": {"renew_ms": 400, "promise_ms": 100}},
         ["timing.renew_ms", "timing.promise_ms"],
     ),
+    (
+        {"limits": {"queue_length": 0, "retry_ratio": 1.5, "body_bytes": -1}},
+        ["limits.body_bytes", "limits.queue_length", "limits.retry_ratio"],
+    ),
+    (
+        {"peers": ["10.0.0.1:7001", "10.0.0.1", ":7001", "a:0"]},
+        ["peers[1]", "peers[2]", "peers[3]"],
+    ),
     (
         {"operators": [{"name": "ama", "credential": ""}]},
         ["operators[0].credential"],
