--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -143,9 +143,16 @@
         return process
 
     def start_router(
-        self, name: str, data_centre: str | None = None, wait: bool = True
+        self,
+        name: str,
+        data_centre: str | None = None,
+        wait: bool = True,
+        **settings: Any,
     ) -> Process:
-        """Start a router with the settings of the deployment, and wait until ready."""
+        """Start a router with the settings of the deployment, and wait until ready.
+
+        Further arguments are settings of this router alone.
+        """
         instance = {
             "name": name,
             "data_centre": data_centre or self._settings["data_centres"][0],
@@ -154,6 +161,7 @@
             **self._settings,
             "instance": instance,
             "platform": {"plugin": "http", "url": self._platform.url()},
+            **settings,
         }
         path = Path(self._directory.name) / f"{name}-{self._starts}.jsonc"
         path.write_text(json.dumps(settings))
--- /dev/null
+++ b/tests/record_traces.py
@@ -0,0 +1,196 @@
+"""Records the traces in ``tests/traces/ownership`` again.
+
+Run as ``python -m tests.record_traces``. Runs real processes through losses and moves,
+and keeps what the checker needs. Traces with a seeded fault are made from a recorded
+one.
+"""
+
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .fixtures.cluster import CHECKED, SETTINGS, Cluster, cluster, load
+from .fixtures.traces import Finding, Owned, Run, Trace, check, record, shorten
+
+TRACES = Path(__file__).parent / "traces" / "ownership"
+SERVERS = {"s1": CHECKED, "s2": CHECKED, "p1": "roster"}
+FEW_UNITS: dict[str, Any] = {
+    **SETTINGS,
+    "services": {
+        name: {**service, "ranges": 8} for name, service in SETTINGS["services"].items()
+    },
+}
+
+
+def planned_moves(running: Cluster) -> None:
+    """Drain each server in turn."""
+    for server in ("s1", "s2"):
+        running.set_state(server, "draining")
+        time.sleep(1)
+        running.set_state(server, "serving")
+        time.sleep(0.5)
+
+
+def frozen_server(running: Cluster) -> None:
+    """Stop a server for longer than its grant, and let it go on."""
+    running.servers["s1"].signal(signal.SIGSTOP)
+    time.sleep(2)
+    running.servers["s1"].signal(signal.SIGCONT)
+    time.sleep(1)
+
+
+def lost_coordinator_and_server(running: Cluster) -> None:
+    """Kill the coordinator and a server at once."""
+    running.routers.pop(running.coordinator()).kill()
+    running.servers["s1"].kill()
+    time.sleep(3)
+
+
+def replaced_routers(running: Cluster) -> None:
+    """Replace all routers at once, then move all units."""
+    old = dict(running.routers)
+    running.start_routers(["n1", "n2", "n3"])
+    for name in old:
+        del running.routers[name]
+    for router in old.values():
+        router.signal(signal.SIGTERM)
+    for router in old.values():
+        router.wait()
+    running.set_state("s1", "draining")
+    time.sleep(1.5)
+
+
+SCENARIOS: list[Callable[[Cluster], None]] = [
+    planned_moves,
+    frozen_server,
+    lost_coordinator_and_server,
+    replaced_routers,
+]
+
+
+def main() -> None:
+    """Record every scenario and seed the faults."""
+    TRACES.mkdir(parents=True, exist_ok=True)
+    for scenario in SCENARIOS:
+        with cluster(SERVERS, FEW_UNITS) as running:
+            with load(running, CHECKED, threads=4):
+                time.sleep(0.5)
+                scenario(running)
+            alive = [
+                name
+                for name, service in SERVERS.items()
+                if service == CHECKED and running.servers[name].is_running()
+            ]
+            description = str(scenario.__doc__)
+            trace = shorten(record(running, CHECKED, alive, description))
+        _write(scenario.__name__, trace)
+    seed_faults(_read("planned_moves"))
+
+
+def seed_faults(trace: Trace) -> None:
+    """Write variants of a correct trace, each with one fault."""
+    index = next(
+        place
+        for place, run in enumerate(trace.runs)
+        if any(r.key == run.key and r.server != run.server for r in trace.runs[:place])
+    )
+    run = trace.runs[index]
+    former = next(
+        r
+        for r in reversed(trace.runs[:index])
+        if r.key == run.key and r.server != run.server
+    )
+    before = next(
+        o for o in trace.owners if (o.unit, o.epoch) == (former.unit, former.epoch)
+    )
+    after = next(o for o in trace.owners if (o.unit, o.epoch) == (run.unit, run.epoch))
+    variants: dict[str, tuple[str, list[Finding], dict[str, Any]]] = {
+        "late_run": (
+            "A former owner runs a request after the next owner has begun.",
+            [Finding.OVERLAP, Finding.OUTDATED],
+            {"runs": [*trace.runs, _at(former, run.end_ms + 1, run.end_ms + 2)]},
+        ),
+        "overlap": (
+            "A request at the former owner ends after one at the next has begun.",
+            [Finding.OVERLAP],
+            {"runs": [*trace.runs, _at(former, former.start_ms, run.end_ms)]},
+        ),
+        "early_run": (
+            "The next owner runs a request before its epoch was committed.",
+            [Finding.TOO_EARLY],
+            {
+                "runs": [
+                    *trace.runs,
+                    _at(run, after.at_ms - 0.02, after.at_ms - 0.01),
+                ]
+            },
+        ),
+        "shared_epoch": (
+            "A change of owner keeps the epoch.",
+            [Finding.EPOCH_SHARED],
+            {
+                "owners": [
+                    *trace.owners,
+                    Owned(before.at_ms - 1, before.unit, after.owner, before.epoch),
+                ]
+            },
+        ),
+        "fallen_epoch": (
+            "A commit takes the epoch of a unit back.",
+            [Finding.EPOCH_FELL],
+            {
+                "owners": [
+                    *trace.owners,
+                    Owned(trace.runs[-1].end_ms + 1, run.unit, run.server, 1),
+                ]
+            },
+        ),
+        "wrong_server": (
+            "A server that never owned the epoch runs a request of another one.",
+            [Finding.NOT_OWNER],
+            {"runs": _replaced(trace.runs, index, "s3")},
+        ),
+        "same_term": (
+            "Two routers take over in one term.",
+            [Finding.TERM_FELL],
+            {"terms": [*trace.terms, msgspec.structs.replace(trace.terms[-1])]},
+        ),
+    }
+    for name, (description, findings, changes) in variants.items():
+        _write(
+            f"fault_{name}",
+            msgspec.structs.replace(
+                trace, description=description, findings=findings, **changes
+            ),
+        )
+
+
+def _at(run: Run, start_ms: float, end_ms: float) -> Run:
+    return msgspec.structs.replace(run, start_ms=start_ms, end_ms=end_ms)
+
+
+def _replaced(runs: list[Run], index: int, server: str) -> list[Run]:
+    """Return all executions of one key around a place as of another server."""
+    key = runs[index].key
+    return [
+        msgspec.structs.replace(run, server=server) if run.key == key else run
+        for run in runs
+    ]
+
+
+def _read(name: str) -> Trace:
+    return msgspec.json.decode((TRACES / f"{name}.json").read_bytes(), type=Trace)
+
+
+def _write(name: str, trace: Trace) -> None:
+    encoded = msgspec.json.format(msgspec.json.encode(trace), indent=1)
+    (TRACES / f"{name}.json").write_bytes(encoded + b"\n")
+    print(name, len(trace.owners), len(trace.runs), check(trace))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_rules_live.py
+++ b/tests/test_rules_live.py
@@ -27,6 +27,8 @@
 
 SERVERS = {"s1": CHECKED, "s2-b": CHECKED, "p1": UNCHECKED, "b1": UNKEYED}
 PAYMENT, BOOKING = CLASSES
+# A routing lease lasts at least this long after the last of regular heartbeats.
+LEAST_LEASE_S = 0.5
 
 
 def test_versions_are_in_force_everywhere_and_never_revert() -> None:
@@ -85,16 +87,21 @@
     paused = running.routers[name]
     before = change_to(running, version, name, BOOKING)
     paused.signal(signal.SIGSTOP)
+    paused_s = time.monotonic()
     replies: list[Reply] = []
+    waited: list[float] = []
 
     def ask() -> None:
         replies.append(request(paused, request_class=PAYMENT, deadline_ms=5000))
 
     def submit_then_resume() -> None:
         change_to(running, before, name, PAYMENT)
+        # Reported earlier, it would not be in force at the paused router.
+        waited.append(time.monotonic() - paused_s)
         paused.signal(signal.SIGCONT)
 
     in_threads([(submit_then_resume, ()), *[(ask, ())] * 12])
+    assert waited and waited[0] >= LEAST_LEASE_S, (waited, running.logs())
     check_held_back(replies)
     wait_for_limits(running, [PAYMENT])
     return before + 1
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,25 @@
+"""Replays recorded traces of ownership against the invariants and stated outcomes."""
+
+from pathlib import Path
+
+import msgspec
+
+from .fixtures.traces import Finding, Trace, check
+
+TRACES = Path(__file__).parent / "traces" / "ownership"
+
+
+def test_recorded_traces_have_the_stated_findings() -> None:
+    """Guards against two owners of a key, and against a checker that sees no fault."""
+    seeded: set[Finding] = set()
+    changes = 0
+    for path in sorted(TRACES.glob("*.json")):
+        trace = msgspec.json.decode(path.read_bytes(), type=Trace)
+        assert check(trace) == trace.findings, (path.name, check(trace))
+        is_seeded = path.name.startswith("fault_")
+        assert bool(trace.findings) == is_seeded, path.name
+        seeded.update(trace.findings)
+        assert trace.terms and trace.runs, path.name
+        changes += len({run.server for run in trace.runs}) - 1
+    assert seeded == set(Finding)
+    assert changes >= len(seeded), "traces without a change of owner show nothing"
