--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -49,6 +49,7 @@
 from .sessions import RouterSession, RouterSessions
 
 LoadRules = Callable[[], Awaitable[Result[RulesDocument | None, StoreFailure]]]
+ApplyRules = Callable[[RulesDocument], bool]
 AtStep = Callable[[MoveStep], Awaitable[None]]
 
 # Pause before the store is read again at the beginning of a term.
@@ -82,6 +83,7 @@
         new_suspects: Callable[[], Suspects],
         known_servers: Callable[[], Iterable[ServerEntry]],
         placement_rules: Callable[[], ActiveRules] = ActiveRules,
+        apply_rules: ApplyRules = lambda document: True,
         plan: PlanMoves = plan_moves,
         clock: Clock = monotonic_ms,
         at_step: AtStep | None = None,
@@ -94,6 +96,7 @@
         self._new_suspects = new_suspects
         self._known_servers = known_servers
         self._placement_rules = placement_rules
+        self._apply_rules = apply_rules
         self._plan = plan
         self._clock = clock
         self._at_step = at_step
@@ -171,6 +174,7 @@
             self._load_rules,
             self._new_suspects(),
             self._placement_rules,
+            self._apply_rules,
             self._plan,
             self._clock,
             self._at_step,
@@ -205,6 +209,7 @@
         load_rules: LoadRules,
         suspects: Suspects,
         placement_rules: Callable[[], ActiveRules],
+        apply_rules: ApplyRules,
         plan: PlanMoves,
         clock: Clock,
         at_step: AtStep | None,
@@ -215,6 +220,7 @@
         self._lease = lease
         self._first_change_ms = first_change_ms
         self._load_rules = load_rules
+        self._apply_rules = apply_rules
         self._suspects = suspects
         self._clock = clock
         self._term: Term = lease.term
@@ -360,6 +366,9 @@
             return False
         found = result.unwrap()
         if found is not None and found.version > self._rules.version:
+            # Placement takes the rules of this process, whose own stream may bring them
+            # later than the first plan of the term.
+            self._apply_rules(found)
             self._rules = found
             self._push(rules_text=found.text)
             self._moves.replan()
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -80,6 +80,7 @@
             SuspectRegistry,
             view.servers,
             self._rules.active,
+            self._rules.apply,
         )
         self._peers = PeerTask(
             options,
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -345,6 +345,8 @@
         reason = await self._follow(address)
         if self._is_connected:
             log_event("coordinator_disconnected", peer=address.instance, why=reason)
+            # Addresses that were found before may be of other processes by now.
+            self._untried = []
         self._is_connected = False
 
     async def _try_next_peer(self) -> None:
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -11,6 +11,7 @@
     PlacementPolicy,
     PlacementState,
     PlannedMove,
+    plan_moves,
 )
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.hashing import grants_digest, override_unit, range_index
@@ -33,12 +34,44 @@
 )
 from mulberryrelay_kernel.peerproto.peer_pb2 import SyncReply
 from mulberryrelay_kernel.states import ServerState, UnitState
+from mulberryrelay_router.rules import RouterRules
 from standins.backend import Behaviour
-from tests.fixtures.terms import RANGES, SERVICE, TIMING, FakeRouter, Stage, stage
+from tests.fixtures.terms import (
+    OPTIONS,
+    RANGES,
+    SERVICE,
+    TIMING,
+    FakeRouter,
+    Stage,
+    stage,
+)
 
 DRAINING = Behaviour(state=ServerState.DRAINING)
 
 
+def test_first_plan_of_a_term_follows_the_rules_in_force() -> None:
+    """Guards against pins that a new coordinator undoes before it knows the rules."""
+
+    async def check() -> None:
+        async with stage() as running:
+            line = f"pin key {SERVICE} k to server s1 # requested by Ama Mensah"
+            running.rules = RulesDocument(RulesVersion(1), line)
+            pinned: list[bool] = []
+
+            def plan(
+                state: PlacementState, policy: PlacementPolicy, now_ms: float
+            ) -> list[PlannedMove]:
+                pinned.append("k" in state.services[SERVICE].pins)
+                return plan_moves(state, policy, now_ms)
+
+            # No stream brings the rules to this process.
+            running.begin_term("e1", plan=plan, rules=RouterRules(OPTIONS))
+            await running.wait_for(_all_owned)
+            assert pinned and all(pinned), pinned
+
+    asyncio.run(check())
+
+
 def test_move_survives_the_coordinator_at_each_step() -> None:
     """Guards against units that stay moving, or that two servers hold, afterwards."""
 
--- a/tests/test_rules_live.py
+++ b/tests/test_rules_live.py
@@ -78,12 +78,17 @@
 
 
 def submit_while_router_is_paused(running: Cluster, version: int) -> int:
-    """Change the limited class while a router is stopped, with requests in its socket.
+    """Change the limited class while a router is stopped, then the coordinator."""
+    version = submit_while_paused(running, version, running.others()[0])
+    return submit_while_paused(running, version, running.coordinator())
+
+
+def submit_while_paused(running: Cluster, version: int, name: str) -> int:
+    """Submit while a router is stopped, with requests waiting in its socket.
 
     Its routing lease has expired when it goes on, so it must refuse these requests
     until it has the new version.
     """
-    name = running.others()[0]
     paused = running.routers[name]
     before = change_to(running, version, name, BOOKING)
     paused.signal(signal.SIGSTOP)
@@ -104,6 +109,8 @@
     assert waited and waited[0] >= LEAST_LEASE_S, (waited, running.logs())
     check_held_back(replies)
     wait_for_limits(running, [PAYMENT])
+    # The next loss needs two named successors again.
+    running.wait_until_ready()
     return before + 1
 
 
