Test payments through three real routers while processes are lost

Cause: run counts were checked with two routers and no process was lost. Ruled out: counting from /control/executions, which is lost with a killed server; the stand-in now prints each accepted and finished run. Change: 600 payments (resent at other routers, sent once, without a key) while the coordinator's router and a server are killed, a server is frozen and one sheds.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -2,7 +2,7 @@
 
 Checks grants where it is told to, sheds load above its slots, drains, and counts every
 run, so that tests can see double runs and overlapping owners. Query parameters of a
-request choose its behaviour: ``work_ms`` and ``die``.
+request choose its behaviour: ``work_ms``, and ``die`` with milliseconds until then.
 """
 
 import asyncio
@@ -50,13 +50,19 @@
     """Cut each answer in the middle of its body."""
     foreign: bool = False
     """Answer with the id of another request."""
+    shed_every: int = 0
+    """Refuse one of this many requests as shed; 0 refuses none."""
 
 
 class BackendStandin:
     """State of the stand-in."""
 
-    def __init__(self, server: ServerId, checks_grants: bool) -> None:
+    def __init__(
+        self, server: ServerId, checks_grants: bool, prints_runs: bool = False
+    ) -> None:
         self._server = server
+        self._prints_runs = prints_runs
+        self._arrivals = 0
         self._checks_grants = checks_grants
         self._boot_id = BootId(uuid.uuid4().hex)
         self._behaviour = Behaviour()
@@ -143,12 +149,19 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         if "die" in request.query:
+            self._print("died", body)
+            await asyncio.sleep(float(request.query["die"] or 0) / 1000)
             os._exit(1)
+        self._arrivals += 1
+        every = self._behaviour.shed_every
         reason = self._refusal(request)
         if reason is None and self._in_flight >= SLOTS + QUEUE_LENGTH:
             reason = NotRunReason.SHED
+        if reason is None and every and self._arrivals % every == 0:
+            reason = NotRunReason.SHED
         if reason is not None:
             return self._refuse(request, reason)
+        self._print("accepted", body)
         unit = UnitId(request.headers.get("Mulberry-Unit", ""))
         self._in_flight += 1
         self._running[unit] = self._running.get(unit, 0) + 1
@@ -185,8 +198,15 @@
                 end_ms=monotonic_ms(),
             )
         )
+        self._print("ran", body)
         return await self._answer(request, body)
 
+    def _print(self, event: str, body: bytes) -> None:
+        """Print an event with the digest of a body; the line survives a kill."""
+        if self._prints_runs:
+            digest = hashlib.sha256(body).hexdigest()
+            print(f"event={event} body={digest}", flush=True)
+
     async def _answer(self, request: web.Request, body: bytes) -> web.StreamResponse:
         headers = self._answer_headers(request)
         if self._behaviour.foreign:
@@ -238,9 +258,9 @@
         return web.Response(body=msgspec.json.encode(self._executions))
 
 
-async def serve(server: ServerId, checks_grants: bool) -> None:
+async def serve(server: ServerId, checks_grants: bool, prints_runs: bool) -> None:
     """Serve on a free port and print it."""
-    standin = BackendStandin(server, checks_grants)
+    standin = BackendStandin(server, checks_grants, prints_runs)
     runner = web.AppRunner(standin.application(), access_log=None)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -252,9 +272,10 @@
 @click.command()
 @click.option("--server", required=True)
 @click.option("--checks-grants/--no-checks-grants", default=True)
-def main(server: str, checks_grants: bool) -> None:
+@click.option("--prints-runs", is_flag=True)
+def main(server: str, checks_grants: bool, prints_runs: bool) -> None:
     """Run one backend server stand-in."""
-    asyncio.run(serve(ServerId(server), checks_grants))
+    asyncio.run(serve(ServerId(server), checks_grants, prints_runs))
 
 
 if __name__ == "__main__":
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -127,10 +127,14 @@
         data_centre: str | None = None,
         checks_grants: bool = True,
         listed: bool = True,
+        prints_runs: bool = False,
     ) -> Process:
         """Start a backend server stand-in and list it at the platform."""
-        flag = "--checks-grants" if checks_grants else "--no-checks-grants"
-        process = self._start(name, ["-m", "standins.backend", "--server", name, flag])
+        flags = ["--checks-grants" if checks_grants else "--no-checks-grants"]
+        if prints_runs:
+            flags.append("--prints-runs")
+        command = ["-m", "standins.backend", "--server", name, *flags]
+        process = self._start(name, command)
         if listed:
             self.list_instance(
                 name, "server", process.port(), data_centre, service=service
--- /dev/null
+++ b/tests/test_payments.py
@@ -0,0 +1,107 @@
+"""Payments through real routers run at most once while processes are lost."""
+
+import asyncio
+import hashlib
+import signal
+import sys
+from collections import Counter
+
+import aiohttp
+import msgspec
+
+from standins.deployment import post_json
+
+from .fixtures.cluster import Cluster, printed, till_cluster
+
+PAYMENTS = 600
+# One payment each is sent without a key, and with a key but never again.
+KINDS = ("resent", "resent", "once", "unkeyed")
+ATTEMPTS = 12
+SPREAD_S = 2.5
+
+
+class Paid(msgspec.Struct):
+    """What a caller knows of one payment; an answer that never came is None."""
+
+    kind: str
+    digest: str
+    outcomes: list[str | None]
+
+
+async def _send(session: aiohttp.ClientSession, url: str, body: bytes, key: str) -> str:
+    headers = {"Mulberry-Deadline-Ms": "700"}
+    if key:
+        headers["Idempotency-Key"] = key
+    async with session.post(url, data=body, headers=headers) as response:
+        await response.read()
+        return response.headers["Mulberry-Outcome"]
+
+
+async def _pay(session: aiohttp.ClientSession, urls: list[str], number: int) -> Paid:
+    """Send a payment; send one to be resent at other routers until it may have run."""
+    body = b"payment %d" % number
+    paid = Paid(KINDS[number % len(KINDS)], hashlib.sha256(body).hexdigest(), [])
+    key = "" if paid.kind == "unkeyed" else f"key-{number}"
+    await asyncio.sleep(SPREAD_S * number / PAYMENTS)
+    for attempt in range(ATTEMPTS):
+        outcome = None
+        try:
+            url = urls[(number + attempt) % len(urls)]
+            outcome = await _send(session, url, body, key)
+        except aiohttp.ClientError:
+            pass
+        paid.outcomes.append(outcome)
+        if paid.kind != "resent" or outcome in ("ran", "unknown"):
+            break
+        await asyncio.sleep(0.1)
+    return paid
+
+
+async def _pay_during_losses(running: Cluster) -> list[Paid]:
+    urls = [r.url("caller_port") + "/till/pay" for r in running.routers.values()]
+    coordinator = running.routers[running.coordinator()]
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        calls = [
+            asyncio.create_task(_pay(session, urls, number))
+            for number in range(PAYMENTS)
+        ]
+        await asyncio.sleep(0.5)
+        running.servers["t1"].signal(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+        running.servers["t2"].signal(signal.SIGSTOP)
+        await asyncio.sleep(0.4)
+        coordinator.signal(signal.SIGKILL)
+        await asyncio.sleep(0.6)
+        running.servers["t2"].signal(signal.SIGCONT)
+        return await asyncio.gather(*calls)
+
+
+def test_payments_run_at_most_once_while_processes_are_lost() -> None:
+    """Guards against a doubled or lost payment when routers and servers fail.
+
+    Fails if a lost connection is reported as not run, and if a claim found in state
+    ``claimed`` or ``unknown`` may be claimed again. An unkeyed payment that a server
+    took up twice shows that the system sent it again after it may have run.
+    """
+    with till_cluster(5) as running:
+        work = {"work_ms": 70}
+        for server in running.servers.values():
+            post_json(server.url() + "/control/behaviour", work)
+        shedding = {**work, "shed_every": 2}
+        post_json(running.servers["t3"].url() + "/control/behaviour", shedding)
+        paid = asyncio.run(_pay_during_losses(running))
+        runs, accepted = printed(running, "ran"), printed(running, "accepted")
+    outcomes = Counter(outcome for payment in paid for outcome in payment.outcomes)
+    resends = sum(len(payment.outcomes) > 1 for payment in paid)
+    print(f"payments: {dict(outcomes)}, {resends} resent", file=sys.stderr)
+    assert outcomes["ran"] > PAYMENTS / 2 and outcomes["unknown"], outcomes
+    assert resends and outcomes[None] and outcomes["not-run"], outcomes
+    for payment in paid:
+        last = payment.outcomes[-1]
+        allowed = {"ran": (1,), "not-run": (0,)}.get(last or "", (0, 1))
+        if payment.outcomes[:-1].count(None):
+            # A payment that an earlier router did not answer may have run.
+            allowed = (1,) if last == "ran" else (0, 1)
+        assert runs[payment.digest] in allowed, (payment, runs[payment.digest])
+        assert accepted[payment.digest] <= 1, (payment, accepted[payment.digest])
