Count distinct losses of servers for each suspected poison request

Ruled out: blocking every request that was in flight at two losses, which would block a popular read after the loss of a rack; keeping the connection of a request that was given up, which would suppress its cancellation. Change: a suspect carries the servers (with boot id) that were found dead; two losses that no other suspect explains block it. Suspects that an equal request has shown harmless are not counted. A break in a streamed answer makes a suspect, and its slot of admission is held until its end. Blocks, losses and running permits are told to a new coordinator, which gives no permit for 1 s. Conclusion: three or more equal requests in flight on as many servers at the first loss still lose one server each.

--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -47,6 +47,7 @@
 from .planner import Planner
 from .rules import ActiveRules
 from .sessions import RouterSession, RouterSessions
+from .suspects import Holder
 
 LoadRules = Callable[[], Awaitable[Result[RulesDocument | None, StoreFailure]]]
 AtStep = Callable[[MoveStep], Awaitable[None]]
@@ -63,7 +64,9 @@
 class Suspects(Protocol):
     """What the coordinator uses of ``SuspectRegistry``."""
 
-    def report(self, suspects: Sequence[Suspect]) -> list[Suspect]: ...
+    def report(
+        self, suspects: Sequence[Suspect], holder: Holder, now_ms: float
+    ) -> list[Suspect]: ...
     def permit(self, request: ProbationRequest, now_ms: float) -> ProbationReply: ...
     def known(self) -> list[Suspect]: ...
     def take_changes(self) -> list[Suspect]: ...
@@ -415,7 +418,8 @@
         if request.drained:
             self._moves.wake()
         if request.suspects:
-            self._suspects.report(request.suspects)
+            holder = Holder(request.instance, request.boot_id)
+            self._suspects.report(request.suspects, holder, self._clock())
             # Queued before the reply, which confirms that all routers are told.
             self._publish_suspects()
         reply = SyncReply(sequence=request.sequence)
@@ -500,6 +504,7 @@
                 host=entry.host,
                 port=entry.port,
                 state=entry.state.value,
+                boot_id=entry.boot_id,
             )
             for entry in (s.entry for s in self._membership.servers.values())
         ]
--- a/packages/control/mulberryrelay_control/membership.py
+++ b/packages/control/mulberryrelay_control/membership.py
@@ -58,6 +58,7 @@
             entry.host,
             entry.port,
             self.state,
+            self._boot_id or BootId(""),
         )
 
     @property
--- a/packages/control/mulberryrelay_control/suspects.py
+++ b/packages/control/mulberryrelay_control/suspects.py
@@ -3,9 +3,15 @@
 A request becomes a suspect when a server's connection broke while it ran. A suspect
 runs only under a permit, one at a time per service, until a run ends with an answer
 (cleared) or with the loss of another server (blocked).
+
+Equal requests that ran on two servers before the first loss was reported have lost two
+servers already, so that a third run must not happen. Requests that only ran beside them
+are told apart as far as possible: an equal request was answered before, or another
+request explains the same losses.
 """
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import msgspec
 
@@ -16,43 +22,67 @@
     PROBATION_RESULT_UNSPECIFIED,
     ProbationReply,
     ProbationRequest,
+    ServerDeath,
     Suspect,
 )
 
 # Bounds the memory of the registry. A mass failure of servers makes a suspect of each
 # request in flight, at most a few thousand.
 MAX_SUSPECTS = 4096
+# Bounds the losses kept for one suspect; two decide.
+MAX_DEATHS = 8
 # Time for the result of a run to arrive after the run's own deadline.
 RESULT_GRACE_MS = 1000.0
+# Time for the other requests in flight at a loss to be reported; routers report for at
+# most as long before they answer a caller.
+SETTLE_MS = 200.0
+
+
+class Holder(NamedTuple):
+    """The process of a router."""
+
+    instance: str
+    boot_id: str
 
 
 class _Permit(msgspec.Struct, frozen=True):
     """A run under probation that has not ended."""
 
     fingerprint: Fingerprint
-    instance: str
-    boot_id: str
+    holder: Holder
     until_ms: float
 
     def is_held_by(self, request: ProbationRequest) -> bool:
-        return (self.fingerprint, self.instance, self.boot_id) == (
-            request.fingerprint,
-            request.instance,
-            request.boot_id,
-        )
+        holder = Holder(request.instance, request.boot_id)
+        return (self.fingerprint, self.holder) == (request.fingerprint, holder)
+
+
+class _Entry(msgspec.Struct):
+    """What is known of one suspect."""
+
+    suspect: Suspect
+    is_condemned: bool = False
+    """A server was lost under probation, which no answer to an equal request undoes."""
+    settled_ms: float | None = None
+    """Time from which the losses so far may decide; None until it is asked for."""
 
 
 class SuspectRegistry:
-    """Suspects, and at most one permit per service."""
+    """Suspects, and at most one permit per service.
+
+    No permit is given before ``quiet_until_ms``: routers may still run suspects under
+    permits of a former coordinator that they have not reported yet.
+    """
 
-    def __init__(self) -> None:
-        self._suspects: dict[Fingerprint, Suspect] = {}
+    def __init__(self, quiet_until_ms: float = 0.0) -> None:
+        self._quiet_until_ms = quiet_until_ms
+        self._entries: dict[Fingerprint, _Entry] = {}
         self._permits: dict[ServiceName, _Permit] = {}
         self._changes: list[Suspect] = []
 
     def known(self) -> list[Suspect]:
         """Return all suspects, blocked ones included."""
-        return list(self._suspects.values())
+        return [entry.suspect for entry in self._entries.values()]
 
     def take_changes(self) -> list[Suspect]:
         """Return what has changed since the last call, to be sent to all routers."""
@@ -60,35 +90,65 @@
         self._changes = []
         return changes
 
-    def report(self, suspects: Sequence[Suspect]) -> list[Suspect]:
-        """Record suspects that a router reports; return those that are new."""
-        changed = []
-        for suspect in suspects:
-            if Fingerprint(suspect.fingerprint) in self._suspects:
+    def report(
+        self,
+        suspects: Sequence[Suspect],
+        holder: Holder = Holder("", ""),  # noqa: B008
+        now_ms: float = 0.0,
+    ) -> list[Suspect]:
+        """Record what a router reports of suspects; return those that are new."""
+        new = []
+        for reported in suspects:
+            fingerprint = Fingerprint(reported.fingerprint)
+            entry = self._entries.get(fingerprint)
+            if reported.cleared:
+                if entry is not None and not entry.is_condemned:
+                    self._clear(reported.fingerprint, reported.service)
                 continue
-            changed.append(self._suspect(suspect.fingerprint, suspect.service))
-        return changed
+            if entry is None:
+                entry = self._add(reported.fingerprint, reported.service)
+                new.append(entry.suspect)
+            self._merge(entry, reported)
+            if reported.probation_ms:
+                self._permits.setdefault(
+                    ServiceName(reported.service),
+                    _Permit(
+                        fingerprint,
+                        holder,
+                        now_ms + reported.probation_ms + RESULT_GRACE_MS,
+                    ),
+                )
+        return new
 
     def permit(self, request: ProbationRequest, now_ms: float) -> ProbationReply:
         """Answer a request to run a suspect, or record the result of such a run."""
-        self._end_overdue(ServiceName(request.service), now_ms)
+        service = ServiceName(request.service)
+        self._end_overdue(service, now_ms)
         if request.result != PROBATION_RESULT_UNSPECIFIED:
             return self._record_result(request)
-        service = ServiceName(request.service)
         fingerprint = Fingerprint(request.fingerprint)
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
+        entry = self._entries.get(fingerprint)
+        if entry is None:
             # A new coordinator starts without suspects; the routers keep theirs.
-            suspect = self._suspect(request.fingerprint, request.service)
-        if suspect.blocked:
+            entry = self._add(request.fingerprint, request.service)
+        if entry.suspect.blocked:
             return ProbationReply(blocked=True)
+        if now_ms < self._quiet_until_ms:
+            return ProbationReply()
         permit = self._permits.get(service)
         if permit is not None and not permit.is_held_by(request):
             return ProbationReply()
+        if len(entry.suspect.seen) > 1:
+            if entry.settled_ms is None:
+                entry.settled_ms = now_ms + SETTLE_MS
+            if now_ms < entry.settled_ms:
+                return ProbationReply()
+            if self._alone_explains_two(entry.suspect):
+                self._block(entry)
+                return ProbationReply(blocked=True)
         self._permits[service] = _Permit(
             fingerprint,
-            request.instance,
-            request.boot_id,
+            Holder(request.instance, request.boot_id),
             now_ms + request.deadline_ms + RESULT_GRACE_MS,
         )
         return ProbationReply(permitted=True)
@@ -100,12 +160,13 @@
         if is_current:
             del self._permits[service]
         if request.result == PROBATION_RESULT_SERVER_DIED:
-            self._block(request.fingerprint, request.service)
+            deaths = [request.death] if request.death.server else []
+            self._condemn(request.fingerprint, request.service, deaths)
         elif request.result == PROBATION_RESULT_ANSWERED and is_current:
             self._clear(request.fingerprint, request.service)
-        suspect = self._suspects.get(Fingerprint(request.fingerprint))
+        entry = self._entries.get(Fingerprint(request.fingerprint))
         return ProbationReply(
-            blocked=suspect is not None and suspect.blocked, cleared=suspect is None
+            blocked=entry is not None and entry.suspect.blocked, cleared=entry is None
         )
 
     def _end_overdue(self, service: ServiceName, now_ms: float) -> None:
@@ -118,34 +179,91 @@
         if permit is None or now_ms < permit.until_ms:
             return
         del self._permits[service]
-        self._block(permit.fingerprint, service)
+        self._condemn(permit.fingerprint, service, [])
 
-    def _suspect(self, fingerprint: str, service: str) -> Suspect:
-        suspect = Suspect(fingerprint=fingerprint, service=service, deaths=1)
-        self._store(suspect)
-        return suspect
-
-    def _block(self, fingerprint: str, service: str) -> None:
-        self._store(
-            Suspect(fingerprint=fingerprint, service=service, deaths=2, blocked=True)
+    def _alone_explains_two(self, suspect: Suspect) -> bool:
+        """Return whether two losses have no other possible cause among the suspects."""
+        if suspect.answered:
+            return False
+        others = [
+            entry.suspect
+            for entry in self._entries.values()
+            if entry.suspect.fingerprint != suspect.fingerprint
+        ]
+        explained = [d for other in others if other.blocked for d in other.seen]
+        deaths = [death for death in suspect.seen if not _is_among(death, explained)]
+        if len(deaths) < 2:
+            return False
+        return not any(
+            not other.answered
+            and sum(_is_among(death, other.seen) for death in deaths) > 1
+            for other in others
         )
 
+    def _merge(self, entry: _Entry, reported: Suspect) -> None:
+        """Add what a report knows; a blocked suspect stays blocked."""
+        before = entry.suspect
+        merged = Suspect()
+        merged.CopyFrom(before)
+        for death in reported.seen:
+            if len(merged.seen) < MAX_DEATHS and not _is_among(death, merged.seen):
+                merged.seen.append(death)
+        merged.deaths = max(1, reported.deaths, before.deaths, len(merged.seen))
+        merged.answered = before.answered or reported.answered
+        merged.blocked = before.blocked or reported.blocked
+        if reported.blocked:
+            entry.is_condemned = True
+        if len(merged.seen) != len(before.seen):
+            entry.settled_ms = None
+        if merged != before:
+            self._store(entry, merged)
+
+    def _condemn(
+        self, fingerprint: str, service: str, deaths: Sequence[ServerDeath]
+    ) -> None:
+        entry = self._entries.get(Fingerprint(fingerprint))
+        if entry is None:
+            entry = self._add(fingerprint, service)
+        self._merge(entry, Suspect(deaths=2, seen=deaths, blocked=True))
+
+    def _block(self, entry: _Entry) -> None:
+        blocked = Suspect()
+        blocked.CopyFrom(entry.suspect)
+        blocked.blocked = True
+        self._store(entry, blocked)
+
     def _clear(self, fingerprint: str, service: str) -> None:
-        self._suspects.pop(Fingerprint(fingerprint), None)
+        self._entries.pop(Fingerprint(fingerprint), None)
         self._changes.append(
             Suspect(fingerprint=fingerprint, service=service, cleared=True)
         )
 
-    def _store(self, suspect: Suspect) -> None:
-        self._suspects[Fingerprint(suspect.fingerprint)] = suspect
+    def _add(self, fingerprint: str, service: str) -> _Entry:
+        suspect = Suspect(fingerprint=fingerprint, service=service, deaths=1)
+        entry = _Entry(suspect)
+        self._entries[Fingerprint(fingerprint)] = entry
         self._changes.append(suspect)
-        if len(self._suspects) > MAX_SUSPECTS:
+        if len(self._entries) > MAX_SUSPECTS:
             self._evict()
+        return entry
+
+    def _store(self, entry: _Entry, suspect: Suspect) -> None:
+        entry.suspect = suspect
+        self._changes.append(suspect)
 
     def _evict(self) -> None:
         """Forget the oldest suspect, blocked ones last."""
-        for fingerprint, suspect in self._suspects.items():
-            if not suspect.blocked:
-                del self._suspects[fingerprint]
+        for fingerprint, entry in self._entries.items():
+            if not entry.suspect.blocked:
+                del self._entries[fingerprint]
                 return
-        del self._suspects[next(iter(self._suspects))]
+        del self._entries[next(iter(self._entries))]
+
+
+def _is_among(death: ServerDeath, deaths: Sequence[ServerDeath]) -> bool:
+    """Return whether a loss is known; an unknown boot id stands for any."""
+    return any(
+        known.server == death.server
+        and (not known.boot_id or not death.boot_id or known.boot_id == death.boot_id)
+        for known in deaths
+    )
--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -135,6 +135,8 @@
     host: str
     port: int
     state: ServerState = ServerState.SERVING
+    boot_id: BootId = BootId("")
+    """Incarnation of the server; empty until it has answered the coordinator."""
 
 
 class UnitUpdate(msgspec.Struct, frozen=True):
--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -297,15 +297,15 @@
 ) -> web.StreamResponse:
     """Pass a long answer on; a broken one ends the caller's connection by a reset."""
     assert answer.stream is not None
-    answer.headers[REQUEST_ID_HEADER] = caller_request.request_id
-    answer.headers[OUTCOME_HEADER] = answer.outcome.value
-    response = web.StreamResponse(status=answer.status, headers=answer.headers)
-    if CONTENT_LENGTH_HEADER not in answer.headers:
-        response.enable_chunked_encoding()
-    if is_stopping():
-        response.force_close()
     left_ms = caller_request.deadline_ms - monotonic_ms()
     try:
+        answer.headers[REQUEST_ID_HEADER] = caller_request.request_id
+        answer.headers[OUTCOME_HEADER] = answer.outcome.value
+        response = web.StreamResponse(status=answer.status, headers=answer.headers)
+        if CONTENT_LENGTH_HEADER not in answer.headers:
+            response.enable_chunked_encoding()
+        if is_stopping():
+            response.force_close()
         async with asyncio.timeout(left_ms / 1000):
             await response.prepare(request)
             if answer.body:
--- a/packages/router/mulberryrelay_router/claims.py
+++ b/packages/router/mulberryrelay_router/claims.py
@@ -156,7 +156,12 @@
             answer = await forward(request)
         finally:
             # Without an answer the caller has left, and the request may have run.
-            await self._finish(claim, _final_row(claim.row, answer))
+            try:
+                await self._finish(claim, _final_row(claim.row, answer))
+            except asyncio.CancelledError:
+                if answer is not None and answer.stream is not None:
+                    answer.stream.close()
+                raise
         return answer
 
     async def drain(self) -> None:
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -22,6 +22,10 @@
 from .rules import RouterRules
 from .view import RoutingView
 
+# Time for routers to report their runs under probation to a new coordinator: by then
+# the routing lease of one that has not reached it has expired.
+PROBATION_QUIET_MS = 1000.0
+
 
 class ControlPath:
     """The coordinator lease, the coordinator, and the connections between routers."""
@@ -59,7 +63,7 @@
             self._lease,
             self._orders,
             self._rule_store.load,
-            SuspectRegistry,
+            lambda: SuspectRegistry(monotonic_ms() + PROBATION_QUIET_MS),
             view.servers,
             self._rules.active,
         )
--- a/packages/router/mulberryrelay_router/forward.py
+++ b/packages/router/mulberryrelay_router/forward.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import msgspec
@@ -123,8 +123,28 @@
         self, response: aiohttp.ClientResponse, on_close: Callable[[], None]
     ) -> None:
         self._response = response
-        self._on_close = on_close
+        self._on_close = [on_close]
+        self._on_break: Callable[[], Awaitable[None]] | None = None
         self._is_closed = False
+        self._is_broken = False
+        self._closed = asyncio.Event()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer has arrived."""
+        return self._response.content.is_eof() and not self._is_broken
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the server's connection broke before the end."""
+        return self._is_broken
+
+    def watch(
+        self, on_close: Callable[[], None], on_break: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Add what is called at the end, and before a break is passed on."""
+        self._on_close.append(on_close)
+        self._on_break = on_break
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the rest of the body.
@@ -133,7 +153,16 @@
             aiohttp.ClientError: the connection broke before the end.
             TimeoutError: the deadline of the attempt passed.
         """
-        while chunk := await self._response.content.readany():
+        while True:
+            try:
+                chunk = await self._response.content.readany()
+            except (aiohttp.ClientError, ConnectionError):
+                self._is_broken = True
+                if self._on_break is not None:
+                    await self._on_break()
+                raise
+            if not chunk:
+                return
             yield chunk
 
     def close(self) -> None:
@@ -144,7 +173,13 @@
         if not self._response.content.is_eof():
             self._response.close()
         self._response.release()
-        self._on_close()
+        self._closed.set()
+        for on_close in self._on_close:
+            on_close()
+
+    async def wait_closed(self) -> None:
+        """Wait until the answer has ended or was given up."""
+        await self._closed.wait()
 
 
 class Attempt:
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -18,6 +18,7 @@
 from mulberryrelay_kernel.hashing import OVERRIDE_PREFIX, is_override
 from mulberryrelay_kernel.ids import (
     AssignmentVersion,
+    BootId,
     DataCentre,
     Epoch,
     InstanceId,
@@ -52,6 +53,7 @@
 from mulberryrelay_kernel.states import ServerState, UnitState
 
 from .inflight import InFlight
+from .suspects import SuspectList
 from .view import RoutingView
 
 CHANNEL_OPTIONS = [
@@ -221,8 +223,9 @@
         self._waiters: dict[int, asyncio.Future[None]] = {}
         self._moving: dict[tuple[ServiceName, UnitId], Epoch] = {}
         self._drained: list[peer_pb2.UnitRef] = []
-        self._reports: dict[str, Suspect] = {}
-        self._suspects: dict[str, Suspect] = {}
+        self._reports: list[Suspect] = []
+        self._suspects = SuspectList()
+        self._probations: dict[str, float] = {}
         self._counted_ms = clock()
         self._apply_document = apply_rules
         self._woken = asyncio.Event()
@@ -241,7 +244,7 @@
         self, suspects: Sequence[Suspect], timeout_ms: float
     ) -> bool:
         """Report suspects; return whether the coordinator confirmed in time."""
-        self._reports.update({suspect.fingerprint: suspect for suspect in suspects})
+        self._reports += suspects
         sequence = self._sequence + 1
         confirmed = self._waiters.setdefault(
             sequence, asyncio.get_running_loop().create_future()
@@ -259,12 +262,14 @@
         holder = self._holder()
         if holder is None:
             return None
+        started_ms = self._clock()
         try:
             reply: ProbationReply = await self._channels.stub(holder).Probation(
                 request, timeout=CALL_TIMEOUT_S
             )
         except grpc.aio.AioRpcError:
             return None
+        self._note_probation(request, reply, started_ms)
         return reply
 
     async def notify_rules(self, version: RulesVersion) -> None:
@@ -398,9 +403,13 @@
     def _next_request(self, is_first: bool) -> SyncRequest:
         self._sequence += 1
         drained, self._drained = self._drained, []
-        reports, self._reports = self._reports, {}
-        # A new coordinator knows no suspects yet.
-        suspects = {**self._suspects, **reports} if is_first else reports
+        suspects, self._reports = self._reports, []
+        if is_first:
+            # A new coordinator knows no suspects yet. Reports whose confirmation was
+            # lost with the former one are among those known here.
+            suspects = self._known_suspects() + suspects
+        for suspect in suspects:
+            self._suspects.note(suspect)
         return SyncRequest(
             instance=self._me.instance,
             boot_id=self._me.boot_id,
@@ -413,7 +422,7 @@
             applied_rules_version=self._view.rules_version,
             drained=drained,
             counts=self._due_counts(),
-            suspects=list(suspects.values()),
+            suspects=suspects,
             leaving=self._is_leaving,
         )
 
@@ -506,12 +515,31 @@
         self._waiters.clear()
 
     def _note_suspect(self, suspect: Suspect) -> None:
-        if suspect.cleared:
-            self._suspects.pop(suspect.fingerprint, None)
-        else:
-            self._suspects[suspect.fingerprint] = suspect
+        self._suspects.note(suspect)
         self._suspect_updates.on_next(suspect)
 
+    def _known_suspects(self) -> list[Suspect]:
+        """Return all suspects, with the time left of runs under probation."""
+        now_ms = self._clock()
+        found = []
+        for known in self._suspects.known():
+            suspect = Suspect()
+            suspect.CopyFrom(known)
+            until_ms = self._probations.get(suspect.fingerprint, now_ms)
+            suspect.probation_ms = max(0, int(until_ms - now_ms))
+            found.append(suspect)
+        return found
+
+    def _note_probation(
+        self, request: ProbationRequest, reply: ProbationReply, started_ms: float
+    ) -> None:
+        """Remember the permit for as long as its run may last."""
+        if reply.permitted:
+            until_ms = started_ms + request.deadline_ms
+            self._probations[request.fingerprint] = until_ms
+        elif request.result != peer_pb2.PROBATION_RESULT_UNSPECIFIED:
+            self._probations.pop(request.fingerprint, None)
+
     def _note_units(self, updates: Sequence[UnitUpdate], is_full: bool) -> None:
         """Confirm moving units that are drained already, and remember the others."""
         if is_full:
@@ -540,6 +568,7 @@
         server.host,
         server.port,
         ServerState(server.state),
+        BootId(server.boot_id),
     )
 
 
--- a/packages/router/mulberryrelay_router/requestpath.py
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -40,7 +40,7 @@
         self._metrics = Metrics(options.tenant)
         self._admission = Admission(options, monotonic_ms)
         view.changes.subscribe(lambda _: self._admission.wake())
-        router = Router(
+        self._router = Router(
             options,
             view,
             self._pools,
@@ -53,7 +53,7 @@
             load or LoadCounters(options),
         )
         self._handler = caller_handler(
-            options, router.route, self._readiness.is_stopping
+            options, self._router.route, self._readiness.is_stopping
         )
 
     @property
@@ -86,5 +86,6 @@
         self._admission.set_rules(rules)
 
     async def close(self) -> None:
-        """Close the connections to backend servers."""
+        """End background work and close the connections to backend servers."""
+        await self._router.close()
         await self._pools.close()
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from math import inf
 
 import msgspec
@@ -29,10 +30,12 @@
 from .admission import Admission, Refusal, RefusalReason, Slot
 from .balance import Observation
 from .claims import Claims
+from .deaths import WATCH_MS, DeathWatch, death_of, has_died
 from .forward import (
     OWNER_HEADER,
     SERVER_STATE_HEADER,
     Answer,
+    AnswerStream,
     Attempt,
     CallerRequest,
     Target,
@@ -96,6 +99,11 @@
         self._waiting: Counter[ServiceName] = Counter()
         self._draining_until_ms: dict[ServerId, float] = {}
         self._probations: set[asyncio.Task[Answer]] = set()
+        self._watch = DeathWatch(clock, view.server, suspects.report)
+
+    async def close(self) -> None:
+        """End what goes on after the answers."""
+        await self._watch.close()
 
     async def route(self, request: CallerRequest) -> Answer:
         """Return the answer to a request; failures are answers too."""
@@ -137,9 +145,9 @@
                 return _combine(found, is_uncertain)
             last = answer = await self._attempt(request, found, refused_by)
             if answer.outcome is Outcome.RAN:
+                if answer.stream is None:
+                    self._suspects.note_answered(request)
                 return answer
-            if answer.is_broken:
-                await self._suspects.report(request)
             if answer.outcome is Outcome.UNKNOWN:
                 is_uncertain = True
                 if not request.is_idempotent:
@@ -148,7 +156,7 @@
                 continue
             if _is_final(answer):
                 return _combine(answer, is_uncertain)
-            if not _waits_for_owner(found, answer):
+            if not _costs_servers_little(answer):
                 attempts += 1
                 if attempts >= MAX_ATTEMPTS:
                     return _combine(answer, is_uncertain)
@@ -259,13 +267,20 @@
             return _refused(acquired.failure())
         slot = acquired.unwrap()
         started_ms = self._clock()
+
+        def release(observation: Observation) -> None:
+            self._admission.release(slot, observation, self._clock() - started_ms)
+
         answer = None
         try:
             answer = await self._send(request, target, slot, is_probation)
         finally:
-            self._admission.release(
-                slot, _observation(answer), self._clock() - started_ms
-            )
+            if answer is None or answer.stream is None:
+                release(_observation(answer))
+        if answer.stream is not None:
+            self._watch_stream(request, slot, answer.stream, release, is_probation)
+        if answer.is_broken and not is_probation:
+            await self._report_break(request, slot.server)
         if answer.headers.get(SERVER_STATE_HEADER) == ServerState.DRAINING.value:
             until_ms = self._clock() + DRAINING_MS
             self._draining_until_ms[slot.server.server] = until_ms
@@ -301,18 +316,58 @@
             before_send,
             lambda: self._in_flight.end(request.service, target.unit, request.key),
         )
-        answer = await send_attempt(
-            self._pools.fresh if is_probation else self._pools.kept,
-            attempt,
-            request,
-            target,
-            is_fenced,
-            self._options.limits.buffered_answer_bytes,
-        )
+        answer = None
+        try:
+            answer = await send_attempt(
+                self._pools.fresh if is_probation else self._pools.kept,
+                attempt,
+                request,
+                target,
+                is_fenced,
+                self._options.limits.buffered_answer_bytes,
+            )
+        finally:
+            is_given_up = answer is None or answer.is_late
+            if is_given_up and attempt.is_sent and not is_probation:
+                self._watch.note(self._suspects.describe(request), target.server)
         if not answer.is_sent and not self._is_current(request, target):
             return _not_run(503, "view-changed", "ownership changed before the send")
         return answer
 
+    def _watch_stream(
+        self,
+        request: CallerRequest,
+        slot: Slot,
+        stream: AnswerStream,
+        release: Callable[[Observation], None],
+        is_probation: bool,
+    ) -> None:
+        """Hold the slot until the end of a streamed answer, and notice its break."""
+
+        def on_close() -> None:
+            release(Observation.FAILED if stream.is_broken else Observation.ANSWERED)
+            if is_probation:
+                return
+            if stream.is_complete:
+                self._suspects.note_answered(request)
+            elif not stream.is_broken:
+                self._watch.note(self._suspects.describe(request), slot.server)
+
+        async def on_break() -> None:
+            if not is_probation:
+                await self._report_break(request, slot.server)
+
+        stream.watch(on_close, on_break)
+
+    async def _report_break(self, request: CallerRequest, server: ServerEntry) -> None:
+        """Make a suspect of a request whose server's connection broke.
+
+        Only a death counts towards a block: a server may close a connection for other
+        reasons.
+        """
+        deaths = [death_of(server)] if await has_died(server) else []
+        await self._suspects.report([self._suspects.describe(request, deaths)])
+
     def _is_current(self, request: CallerRequest, target: Target) -> bool:
         """Return whether the view still has the target own the request's unit."""
         if target.unit is None:
@@ -336,12 +391,34 @@
         """
         if suspect.blocked:
             return _blocked()
-        task = asyncio.create_task(self._run_probation(request))
+        answered = asyncio.get_running_loop().create_future()
+
+        def on_done(task: asyncio.Task[Answer]) -> None:
+            self._probations.discard(task)
+            if answered.done() or task.cancelled():
+                return
+            error = task.exception()
+            if error is None:
+                answered.set_result(task.result())
+            else:
+                answered.set_exception(error)
+
+        task = asyncio.create_task(self._run_probation(request, answered))
         self._probations.add(task)
-        task.add_done_callback(self._probations.discard)
-        return await asyncio.shield(task)
+        task.add_done_callback(on_done)
+        try:
+            return await asyncio.shield(answered)
+        except asyncio.CancelledError:
+            answered.add_done_callback(_close_stream)
+            raise
+
+    async def _run_probation(
+        self, request: CallerRequest, answered: "asyncio.Future[Answer]"
+    ) -> Answer:
+        """Run a suspect once it is permitted.
 
-    async def _run_probation(self, request: CallerRequest) -> Answer:
+        ``answered`` gets the answer if the caller has it before the run has ended.
+        """
         lock = self._suspects.lock(request.service)
         attempts = 0
         refused_by: set[ServerId] = set()
@@ -359,7 +436,7 @@
             try:
                 if self._suspects.find(request) is not suspect:
                     continue
-                answer = await self._try_probation(request, refused_by)
+                answer = await self._try_probation(request, refused_by, answered)
             finally:
                 lock.release()
             if answer is not None:
@@ -374,24 +451,53 @@
         return last
 
     async def _try_probation(
-        self, request: CallerRequest, refused_by: set[ServerId]
+        self,
+        request: CallerRequest,
+        refused_by: set[ServerId],
+        answered: "asyncio.Future[Answer]",
     ) -> Answer | None:
         """Ask for a permit and run the request; None if it was not permitted."""
-        left_ms = request.deadline_ms - self._clock()
-        reply = await self._suspects.ask_permit(request, left_ms)
+        # A server may die of the run after its deadline.
+        permit_ms = max(request.deadline_ms - self._clock(), 0) + WATCH_MS
+        reply = await self._suspects.ask_permit(request, permit_ms)
         if reply is None or not reply.permitted:
             return None
         answer = None
+        result = PROBATION_RESULT_NOT_SENT
+        death = None
         try:
             target = self._target(request, refused_by)
             if target is not None and self._view.has_lease():
                 answer = await self._attempt(request, target, refused_by, True)
+                owner = ServerId(answer.headers.get(OWNER_HEADER, ""))
+                server = self._view.server(owner)
+                if _may_go_on(answer):
+                    answered.set_result(answer)
+                result = await self._probation_result(answer, server)
+                if result == PROBATION_RESULT_SERVER_DIED and server is not None:
+                    death = death_of(server)
         finally:
-            await self._suspects.record_result(
-                request, _probation_result(answer), max(left_ms, 0)
-            )
+            await self._suspects.record_result(request, result, death, permit_ms)
         return answer
 
+    async def _probation_result(
+        self, answer: Answer, server: ServerEntry | None
+    ) -> ProbationResult:
+        """Return the result of a run; waits until the run can have no other."""
+        is_broken = answer.is_broken
+        is_given_up = answer.is_late and answer.is_sent
+        if answer.stream is not None:
+            await answer.stream.wait_closed()
+            is_broken = answer.stream.is_broken
+            is_given_up = not is_broken and not answer.stream.is_complete
+        if is_given_up and server is not None:
+            is_broken = await self._watch.dies_within(server, WATCH_MS)
+        if is_broken:
+            return PROBATION_RESULT_SERVER_DIED
+        if answer.outcome is Outcome.RAN and not is_given_up:
+            return PROBATION_RESULT_ANSWERED
+        return PROBATION_RESULT_NOT_SENT
+
 
 async def _acquire(lock: asyncio.Lock, timeout_ms: float) -> bool:
     """Acquire a lock; return False after the timeout."""
@@ -409,15 +515,17 @@
     return answer.status == 400 or answer.error in REFUSAL_ERRORS
 
 
-def _waits_for_owner(target: Target, answer: Answer) -> bool:
+def _costs_servers_little(answer: Answer) -> bool:
     """Return whether another attempt costs the servers next to nothing.
 
     An owner that refuses or cannot be reached is about to be replaced, and a key has no
-    other server. Such attempts are outside the retry budget.
+    other server. Without units, each server that cannot be reached is tried once: a new
+    coordinator may publish several that were lost. Such attempts are outside the retry
+    budget.
     """
     if answer.reason in OWNERSHIP_REFUSALS:
         return True
-    return target.unit is not None and not answer.is_sent and answer.reason is None
+    return not answer.is_sent and answer.reason is None
 
 
 def _costs_a_retry(answer: Answer) -> bool:
@@ -460,9 +568,15 @@
     return Observation.NOT_SENT
 
 
-def _probation_result(answer: Answer | None) -> ProbationResult:
-    if answer is not None and answer.is_broken:
-        return PROBATION_RESULT_SERVER_DIED
-    if answer is not None and answer.outcome is Outcome.RAN:
-        return PROBATION_RESULT_ANSWERED
-    return PROBATION_RESULT_NOT_SENT
+def _may_go_on(answer: Answer) -> bool:
+    """Return whether the server may still work after the caller has its answer."""
+    return answer.stream is not None or (answer.is_late and answer.is_sent)
+
+
+def _close_stream(answered: "asyncio.Future[Answer]") -> None:
+    """End the attempt of an answer that nobody waits for any more."""
+    if answered.cancelled() or answered.exception() is not None:
+        return
+    stream = answered.result().stream
+    if stream is not None:
+        stream.close()
--- a/packages/router/mulberryrelay_router/suspects.py
+++ b/packages/router/mulberryrelay_router/suspects.py
@@ -20,6 +20,7 @@
     ProbationReply,
     ProbationRequest,
     ProbationResult,
+    ServerDeath,
     Suspect,
 )
 
@@ -31,6 +32,9 @@
 PERMIT_PAUSE_S = 0.05
 # Bounds the memory of one router; the coordinator keeps at most as many.
 MAX_SUSPECTS = 4096
+# Requests whose answers are remembered, and the longest body digested for that.
+MAX_ANSWERED = 4096
+MAX_DIGESTED_BYTES = 65_536
 
 
 class PeerLink(Protocol):
@@ -78,6 +82,33 @@
             self._updates.on_next(suspect)
 
 
+class SuspectList:
+    """Suspects to be told to the next coordinator."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, Suspect] = {}
+
+    def known(self) -> list[Suspect]:
+        """Return all suspects."""
+        return list(self._suspects.values())
+
+    def note(self, suspect: Suspect) -> None:
+        """Apply a report or an update; a block ends only with a clearance."""
+        if suspect.cleared:
+            self._suspects.pop(suspect.fingerprint, None)
+            return
+        known = self._suspects.get(suspect.fingerprint)
+        if (
+            known is not None
+            and not suspect.blocked
+            and (known.blocked or len(known.seen) > len(suspect.seen))
+        ):
+            return
+        self._suspects[suspect.fingerprint] = suspect
+        if len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[next(iter(self._suspects))]
+
+
 class Suspects:
     """Suspects known to this router, and its runs under probation."""
 
@@ -86,6 +117,8 @@
         self._instance = instance
         self._boot_id = boot_id
         self._known: dict[Fingerprint, Suspect] = {}
+        self._answered: dict[Fingerprint, None] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
         self._locks: dict[ServiceName, asyncio.Lock] = {}
         link.suspect_updates.subscribe(self._apply)
 
@@ -95,24 +128,60 @@
             return None
         return self._known.get(fingerprint_of(request))
 
-    async def report(self, request: CallerRequest) -> None:
-        """Make a suspect of a request whose server's connection broke."""
-        suspect = Suspect(
-            fingerprint=fingerprint_of(request), service=request.service, deaths=1
-        )
-        if Fingerprint(suspect.fingerprint) not in self._known:
-            self._apply(suspect)
-        log_event(
-            "suspect_reported",
-            fingerprint=suspect.fingerprint,
+    def describe(
+        self, request: CallerRequest, deaths: Sequence[ServerDeath] = ()
+    ) -> Suspect:
+        """Return the suspect that a request would be after these losses."""
+        fingerprint = fingerprint_of(request)
+        return Suspect(
+            fingerprint=fingerprint,
             service=request.service,
-            request_id=request.request_id,
+            deaths=1,
+            seen=deaths,
+            answered=fingerprint in self._answered,
         )
+
+    async def report(self, suspects: Sequence[Suspect]) -> None:
+        """Make suspects of requests that ran when their server's connection broke."""
+        for suspect in suspects:
+            if Fingerprint(suspect.fingerprint) not in self._known:
+                self._apply(suspect)
+            log_event(
+                "suspect_reported",
+                fingerprint=suspect.fingerprint,
+                service=suspect.service,
+                server=suspect.seen[0].server if suspect.seen else "",
+            )
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_MS / 1000):
-                await self._link.report_suspects([suspect], REPORT_TIMEOUT_MS)
+                await self._link.report_suspects(suspects, REPORT_TIMEOUT_MS)
         except TimeoutError:
-            log_event("suspect_report_unconfirmed", fingerprint=suspect.fingerprint)
+            log_event("suspect_report_unconfirmed", count=len(suspects))
+
+    def note_answered(self, request: CallerRequest) -> None:
+        """Record an answer, which speaks against a crash by an equal request.
+
+        A suspect that was in flight elsewhere when it became one is cleared.
+        """
+        if len(request.body) > MAX_DIGESTED_BYTES and not self._known:
+            return
+        fingerprint = fingerprint_of(request)
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = None
+        if len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+        if fingerprint not in self._known:
+            return
+        cleared = Suspect(
+            fingerprint=fingerprint, service=request.service, cleared=True
+        )
+        task = asyncio.create_task(self._clear(cleared))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _clear(self, cleared: Suspect) -> None:
+        # The coordinator decides, and tells this router too.
+        await self._link.report_suspects([cleared], REPORT_TIMEOUT_MS)
 
     def lock(self, service: ServiceName) -> asyncio.Lock:
         """Return the lock that a run under probation holds in this router.
@@ -138,7 +207,11 @@
         return reply
 
     async def record_result(
-        self, request: CallerRequest, result: ProbationResult, permit_ms: float
+        self,
+        request: CallerRequest,
+        result: ProbationResult,
+        death: ServerDeath | None,
+        permit_ms: float,
     ) -> None:
         """Report how a run ended; repeats it for as long as the permit may last.
 
@@ -146,6 +219,8 @@
         """
         message = self._message(request, 0.0)
         message.result = result
+        if death is not None:
+            message.death.CopyFrom(death)
         try:
             async with asyncio.timeout(permit_ms / 1000):
                 while await self._link.probation(message) is None:
@@ -167,6 +242,10 @@
         if suspect.cleared:
             self._known.pop(fingerprint, None)
             return
+        known = self._known.get(fingerprint)
+        if known is not None and known.blocked and not suspect.blocked:
+            # A coordinator that has just taken over may not know of the block yet.
+            return
         self._known[fingerprint] = suspect
         if len(self._known) > MAX_SUSPECTS:
             del self._known[next(iter(self._known))]
--- a/tests/test_payments.py
+++ b/tests/test_payments.py
@@ -91,7 +91,8 @@
         shedding = {**work, "shed_every": 2}
         post_json(running.servers["t3"].url() + "/control/behaviour", shedding)
         paid = asyncio.run(_pay_during_losses(running))
-        runs, accepted = printed(running, "ran"), printed(running, "accepted")
+        servers = running.servers.values()
+        runs, accepted = printed(servers, "ran"), printed(servers, "accepted")
     outcomes = Counter(outcome for payment in paid for outcome in payment.outcomes)
     resends = sum(len(payment.outcomes) > 1 for payment in paid)
     print(f"payments: {dict(outcomes)}, {resends} resent", file=sys.stderr)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,17 +4,25 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from mulberryrelay_control.suspects import RESULT_GRACE_MS, SuspectRegistry
+import aiohttp
+
+from mulberryrelay_control.suspects import (
+    RESULT_GRACE_MS,
+    SETTLE_MS,
+    Holder,
+    SuspectRegistry,
+)
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
     ProbationReply,
     ProbationRequest,
     ProbationResult,
+    ServerDeath,
     Suspect,
 )
 from mulberryrelay_router.suspects import LocalLink
 
 from .fixtures import async_test
-from .fixtures.rawserver import RawRequest, RawServer, close, echo, raw_server
+from .fixtures.rawserver import RawRequest, RawServer, answer, close, echo, raw_server
 from .fixtures.router import RouterFixture, running_router
 
 ASKED = ProbationResult.PROBATION_RESULT_UNSPECIFIED
@@ -22,6 +30,7 @@
 DIED = ProbationResult.PROBATION_RESULT_SERVER_DIED
 NOT_SENT = ProbationResult.PROBATION_RESULT_NOT_SENT
 POISON = b"poison"
+SECOND_DEATH = ServerDeath(server="s2")
 OVERDUE_MS = 100 + RESULT_GRACE_MS
 
 # Each case: fingerprint, instance, result, time and the field set in the reply.
@@ -67,6 +76,111 @@
         assert any(suspect.blocked for suspect in registry.take_changes())
 
 
+# Each case: reports as fingerprint, servers lost, answered before; then the request
+# that asks for a permit, and the field set in the reply.
+TWO_LOSSES = ("s1", "s2")
+LOSS_CASES: list[tuple[list[tuple[str, tuple[str, ...], bool]], str, str]] = [
+    ([("a", ("s1",), False), ("a", ("s2",), False)], "a", "blocked"),
+    ([("a", ("s1",), False), ("a", ("s1",), False)], "a", "permitted"),
+    ([("a", TWO_LOSSES, False), ("b", ("s1",), False)], "a", "blocked"),
+    ([("a", TWO_LOSSES, False), ("b", ("s1",), False)], "b", "permitted"),
+    # Two requests explain both losses: none is blocked without a run of its own.
+    ([("a", TWO_LOSSES, False), ("b", TWO_LOSSES, False)], "b", "permitted"),
+    # The one that was answered before is a bystander.
+    ([("a", TWO_LOSSES, False), ("b", TWO_LOSSES, True)], "a", "blocked"),
+    ([("a", TWO_LOSSES, False), ("b", TWO_LOSSES, True)], "b", "permitted"),
+]
+
+
+def test_two_losses_block_the_only_request_that_explains_them() -> None:
+    """Guards against a third death, and against blocking a bystander of two deaths.
+
+    Fails without the count of distinct losses, and without the look at other suspects.
+    """
+    for reports, asked, field in LOSS_CASES:
+        registry = SuspectRegistry()
+        for fingerprint, servers, answered in reports:
+            deaths = [ServerDeath(server=server, boot_id="b") for server in servers]
+            suspect = Suspect(
+                fingerprint=fingerprint, service="till", seen=deaths, answered=answered
+            )
+            registry.report([suspect])
+        request = ProbationRequest(fingerprint=asked, service="till")
+        first = registry.permit(request, 0)
+        reply = registry.permit(request, SETTLE_MS) if not first.permitted else first
+        assert reply == ProbationReply(**{field: True}), (reports, asked, reply)
+
+
+def test_suspects_outlast_their_coordinator() -> None:
+    """Guards against a third death because a new coordinator starts without suspects.
+
+    Fails without the block, the losses or the running permit in what a router reports.
+    """
+    old = SuspectRegistry()
+    for fingerprint, server in (("blocked", "s0"), ("seen", "s1")):
+        deaths = [ServerDeath(server=server)]
+        suspect = Suspect(fingerprint=fingerprint, service="till", seen=deaths)
+        old.report([suspect])
+    request = ProbationRequest(fingerprint="blocked", service="till", result=DIED)
+    old.permit(request, 0)
+    new = SuspectRegistry(quiet_until_ms=1000)
+    known = old.known()
+    known.append(Suspect(fingerprint="running", service="till", probation_ms=2000))
+    new.report(known, Holder("entry-2", ""), 500)
+    new.report([Suspect(fingerprint="seen", service="till", seen=[SECOND_DEATH])])
+    for fingerprint, instance, now_ms, field in [
+        ("blocked", "entry-1", 500, "blocked"),
+        ("seen", "entry-1", 500, ""),
+        # The run under the former permit has not ended.
+        ("seen", "entry-1", 1500, ""),
+        ("running", "entry-2", 1500, "permitted"),
+        ("seen", "entry-1", 10_000, ""),
+        ("seen", "entry-1", 10_000 + SETTLE_MS, "blocked"),
+        ("running", "entry-1", 10_000, "blocked"),
+    ]:
+        request = ProbationRequest(
+            fingerprint=fingerprint, service="till", instance=instance
+        )
+        reply = new.permit(request, now_ms)
+        assert reply == ProbationReply(**({field: True} if field else {})), (
+            fingerprint,
+            now_ms,
+            reply,
+        )
+
+
+@async_test
+async def test_break_in_a_streamed_answer_makes_a_suspect_and_holds_the_slot() -> None:
+    """Guards against unnoticed deaths behind a first megabyte that came well.
+
+    Fails without the watch of streams; and the slot would be free from the first byte.
+    """
+    length = f"Content-Length: {1 << 22}\r\n"
+    go_on = asyncio.Event()
+
+    async def half(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(request, length=length) + b"x" * (1 << 21))
+        await go_on.wait()
+        writer.close()
+
+    link = LocalLink()
+    reported: list[Suspect] = []
+    link.suspect_updates.subscribe(reported.append)
+    async with (
+        raw_server(half) as server,
+        running_router([server.entry()], link=link, slots=1) as router,
+    ):
+        calls = [
+            asyncio.create_task(router.send(body=b"%d" % number)) for number in range(2)
+        ]
+        await asyncio.sleep(0.3)
+        assert len(server.received) == 1
+        go_on.set()
+        replies = await asyncio.gather(*calls, return_exceptions=True)
+        assert all(isinstance(reply, aiohttp.ClientError) for reply in replies), replies
+        assert len(server.received) == 2 and len(reported) == 2, reported
+
+
 @asynccontextmanager
 async def poisonable(
     count: int, delay_s: float
