Pace the writes of claims, and delete claims past their retention

Cause: nothing bounded the transactions for claims. Claims were never deleted. Change: limits.claim_writes_per_second (300, all routers together) divided by the planned routers paces the batches; the coordinator reads the claims in slices of their digests and deletes those older than limits.claim_retention_s (24 h) in batches of 32, conditional on their version and only if unchanged for three of the longest deadlines. Seen failing: without the pacer; without the comparison of ages, the wait or the condition; with an insertion without reply taken as a claim.

--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -39,6 +39,7 @@
 from mulberryrelay_kernel.states import StoreFailure
 
 from .assignment import AssignmentStore
+from .claimretention import ClaimSweeper
 from .grants import GrantKeeper, ServerEvent
 from .lease import CoordinatorLease
 from .membership import Membership, Server
@@ -218,6 +219,7 @@
         self._first_change_ms = first_change_ms
         self._load_rules = load_rules
         self._suspects = suspects
+        self._claim_sweeper = ClaimSweeper(options, platform, clock)
         self._clock = clock
         self._term: Term = lease.term
         self._version = 0
@@ -281,6 +283,7 @@
             tasks.create_task(self._membership.run())
             tasks.create_task(self._moves.run())
             tasks.create_task(self._watch_rules())
+            tasks.create_task(self._claim_sweeper.run())
             tasks.create_task(self._watch_sessions())
 
     async def sync(
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -76,6 +76,12 @@
     retry_ratio: float = 0.1
     lower_class_share: float = 0.1
     slow_start_ms: int = 10_000
+    claim_writes_per_second: int = 300
+    """Transactions for idempotency claims of all routers together; each router takes
+    its share of the planned number. The rest of the store's several hundred writes is
+    for the coordinator."""
+    claim_retention_s: int = 86_400
+    """Age at which a claim is deleted; a resend after that would run again."""
 
 
 class OperatorOptions(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/kernel/mulberryrelay_kernel/settings.py
+++ b/packages/kernel/mulberryrelay_kernel/settings.py
@@ -14,6 +14,8 @@
 from .options import Options, TimingOptions
 
 TOP_LEVEL = "settings"
+# A claim outlasts its request and the time in which its outcome is recorded by far.
+SHORTEST_RETENTION = 5
 
 
 def load_settings(
@@ -91,6 +93,7 @@
                 report(f"{place}.{setting}", "must be at least 1")
         if not 0 <= service.churn_weight <= 1:
             report(f"{place}.churn_weight", "must be from 0 to 1")
+    _check_limits(options, report)
     _check_timing(options.timing, report)
     names = [operator.name for operator in options.operators]
     credentials = [operator.credential for operator in options.operators]
@@ -110,6 +113,15 @@
     return bool(credential) and all("!" <= character <= "~" for character in credential)
 
 
+def _check_limits(options: Options, report: Any) -> None:
+    limits = options.limits
+    if limits.claim_writes_per_second < options.routers:
+        report("limits.claim_writes_per_second", "must be at least 1 for each router")
+    if limits.claim_retention_s * 1000 < limits.deadline_ms * SHORTEST_RETENTION:
+        message = f"must be at least {SHORTEST_RETENTION} times deadline_ms"
+        report("limits.claim_retention_s", message)
+
+
 def _check_timing(timing: TimingOptions, report: Any) -> None:
     for field in msgspec.structs.fields(TimingOptions):
         if getattr(timing, field.name) < 1:
--- a/packages/router/mulberryrelay_router/claims.py
+++ b/packages/router/mulberryrelay_router/claims.py
@@ -18,13 +18,13 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import (
     IdempotencyKey,
-    InstanceId,
     RowName,
     ServiceName,
     WriteId,
 )
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import ClaimRow, Condition, Row, Write
+from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.platform import Platform
 from mulberryrelay_kernel.states import ClaimState, Outcome, StoreFailure
 
@@ -33,6 +33,9 @@
 
 # Claims per transaction. The store sustains several hundred writes a second.
 BATCH_SIZE = 32
+# Transactions that may follow each other at once: the insertion of a claim, its update
+# and as many of a second request.
+BURST = 4
 # An answer up to this size is kept for replay.
 KEPT_ANSWER_BYTES = 16_384
 # First and longest pause between two reads of a row that another request has claimed.
@@ -84,17 +87,42 @@
     row: ClaimRow
 
 
+class Pacer:
+    """Spaces transactions, so that all routers together stay within the store's rate.
+
+    A few may follow each other at once after a pause, so that a single claim does not
+    wait.
+    """
+
+    def __init__(self, per_second: float, clock: Clock) -> None:
+        self._interval_ms = 1000 / per_second
+        self._clock = clock
+        self._next_ms = 0.0
+
+    async def wait(self) -> None:
+        """Wait until the next transaction may start."""
+        now_ms = self._clock()
+        earliest_ms = now_ms - (BURST - 1) * self._interval_ms
+        start_ms = max(self._next_ms, earliest_ms)
+        self._next_ms = start_ms + self._interval_ms
+        if start_ms > now_ms:
+            await asyncio.sleep((start_ms - now_ms) / 1000)
+
+
 class GroupCommit(Generic[Item, Reply]):
-    """Collects items while a batch is being committed.
+    """Collects items while a batch waits or is being committed.
 
-    An item that arrives while nothing is being committed starts a batch at once, so
-    that a single item waits for nothing but its own transaction.
+    An item that arrives after a pause starts a batch at once, so that a single item
+    waits for nothing but its own transaction.
     """
 
     def __init__(
-        self, commit: Callable[[Sequence[Item]], Awaitable[Sequence[Reply]]]
+        self,
+        commit: Callable[[Sequence[Item]], Awaitable[Sequence[Reply]]],
+        pacer: Pacer,
     ) -> None:
         self._commit = commit
+        self._pacer = pacer
         self._waiting: list[tuple[Item, asyncio.Future[Reply]]] = []
         self._task: asyncio.Task[None] | None = None
 
@@ -109,6 +137,7 @@
     async def _run(self) -> None:
         try:
             while self._waiting:
+                await self._pacer.wait()
                 batch = self._waiting[:BATCH_SIZE]
                 del self._waiting[:BATCH_SIZE]
                 await self._commit_batch(batch)
@@ -133,12 +162,14 @@
 class Claims:
     """Claims of one router on the platform's table."""
 
-    def __init__(self, platform: Platform, router: InstanceId, clock: Clock) -> None:
+    def __init__(self, options: Options, platform: Platform, clock: Clock) -> None:
         self._platform = platform
-        self._router = router
+        self._router = options.instance.name
         self._clock = clock
-        self._inserts = GroupCommit(self._commit_inserts)
-        self._finishes = GroupCommit(self._commit_finishes)
+        share = options.limits.claim_writes_per_second / options.routers
+        self._pacer = Pacer(share, clock)
+        self._inserts = GroupCommit(self._commit_inserts, self._pacer)
+        self._finishes = GroupCommit(self._commit_finishes, self._pacer)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(
@@ -271,9 +302,11 @@
         write_id = WriteId(uuid.uuid4().hex)
         rows: dict[RowName, Row] = {}
         pending = list(inserts)
-        for _ in range(INSERT_ROUNDS):
+        for turn in range(INSERT_ROUNDS):
             if not pending:
                 return rows
+            if turn:
+                await self._pacer.wait()
             result = await self._platform.transact(
                 [Condition(insert.claim.name, insert.version) for insert in pending],
                 [_write(insert.claim.name, insert.claim.row) for insert in pending],
--- a/packages/router/mulberryrelay_router/requestpath.py
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -35,7 +35,7 @@
         instance = options.instance.name
         self._pools = Pools(max(s.connections for s in options.services.values()))
         self._in_flight = in_flight or InFlight()
-        self._claims = Claims(platform, instance, monotonic_ms)
+        self._claims = Claims(options, platform, monotonic_ms)
         self._readiness = Readiness(view)
         self._metrics = Metrics(options.tenant)
         self._admission = Admission(options, monotonic_ms)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,16 +2,32 @@
 
 import asyncio
 import signal
+import sys
+import time
 from collections.abc import Sequence
+from typing import Any
 
 import aiohttp
+import msgspec
 from returns.result import Failure, Result
 
+from mulberryrelay_control.claimretention import ClaimSweeper, claims_prefix
+from mulberryrelay_control.platform_http import HttpPlatform
 from mulberryrelay_control.platform_memory import MemoryPlatform
-from mulberryrelay_kernel.ids import IdempotencyKey, RowName, ServiceName, WriteId
-from mulberryrelay_kernel.messages import Condition, Row, Write
-from mulberryrelay_kernel.states import StoreFailure
-from mulberryrelay_router.claims import claim_name
+from mulberryrelay_kernel.ids import (
+    Fingerprint,
+    IdempotencyKey,
+    InstanceId,
+    RequestId,
+    RowName,
+    ServiceName,
+    WriteId,
+)
+from mulberryrelay_kernel.messages import ClaimRow, Condition, Row, Write
+from mulberryrelay_kernel.options import PlatformOptions
+from mulberryrelay_kernel.settings import check_settings
+from mulberryrelay_kernel.states import ClaimState, StoreFailure
+from mulberryrelay_router.claims import BURST, claim_name
 from standins.deployment import Deployment, get_json
 
 from .fixtures import async_test
@@ -19,6 +35,12 @@
 from .fixtures.rawserver import close, echo, raw_server, responding, shed
 from .fixtures.router import Reply, RouterFixture, running_router
 
+DEPLOYMENT_DOCUMENT: dict[str, Any] = {
+    **DEPLOYMENT_SETTINGS,
+    "instance": {"name": "entry-1", "data_centre": "qld-a"},
+    "platform": {"plugin": "memory"},
+}
+
 
 class FaultyPlatform(MemoryPlatform):
     """Counts transactions, and fails, loses replies or is late where it is told to."""
@@ -29,6 +51,7 @@
         self.failure: StoreFailure | None = None
         self.lost_replies = 0
         self.late_writes = 0
+        self.conflicts = 0
 
     async def read(
         self, names: Sequence[RowName]
@@ -45,6 +68,9 @@
         await asyncio.sleep(0.01)
         if self.failure is not None:
             return Failure(self.failure)
+        if self.conflicts:
+            self.conflicts -= 1
+            return Failure(StoreFailure.CONFLICT)
         work = super().transact(conditions, writes, write_id)
         if self.late_writes:
             self.late_writes -= 1
@@ -124,6 +150,15 @@
         await router.path.claims.drain()
         assert (await pay(router, "b")).outcome == "ran"
         assert len(server.received) == 3
+        # Conflicts that are no claims of others.
+        platform.conflicts = 2
+        assert (await pay(router, "d")).outcome == "ran"
+        platform.conflicts = 1000
+        assert (await pay(router, "e")).outcome == "not-run"
+        platform.conflicts = 0
+        await asyncio.sleep(0.5)
+        assert (await pay(router, "e")).outcome == "ran"
+        assert len(server.received) == 5
         # The claim takes effect after its request was answered "not run".
         platform.late_writes = 1
         assert (await pay(router, "c")).outcome == "not-run"
@@ -145,6 +180,116 @@
         assert platform.transactions < 40, platform.transactions
 
 
+@async_test
+async def test_transactions_for_claims_are_paced() -> None:
+    """Guards against routers that together write more than the store can bear.
+
+    Fails without the pacer.
+    """
+    platform = FaultyPlatform()
+    pace = {"claim_writes_per_second": 270}
+    async with (
+        raw_server() as server,
+        running_router([server.entry()], platform, limits=pace, routers=9) as router,
+    ):
+        began_s = time.monotonic()
+        for turn in range(10):
+            calls = [pay(router, f"key-{turn}-{number}") for number in range(30)]
+            replies = await asyncio.gather(*calls)
+            assert {reply.outcome for reply in replies} == {"ran"}
+        took_s = time.monotonic() - began_s
+        print(
+            f"300 claims in {took_s:.2f} s and {platform.transactions} transactions",
+            file=sys.stderr,
+        )
+        assert platform.transactions <= 30 * took_s + BURST + 1
+
+
+@async_test
+async def test_slow_store_never_lets_a_payment_run_twice() -> None:
+    """Guards against runs without a known claim while the store takes 300 ms.
+
+    Each call times out after 200 ms and still takes effect.
+    """
+    with Deployment(DEPLOYMENT_SETTINGS) as deployment:
+        url = deployment.platform.url()
+        platforms = [
+            HttpPlatform(PlatformOptions(url=url), InstanceId(name))
+            for name in ("entry-1", "entry-2")
+        ]
+        async with (
+            raw_server() as server,
+            running_router([server.entry()], platforms[0]) as first,
+            running_router([server.entry()], platforms[1], name="entry-2") as second,
+        ):
+            await asyncio.to_thread(deployment.set_faults, delay_ms=300)
+            calls = [
+                pay(router, f"key-{number}")
+                for router in (first, second)
+                for number in range(10)
+            ]
+            outcomes = {reply.outcome for reply in await asyncio.gather(*calls)}
+            assert outcomes <= {"not-run", "unknown"}, outcomes
+            assert not server.received
+            await asyncio.to_thread(deployment.set_faults)
+            # The insertions are withdrawn first.
+            await asyncio.sleep(1.0)
+            for router in (first, second):
+                calls = [pay(router, f"key-{number}") for number in range(10)]
+                replies = await asyncio.gather(*calls)
+                assert {reply.outcome for reply in replies} == {"ran"}
+            assert len(server.received) == 10
+        for platform in platforms:
+            await platform.close()
+
+
+@async_test
+async def test_only_claims_past_the_retention_are_deleted() -> None:
+    """Guards against a store that fills up, and against a second run of a young key.
+
+    Fails without the comparison of ages, without the wait for unchanged rows and
+    without the condition on the version.
+    """
+    now_s = 1_000_000_000.0
+    clock_ms = 0.0
+    platform = MemoryPlatform()
+
+    async def write(name: str, age_s: float) -> None:
+        row = ClaimRow(
+            ClaimState.RAN,
+            Fingerprint("f"),
+            InstanceId("entry-1"),
+            RequestId("r"),
+            IdempotencyKey(name),
+            created_s=int(now_s - age_s),
+        )
+        value = msgspec.Raw(msgspec.json.encode(row))
+        await platform.transact([], [Write(RowName(name), value)], WriteId("w"))
+
+    options = check_settings(DEPLOYMENT_DOCUMENT, "test")
+    sweeper = ClaimSweeper(options, platform, lambda: clock_ms, lambda: now_s)
+    day_s = options.limits.claim_retention_s
+    prefix = claims_prefix("till", "0ab")
+    await write(prefix + "1-young", day_s - 10)
+    await write(prefix + "2-old", day_s + 10)
+    await write("claims/till/0ac-other-slice", day_s + 10)
+    await sweeper.read_slice(prefix)
+    await sweeper.delete_due()
+    assert len((await platform.scan("claims/")).unwrap()) == 3
+    clock_ms = 1e6
+    await sweeper.delete_due()
+    names = [row.name for row in (await platform.scan("claims/")).unwrap()]
+    assert names == [prefix + "1-young", "claims/till/0ac-other-slice"]
+    # A row that is claimed again between the two steps stays.
+    await write(prefix + "3-renewed", day_s + 10)
+    await sweeper.read_slice(prefix)
+    await write(prefix + "3-renewed", 0)
+    clock_ms = 2e6
+    await sweeper.delete_due()
+    names = [row.name for row in (await platform.scan(prefix)).unwrap()]
+    assert names == [prefix + "1-young", prefix + "3-renewed"]
+
+
 def test_resend_after_the_first_router_was_killed() -> None:
     """Guards against a second run when the router that claimed the key is lost."""
     headers = {"Idempotency-Key": "k", "Mulberry-Deadline-Ms": "1500"}
