Bound connections of callers and slow headers; log requests not run

Cause: connections from callers were unbounded, a caller could send headers for 3630 s (aiohttp's keep-alive timeout), and a request that was refused or unknown left no line with its id. Ruled out: aiohttp's keepalive_timeout as the limit for headers, since it also closes idle connections that callers are about to use. Each request that did not end as run gets one key=value line with request id, server, outcome and error, without path, headers or body. The stand-in prints request ids. Seen failing: without the bound, the limit, its end at the first request, and the line, and with the path in the line. Conclusion: slow headers of a later request on a kept connection are limited by the keep-alive timeout only; aiohttp tells nothing of their beginning.

--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -65,7 +65,11 @@
 class LimitOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds on memory and work of one process."""
 
+    connections: int = 2000
+    """Connections from callers; further ones are closed before anything is read."""
     header_bytes: int = 16_384
+    header_timeout_ms: int = 10_000
+    """Time for a caller to send the headers of the first request of a connection."""
     body_bytes: int = 8_388_608
     body_timeout_ms: int = 10_000
     """Time for a caller to send a whole body."""
--- a/packages/kernel/mulberryrelay_kernel/settings.py
+++ b/packages/kernel/mulberryrelay_kernel/settings.py
@@ -115,6 +115,9 @@
 
 def _check_limits(options: Options, report: Any) -> None:
     limits = options.limits
+    for name in ("connections", "header_timeout_ms"):
+        if getattr(limits, name) < 1:
+            report(f"limits.{name}", "must be at least 1")
     if limits.claim_writes_per_second < options.routers:
         report("limits.claim_writes_per_second", "must be at least 1 for each router")
     if limits.claim_retention_s * 1000 < limits.deadline_ms * SHORTEST_RETENTION:
--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -32,6 +32,7 @@
     IDEMPOTENCY_HEADER,
     KEY_HEADER,
     OUTCOME_HEADER,
+    OWNER_HEADER,
     REQUEST_ID_HEADER,
     TERM_HEADER,
     UNIT_HEADER,
@@ -88,9 +89,17 @@
         request_id = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
         if not _is_readable(request_id):
             request_id = uuid.uuid4().hex
+        started_ms = monotonic_ms()
         try:
             caller_request = await read_request(options, request, RequestId(request_id))
         except BadRequestError as error:
+            log_event(
+                "request_refused",
+                request_id=request_id,
+                outcome=Outcome.NOT_RUN.value,
+                status=error.status,
+                error=error.error,
+            )
             response = error_response(
                 error.status, error.error, str(error), RequestId(request_id)
             )
@@ -99,7 +108,13 @@
             return response
         try:
             answer = await route_request(caller_request)
+        except asyncio.CancelledError:
+            _log_failure(caller_request, started_ms, Outcome.UNKNOWN, "caller-left")
+            raise
         except Exception as error:
+            _log_failure(
+                caller_request, started_ms, Outcome.UNKNOWN, "internal-error", 500
+            )
             log_event("request_failed", request_id=request_id, error=repr(error))
             return error_response(
                 500,
@@ -108,6 +123,15 @@
                 RequestId(request_id),
                 Outcome.UNKNOWN,
             )
+        if answer.outcome is not Outcome.RAN:
+            _log_failure(
+                caller_request,
+                started_ms,
+                answer.outcome,
+                answer.error or (answer.reason.value if answer.reason else ""),
+                answer.status,
+                answer.headers.get(OWNER_HEADER, ""),
+            )
         if answer.stream is not None:
             return await _stream_answer(request, caller_request, answer, is_stopping)
         response = _whole_answer(caller_request, answer)
@@ -118,6 +142,32 @@
     return handle
 
 
+def _log_failure(
+    request: CallerRequest,
+    started_ms: float,
+    outcome: Outcome,
+    error: str,
+    status: int = 0,
+    server: str = "",
+) -> None:
+    """Log a request that did not end as run.
+
+    The path may carry credentials in its query, so it is left out like the body.
+    """
+    log_event(
+        "request_not_run" if outcome is Outcome.NOT_RUN else "request_unknown",
+        request_id=request.request_id,
+        service=request.service,
+        request_class=request.request_class,
+        method=request.method,
+        outcome=outcome.value,
+        error=error,
+        status=status,
+        server=server,
+        elapsed_ms=round(monotonic_ms() - started_ms, 1),
+    )
+
+
 async def read_request(
     options: Options, request: web.BaseRequest, request_id: RequestId
 ) -> CallerRequest:
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -10,6 +10,7 @@
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServerId, ServiceName
+from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import ServerEntry, Unit
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.options import Options
@@ -365,7 +366,14 @@
         Only a death counts towards a block: a server may close a connection for other
         reasons.
         """
-        deaths = [death_of(server)] if await has_died(server) else []
+        is_dead = await has_died(server)
+        log_event(
+            "server_connection_broken",
+            request_id=request.request_id,
+            server=server.server,
+            is_dead=is_dead,
+        )
+        deaths = [death_of(server)] if is_dead else []
         await self._suspects.report([self._suspects.describe(request, deaths)])
 
     def _is_current(self, request: CallerRequest, target: Target) -> bool:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -149,7 +149,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         if "die" in request.query:
-            self._print("died", body)
+            self._print("died", body, request)
             await asyncio.sleep(float(request.query["die"] or 0) / 1000)
             os._exit(1)
         self._arrivals += 1
@@ -161,7 +161,7 @@
             reason = NotRunReason.SHED
         if reason is not None:
             return self._refuse(request, reason)
-        self._print("accepted", body)
+        self._print("accepted", body, request)
         unit = UnitId(request.headers.get("Mulberry-Unit", ""))
         self._in_flight += 1
         self._running[unit] = self._running.get(unit, 0) + 1
@@ -198,14 +198,15 @@
                 end_ms=monotonic_ms(),
             )
         )
-        self._print("ran", body)
+        self._print("ran", body, request)
         return await self._answer(request, body)
 
-    def _print(self, event: str, body: bytes) -> None:
+    def _print(self, event: str, body: bytes, request: web.Request) -> None:
         """Print an event with the digest of a body; the line survives a kill."""
         if self._prints_runs:
             digest = hashlib.sha256(body).hexdigest()
-            print(f"event={event} body={digest}", flush=True)
+            request_id = request.headers.get("Mulberry-Request-Id", "")
+            print(f"event={event} request_id={request_id} body={digest}", flush=True)
 
     async def _answer(self, request: web.Request, body: bytes) -> web.StreamResponse:
         headers = self._answer_headers(request)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,13 +1,24 @@
 """Callers' interface: bad input is refused clearly and with bounded memory."""
 
 import asyncio
+from typing import Any
 
+import eliot
 import msgspec
 
+from mulberryrelay_kernel.logs import format_line
 from mulberryrelay_kernel.messages import ErrorBody
 
 from .fixtures import async_test
-from .fixtures.rawserver import RawRequest, answer, raw_server, responding
+from .fixtures.rawserver import (
+    RawRequest,
+    answer,
+    close,
+    echo,
+    raw_server,
+    responding,
+    shed,
+)
 from .fixtures.router import running_router
 
 LIMITS = {"header_bytes": 4000, "body_bytes": 1000, "body_timeout_ms": 200}
@@ -63,6 +74,95 @@
         assert not server.received
 
 
+@async_test
+async def test_connections_and_slow_headers_are_bounded() -> None:
+    """Guards against callers that hold all memory with connections or slow headers.
+
+    Fails without the bound and without the time limit, which ends at the first request.
+    """
+    limits = {"connections": 3, "header_timeout_ms": 300}
+    async with (
+        raw_server() as server,
+        running_router([server.entry()], limits=limits) as router,
+    ):
+        reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+        request = f"{PAY} HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n".encode()
+        writer.write(request)
+        assert b"Outcome: ran" in await reader.readuntil(b"\r\n\r\n")
+        slow = [
+            await asyncio.open_connection("127.0.0.1", router.port) for _ in range(3)
+        ]
+        for _, late_writer in slow:
+            late_writer.write(b"POST /till/pay HTTP/1.1\r\nHost:")
+        async with asyncio.timeout(0.2):
+            assert await read_rest(slow[2][0]) == b""
+        async with asyncio.timeout(2):
+            for late, _ in slow[:2]:
+                assert await read_rest(late) == b""
+        # The connection whose headers came in time is open still.
+        writer.write(request)
+        assert b"Outcome: ran" in await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+
+async def read_rest(reader: asyncio.StreamReader) -> bytes:
+    """Return what arrives until the connection ends, by a reset too."""
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
+
+
+@async_test
+async def test_each_request_that_did_not_run_has_one_log_line() -> None:
+    """Guards against failures that cannot be traced, and against secrets in logs.
+
+    Fails without the log lines, and if the body, the path or a header is logged.
+    """
+    lines: list[str] = []
+
+    def keep(message: dict[str, Any]) -> None:
+        lines.append(format_line(message))
+
+    eliot.add_destinations(keep)
+    try:
+        async with (
+            raw_server() as server,
+            running_router([server.entry()], name="entry-1") as router,
+        ):
+            # Each case: path, response, outcome and error in the line.
+            for number, (path, respond, outcome, error) in enumerate(
+                [
+                    ("/till/pay?token=secret", echo, "ran", ""),
+                    ("/till/pay?token=secret", shed, "not-run", "shed"),
+                    ("/till/pay?token=secret", close, "unknown", "connection-lost"),
+                    ("/secret/pay", echo, "not-run", "unknown-service"),
+                ]
+            ):
+                server.respond = respond
+                reply = await router.send(
+                    path,
+                    b"secret %d" % number,
+                    Mulberry_Request_Id=f"request-{number}",
+                    Authorization="secret",
+                )
+                assert reply.outcome == outcome
+                assert reply.headers["Mulberry-Request-Id"] == f"request-{number}"
+                found = [
+                    line
+                    for line in lines
+                    if f"request_id=request-{number} " in line and "outcome=" in line
+                ]
+                assert len(found) == (outcome != "ran"), (number, lines)
+                assert all(f"outcome={outcome}" in line for line in found), found
+                assert all(f"error={error}" in line for line in found), found
+            ids = {r.headers["mulberry-request-id"] for r in server.received}
+            assert ids == {"request-0", "request-1", "request-2"}
+        assert not any("secret" in line for line in lines), lines
+    finally:
+        eliot.remove_destination(keep)
+
+
 @async_test
 async def test_requests_and_answers_are_passed_on_as_they_are() -> None:
     """Guards against changed paths, bodies and headers, and forged owner headers."""
