Return permits whose reply was lost; finish probations before leaving

Cause: a router that had no reply to its request for a permit, and no time left, kept the permit. The coordinator blocked the suspect once the permit was overdue, although it had never run. A stopping router did not wait for the results of its runs under probation, with the same effect. Change: the permit is returned in the background, and a stopping router waits up to 2.5 s for results. Seen failing: without the return of the permit. The wait of a stopping router has no test of its own.

--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -27,6 +27,8 @@
 READINESS_PERIOD_MS = 100.0
 # Time to record the outcomes of idempotency claims after the last answer.
 CLAIMS_TIMEOUT_S = 2.0
+# Time for servers to die of requests that were given up under probation.
+PROBATIONS_TIMEOUT_S = 2.5
 
 
 async def run_instance(options: Options) -> None:
@@ -119,6 +121,7 @@
     give_up_ms = monotonic_ms() + options.timing.lease_ms + options.timing.bridge_ms
     while path.in_flight.total and monotonic_ms() < give_up_ms:
         await asyncio.sleep(DRAIN_POLL_S)
+    await path.drain_probations(PROBATIONS_TIMEOUT_S)
     try:
         async with asyncio.timeout(CLAIMS_TIMEOUT_S):
             await path.claims.drain()
--- a/packages/router/mulberryrelay_router/requestpath.py
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -85,6 +85,10 @@
         """Follow these rules from now on."""
         self._admission.set_rules(rules)
 
+    async def drain_probations(self, timeout_s: float) -> None:
+        """Wait until the results of runs under probation are reported."""
+        await self._router.drain(timeout_s)
+
     async def close(self) -> None:
         """End background work and close the connections to backend servers."""
         await self._router.close()
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from math import inf
+from typing import Any
 
 import msgspec
 from returns.pipeline import is_successful
@@ -99,13 +100,28 @@
         self._load = load
         self._waiting: Counter[ServiceName] = Counter()
         self._draining_until_ms: dict[ServerId, float] = {}
-        self._probations: set[asyncio.Task[Answer]] = set()
+        self._probations: set[asyncio.Task[Any]] = set()
+        self._background: set[asyncio.Task[Any]] = set()
         self._watch = DeathWatch(clock, view.server, suspects.report)
 
+    async def drain(self, timeout_s: float) -> None:
+        """Wait until the results of all runs under probation are reported.
+
+        The coordinator would block a suspect whose result never comes.
+        """
+        tasks = self._probations | self._background
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
     async def close(self) -> None:
         """End what goes on after the answers."""
         await self._watch.close()
 
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     async def route(self, request: CallerRequest) -> Answer:
         """Return the answer to a request; failures are answers too."""
         started_ms = self._clock()
@@ -456,6 +472,7 @@
                     return answer
                 refused_by.add(ServerId(answer.headers.get(OWNER_HEADER, "")))
             await asyncio.sleep(PERMIT_PAUSE_S)
+        self._keep(self._suspects.return_permit(request))
         return last
 
     async def _try_probation(
--- a/packages/router/mulberryrelay_router/suspects.py
+++ b/packages/router/mulberryrelay_router/suspects.py
@@ -17,6 +17,7 @@
 from mulberryrelay_kernel.ids import BootId, Fingerprint, InstanceId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
+    PROBATION_RESULT_NOT_SENT,
     ProbationReply,
     ProbationRequest,
     ProbationResult,
@@ -30,6 +31,8 @@
 REPORT_TIMEOUT_MS = 200.0
 # Pause between two requests for a permit while another suspect runs.
 PERMIT_PAUSE_S = 0.05
+# Time to give a permit back; shorter than the permit lasts after its deadline.
+RETURN_MS = 1000.0
 # Bounds the memory of one router; the coordinator keeps at most as many.
 MAX_SUSPECTS = 4096
 # Requests whose answers are remembered, and the longest body digested for that.
@@ -119,6 +122,7 @@
         self._known: dict[Fingerprint, Suspect] = {}
         self._answered: dict[Fingerprint, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._unanswered: set[Fingerprint] = set()
         self._locks: dict[ServiceName, asyncio.Lock] = {}
         link.suspect_updates.subscribe(self._apply)
 
@@ -195,6 +199,10 @@
     ) -> ProbationReply | None:
         """Ask the coordinator once for a permit to run a suspect."""
         reply = await self._link.probation(self._message(request, left_ms))
+        fingerprint = fingerprint_of(request)
+        self._unanswered.discard(fingerprint)
+        if reply is None:
+            self._unanswered.add(fingerprint)
         if reply is not None and (reply.cleared or reply.blocked):
             self._apply(
                 Suspect(
@@ -206,6 +214,20 @@
             )
         return reply
 
+    async def return_permit(self, request: CallerRequest) -> None:
+        """Give a permit back whose reply may have been lost.
+
+        The coordinator would take the run that never was for the loss of a server.
+        """
+        if fingerprint_of(request) not in self._unanswered:
+            return
+        async with self.lock(request.service):
+            if fingerprint_of(request) in self._unanswered:
+                await self.record_result(
+                    request, PROBATION_RESULT_NOT_SENT, None, RETURN_MS
+                )
+            self._unanswered.discard(fingerprint_of(request))
+
     async def record_result(
         self,
         request: CallerRequest,
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -247,6 +247,39 @@
         assert sum(len(server.received) for server in servers) == 2
 
 
+@async_test
+async def test_permit_whose_reply_was_lost_is_given_back() -> None:
+    """Guards against blocking a request that never ran under its permit.
+
+    Fails without the return of the permit.
+    """
+
+    class LossyLink(LocalLink):
+        lost = 1
+
+        async def probation(self, request: ProbationRequest) -> ProbationReply | None:
+            reply = await super().probation(request)
+            if not self.lost or request.result != ASKED:
+                return reply
+            self.lost -= 1
+            await asyncio.sleep(0.2)
+            return None
+
+    later_ms = 0.0
+    link = LossyLink(lambda: later_ms)
+    async with (
+        raw_server(close) as server,
+        running_router([server.entry()], link=link) as router,
+    ):
+        assert (await router.send(body=b"x")).outcome == "unknown"
+        server.respond = echo
+        late = await router.send(body=b"x", Mulberry_Deadline_Ms="100")
+        assert late.outcome == "not-run"
+        await asyncio.sleep(0.1)
+        later_ms = 60_000.0
+        assert (await router.send(body=b"x")).outcome == "ran"
+
+
 @async_test
 async def test_kept_connection_that_was_closed_is_no_death() -> None:
     """Guards against blocking a read because its server closed idle connections.
