Test that late deaths of servers are noticed by probe and by boot id

Change: a focused test of the watch for requests that were given up, with a server that lives, dies, or was started again at its address.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -5,6 +5,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
+import msgspec
 
 from mulberryrelay_control.suspects import (
     RESULT_GRACE_MS,
@@ -12,6 +13,8 @@
     Holder,
     SuspectRegistry,
 )
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.ids import BootId
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
     ProbationReply,
     ProbationRequest,
@@ -19,6 +22,7 @@
     ServerDeath,
     Suspect,
 )
+from mulberryrelay_router.deaths import DeathWatch
 from mulberryrelay_router.suspects import LocalLink
 
 from .fixtures import async_test
@@ -280,6 +284,32 @@
         assert (await router.send(body=b"x")).outcome == "ran"
 
 
+@async_test
+async def test_death_after_a_request_was_given_up_is_noticed() -> None:
+    """Guards against a server that dies, or is started again, after the deadline.
+
+    Fails without the comparison of boot ids and without the probe of the address.
+    """
+    for dies, boot_id, expected in [(False, "b1", 0), (False, "b2", 1), (True, "", 1)]:
+        reported: list[Suspect] = []
+
+        async def report(suspects: list[Suspect], to: list[Suspect] = reported) -> None:
+            to.extend(suspects)
+
+        async with raw_server() as server:
+            entry = msgspec.structs.replace(server.entry(), boot_id=BootId("b1"))
+            current = msgspec.structs.replace(entry, boot_id=BootId(boot_id))
+            watch = DeathWatch(monotonic_ms, {entry.server: current}.get, report)
+            watch.note(Suspect(fingerprint="a", service="till"), entry)
+            await asyncio.sleep(0.05)
+            if dies:
+                server.die()
+            await asyncio.sleep(0.3)
+            await watch.close()
+        assert len(reported) == expected, (dies, boot_id, reported)
+        assert all(suspect.seen[0].boot_id == "b1" for suspect in reported)
+
+
 @async_test
 async def test_kept_connection_that_was_closed_is_no_death() -> None:
     """Guards against blocking a read because its server closed idle connections.
