--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -39,6 +39,7 @@
 from mulberryrelay_kernel.states import StoreFailure
 
 from .assignment import AssignmentStore
+from .claimretention import ClaimSweeper
 from .grants import GrantKeeper, ServerEvent
 from .lease import CoordinatorLease
 from .membership import Membership, Server
@@ -47,6 +48,7 @@
 from .planner import Planner
 from .rules import ActiveRules
 from .sessions import RouterSession, RouterSessions
+from .suspects import Holder
 
 LoadRules = Callable[[], Awaitable[Result[RulesDocument | None, StoreFailure]]]
 ApplyRules = Callable[[RulesDocument], bool]
@@ -64,7 +66,9 @@
 class Suspects(Protocol):
     """What the coordinator uses of ``SuspectRegistry``."""
 
-    def report(self, suspects: Sequence[Suspect]) -> list[Suspect]: ...
+    def report(
+        self, suspects: Sequence[Suspect], holder: Holder, now_ms: float
+    ) -> list[Suspect]: ...
     def permit(self, request: ProbationRequest, now_ms: float) -> ProbationReply: ...
     def known(self) -> list[Suspect]: ...
     def take_changes(self) -> list[Suspect]: ...
@@ -222,6 +226,7 @@
         self._load_rules = load_rules
         self._apply_rules = apply_rules
         self._suspects = suspects
+        self._claim_sweeper = ClaimSweeper(options, platform, clock)
         self._clock = clock
         self._term: Term = lease.term
         self._version = 0
@@ -285,6 +290,7 @@
             tasks.create_task(self._membership.run())
             tasks.create_task(self._moves.run())
             tasks.create_task(self._watch_rules())
+            tasks.create_task(self._claim_sweeper.run())
             tasks.create_task(self._watch_sessions())
 
     async def sync(
@@ -428,7 +434,8 @@
         if request.drained:
             self._moves.wake()
         if request.suspects:
-            self._suspects.report(request.suspects)
+            holder = Holder(request.instance, request.boot_id)
+            self._suspects.report(request.suspects, holder, self._clock())
             # Queued before the reply, which confirms that all routers are told.
             self._publish_suspects()
         reply = SyncReply(sequence=request.sequence)
@@ -513,6 +520,7 @@
                 host=entry.host,
                 port=entry.port,
                 state=entry.state.value,
+                boot_id=entry.boot_id,
             )
             for entry in (s.entry for s in self._membership.servers.values())
         ]
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -58,12 +58,18 @@
     rules_period_ms: int = 500
     order_timeout_ms: int = 100
     settle_ms: int = 1000
+    idle_ms: int = 2000
+    """Time that a stopping router gives callers to use or close idle connections."""
 
 
 class LimitOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds on memory and work of one process."""
 
+    connections: int = 2000
+    """Connections from callers; further ones are closed before anything is read."""
     header_bytes: int = 16_384
+    header_timeout_ms: int = 10_000
+    """Time for a caller to send the headers of the first request of a connection."""
     body_bytes: int = 8_388_608
     body_timeout_ms: int = 10_000
     """Time for a caller to send a whole body."""
@@ -74,6 +80,12 @@
     retry_ratio: float = 0.1
     lower_class_share: float = 0.1
     slow_start_ms: int = 10_000
+    claim_writes_per_second: int = 300
+    """Transactions for idempotency claims of all routers together; each router takes
+    its share of the planned number. The rest of the store's several hundred writes is
+    for the coordinator."""
+    claim_retention_s: int = 86_400
+    """Age at which a claim is deleted; a resend after that would run again."""
 
 
 class OperatorOptions(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/router/mulberryrelay_router/requestpath.py
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -35,12 +35,12 @@
         instance = options.instance.name
         self._pools = Pools(max(s.connections for s in options.services.values()))
         self._in_flight = in_flight or InFlight()
-        self._claims = Claims(platform, instance, monotonic_ms)
+        self._claims = Claims(options, platform, monotonic_ms)
         self._readiness = Readiness(view)
         self._metrics = Metrics(options.tenant)
         self._admission = Admission(options, monotonic_ms)
         view.changes.subscribe(lambda _: self._admission.wake())
-        router = Router(
+        self._router = Router(
             options,
             view,
             self._pools,
@@ -53,7 +53,7 @@
             load or LoadCounters(options),
         )
         self._handler = caller_handler(
-            options, router.route, self._readiness.is_stopping
+            options, self._router.route, self._readiness.is_stopping
         )
 
     @property
@@ -85,6 +85,11 @@
         """Follow these rules from now on."""
         self._admission.set_rules(rules)
 
+    async def drain_probations(self, timeout_s: float) -> None:
+        """Wait until the results of runs under probation are reported."""
+        await self._router.drain(timeout_s)
+
     async def close(self) -> None:
-        """Close the connections to backend servers."""
+        """End background work and close the connections to backend servers."""
+        await self._router.close()
         await self._pools.close()
