Answer unknown while the claim of an idempotency key cannot be recorded

Cause: while the store did not answer, a resend was told "not run" although an earlier request with its key may have run. The answer was true of the resend alone, but a caller takes it for the payment, and may pay again under another key. Ruled out: "not run" when the store refused with certainty; that says nothing about an earlier request with the same key. Change: such a request is still not sent, and its outcome is unknown (503 store-unavailable). Conclusion: callers resend the same key after an outage, as before.

--- a/packages/router/mulberryrelay_router/claims.py
+++ b/packages/router/mulberryrelay_router/claims.py
@@ -226,11 +226,13 @@
         while True:
             inserted = await self._insert(_Insert(claim, version), request.deadline_ms)
             if inserted is None or inserted.is_refused:
+                # This request was not sent, but an earlier one with its key may have
+                # run, and its caller takes the answer for that of the payment.
                 return failed_answer(
-                    Outcome.NOT_RUN,
+                    Outcome.UNKNOWN,
                     503,
                     "store-unavailable",
-                    "the claim of the idempotency key could not be recorded",
+                    "not sent; whether the idempotency key has run is not known",
                 )
             if inserted.is_ours:
                 return claim
--- a/tests/test_claim_states.py
+++ b/tests/test_claim_states.py
@@ -145,6 +145,8 @@
         except asyncio.CancelledError:
             return
         outcomes[answer.outcome.value] += 1
+        if answer.outcome is Outcome.NOT_RUN and runs["ran"]:
+            runs["denied"] += 1
 
     await asyncio.gather(
         *(send(number, *told) for number, told in enumerate(sends)),
@@ -155,6 +157,8 @@
         await router.drain()
     assert runs["ran"] <= 1, (runs, outcomes)
     assert not outcomes["ran"] or runs["ran"] == 1, (runs, outcomes)
+    # A resend must not be told that a payment was not run when it has run.
+    assert not runs["denied"], (runs, outcomes)
     # Nothing that happened to the store keeps a key from running later if it is
     # certain that it has not run, and nothing lets it run again.
     was_sent = bool(runs["sent"])
