--- a/packages/control/mulberryrelay_control/placement.py
+++ b/packages/control/mulberryrelay_control/placement.py
@@ -29,6 +29,7 @@
     UnitId,
 )
 from mulberryrelay_kernel.messages import ServerEntry, Unit, UnitCount
+from mulberryrelay_kernel.registry import register
 from mulberryrelay_kernel.states import ServerState, UnitState
 
 from .rules import PinTarget
@@ -165,6 +166,7 @@
     )
 
 
+@register("placement", "adaptive")
 def plan_moves(
     state: PlacementState, policy: PlacementPolicy, now_ms: float
 ) -> list[PlannedMove]:
@@ -186,6 +188,7 @@
     return moves
 
 
+@register("placement", "static-hash")
 def plan_static_hash(
     state: PlacementState, policy: PlacementPolicy, now_ms: float
 ) -> list[PlannedMove]:
@@ -205,6 +208,7 @@
     return moves
 
 
+@register("placement", "round-robin")
 def plan_round_robin(
     state: PlacementState, policy: PlacementPolicy, now_ms: float
 ) -> list[PlannedMove]:
@@ -221,6 +225,7 @@
     return moves
 
 
+@register("placement", "always-rebalance")
 def plan_always(
     state: PlacementState, policy: PlacementPolicy, now_ms: float
 ) -> list[PlannedMove]:
--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -94,5 +94,7 @@
     timing: TimingOptions = TimingOptions()
     limits: LimitOptions = LimitOptions()
     operators: list[OperatorOptions] = []
+    placement: str = "adaptive"
+    """Plug-in that plans moves; the others are baselines for comparison."""
     routers: int = 9
     """Planned number of routers; sets the first share of each server's slots."""
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -15,6 +15,7 @@
 from mulberryrelay_kernel.messages import Address
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.platform import Platform
+from mulberryrelay_kernel.registry import plugin
 
 from .inflight import InFlight
 from .loadcount import LoadCounters
@@ -62,6 +63,7 @@
             SuspectRegistry,
             view.servers,
             self._rules.active,
+            plugin("placement", options.placement),
         )
         self._peers = PeerTask(
             options,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -77,6 +77,7 @@
         add("POST", "/mulberry/grants", self._grants)
         add("POST", "/control/behaviour", self._set_behaviour)
         add("GET", "/control/executions", self._list_executions)
+        add("GET", "/control/count", self._count_executions)
         add("*", "/{path:.*}", self._handle)
         return application
 
@@ -237,6 +238,9 @@
     async def _list_executions(self, request: web.Request) -> web.Response:
         return web.Response(body=msgspec.json.encode(self._executions))
 
+    async def _count_executions(self, request: web.Request) -> web.Response:
+        return web.json_response(len(self._executions))
+
 
 async def serve(server: ServerId, checks_grants: bool) -> None:
     """Serve on a free port and print it."""
