--- a/packages/router/mulberryrelay_router/inflight.py
+++ b/packages/router/mulberryrelay_router/inflight.py
@@ -16,8 +16,6 @@
         self._total = 0
         self._started = 0
         self._units: Counter[tuple[ServiceName, UnitId]] = Counter()
-        # An emission costs more than the counting, and hardly any unit is moving.
-        self._watched: set[tuple[ServiceName, UnitId]] = set()
         self._drained: Subject[tuple[ServiceName, UnitId]] = Subject()
 
     @property
@@ -32,17 +30,9 @@
 
     @property
     def drained(self) -> Observable[tuple[ServiceName, UnitId]]:
-        """Emits a watched unit whenever its last request in flight has ended."""
+        """Emits a unit whenever its last request in flight has ended."""
         return self._drained
 
-    def watch(self, service: ServiceName, unit: UnitId) -> None:
-        """Emit from now on when the unit is drained."""
-        self._watched.add((service, unit))
-
-    def unwatch(self, service: ServiceName, unit: UnitId) -> None:
-        """Stop emitting for the unit."""
-        self._watched.discard((service, unit))
-
     def is_drained(self, service: ServiceName, unit: UnitId) -> bool:
         """Return whether no request for the unit is in flight.
 
@@ -62,18 +52,14 @@
         """Count a request that has ended and can have no later effect."""
         self._total -= 1
         for counted in _units_of(unit, key):
-            name = (service, counted)
-            left = self._units[name] - 1
-            if left:
-                self._units[name] = left
+            self._units[service, counted] -= 1
+            if self._units[service, counted]:
                 continue
-            del self._units[name]
-            if name in self._watched:
-                self._drained.on_next(name)
+            del self._units[service, counted]
+            self._drained.on_next((service, counted))
 
 
-def _units_of(unit: UnitId | None, key: Key | None) -> tuple[UnitId, ...]:
+def _units_of(unit: UnitId | None, key: Key | None) -> set[UnitId]:
     if unit is None or key is None:
-        return ()
-    override = override_unit(key)
-    return (unit,) if unit == override else (unit, override)
+        return set()
+    return {unit, override_unit(key)}
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -515,17 +515,13 @@
     def _note_units(self, updates: Sequence[UnitUpdate], is_full: bool) -> None:
         """Confirm moving units that are drained already, and remember the others."""
         if is_full:
-            for key in self._moving:
-                self._in_flight.unwatch(*key)
             self._moving.clear()
         for update in updates:
             key = (update.service, update.unit.unit)
             if update.unit.state is not UnitState.MOVING:
                 self._moving.pop(key, None)
-                self._in_flight.unwatch(*key)
                 continue
             self._moving[key] = update.unit.epoch
-            self._in_flight.watch(*key)
             self._note_drained(key)
 
     def _note_drained(self, key: tuple[ServiceName, UnitId]) -> None:
