Send a queued request only if its answer is likely in time

Cause: at overload the queue hands out requests whose deadline is as near as the average latency. About half of all answers take longer than the average, so these requests were sent, timed out and ended as unknown, and took slots.

Ruled out: a fixed multiple of the average, which is wrong both for even and for widely spread latencies.

Change: admission keeps the average deviation of each server's latency and requires two deviations above the average.

--- a/packages/router/mulberryrelay_router/admission.py
+++ b/packages/router/mulberryrelay_router/admission.py
@@ -377,9 +377,9 @@
         # A request that waited and can hardly be answered in time would end as
         # unknown. One that finds free concurrency at once is always sent, so that a
         # latency that has become too high is corrected.
-        usual_ms = self._balancer.usual_latency_ms(service)
+        likely_ms = self._balancer.likely_latency_ms(service)
         left_ms = waiter.request.deadline_ms - self._clock()
-        if waiter.admitted.done() or left_ms <= usual_ms:
+        if waiter.admitted.done() or left_ms <= likely_ms:
             waiter.expire()
             return True
         entries = self._eligible(service, waiter.candidates)
--- a/packages/router/mulberryrelay_router/balance.py
+++ b/packages/router/mulberryrelay_router/balance.py
@@ -24,6 +24,9 @@
 """Added to the limit, divided by it, for an answer while the limit is in use."""
 LATENCY_WEIGHT = 0.1
 """Weight of the newest answer in the moving average of latency."""
+DEVIATIONS = 2.0
+"""Deviations above the average that an answer may take; as many as half of all answers
+take longer than the average alone."""
 DEFAULT_PAUSE_MS = 10.0
 """Stands for the latency of a server that has not answered yet."""
 
@@ -69,6 +72,7 @@
         self.decreased_ms = -math.inf
         self.paused_until_ms = -math.inf
         self.latency_ms = 0.0
+        self.deviation_ms = 0.0
         self.samples = 0
         self.failures = 0
         self.ejections = 0
@@ -138,6 +142,15 @@
         ]
         return statistics.median(known) if known else 0.0
 
+    def likely_latency_ms(self, service: ServiceName) -> float:
+        """Return the latency that most answers do not exceed; 0 if unknown."""
+        known = [
+            track.latency_ms + DEVIATIONS * track.deviation_ms
+            for track in self._tracks[service].values()
+            if track.samples
+        ]
+        return statistics.median(known) if known else 0.0
+
     def usable(
         self, service: ServiceName, entries: Sequence[ServerEntry]
     ) -> list[ServerEntry]:
@@ -246,7 +259,10 @@
         track.failures = 0
         track.samples += 1
         weight = max(LATENCY_WEIGHT, 1 / track.samples)
-        track.latency_ms += weight * (latency_ms - track.latency_ms)
+        error_ms = latency_ms - track.latency_ms
+        track.latency_ms += weight * error_ms
+        if track.samples > 1:
+            track.deviation_ms += weight * (abs(error_ms) - track.deviation_ms)
         if was_limited:
             step = LIMIT_INCREASE / max(1.0, track.limit)
             track.limit = min(self._limit_cap(service), track.limit + step)
