Count a connection that was not accepted as not sent in the load generator

Cause: a connection that took more than 0.3 s counted as unknown. Such requests were never written, and a load balancer would use the next router.

--- a/bench/openload.py
+++ b/bench/openload.py
@@ -1,8 +1,8 @@
 """Open-loop load generator: sends each request at its time, whatever came before.
 
 Reads a ``LoadSpec`` as JSON from a file and writes a ``LoadLog`` to another one.
-Latency counts from the time at which a request was due. A request whose router refuses
-the connection goes to the next router, as a load balancer would have it.
+Latency counts from the time at which a request was due. A request whose router does not
+accept the connection goes to the next router, as a load balancer would have it.
 """
 
 import asyncio
@@ -126,7 +126,8 @@
     }
     if stream.claims:
         headers["Idempotency-Key"] = f"{spec.seed}-{item.stream}-{due_s}-{number}"
-    outcome, owner, error = "unknown", "", "no router"
+    # What stays if no router can be connected to: the request was never written.
+    outcome, owner, error = "not-run", "", "no-connection"
     for turn in range(len(spec.urls)):
         url = spec.urls[(number + turn) % len(spec.urls)]
         try:
@@ -143,10 +144,10 @@
                 outcome = response.headers.get("Mulberry-Outcome", "unknown")
                 owner = response.headers.get("Mulberry-Owner", "")
                 error = "" if response.status < 400 else _error_of(body)
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             continue
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
-            error = type(failure).__name__
+            outcome, error = "unknown", type(failure).__name__
         break
     latency_ms = (time.monotonic() - due_s) * 1000
     sent.append(Sent(item.stream, item.key, due_s, latency_ms, outcome, owner, error))
