--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -392,6 +392,31 @@
         assert len(ejected(balancer, count)) == count // 2
 
 
+@in_virtual_time
+async def test_queued_requests_allow_for_widely_spread_latencies() -> None:
+    """Guards against sending what would end as unknown more often than not.
+
+    Answers take 40 or 120 ms in turn. A queued request with 100 ms left has more than
+    the average, and is not sent; one with 300 ms left is.
+    """
+    for left_ms, is_sent in ((100.0, False), (300.0, True)):
+        admission = make_admission()
+        entries = servers(1)
+        for turn in range(60):
+            slot = await slot_of(admission, Request(), entries)
+            latency_ms = 120.0 if turn % 2 else 40.0
+            admission.release(slot, Observation.ANSWERED, latency_ms)
+        held = []
+        while admission.balancer.has_room(BOOKPAY, ServerId("b0")):
+            held.append(await slot_of(admission, Request(), entries))
+        request = Request(deadline_ms=virtual_clock() + left_ms)
+        task = waiting_for(admission, request, entries)
+        await asyncio.sleep(0)
+        admission.release(held.pop(), Observation.ANSWERED, 80.0)
+        await asyncio.sleep(0)
+        assert is_successful(await task) is is_sent, left_ms
+
+
 @in_virtual_time
 async def test_slow_servers_are_ejected_but_short_deadlines_are_no_failure() -> None:
     """Guards against a server slowing its callers, and callers ejecting servers."""
