--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -109,5 +109,7 @@
     peers: list[str] = []
     """Peer ports of routers as ``host:port``, asked for the coordinator when the store
     does not tell it; none of them needs to run."""
+    placement: str = "adaptive"
+    """Plug-in that plans moves; the others are baselines for comparison."""
     routers: int = 9
     """Planned number of routers; sets the first share of each server's slots."""
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -13,6 +13,7 @@
 from mulberryrelay_kernel.messages import Address
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.platform import Platform
+from mulberryrelay_kernel.registry import plugin
 from mulberryrelay_kernel.settings import split_host_port
 from mulberryrelay_kernel.states import InstanceKind
 
@@ -85,6 +86,7 @@
             view.servers,
             self._rules.active,
             self._rules.apply,
+            plugin("placement", options.placement),
         )
         self._peers = PeerTask(
             options,
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -83,6 +83,7 @@
         add("POST", "/mulberry/grants", self._grants)
         add("POST", "/control/behaviour", self._set_behaviour)
         add("GET", "/control/executions", self._list_executions)
+        add("GET", "/control/count", self._count_executions)
         add("*", "/{path:.*}", self._handle)
         return application
 
@@ -258,6 +259,9 @@
     async def _list_executions(self, request: web.Request) -> web.Response:
         return web.Response(body=msgspec.json.encode(self._executions))
 
+    async def _count_executions(self, request: web.Request) -> web.Response:
+        return web.json_response(len(self._executions))
+
 
 async def serve(server: ServerId, checks_grants: bool, prints_runs: bool) -> None:
     """Serve on a free port and print it."""
