--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -458,7 +458,7 @@
         reply = SyncReply(
             full=True,
             view_version=self._version,
-            units=[_unit_message(update) for update in updates],
+            units=[unit_message(update) for update in updates],
             servers=self._server_messages(),
             suspects=self._suspects.known(),
         )
@@ -470,7 +470,7 @@
         self._version += 1
         self._push(
             view_version=self._version,
-            units=[_unit_message(update) for update in updates],
+            units=[unit_message(update) for update in updates],
         )
 
     def _publish_servers(self) -> None:
@@ -505,7 +505,8 @@
         ]
 
 
-def _unit_message(update: UnitUpdate) -> peer_pb2.UnitUpdate:
+def unit_message(update: UnitUpdate) -> peer_pb2.UnitUpdate:
+    """Return the message that publishes a changed unit."""
     unit = update.unit
     return peer_pb2.UnitUpdate(
         service=update.service,
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -449,11 +449,11 @@
         if reply.servers:
             self._view.apply_servers([_server_entry(s) for s in reply.servers])
         if reply.full:
-            self._view.apply_assignment(Term(reply.term), _assignment_of(reply))
+            self._view.apply_assignment(Term(reply.term), assignment_of(reply))
             log_event("view_received", term=reply.term, version=reply.view_version)
-            self._note_units(_updates_of(reply), is_full=True)
+            self._note_units(updates_of(reply), is_full=True)
         elif reply.view_version:
-            updates = _updates_of(reply)
+            updates = updates_of(reply)
             self._view.apply_units(AssignmentVersion(reply.view_version), updates)
             self._note_units(updates, is_full=False)
         if reply.HasField("rules_text"):
@@ -543,7 +543,8 @@
     )
 
 
-def _updates_of(reply: SyncReply) -> list[UnitUpdate]:
+def updates_of(reply: SyncReply) -> list[UnitUpdate]:
+    """Return the units that a message carries."""
     return [
         UnitUpdate(
             ServiceName(unit.service),
@@ -559,10 +560,11 @@
     ]
 
 
-def _assignment_of(reply: SyncReply) -> Assignment:
+def assignment_of(reply: SyncReply) -> Assignment:
+    """Return the assignment of a message that carries a full view."""
     ranges: dict[ServiceName, list[Unit]] = {}
     overrides: dict[ServiceName, dict[Key, Unit]] = {}
-    for update in _updates_of(reply):
+    for update in updates_of(reply):
         unit = update.unit
         if is_override(unit.unit):
             key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
