Send fewer headers with periodic calls to the store and to servers

Cause: aiohttp adds Accept, Accept-Encoding and User-Agent to each call and looks cookies up. Nothing reads them, and these calls are made every 100 ms (store) or 150 ms (each server).

Ruled out: a gain of processor time. 1,500 calls in a row cost 93 to 132 us each with any combination of cookie jar, headers, shared timeouts and a timeout outside of the call; the differences are smaller than the spread.

Change: one function opens the sessions for both, without these headers and without cookies. Content-Type stays.

--- a/packages/control/mulberryrelay_control/platform_http.py
+++ b/packages/control/mulberryrelay_control/platform_http.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from mulberryrelay_kernel.httpclient import periodic_session
 from mulberryrelay_kernel.ids import InstanceId, RowName, WriteId
 from mulberryrelay_kernel.messages import Condition, ListedInstance, Row, Write
 from mulberryrelay_kernel.options import PlatformOptions
@@ -63,7 +64,7 @@
 
     def __init__(self, options: PlatformOptions, instance: InstanceId) -> None:
         self._url = options.url
-        self._session = aiohttp.ClientSession(
+        self._session = periodic_session(
             timeout=aiohttp.ClientTimeout(total=options.timeout_ms / 1000),
             headers={INSTANCE_HEADER: instance},
         )
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -11,6 +11,7 @@
 from mulberryrelay_control.rulestore import RuleStore
 from mulberryrelay_control.suspects import SuspectRegistry
 from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.httpclient import periodic_session
 from mulberryrelay_kernel.ids import BootId
 from mulberryrelay_kernel.messages import Address
 from mulberryrelay_kernel.options import Options
@@ -44,7 +45,7 @@
         self._rule_store = RuleStore(options, platform)
         self._channels = PeerChannels(me)
         # Grants have connections of their own, apart from those for requests.
-        self._orders = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._orders = periodic_session(aiohttp.TCPConnector(limit=0))
         self._lease = CoordinatorLease(
             options,
             platform,
