Send renewals of grants in groups

Cause: with 20 servers, orders take most of the coordinator's processor time: 87 of 107 samples in the grant loops of a py-spy profile are in the HTTP client. A call costs about 0.1 ms in a tight loop but about 0.33 ms in an idle coordinator (0.22% of a core per server at 6.7 orders a second), where each order wakes the process up separately.

Change: the pause after an order lasts until the next renewal of the server's group, at most renew_ms. 32 servers form a group and the groups are 10 ms apart, so that a burst holds the event loop for a few milliseconds only. The period was renew_ms plus the time of the call and is renew_ms now.

--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -32,12 +32,17 @@
 # about again. It is part of the pause of a moving key.
 REPEAT_MS = 5.0
 RETRY_MS = 25.0
+# Servers whose renewals are sent together. An order takes about 0.1 ms of processor
+# time, so that a group holds the event loop for a few milliseconds.
+GROUP_SIZE = 32
+GROUP_SPACING_MS = 10.0
 
 
 class ServerGrants:
     """What one server should hold, and what it has confirmed."""
 
-    def __init__(self) -> None:
+    def __init__(self, phase_ms: float = 0.0) -> None:
+        self._phase_ms = phase_ms
         self._wanted: dict[UnitId, Epoch] = {}
         self._confirmed: dict[UnitId, Epoch] = {}
         self._revoking: dict[UnitId, Epoch] = {}
@@ -50,6 +55,11 @@
         self._woken = asyncio.Event()
         self._settled = asyncio.Event()
 
+    @property
+    def phase_ms(self) -> float:
+        """Offset of the server's renewals in the common period."""
+        return self._phase_ms
+
     @property
     def wanted(self) -> dict[UnitId, Epoch]:
         """The units that the server should hold."""
@@ -227,7 +237,10 @@
 
     def of(self, server: ServerId) -> ServerGrants:
         """Return the grants of a server."""
-        return self._grants.setdefault(server, ServerGrants())
+        if server not in self._grants:
+            group = len(self._grants) // GROUP_SIZE
+            self._grants[server] = ServerGrants(group * GROUP_SPACING_MS)
+        return self._grants[server]
 
     async def run(self, server: Server) -> None:
         """Renew the grants of one server until it is dropped."""
@@ -278,7 +291,16 @@
             self._on_event(ServerEvent.RELEASED, server)
         if again and not self._must_wait(server):
             return 0.0
-        return REPEAT_MS if grants.is_revoking else timing.renew_ms
+        return REPEAT_MS if grants.is_revoking else self._next_renewal_ms(grants)
+
+    def _next_renewal_ms(self, grants: ServerGrants) -> float:
+        """Return the pause until the renewal of the server's group, at most the period.
+
+        Orders that are sent together cost less than orders spread over the period,
+        since the process wakes up less often.
+        """
+        period_ms = self._options.timing.renew_ms
+        return period_ms - (self._clock() - grants.phase_ms) % period_ms
 
     def _must_wait(self, server: Server) -> bool:
         """Return whether the server may not get an order of this term yet.
