Name the router in the first request of a stream only

Cause: each heartbeat repeats instance, boot id, data centre and address, which the coordinator reads from the first request of a stream only.

--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -401,12 +401,7 @@
         reports, self._reports = self._reports, {}
         # A new coordinator knows no suspects yet.
         suspects = {**self._suspects, **reports} if is_first else reports
-        return SyncRequest(
-            instance=self._me.instance,
-            boot_id=self._me.boot_id,
-            data_centre=self._me.data_centre,
-            host=self._me.host,
-            peer_port=self._me.port,
+        request = SyncRequest(
             sequence=self._sequence,
             term=self._view.term,
             applied_assignment_version=self._view.assignment.version,
@@ -416,6 +411,13 @@
             suspects=list(suspects.values()),
             leaving=self._is_leaving,
         )
+        if is_first:
+            request.instance = self._me.instance
+            request.boot_id = self._me.boot_id
+            request.data_centre = self._me.data_centre
+            request.host = self._me.host
+            request.peer_port = self._me.port
+        return request
 
     def _due_counts(self) -> list[peer_pb2.UnitCount]:
         now_ms = self._clock()
