Keep the digest of a list of grants until the list changes

Cause: each renewal sorted, encoded and hashed the complete list of the server and compared it with the confirmed one, although both rarely change.

Change: the digest is kept until units are granted, revoked or forgotten, and a settled list is not searched for changes.

--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -47,6 +47,8 @@
         self._confirmed: dict[UnitId, Epoch] = {}
         self._revoking: dict[UnitId, Epoch] = {}
         self._released: set[tuple[UnitId, Epoch]] = set()
+        # Digest of the wanted list; None if the list has changed since.
+        self._digest: str | None = None
         self._needs_full = True
         self._sequence = 0
         self._stamp_ms: int | None = None
@@ -93,6 +95,7 @@
 
     def grant(self, units: Iterable[GrantedUnit]) -> None:
         """Add units to the list."""
+        self._digest = None
         for granted in units:
             self._wanted[granted.unit] = granted.epoch
             self._revoking.pop(granted.unit, None)
@@ -100,6 +103,7 @@
 
     def revoke(self, units: Iterable[GrantedUnit]) -> None:
         """Take units from the list; the server finishes what it runs for them."""
+        self._digest = None
         for revoked in units:
             self._wanted.pop(revoked.unit, None)
             if not self.is_released(revoked.unit, revoked.epoch):
@@ -108,6 +112,7 @@
 
     def forget(self, units: Iterable[GrantedUnit]) -> None:
         """Drop units whose grants have expired or were void."""
+        self._digest = None
         for dropped in units:
             if self._wanted.get(dropped.unit) == dropped.epoch:
                 del self._wanted[dropped.unit]
@@ -149,11 +154,8 @@
         self._sequence += 1
         if stamp_only or self._stamp_ms is None:
             return GrantRequest(coordinator, term, ttl_ms, self._sequence, None, None)
-        changed = [
-            GrantedUnit(unit, epoch)
-            for unit, epoch in self._wanted.items()
-            if self._needs_full or self._confirmed.get(unit) != epoch
-        ]
+        if self._digest is None:
+            self._digest = grants_digest(self._wanted)
         return GrantRequest(
             coordinator=coordinator,
             term=term,
@@ -161,14 +163,24 @@
             sequence=self._sequence,
             stamp_ms=self._stamp_ms,
             boot_id=self._boot_id,
-            changed=changed,
+            changed=self._unconfirmed(),
             revoked=[
                 GrantedUnit(unit, epoch) for unit, epoch in self._revoking.items()
             ],
             full=self._needs_full,
-            digest=grants_digest(self._wanted),
+            digest=self._digest,
         )
 
+    def _unconfirmed(self) -> list[GrantedUnit]:
+        """Return the wanted units that the server has not confirmed."""
+        if self.is_settled:
+            return []
+        return [
+            GrantedUnit(unit, epoch)
+            for unit, epoch in self._wanted.items()
+            if self._needs_full or self._confirmed.get(unit) != epoch
+        ]
+
     def note_reply(
         self,
         order: GrantRequest,
