--- a/packages/router/mulberryrelay_router/instance.py
+++ b/packages/router/mulberryrelay_router/instance.py
@@ -1,7 +1,6 @@
 """Runs one router process until it is told to stop."""
 
 import asyncio
-import gc
 import signal
 import uuid
 from collections.abc import Sequence
@@ -74,9 +73,6 @@
         peer_port=control.port,
         admin_port=admin.addresses[0][1],
     )
-    gc.collect()
-    # Modules and settings stay for the life of the process; collections skip them.
-    gc.freeze()
     await wait_until_stopped(stopping, tasks)
     log_event("stopping", instance=instance.name, in_flight=in_flight.total)
     path.readiness.stop()
