Remove what nothing reads from the messages between routers

Cause: SyncRequest.observations, ServerObservation and Server.boot_id are set by nobody; SyncRequest.applied_assignment_version and UnitUpdate.removed are set and read by nobody (a removed override is one without an owner, and moves use the drained units).

Change: they are removed and their numbers reserved. Suspect.deaths and RulesNotice.rules_version, which are set and not read, stay: the first is part of a test, the second of a call that operators' submissions cause.

Conclusion: no change of behaviour.

--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -14,7 +14,6 @@
 from returns.result import Result
 
 from mulberryrelay_kernel.clock import Clock, monotonic_ms
-from mulberryrelay_kernel.hashing import is_override
 from mulberryrelay_kernel.ids import RulesVersion, Term
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import (
@@ -515,5 +514,4 @@
         epoch=unit.epoch,
         state=unit.state.value,
         next_owner=unit.next_owner or "",
-        removed=is_override(unit.unit) and unit.owner is None,
     )
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -404,7 +404,6 @@
         request = SyncRequest(
             sequence=self._sequence,
             term=self._view.term,
-            applied_assignment_version=self._view.assignment.version,
             applied_rules_version=self._view.rules_version,
             drained=drained,
             counts=self._due_counts(),
