--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -10,7 +10,6 @@
 import tempfile
 import time
 import tracemalloc
-import uuid
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -191,14 +190,8 @@
         for key in ("", f"trainer-{n}")
     ]
     return SyncRequest(
-        instance="entry-1",
-        boot_id=uuid.uuid4().hex,
-        data_centre="accra-osu",
-        host="127.0.0.1",
-        peer_port=40_000,
         sequence=100_000,
         term=10,
-        applied_assignment_version=1000,
         applied_rules_version=100,
         counts=found,
     )
--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -14,7 +14,6 @@
 from returns.result import Result
 
 from mulberryrelay_kernel.clock import Clock, monotonic_ms
-from mulberryrelay_kernel.hashing import is_override
 from mulberryrelay_kernel.ids import RulesVersion, Term
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import (
@@ -478,7 +477,7 @@
         reply = SyncReply(
             full=True,
             view_version=self._version,
-            units=[_unit_message(update) for update in updates],
+            units=[unit_message(update) for update in updates],
             servers=self._server_messages(),
             suspects=self._suspects.known(),
         )
@@ -490,7 +489,7 @@
         self._version += 1
         self._push(
             view_version=self._version,
-            units=[_unit_message(update) for update in updates],
+            units=[unit_message(update) for update in updates],
         )
 
     def _publish_servers(self) -> None:
@@ -526,7 +525,8 @@
         ]
 
 
-def _unit_message(update: UnitUpdate) -> peer_pb2.UnitUpdate:
+def unit_message(update: UnitUpdate) -> peer_pb2.UnitUpdate:
+    """Return the message that publishes a changed unit."""
     unit = update.unit
     return peer_pb2.UnitUpdate(
         service=update.service,
@@ -535,5 +535,4 @@
         epoch=unit.epoch,
         state=unit.state.value,
         next_owner=unit.next_owner or "",
-        removed=is_override(unit.unit) and unit.owner is None,
     )
--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -32,16 +32,23 @@
 # about again. It is part of the pause of a moving key.
 REPEAT_MS = 5.0
 RETRY_MS = 25.0
+# Servers whose renewals are sent together. An order takes about 0.1 ms of processor
+# time, so that a group holds the event loop for a few milliseconds.
+GROUP_SIZE = 32
+GROUP_SPACING_MS = 10.0
 
 
 class ServerGrants:
     """What one server should hold, and what it has confirmed."""
 
-    def __init__(self) -> None:
+    def __init__(self, phase_ms: float = 0.0) -> None:
+        self._phase_ms = phase_ms
         self._wanted: dict[UnitId, Epoch] = {}
         self._confirmed: dict[UnitId, Epoch] = {}
         self._revoking: dict[UnitId, Epoch] = {}
         self._released: set[tuple[UnitId, Epoch]] = set()
+        # Digest of the wanted list; None if the list has changed since.
+        self._digest: str | None = None
         self._needs_full = True
         self._sequence = 0
         self._stamp_ms: int | None = None
@@ -50,6 +57,11 @@
         self._woken = asyncio.Event()
         self._settled = asyncio.Event()
 
+    @property
+    def phase_ms(self) -> float:
+        """Offset of the server's renewals in the common period."""
+        return self._phase_ms
+
     @property
     def wanted(self) -> dict[UnitId, Epoch]:
         """The units that the server should hold."""
@@ -83,6 +95,7 @@
 
     def grant(self, units: Iterable[GrantedUnit]) -> None:
         """Add units to the list."""
+        self._digest = None
         for granted in units:
             self._wanted[granted.unit] = granted.epoch
             self._revoking.pop(granted.unit, None)
@@ -90,6 +103,7 @@
 
     def revoke(self, units: Iterable[GrantedUnit]) -> None:
         """Take units from the list; the server finishes what it runs for them."""
+        self._digest = None
         for revoked in units:
             self._wanted.pop(revoked.unit, None)
             if not self.is_released(revoked.unit, revoked.epoch):
@@ -98,6 +112,7 @@
 
     def forget(self, units: Iterable[GrantedUnit]) -> None:
         """Drop units whose grants have expired or were void."""
+        self._digest = None
         for dropped in units:
             if self._wanted.get(dropped.unit) == dropped.epoch:
                 del self._wanted[dropped.unit]
@@ -139,11 +154,8 @@
         self._sequence += 1
         if stamp_only or self._stamp_ms is None:
             return GrantRequest(coordinator, term, ttl_ms, self._sequence, None, None)
-        changed = [
-            GrantedUnit(unit, epoch)
-            for unit, epoch in self._wanted.items()
-            if self._needs_full or self._confirmed.get(unit) != epoch
-        ]
+        if self._digest is None:
+            self._digest = grants_digest(self._wanted)
         return GrantRequest(
             coordinator=coordinator,
             term=term,
@@ -151,14 +163,24 @@
             sequence=self._sequence,
             stamp_ms=self._stamp_ms,
             boot_id=self._boot_id,
-            changed=changed,
+            changed=self._unconfirmed(),
             revoked=[
                 GrantedUnit(unit, epoch) for unit, epoch in self._revoking.items()
             ],
             full=self._needs_full,
-            digest=grants_digest(self._wanted),
+            digest=self._digest,
         )
 
+    def _unconfirmed(self) -> list[GrantedUnit]:
+        """Return the wanted units that the server has not confirmed."""
+        if self.is_settled:
+            return []
+        return [
+            GrantedUnit(unit, epoch)
+            for unit, epoch in self._wanted.items()
+            if self._needs_full or self._confirmed.get(unit) != epoch
+        ]
+
     def note_reply(
         self,
         order: GrantRequest,
@@ -227,7 +249,10 @@
 
     def of(self, server: ServerId) -> ServerGrants:
         """Return the grants of a server."""
-        return self._grants.setdefault(server, ServerGrants())
+        if server not in self._grants:
+            group = len(self._grants) // GROUP_SIZE
+            self._grants[server] = ServerGrants(group * GROUP_SPACING_MS)
+        return self._grants[server]
 
     async def run(self, server: Server) -> None:
         """Renew the grants of one server until it is dropped."""
@@ -278,7 +303,16 @@
             self._on_event(ServerEvent.RELEASED, server)
         if again and not self._must_wait(server):
             return 0.0
-        return REPEAT_MS if grants.is_revoking else timing.renew_ms
+        return REPEAT_MS if grants.is_revoking else self._next_renewal_ms(grants)
+
+    def _next_renewal_ms(self, grants: ServerGrants) -> float:
+        """Return the pause until the renewal of the server's group, at most the period.
+
+        Orders that are sent together cost less than orders spread over the period,
+        since the process wakes up less often.
+        """
+        period_ms = self._options.timing.renew_ms
+        return period_ms - (self._clock() - grants.phase_ms) % period_ms
 
     def _must_wait(self, server: Server) -> bool:
         """Return whether the server may not get an order of this term yet.
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -9,6 +9,7 @@
 from mulberryrelay_control.rulestore import RuleStore
 from mulberryrelay_control.suspects import SuspectRegistry
 from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.httpclient import periodic_session
 from mulberryrelay_kernel.ids import BootId, DataCentre, InstanceId
 from mulberryrelay_kernel.messages import Address
 from mulberryrelay_kernel.options import Options
@@ -67,7 +68,7 @@
         self._rule_store = RuleStore(options, platform)
         self._channels = PeerChannels(me)
         # Grants have connections of their own, apart from those for requests.
-        self._orders = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._orders = periodic_session(aiohttp.TCPConnector(limit=0))
         self._lease = CoordinatorLease(
             options,
             platform,
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -444,22 +444,23 @@
             suspects = self._known_suspects() + suspects
         for suspect in suspects:
             self._suspects.note(suspect)
-        return SyncRequest(
-            instance=self._me.instance,
-            boot_id=self._me.boot_id,
-            data_centre=self._me.data_centre,
-            host=self._me.host,
-            peer_port=self._me.port,
+        request = SyncRequest(
             sequence=self._sequence,
             term=self._view.term,
-            applied_assignment_version=self._view.assignment.version,
             applied_rules_version=self._view.rules_version,
             drained=drained,
             counts=self._due_counts(),
             suspects=suspects,
             leaving=self._is_leaving,
-            tenant=self._options.tenant if is_first else "",
         )
+        if is_first:
+            request.tenant = self._options.tenant
+            request.instance = self._me.instance
+            request.boot_id = self._me.boot_id
+            request.data_centre = self._me.data_centre
+            request.host = self._me.host
+            request.peer_port = self._me.port
+        return request
 
     def _due_counts(self) -> list[peer_pb2.UnitCount]:
         now_ms = self._clock()
@@ -493,11 +494,11 @@
         if reply.servers:
             self._view.apply_servers([_server_entry(s) for s in reply.servers])
         if reply.full:
-            self._view.apply_assignment(Term(reply.term), _assignment_of(reply))
+            self._view.apply_assignment(Term(reply.term), assignment_of(reply))
             log_event("view_received", term=reply.term, version=reply.view_version)
-            self._note_units(_updates_of(reply), is_full=True)
+            self._note_units(updates_of(reply), is_full=True)
         elif reply.view_version:
-            updates = _updates_of(reply)
+            updates = updates_of(reply)
             self._view.apply_units(AssignmentVersion(reply.view_version), updates)
             self._note_units(updates, is_full=False)
         if reply.HasField("rules_text"):
@@ -607,7 +608,8 @@
     )
 
 
-def _updates_of(reply: SyncReply) -> list[UnitUpdate]:
+def updates_of(reply: SyncReply) -> list[UnitUpdate]:
+    """Return the units that a message carries."""
     return [
         UnitUpdate(
             ServiceName(unit.service),
@@ -623,10 +625,11 @@
     ]
 
 
-def _assignment_of(reply: SyncReply) -> Assignment:
+def assignment_of(reply: SyncReply) -> Assignment:
+    """Return the assignment of a message that carries a full view."""
     ranges: dict[ServiceName, list[Unit]] = {}
     overrides: dict[ServiceName, dict[Key, Unit]] = {}
-    for update in _updates_of(reply):
+    for update in updates_of(reply):
         unit = update.unit
         if is_override(unit.unit):
             key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
