--- a/bench/failures.py
+++ b/bench/failures.py
@@ -217,8 +217,9 @@
             *("ran", "not run", "unknown", "claims refused", "p99 ms"),
         ],
         notes=[
-            "Claims refused are the answers `store-unavailable`, which are certain to"
-            " be not run. The time after begins when the store answers again.",
+            "Claims refused are the answers `store-unavailable`: the request was not"
+            " sent, and its outcome is unknown, since an earlier one with its key may"
+            " have run. The time after begins when the store answers again.",
         ],
     )
     streams = [
