Split the modules of rules, peers and routing; let units rest after a takeover

Cool-down times and the budget of moves were kept in the coordinator's memory only, so that a change of coordinator allowed a new round of voluntary moves. Change: ruletypes, ruleline, ruleconflicts and ruleformat beside rules; peerserver, peerchannels and peerviews beside peers; answers beside routing. The first plan of a term counts all owned units as just moved. Ruled out: storing the times of moves in the chunk rows, which would make them a third longer. Conclusion: no other behaviour changed.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -27,7 +27,7 @@
 )
 from mulberryrelay_kernel.messages import Unit, UnitUpdate
 from mulberryrelay_kernel.peerproto.peer_pb2 import SyncReply
-from mulberryrelay_router.peers import assignment_of, updates_of
+from mulberryrelay_router.peerviews import assignment_of, updates_of
 from mulberryrelay_router.view import RoutingView
 from standins.deployment import Deployment, Process
 
--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -45,7 +45,7 @@
 from .moves import Moves, MoveStep
 from .placement import PlanMoves, plan_moves
 from .planner import Planner
-from .rules import ActiveRules
+from .ruletypes import ActiveRules
 from .sessions import RouterSession, RouterSessions
 from .suspects import Holder
 
--- a/packages/control/mulberryrelay_control/placement.py
+++ b/packages/control/mulberryrelay_control/placement.py
@@ -32,7 +32,7 @@
 from mulberryrelay_kernel.registry import register
 from mulberryrelay_kernel.states import ServerState, UnitState
 
-from .rules import PinTarget
+from .ruletypes import PinTarget
 
 Counted = TypeVar("Counted")
 
--- a/packages/control/mulberryrelay_control/planner.py
+++ b/packages/control/mulberryrelay_control/planner.py
@@ -21,7 +21,7 @@
     policy_of,
     update_rates,
 )
-from .rules import ActiveRules
+from .ruletypes import ActiveRules
 from .sessions import RouterSessions
 
 RATE_PERIOD_MS = 1000.0
@@ -57,6 +57,7 @@
         )
         self._rates = dict.fromkeys(self._ranges, LoadRates())
         self._rates_ms = clock()
+        self._has_planned = False
         self._moved_ms: dict[ServiceName, dict[UnitId, float]] = {
             name: {} for name in self._ranges
         }
@@ -67,6 +68,7 @@
     def plan(self, assignment: Assignment) -> list[PlannedMove]:
         """Return the moves that are due now, to servers that take units."""
         now_ms = self._clock()
+        self._rest_units(assignment, now_ms)
         self._update_rates(now_ms)
         rules = self._rules()
         state = PlacementState(
@@ -82,6 +84,24 @@
             self._note_planned(move, now_ms)
         return planned
 
+    def _rest_units(self, assignment: Assignment, now_ms: float) -> None:
+        """At the first plan, count all owned units as just moved.
+
+        The moves of the former coordinator are not known. Without this, each change of
+        coordinator would allow a new round of voluntary moves.
+        """
+        if self._has_planned:
+            return
+        self._has_planned = True
+        for name in self._ranges:
+            units = [
+                *assignment.ranges.get(name, []),
+                *assignment.overrides.get(name, {}).values(),
+            ]
+            for unit in units:
+                if unit.owner is not None:
+                    self._moved_ms[name][unit.unit] = now_ms
+
     def _placement(
         self, name: ServiceName, assignment: Assignment, rules: ActiveRules
     ) -> ServicePlacement:
--- /dev/null
+++ b/packages/control/mulberryrelay_control/ruleformat.py
@@ -0,0 +1,59 @@
+"""Writes rules as a rule file has them."""
+
+import json
+from datetime import UTC, datetime
+
+from .ruleline import BARE_WORD
+from .ruletypes import DrainRule, LimitRule, PinRule, PinTarget, Rule, RuleAction
+
+
+def format_rule(rule: Rule) -> str:
+    """Return the line of a rule; parsing it gives the same rule."""
+    words = [format_action(rule.action), format_window(rule), f"# {rule.comment}"]
+    return " ".join(word for word in words if word)
+
+
+def format_action(action: RuleAction) -> str:
+    """Return a rule's text without its times and comment."""
+    if isinstance(action, PinRule):
+        return (
+            f"pin key {action.service} {_format_word(action.key)}"
+            f" to {format_target(action.target)}"
+        )
+    if isinstance(action, DrainRule):
+        return f"drain server {action.server}"
+    if isinstance(action, LimitRule):
+        return (
+            f"limit {action.service} class {action.request_class}"
+            f" {action.per_second} per-second"
+        )
+    return f"order {action.service} {' '.join(action.classes)}"
+
+
+def format_target(target: PinTarget) -> str:
+    """Return the words that name the target of a pin."""
+    if target.server is not None:
+        return f"server {target.server}"
+    return f"data-centre {target.data_centre}"
+
+
+def format_window(rule: Rule) -> str:
+    """Return the ``from`` and ``until`` words of a rule, or an empty string."""
+    words = []
+    if rule.starts is not None:
+        words.append(f"from {format_time(rule.starts)}")
+    if rule.ends is not None:
+        words.append(f"until {format_time(rule.ends)}")
+    return " ".join(words)
+
+
+def format_time(time: datetime) -> str:
+    """Return an aware time as rule files write it."""
+    # strftime leaves out leading zeros of years before 1000 on some systems.
+    return time.astimezone(UTC).replace(tzinfo=None).isoformat(timespec="seconds") + "Z"
+
+
+def _format_word(word: str) -> str:
+    if BARE_WORD.fullmatch(word) and not word.startswith(("#", '"')):
+        return word
+    return json.dumps(word, ensure_ascii=False)
--- a/packages/control/mulberryrelay_control/ruleplan.py
+++ b/packages/control/mulberryrelay_control/ruleplan.py
@@ -12,18 +12,9 @@
     UnitMove,
 )
 
-from .rules import (
-    DrainRule,
-    LimitRule,
-    PinRule,
-    PinTarget,
-    Rule,
-    RuleKind,
-    RuleSet,
-    format_target,
-    format_time,
-    format_window,
-)
+from .ruleformat import format_target, format_time, format_window
+from .rules import RuleSet
+from .ruletypes import DrainRule, LimitRule, PinRule, PinTarget, Rule, RuleKind
 
 
 def rule_changes(current: RuleSet, proposed: RuleSet) -> list[RuleChange]:
--- a/packages/router/mulberryrelay_router/admission.py
+++ b/packages/router/mulberryrelay_router/admission.py
@@ -14,7 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from mulberryrelay_control.rules import ActiveRules
+from mulberryrelay_control.ruletypes import ActiveRules
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestClass, ServerId, ServiceName
 from mulberryrelay_kernel.messages import ServerEntry
--- a/packages/router/mulberryrelay_router/controlpath.py
+++ b/packages/router/mulberryrelay_router/controlpath.py
@@ -20,7 +20,9 @@
 
 from .inflight import InFlight
 from .loadcount import LoadCounters
-from .peers import PeerChannels, PeerServicer, PeerTask, open_peer_server, serve_peers
+from .peerchannels import PeerChannels
+from .peers import PeerTask
+from .peerserver import PeerServicer, open_peer_server, serve_peers
 from .rules import RouterRules
 from .view import RoutingView
 
--- a/packages/router/mulberryrelay_router/peers.py
+++ b/packages/router/mulberryrelay_router/peers.py
@@ -5,26 +5,19 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import grpc
 from reactivex import Observable
 from reactivex.subject import Subject
 
-from mulberryrelay_control.coordinator import Coordinator, NotCoordinatorError
-from mulberryrelay_control.lease import CoordinatorLease
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.hashing import OVERRIDE_PREFIX, is_override
 from mulberryrelay_kernel.ids import (
     AssignmentVersion,
-    BootId,
-    DataCentre,
     Epoch,
     InstanceId,
-    Key,
     RulesVersion,
-    ServerId,
     ServiceName,
     Term,
     UnitId,
@@ -32,17 +25,14 @@
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import (
     Address,
-    Assignment,
     RouterList,
     RouterRules,
     RulesDocument,
-    ServerEntry,
-    Unit,
     UnitCount,
     UnitUpdate,
 )
 from mulberryrelay_kernel.options import Options
-from mulberryrelay_kernel.peerproto import peer_pb2, peer_pb2_grpc
+from mulberryrelay_kernel.peerproto import peer_pb2
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
     ProbationReply,
     ProbationRequest,
@@ -50,21 +40,14 @@
     SyncReply,
     SyncRequest,
 )
-from mulberryrelay_kernel.states import ServerState, UnitState
+from mulberryrelay_kernel.states import UnitState
 
 from .inflight import InFlight
+from .peerchannels import PeerChannels, open_channel, open_stub
+from .peerviews import assignment_of, server_entry, updates_of
 from .suspects import SuspectList
 from .view import RoutingView
 
-CHANNEL_OPTIONS = [
-    # Each stream gets a connection of its own, so that a new stream never waits for the
-    # backoff of a former one to the same address.
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
-]
-SERVER_OPTIONS = [("grpc.so_reuseport", 0)]
-
 # Pause before the next attempt to reach the coordinator. The routing lease runs on
 # meanwhile, with at least BRIDGE left.
 RECONNECT_PAUSE_MS = 20.0
@@ -82,119 +65,6 @@
 """Returns routers that may be the coordinator, without their boot ids."""
 
 
-class PeerServicer(peer_pb2_grpc.PeerServicer):
-    """Answers the calls of other routers, and the own stream to itself."""
-
-    def __init__(
-        self, me: Address, lease: CoordinatorLease, coordinator: Coordinator
-    ) -> None:
-        self._me = me
-        self._lease = lease
-        self._coordinator = coordinator
-
-    async def Sync(  # noqa: N802
-        self, request_iterator: AsyncIterator[SyncRequest], context: Any
-    ) -> AsyncIterator[SyncReply]:
-        try:
-            async for reply in self._coordinator.sync(request_iterator):
-                yield reply
-        except NotCoordinatorError:
-            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
-
-    async def Promise(  # noqa: N802
-        self, request: peer_pb2.PromiseRequest, context: Any
-    ) -> peer_pb2.PromiseReply:
-        # A process that was started anew knows nothing of former promises.
-        promised = request.boot_id == self._me.boot_id and self._lease.promise(
-            InstanceId(request.holder), Term(request.term), request.promise_ms
-        )
-        return peer_pb2.PromiseReply(promised=promised, boot_id=self._me.boot_id)
-
-    async def Probation(  # noqa: N802
-        self, request: ProbationRequest, context: Any
-    ) -> ProbationReply:
-        try:
-            return self._coordinator.probation(request)
-        except NotCoordinatorError:
-            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
-            raise
-
-    async def RulesChanged(  # noqa: N802
-        self, request: peer_pb2.RulesNotice, context: Any
-    ) -> peer_pb2.RulesNoticeReply:
-        self._coordinator.rules_changed()
-        return peer_pb2.RulesNoticeReply()
-
-    async def Routers(  # noqa: N802
-        self, request: peer_pb2.RoutersRequest, context: Any
-    ) -> peer_pb2.RoutersReply:
-        try:
-            return self._coordinator.routers()
-        except NotCoordinatorError:
-            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
-            raise
-
-
-def open_peer_server(options: Options) -> tuple[grpc.aio.Server, int]:
-    """Return a server that was not started, and its port."""
-    server = grpc.aio.server(options=SERVER_OPTIONS)
-    instance = options.instance
-    port = server.add_insecure_port(f"{instance.host}:{instance.peer_port}")
-    return server, port
-
-
-class PeerChannels:
-    """Channels for single calls to other routers."""
-
-    def __init__(self, me: Address) -> None:
-        self._me = me
-        self._channels: dict[tuple[str, int], grpc.aio.Channel] = {}
-
-    def stub(self, address: Address) -> Any:
-        """Return a stub for calls to a router."""
-        place = (address.host, address.port)
-        if place not in self._channels:
-            self._channels[place] = open_channel(address)
-        return open_stub(self._channels[place])
-
-    async def ask_promise(self, address: Address, term: Term, period_ms: int) -> bool:
-        """Ask a successor for a promise of ``period_ms``; see ``CoordinatorLease``."""
-        request = peer_pb2.PromiseRequest(
-            holder=self._me.instance,
-            boot_id=address.boot_id,
-            term=term,
-            promise_ms=period_ms,
-        )
-        try:
-            reply = await self.stub(address).Promise(request, timeout=period_ms / 1000)
-        except grpc.aio.AioRpcError:
-            return False
-        return bool(reply.promised and reply.boot_id == address.boot_id)
-
-    async def close(self) -> None:
-        """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close(grace=None)
-
-
-def open_channel(address: Address) -> grpc.aio.Channel:
-    """Return a channel to a router."""
-    return grpc.aio.insecure_channel(
-        f"{address.host}:{address.port}", options=CHANNEL_OPTIONS
-    )
-
-
-def open_stub(channel: grpc.aio.Channel) -> Any:
-    """Return a stub for calls through a channel."""
-    return peer_pb2_grpc.PeerStub(channel)  # type: ignore[no-untyped-call]
-
-
-def serve_peers(server: grpc.aio.Server, servicer: PeerServicer) -> None:
-    """Have a server that was not started answer the calls of peers."""
-    add = peer_pb2_grpc.add_PeerServicer_to_server
-    add(servicer, server)  # type: ignore[no-untyped-call]
-
-
 class PeerTask:
     """The stream to the coordinator; also the ``PeerLink`` of the request path.
 
@@ -492,7 +362,7 @@
         """Apply one message; the lease comes last, as it depends on the versions."""
         self._is_connected = True
         if reply.servers:
-            self._view.apply_servers([_server_entry(s) for s in reply.servers])
+            self._view.apply_servers([server_entry(s) for s in reply.servers])
         if reply.full:
             self._view.apply_assignment(Term(reply.term), assignment_of(reply))
             log_event("view_received", term=reply.term, version=reply.view_version)
@@ -594,46 +464,3 @@
             return
         self._drained.append(peer_pb2.UnitRef(service=key[0], unit=key[1], epoch=epoch))
         self._woken.set()
-
-
-def _server_entry(server: peer_pb2.Server) -> ServerEntry:
-    return ServerEntry(
-        ServerId(server.server),
-        ServiceName(server.service),
-        DataCentre(server.data_centre),
-        server.host,
-        server.port,
-        ServerState(server.state),
-        BootId(server.boot_id),
-    )
-
-
-def updates_of(reply: SyncReply) -> list[UnitUpdate]:
-    """Return the units that a message carries."""
-    return [
-        UnitUpdate(
-            ServiceName(unit.service),
-            Unit(
-                UnitId(unit.unit),
-                ServerId(unit.owner) if unit.owner else None,
-                Epoch(unit.epoch),
-                UnitState(unit.state),
-                ServerId(unit.next_owner) if unit.next_owner else None,
-            ),
-        )
-        for unit in reply.units
-    ]
-
-
-def assignment_of(reply: SyncReply) -> Assignment:
-    """Return the assignment of a message that carries a full view."""
-    ranges: dict[ServiceName, list[Unit]] = {}
-    overrides: dict[ServiceName, dict[Key, Unit]] = {}
-    for update in updates_of(reply):
-        unit = update.unit
-        if is_override(unit.unit):
-            key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
-            overrides.setdefault(update.service, {})[key] = unit
-            continue
-        ranges.setdefault(update.service, []).append(unit)
-    return Assignment(AssignmentVersion(reply.view_version), ranges, overrides)
--- /dev/null
+++ b/packages/router/mulberryrelay_router/peerserver.py
@@ -0,0 +1,91 @@
+"""Answers the calls of other routers."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+
+from mulberryrelay_control.coordinator import Coordinator, NotCoordinatorError
+from mulberryrelay_control.lease import CoordinatorLease
+from mulberryrelay_kernel.ids import (
+    InstanceId,
+    Term,
+)
+from mulberryrelay_kernel.messages import Address
+from mulberryrelay_kernel.options import Options
+from mulberryrelay_kernel.peerproto import peer_pb2, peer_pb2_grpc
+from mulberryrelay_kernel.peerproto.peer_pb2 import (
+    ProbationReply,
+    ProbationRequest,
+    SyncReply,
+    SyncRequest,
+)
+
+SERVER_OPTIONS = [("grpc.so_reuseport", 0)]
+
+
+class PeerServicer(peer_pb2_grpc.PeerServicer):
+    """Answers the calls of other routers, and the own stream to itself."""
+
+    def __init__(
+        self, me: Address, lease: CoordinatorLease, coordinator: Coordinator
+    ) -> None:
+        self._me = me
+        self._lease = lease
+        self._coordinator = coordinator
+
+    async def Sync(  # noqa: N802
+        self, request_iterator: AsyncIterator[SyncRequest], context: Any
+    ) -> AsyncIterator[SyncReply]:
+        try:
+            async for reply in self._coordinator.sync(request_iterator):
+                yield reply
+        except NotCoordinatorError:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
+
+    async def Promise(  # noqa: N802
+        self, request: peer_pb2.PromiseRequest, context: Any
+    ) -> peer_pb2.PromiseReply:
+        # A process that was started anew knows nothing of former promises.
+        promised = request.boot_id == self._me.boot_id and self._lease.promise(
+            InstanceId(request.holder), Term(request.term), request.promise_ms
+        )
+        return peer_pb2.PromiseReply(promised=promised, boot_id=self._me.boot_id)
+
+    async def Probation(  # noqa: N802
+        self, request: ProbationRequest, context: Any
+    ) -> ProbationReply:
+        try:
+            return self._coordinator.probation(request)
+        except NotCoordinatorError:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
+            raise
+
+    async def RulesChanged(  # noqa: N802
+        self, request: peer_pb2.RulesNotice, context: Any
+    ) -> peer_pb2.RulesNoticeReply:
+        self._coordinator.rules_changed()
+        return peer_pb2.RulesNoticeReply()
+
+    async def Routers(  # noqa: N802
+        self, request: peer_pb2.RoutersRequest, context: Any
+    ) -> peer_pb2.RoutersReply:
+        try:
+            return self._coordinator.routers()
+        except NotCoordinatorError:
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, "not coordinator")
+            raise
+
+
+def open_peer_server(options: Options) -> tuple[grpc.aio.Server, int]:
+    """Return a server that was not started, and its port."""
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    instance = options.instance
+    port = server.add_insecure_port(f"{instance.host}:{instance.peer_port}")
+    return server, port
+
+
+def serve_peers(server: grpc.aio.Server, servicer: PeerServicer) -> None:
+    """Have a server that was not started answer the calls of peers."""
+    add = peer_pb2_grpc.add_PeerServicer_to_server
+    add(servicer, server)  # type: ignore[no-untyped-call]
--- /dev/null
+++ b/packages/router/mulberryrelay_router/peerviews.py
@@ -0,0 +1,66 @@
+"""Decodes the views of the coordinator into records."""
+
+from mulberryrelay_kernel.hashing import OVERRIDE_PREFIX, is_override
+from mulberryrelay_kernel.ids import (
+    AssignmentVersion,
+    BootId,
+    DataCentre,
+    Epoch,
+    Key,
+    ServerId,
+    ServiceName,
+    UnitId,
+)
+from mulberryrelay_kernel.messages import (
+    Assignment,
+    ServerEntry,
+    Unit,
+    UnitUpdate,
+)
+from mulberryrelay_kernel.peerproto import peer_pb2
+from mulberryrelay_kernel.peerproto.peer_pb2 import SyncReply
+from mulberryrelay_kernel.states import ServerState, UnitState
+
+
+def server_entry(server: peer_pb2.Server) -> ServerEntry:
+    """Return the record of a server in a view."""
+    return ServerEntry(
+        ServerId(server.server),
+        ServiceName(server.service),
+        DataCentre(server.data_centre),
+        server.host,
+        server.port,
+        ServerState(server.state),
+        BootId(server.boot_id),
+    )
+
+
+def updates_of(reply: SyncReply) -> list[UnitUpdate]:
+    """Return the units that a message carries."""
+    return [
+        UnitUpdate(
+            ServiceName(unit.service),
+            Unit(
+                UnitId(unit.unit),
+                ServerId(unit.owner) if unit.owner else None,
+                Epoch(unit.epoch),
+                UnitState(unit.state),
+                ServerId(unit.next_owner) if unit.next_owner else None,
+            ),
+        )
+        for unit in reply.units
+    ]
+
+
+def assignment_of(reply: SyncReply) -> Assignment:
+    """Return the assignment of a message that carries a full view."""
+    ranges: dict[ServiceName, list[Unit]] = {}
+    overrides: dict[ServiceName, dict[Key, Unit]] = {}
+    for update in updates_of(reply):
+        unit = update.unit
+        if is_override(unit.unit):
+            key = Key(unit.unit.removeprefix(OVERRIDE_PREFIX))
+            overrides.setdefault(update.service, {})[key] = unit
+            continue
+        ranges.setdefault(update.service, []).append(unit)
+    return Assignment(AssignmentVersion(reply.view_version), ranges, overrides)
--- a/packages/router/mulberryrelay_router/requestpath.py
+++ b/packages/router/mulberryrelay_router/requestpath.py
@@ -1,6 +1,6 @@
 """Everything between the callers' listener and the backend servers of one process."""
 
-from mulberryrelay_control.rules import ActiveRules
+from mulberryrelay_control.ruletypes import ActiveRules
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import BootId
 from mulberryrelay_kernel.metrics import Metrics
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -23,13 +23,24 @@
     Suspect,
 )
 from mulberryrelay_kernel.states import (
-    NotRunReason,
     Outcome,
     ServerState,
     UnitState,
 )
 
-from .admission import Admission, Refusal, RefusalReason, Slot
+from .admission import Admission, Slot
+from .answers import (
+    blocked,
+    close_stream,
+    costs_a_retry,
+    costs_servers_little,
+    is_final,
+    may_go_on,
+    not_run,
+    observation,
+    refused,
+    with_uncertainty,
+)
 from .balance import Observation
 from .claims import Claims
 from .deaths import WATCH_MS, DeathWatch, death_of, has_died
@@ -41,7 +52,6 @@
     Attempt,
     CallerRequest,
     Target,
-    failed_answer,
     send_attempt,
 )
 from .inflight import InFlight
@@ -61,15 +71,7 @@
 # coordinator has told the routers.
 DRAINING_MS = 2000.0
 
-REFUSAL_STATUS = {
-    RefusalReason.QUEUE_FULL: 503,
-    RefusalReason.RATE_LIMITED: 429,
-    RefusalReason.DEADLINE: 504,
-}
-REFUSAL_ERRORS = frozenset(reason.value for reason in RefusalReason)
-
 SERVING_STATES = (ServerState.SERVING, ServerState.COLD)
-OWNERSHIP_REFUSALS = (NotRunReason.NOT_OWNER, NotRunReason.DRAINING)
 
 
 class Router:
@@ -131,7 +133,7 @@
             answer = await self._forward(request)
         elif not self._view.has_lease():
             # Spares the store a claim that could not be used.
-            answer = _not_run(503, "not-ready", "no routing lease")
+            answer = not_run(503, "not-ready", "no routing lease")
         else:
             answer = await self._claims.run(
                 request, request.idempotency_key, self._forward
@@ -156,10 +158,10 @@
             suspect = self._suspects.find(request)
             if suspect is not None:
                 answer = await self._forward_suspect(request, suspect)
-                return _combine(answer, is_uncertain)
+                return with_uncertainty(answer, is_uncertain)
             found = await self._find_server(request, refused_by, last)
             if isinstance(found, Answer):
-                return _combine(found, is_uncertain)
+                return with_uncertainty(found, is_uncertain)
             last = answer = await self._attempt(request, found, refused_by)
             if answer.outcome is Outcome.RAN:
                 if answer.stream is None:
@@ -171,21 +173,21 @@
                     return answer
             if answer.error == "view-changed":
                 continue
-            if _is_final(answer):
-                return _combine(answer, is_uncertain)
-            if not _costs_servers_little(answer):
+            if is_final(answer):
+                return with_uncertainty(answer, is_uncertain)
+            if not costs_servers_little(answer):
                 attempts += 1
                 if attempts >= MAX_ATTEMPTS:
-                    return _combine(answer, is_uncertain)
-                if _costs_a_retry(answer) and not self._admission.may_retry(
+                    return with_uncertainty(answer, is_uncertain)
+                if costs_a_retry(answer) and not self._admission.may_retry(
                     request.service
                 ):
-                    return _combine(answer, is_uncertain)
+                    return with_uncertainty(answer, is_uncertain)
             if found.unit is None:
                 refused_by.add(ServerId(answer.headers[OWNER_HEADER]))
                 continue
             if not await self._wait_for_view(request, pause_ms):
-                return _combine(answer, is_uncertain)
+                return with_uncertainty(answer, is_uncertain)
             pause_ms = min(pause_ms * 2, LAST_PAUSE_MS)
 
     async def _find_server(
@@ -194,16 +196,16 @@
         """Return the server for the next attempt; waits while there is none."""
         while True:
             if request.deadline_ms <= self._clock():
-                return last or _not_run(504, "deadline", "no server in time")
+                return last or not_run(504, "deadline", "no server in time")
             if not self._view.has_lease():
-                return last or _not_run(503, "not-ready", "no routing lease")
+                return last or not_run(503, "not-ready", "no routing lease")
             target = self._target(request, refused_by)
             if target is not None:
                 return target
             if last is not None and refused_by:
                 return last
             if not await self._wait_for_view(request):
-                return _not_run(503, "queue-full", "too many requests wait for a move")
+                return not_run(503, "queue-full", "too many requests wait for a move")
 
     async def _wait_for_view(
         self, request: CallerRequest, pause_ms: float = inf
@@ -280,8 +282,8 @@
         if not is_successful(acquired):
             # A refusal names its cause; a changed view is looked at again.
             if target.unit is not None and not self._is_current(request, target):
-                return _not_run(503, "view-changed", "the unit has moved")
-            return _refused(acquired.failure())
+                return not_run(503, "view-changed", "the unit has moved")
+            return refused(acquired.failure())
         slot = acquired.unwrap()
         started_ms = self._clock()
 
@@ -293,7 +295,7 @@
             answer = await self._send(request, target, slot, is_probation)
         finally:
             if answer is None or answer.stream is None:
-                release(_observation(answer))
+                release(observation(answer))
         if answer.stream is not None:
             self._watch_stream(request, slot, answer.stream, release, is_probation)
         if answer.is_broken and not is_probation:
@@ -348,7 +350,7 @@
             if is_given_up and attempt.is_sent and not is_probation:
                 self._watch.note(self._suspects.describe(request), target.server)
         if not answer.is_sent and not self._is_current(request, target):
-            return _not_run(503, "view-changed", "ownership changed before the send")
+            return not_run(503, "view-changed", "ownership changed before the send")
         return answer
 
     def _watch_stream(
@@ -414,7 +416,7 @@
         The run goes on if its caller leaves, since the coordinator needs its result.
         """
         if suspect.blocked:
-            return _blocked()
+            return blocked()
         answered = asyncio.get_running_loop().create_future()
 
         def on_done(task: asyncio.Task[Answer]) -> None:
@@ -433,7 +435,7 @@
         try:
             return await asyncio.shield(answered)
         except asyncio.CancelledError:
-            answered.add_done_callback(_close_stream)
+            answered.add_done_callback(close_stream)
             raise
 
     async def _run_probation(
@@ -446,7 +448,7 @@
         lock = self._suspects.lock(request.service)
         attempts = 0
         refused_by: set[ServerId] = set()
-        last = _not_run(
+        last = not_run(
             503, "quarantined", "a request that broke a server's connection waits"
         )
         while (left_ms := request.deadline_ms - self._clock()) > 0:
@@ -454,7 +456,7 @@
             if suspect is None:
                 return await self._forward(request)
             if suspect.blocked:
-                return _blocked()
+                return blocked()
             if not await _acquire(lock, left_ms):
                 break
             try:
@@ -466,7 +468,7 @@
             if answer is not None:
                 attempts += 1
                 last = answer
-                if answer.outcome is not Outcome.NOT_RUN or _is_final(answer):
+                if answer.outcome is not Outcome.NOT_RUN or is_final(answer):
                     return answer
                 if attempts >= MAX_ATTEMPTS:
                     return answer
@@ -496,7 +498,7 @@
                 answer = await self._attempt(request, target, refused_by, True)
                 owner = ServerId(answer.headers.get(OWNER_HEADER, ""))
                 server = self._view.server(owner)
-                if _may_go_on(answer):
+                if may_go_on(answer):
                     answered.set_result(answer)
                 result = await self._probation_result(answer, server)
                 if result == PROBATION_RESULT_SERVER_DIED and server is not None:
@@ -531,77 +533,3 @@
             return await lock.acquire()
     except TimeoutError:
         return False
-
-
-def _is_final(answer: Answer) -> bool:
-    """Return whether another attempt could not help."""
-    if answer.reason is not None:
-        return answer.reason is NotRunReason.DEADLINE
-    return answer.status == 400 or answer.error in REFUSAL_ERRORS
-
-
-def _costs_servers_little(answer: Answer) -> bool:
-    """Return whether another attempt costs the servers next to nothing.
-
-    An owner that refuses or cannot be reached is about to be replaced, and a key has no
-    other server. Without units, each server that cannot be reached is tried once: a new
-    coordinator may publish several that were lost. Such attempts are outside the retry
-    budget.
-    """
-    if answer.reason in OWNERSHIP_REFUSALS:
-        return True
-    return not answer.is_sent and answer.reason is None
-
-
-def _costs_a_retry(answer: Answer) -> bool:
-    """Return whether the attempt reached a server, so that another one adds load."""
-    return answer.is_sent or answer.reason is not None
-
-
-def _combine(answer: Answer, is_uncertain: bool) -> Answer:
-    """Return the answer; "not run" only if no earlier attempt may have run."""
-    if not is_uncertain or answer.outcome is not Outcome.NOT_RUN:
-        return answer
-    return msgspec.structs.replace(answer, outcome=Outcome.UNKNOWN)
-
-
-def _not_run(status: int, error: str, detail: str) -> Answer:
-    return failed_answer(Outcome.NOT_RUN, status, error, detail)
-
-
-def _refused(refusal: Refusal) -> Answer:
-    return _not_run(
-        REFUSAL_STATUS[refusal.reason], refusal.reason.value, refusal.detail
-    )
-
-
-def _blocked() -> Answer:
-    return _not_run(422, "blocked", "this request has broken two servers")
-
-
-def _observation(answer: Answer | None) -> Observation:
-    if answer is None:
-        return Observation.FAILED
-    if answer.reason is NotRunReason.SHED:
-        return Observation.SHED
-    if answer.outcome is Outcome.RAN or answer.reason is not None:
-        return Observation.ANSWERED
-    if answer.is_late and answer.is_sent:
-        return Observation.TIMED_OUT
-    if answer.is_sent or answer.error == "connection-lost":
-        return Observation.FAILED
-    return Observation.NOT_SENT
-
-
-def _may_go_on(answer: Answer) -> bool:
-    """Return whether the server may still work after the caller has its answer."""
-    return answer.stream is not None or (answer.is_late and answer.is_sent)
-
-
-def _close_stream(answered: "asyncio.Future[Answer]") -> None:
-    """End the attempt of an answer that nobody waits for any more."""
-    if answered.cancelled() or answered.exception() is not None:
-        return
-    stream = answered.result().stream
-    if stream is not None:
-        stream.close()
--- a/packages/router/mulberryrelay_router/rules.py
+++ b/packages/router/mulberryrelay_router/rules.py
@@ -12,12 +12,8 @@
 from reactivex.subject import Subject
 from returns.pipeline import is_successful
 
-from mulberryrelay_control.rules import (
-    ActiveRules,
-    RuleSet,
-    parse_rules,
-    utc_now,
-)
+from mulberryrelay_control.rules import RuleSet, parse_rules, utc_now
+from mulberryrelay_control.ruletypes import ActiveRules
 from mulberryrelay_kernel.ids import RulesVersion
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import RulesDocument
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,7 +10,7 @@
 from returns.result import Result
 
 from bench.virtual_time import run_virtual, virtual_clock
-from mulberryrelay_control.rules import ActiveRules
+from mulberryrelay_control.ruletypes import ActiveRules
 from mulberryrelay_kernel import options as opt
 from mulberryrelay_kernel.ids import DataCentre, RequestClass, ServerId, ServiceName
 from mulberryrelay_kernel.ids import InstanceId as Instance
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,13 +12,9 @@
 from mulberryrelay_kernel.messages import Address, Assignment, RulesDocument
 from mulberryrelay_kernel.peerproto.peer_pb2 import ProbationRequest, Suspect
 from mulberryrelay_router.inflight import InFlight
-from mulberryrelay_router.peers import (
-    PeerChannels,
-    PeerServicer,
-    PeerTask,
-    open_peer_server,
-    serve_peers,
-)
+from mulberryrelay_router.peerchannels import PeerChannels
+from mulberryrelay_router.peers import PeerTask
+from mulberryrelay_router.peerserver import PeerServicer, open_peer_server, serve_peers
 from mulberryrelay_router.view import RoutingView
 from tests.fixtures.terms import OPTIONS, SERVICE, TIMING, Stage, address, stage
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,10 +6,15 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
+from mulberryrelay_control.ruleformat import format_rule
 from mulberryrelay_control.ruleplan import rule_changes, unit_moves
 from mulberryrelay_control.rules import (
     MAX_FINDINGS,
     MAX_RULES_BYTES,
+    parse_rules,
+    unknown_servers,
+)
+from mulberryrelay_control.ruletypes import (
     ActiveRules,
     DrainRule,
     LimitRule,
@@ -17,9 +22,6 @@
     PinRule,
     PinTarget,
     Rule,
-    format_rule,
-    parse_rules,
-    unknown_servers,
 )
 from mulberryrelay_kernel.hashing import range_index, range_unit
 from mulberryrelay_kernel.ids import (
