Call the period after a move a cool-down everywhere

Cause: placement, its tests and the planner used three names for it. Change: names only; make format formats before it checks, so that a line that the formatter can break is no finding. Ruled out: nothing. Result: test_moves and test_placement pass. Conclusion: no change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/ruff check .
 
 format: install
+	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
--- a/packages/control/mulberryrelay_control/placement.py
+++ b/packages/control/mulberryrelay_control/placement.py
@@ -385,10 +385,10 @@
                 continue
             if self.unit_rates[unit.unit] > cool_rate:
                 continue
-            if self._is_resting(unit.unit, settings, now_ms):
+            if self._is_cooling_down(unit.unit, settings, now_ms):
                 continue
             home = self.units[self._home(unit.unit)]
-            if not self._is_at_rest(home) or home.owner is None:
+            if not self._is_settled(home) or home.owner is None:
                 continue
             self._move(unit.unit, home.owner, MoveReason.COOLED)
             returned += 1
@@ -402,7 +402,7 @@
             unit = override_unit(key)
             if rate < hot_rate or unit in self.units or overrides >= MAX_OVERRIDES:
                 continue
-            if not self._is_at_rest(self.units[self._home(unit)]):
+            if not self._is_settled(self.units[self._home(unit)]):
                 continue
             self._add_override(key)
             overrides += 1
@@ -434,7 +434,7 @@
             gain = (load - max(load - rate, idle + rate)) / self.mean
             if gain <= settings.gain_threshold:
                 continue
-            if self._is_resting(unit.unit, settings, now_ms):
+            if self._is_cooling_down(unit.unit, settings, now_ms):
                 continue
             if best is None or (gain, unit.unit) > best:
                 best = (gain, unit.unit)
@@ -455,7 +455,7 @@
     def _home(self, unit: UnitId) -> UnitId:
         return _range_of(unit, self.placement.ranges)
 
-    def _is_at_rest(self, unit: Unit) -> bool:
+    def _is_settled(self, unit: Unit) -> bool:
         if unit.state is UnitState.MOVING or unit.unit in self.planned:
             return False
         return unit.owner in self.usable
@@ -463,7 +463,9 @@
     def _is_pinned(self, unit: UnitId) -> bool:
         return is_override(unit) and _key_of(unit) in self.placement.pins
 
-    def _is_resting(self, unit: UnitId, settings: ServicePolicy, now_ms: float) -> bool:
+    def _is_cooling_down(
+        self, unit: UnitId, settings: ServicePolicy, now_ms: float
+    ) -> bool:
         moved_ms = self.placement.moved_ms.get(unit, -math.inf)
         return now_ms - moved_ms < settings.cool_down_ms
 
--- a/packages/control/mulberryrelay_control/planner.py
+++ b/packages/control/mulberryrelay_control/planner.py
@@ -68,7 +68,7 @@
     def plan(self, assignment: Assignment) -> list[PlannedMove]:
         """Return the moves that are due now, to servers that take units."""
         now_ms = self._clock()
-        self._rest_units(assignment, now_ms)
+        self._start_cool_down(assignment, now_ms)
         self._update_rates(now_ms)
         rules = self._rules()
         state = PlacementState(
@@ -84,7 +84,7 @@
             self._note_planned(move, now_ms)
         return planned
 
-    def _rest_units(self, assignment: Assignment, now_ms: float) -> None:
+    def _start_cool_down(self, assignment: Assignment, now_ms: float) -> None:
         """At the first plan, count all owned units as just moved.
 
         The moves of the former coordinator are not known. Without this, each change of
