Do not call a resend not run before the claim of its key was looked for

Cause: a router without a routing lease, and the checks of a request before routing, answered "not run" to a resend whose payment had run before. Ruled out: looking for the claim first; a router without a lease may be cut off from the store, and a malformed request should cost it nothing. Change: with an idempotency key these refusals are unknown; without one, or with a key that is never accepted, they stay "not run". Conclusion: the same rule as for claims that cannot be recorded.

--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -30,6 +30,7 @@
     EPOCH_HEADER,
     HOP_BY_HOP_HEADERS,
     IDEMPOTENCY_HEADER,
+    IDEMPOTENT_METHODS,
     KEY_HEADER,
     OUTCOME_HEADER,
     OWNER_HEADER,
@@ -93,15 +94,16 @@
         try:
             caller_request = await read_request(options, request, RequestId(request_id))
         except BadRequestError as error:
+            outcome = _outcome_without_claim(request)
             log_event(
                 "request_refused",
                 request_id=request_id,
-                outcome=Outcome.NOT_RUN.value,
+                outcome=outcome.value,
                 status=error.status,
                 error=error.error,
             )
             response = error_response(
-                error.status, error.error, str(error), RequestId(request_id)
+                error.status, error.error, str(error), RequestId(request_id), outcome
             )
             # The rest of the request may not have been read.
             response.force_close()
@@ -226,6 +228,21 @@
     )
 
 
+def _outcome_without_claim(request: web.BaseRequest) -> Outcome:
+    """Return the outcome of a request that is refused before its claim is looked for.
+
+    An earlier request with the same idempotency key may have run, unless the key itself
+    is refused always.
+    """
+    if request.method in IDEMPOTENT_METHODS:
+        return Outcome.NOT_RUN
+    try:
+        key = _value_of(request, IDEMPOTENCY_HEADER)
+    except BadRequestError:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN if key else Outcome.NOT_RUN
+
+
 def _check_headers(options: Options, request: web.BaseRequest) -> None:
     size = 0
     for name, value in request.raw_headers:
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -52,6 +52,7 @@
     Attempt,
     CallerRequest,
     Target,
+    failed_answer,
     send_attempt,
 )
 from .inflight import InFlight
@@ -132,8 +133,14 @@
         if request.idempotency_key is None or request.is_idempotent:
             answer = await self._forward(request)
         elif not self._view.has_lease():
-            # Spares the store a claim that could not be used.
-            answer = not_run(503, "not-ready", "no routing lease")
+            # Spares the store a claim that could not be used. Without it, nothing is
+            # known of an earlier request with the same key.
+            answer = failed_answer(
+                Outcome.UNKNOWN,
+                503,
+                "not-ready",
+                "no routing lease; whether the idempotency key has run is not known",
+            )
         else:
             answer = await self._claims.run(
                 request, request.idempotency_key, self._forward
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -166,6 +166,30 @@
         assert (await pay(router, "c")).outcome == "ran"
 
 
+@async_test
+async def test_refusals_before_the_claim_do_not_deny_an_earlier_run() -> None:
+    """Guards against "not run" for a resend whose payment has run before.
+
+    These requests are refused before anyone looks for the claim of their key.
+    """
+    platform = FaultyPlatform()
+    async with (
+        raw_server() as server,
+        running_router([server.entry()], platform) as first,
+        running_router([server.entry()], platform, lease_ms=-1000) as second,
+    ):
+        assert (await pay(first, "a")).outcome == "ran"
+        for router, status, request_class in (
+            (second, 503, "payment"),
+            (first, 400, "no-such-class"),
+        ):
+            reply = await pay(router, "a", Mulberry_Class=request_class)
+            assert (reply.status, reply.outcome) == (status, "unknown"), reply
+            reply = await router.send(body=b"no key", Mulberry_Class=request_class)
+            assert (reply.status, reply.outcome) == (status, "not-run"), reply
+        assert len(server.received) == 1
+
+
 @async_test
 async def test_claims_are_committed_in_groups() -> None:
     """Guards against one transaction for each request, which the store cannot bear."""
