Keep the state of one term in a module of its own

Ruled out: splitting the term further; its parts share the version of the view. Conclusion: no change of behaviour.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -16,7 +16,7 @@
 import click
 import msgspec
 
-from mulberryrelay_control.coordinator import unit_message
+from mulberryrelay_control.coordinatorterm import unit_message
 from mulberryrelay_kernel.hashing import range_unit
 from mulberryrelay_kernel.ids import (
     AssignmentVersion,
--- a/packages/control/mulberryrelay_control/coordinator.py
+++ b/packages/control/mulberryrelay_control/coordinator.py
@@ -1,76 +1,40 @@
 """The coordinator: what one router does for all while it holds the lease.
 
-Each term begins with reading rules and assignment from the store. Then routers get
-routing leases and views through their ``Sync`` streams, servers get grants, and units
-move. All state of a term ends with it.
+Each term of the lease has a ``CoordinatorTerm`` of its own. Between terms, the calls of
+routers are refused.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
-from typing import Any, Protocol
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import aiohttp
-from returns.pipeline import is_successful
-from returns.result import Result
 
 from mulberryrelay_kernel.clock import Clock, monotonic_ms
-from mulberryrelay_kernel.ids import RulesVersion, Term
-from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import (
     Address,
-    Assignment,
-    RulesDocument,
     ServerEntry,
-    UnitUpdate,
 )
 from mulberryrelay_kernel.options import Options
-from mulberryrelay_kernel.peerproto import peer_pb2
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
     ProbationReply,
     ProbationRequest,
     RoutersReply,
-    RouterState,
-    Suspect,
     SyncReply,
     SyncRequest,
 )
 from mulberryrelay_kernel.platform import Platform
-from mulberryrelay_kernel.states import StoreFailure
 
-from .assignment import AssignmentStore
-from .claimretention import ClaimSweeper
-from .grants import GrantKeeper, ServerEvent
+from .coordinatorterm import (
+    ApplyRules,
+    AtStep,
+    CoordinatorTerm,
+    LoadRules,
+    NotCoordinatorError,
+    Suspects,
+)
 from .lease import CoordinatorLease
-from .membership import Membership, Server
-from .moves import Moves, MoveStep
 from .placement import PlanMoves, plan_moves
-from .planner import Planner
 from .ruletypes import ActiveRules
-from .sessions import RouterSession, RouterSessions
-from .suspects import Holder
-
-LoadRules = Callable[[], Awaitable[Result[RulesDocument | None, StoreFailure]]]
-ApplyRules = Callable[[RulesDocument], bool]
-AtStep = Callable[[MoveStep], Awaitable[None]]
-
-# Pause before the store is read again at the beginning of a term.
-LOAD_PAUSE_MS = 50.0
-NO_RULES = RulesDocument(RulesVersion(0), "")
-
-
-class NotCoordinatorError(Exception):
-    """This router does not hold the lease, or its term has not begun yet."""
-
-
-class Suspects(Protocol):
-    """What the coordinator uses of ``SuspectRegistry``."""
-
-    def report(
-        self, suspects: Sequence[Suspect], holder: Holder, now_ms: float
-    ) -> list[Suspect]: ...
-    def permit(self, request: ProbationRequest, now_ms: float) -> ProbationReply: ...
-    def known(self) -> list[Suspect]: ...
-    def take_changes(self) -> list[Suspect]: ...
 
 
 class Coordinator:
@@ -103,14 +67,14 @@
         self._plan = plan
         self._clock = clock
         self._at_step = at_step
-        self._tenure: _Tenure | None = None
+        self._current: CoordinatorTerm | None = None
 
     @property
     def candidates(self) -> list[Address]:
         """Connected routers, which may be named as successors."""
-        if self._tenure is None:
+        if self._current is None:
             return []
-        return [session.address for session in self._tenure.sessions.connected]
+        return [session.address for session in self._current.sessions.connected]
 
     async def run(self) -> None:
         """Coordinate during each term of this process until cancelled."""
@@ -119,7 +83,7 @@
         while True:
             changed.clear()
             if self._lease.is_held():
-                await self._run_tenure(changed)
+                await self._run_term(changed)
             else:
                 await changed.wait()
 
@@ -132,8 +96,8 @@
             NotCoordinatorError: this router cannot issue routing leases now, or not
                 to routers of that tenant.
         """
-        tenure = self._ready_tenure()
-        async for reply in tenure.sync(requests):
+        current = self._ready_term()
+        async for reply in current.sync(requests):
             yield reply
 
     def probation(self, request: ProbationRequest) -> ProbationReply:
@@ -142,17 +106,17 @@
         Raises:
             NotCoordinatorError: this router is not the coordinator.
         """
-        return self._ready_tenure().probation(request)
+        return self._ready_term().probation(request)
 
     def rules_changed(self) -> None:
         """Read the rules now, since a new version was committed."""
-        if self._tenure is not None:
-            self._tenure.rules_changed()
+        if self._current is not None:
+            self._current.rules_changed()
 
     def replan(self) -> None:
         """Plan moves now, since the rules in force have changed."""
-        if self._tenure is not None:
-            self._tenure.replan()
+        if self._current is not None:
+            self._current.replan()
 
     def routers(self) -> RoutersReply:
         """Return the routers that may hold a routing lease.
@@ -160,16 +124,16 @@
         Raises:
             NotCoordinatorError: this router is not the coordinator.
         """
-        return self._ready_tenure().routers()
+        return self._ready_term().routers()
 
-    def _ready_tenure(self) -> "_Tenure":
-        tenure = self._tenure
-        if tenure is None or not tenure.is_ready or not self._lease.is_held():
+    def _ready_term(self) -> CoordinatorTerm:
+        current = self._current
+        if current is None or not current.is_ready or not self._lease.is_held():
             raise NotCoordinatorError
-        return tenure
+        return current
 
-    async def _run_tenure(self, changed: asyncio.Event) -> None:
-        tenure = _Tenure(
+    async def _run_term(self, changed: asyncio.Event) -> None:
+        current = CoordinatorTerm(
             self._options,
             self._platform,
             self._lease,
@@ -182,9 +146,9 @@
             self._clock,
             self._at_step,
         )
-        self._tenure = tenure
-        tenure.membership.seed(self._known_servers())
-        running = asyncio.ensure_future(tenure.run())
+        self._current = current
+        current.membership.seed(self._known_servers())
+        running = asyncio.ensure_future(current.run())
         ended = asyncio.ensure_future(changed.wait())
         try:
             await asyncio.wait({running, ended}, return_when=asyncio.FIRST_COMPLETED)
@@ -193,346 +157,8 @@
                 # process must not go on as coordinator.
                 running.result()
         finally:
-            self._tenure = None
+            self._current = None
             running.cancel()
             ended.cancel()
-            tenure.close()
+            current.close()
             await asyncio.gather(running, ended, return_exceptions=True)
-
-
-class _Tenure:
-    """State and tasks of one term."""
-
-    def __init__(
-        self,
-        options: Options,
-        platform: Platform,
-        lease: CoordinatorLease,
-        session: aiohttp.ClientSession,
-        load_rules: LoadRules,
-        suspects: Suspects,
-        placement_rules: Callable[[], ActiveRules],
-        apply_rules: ApplyRules,
-        plan: PlanMoves,
-        clock: Clock,
-        at_step: AtStep | None,
-    ) -> None:
-        timing = options.timing
-        first_change_ms = lease.taken_over_ms + timing.bridge_ms + timing.margin_ms
-        self._options = options
-        self._lease = lease
-        self._first_change_ms = first_change_ms
-        self._load_rules = load_rules
-        self._apply_rules = apply_rules
-        self._suspects = suspects
-        self._claim_sweeper = ClaimSweeper(options, platform, clock)
-        self._clock = clock
-        self._term: Term = lease.term
-        self._version = 0
-        self._published_servers: list[peer_pb2.Server] = []
-        self._rules = NO_RULES
-        self._rules_due = asyncio.Event()
-        self._is_ready = False
-        self._membership = Membership(options, platform, clock)
-        self._sessions = RouterSessions(clock)
-        self._store = AssignmentStore(options, platform, lease)
-        self._grants = GrantKeeper(
-            options, session, lease, first_change_ms, self._note_server, clock
-        )
-        planner = Planner(
-            options, self._membership, self._sessions, placement_rules, clock, plan
-        )
-        self._moves = Moves(
-            options,
-            self._store,
-            lease,
-            self._membership,
-            self._grants,
-            self._sessions,
-            planner.plan,
-            self._publish_units,
-            first_change_ms,
-            clock,
-            at_step,
-        )
-
-    @property
-    def membership(self) -> Membership:
-        return self._membership
-
-    @property
-    def sessions(self) -> RouterSessions:
-        return self._sessions
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether rules and assignment were read, so that leases may be issued."""
-        return self._is_ready
-
-    async def run(self) -> None:
-        """Coordinate until cancelled."""
-        await self._load()
-        self._is_ready = True
-        log_event(
-            "coordinating",
-            term=self._term,
-            assignment=self._version,
-            rules=self._rules.version,
-            servers=len(self._membership.servers),
-        )
-        async with asyncio.TaskGroup() as tasks:
-            for server in self._membership.servers.values():
-                tasks.create_task(self._grants.run(server))
-            self._membership.added.subscribe(
-                lambda server: self._start_server(tasks, server)
-            )
-            tasks.create_task(self._membership.run())
-            tasks.create_task(self._moves.run())
-            tasks.create_task(self._watch_rules())
-            tasks.create_task(self._claim_sweeper.run())
-            tasks.create_task(self._watch_sessions())
-
-    async def sync(
-        self, requests: AsyncIterator[SyncRequest]
-    ) -> AsyncIterator[SyncReply]:
-        """Serve one stream of a router."""
-        first = await anext(requests)
-        if first.tenant != self._options.tenant:
-            log_event("router_refused", router=first.instance, tenant=first.tenant)
-            raise NotCoordinatorError
-        session = self._sessions.open(first)
-        queue = session.connect()
-        session.push(self._full_view(first))
-        reader = asyncio.create_task(self._read(session, first, requests))
-        reader.add_done_callback(lambda _: queue.put_nowait(None))
-        try:
-            while True:
-                reply = await queue.get()
-                if reply is None or not session.owns(queue):
-                    return
-                self._complete(session, reply)
-                yield reply
-        finally:
-            reader.cancel()
-            session.disconnect(queue)
-
-    def probation(self, request: ProbationRequest) -> ProbationReply:
-        """Pass a request on to the registry of suspects and publish what changed."""
-        reply = self._suspects.permit(request, self._clock())
-        self._publish_suspects()
-        return reply
-
-    def rules_changed(self) -> None:
-        """Read the rules now."""
-        self._rules_due.set()
-
-    def replan(self) -> None:
-        """Plan moves now."""
-        self._moves.replan()
-
-    def routers(self) -> RoutersReply:
-        """Return the routers that may hold a routing lease."""
-        now_ms = self._clock()
-        return RoutersReply(
-            routers=[
-                RouterState(
-                    instance=session.address.instance,
-                    applied_rules_version=session.rules_version,
-                    lease_left_ms=int(max(session.latest_expiry_ms - now_ms, -1)),
-                )
-                for session in self._sessions.all
-            ],
-            complete=now_ms >= self._first_change_ms,
-        )
-
-    def close(self) -> None:
-        """End all streams."""
-        self._sessions.close()
-
-    async def _load(self) -> None:
-        """Read everything that must be known before a routing lease is issued."""
-        assignment: Assignment | None = None
-        while assignment is None:
-            loaded = await self._store.load()
-            # Without any server, the views of routers would lose the servers that
-            # they know.
-            if await self._read_rules() and is_successful(loaded):
-                refreshed = await self._membership.refresh()
-                if refreshed or self._membership.servers:
-                    assignment = loaded.unwrap()
-                    continue
-            await asyncio.sleep(LOAD_PAUSE_MS / 1000)
-        self._version = assignment.version
-        self._moves.adopt(assignment)
-
-    async def _read_rules(self) -> bool:
-        result = await self._load_rules()
-        if not is_successful(result):
-            return False
-        found = result.unwrap()
-        if found is not None and found.version > self._rules.version:
-            # Placement takes the rules of this process, whose own stream may bring them
-            # later than the first plan of the term.
-            self._apply_rules(found)
-            self._rules = found
-            self._push(rules_text=found.text)
-            self._moves.replan()
-            log_event("rules_read", rules=found.version)
-        return True
-
-    async def _watch_rules(self) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(self._options.timing.rules_period_ms / 1000):
-                    await self._rules_due.wait()
-            except TimeoutError:
-                pass
-            self._rules_due.clear()
-            await self._read_rules()
-
-    async def _watch_sessions(self) -> None:
-        while True:
-            await asyncio.sleep(self._options.timing.heartbeat_ms / 1000)
-            self._sessions.drop_expired()
-
-    def _start_server(self, tasks: asyncio.TaskGroup, server: Server) -> None:
-        tasks.create_task(self._grants.run(server))
-
-    def _note_server(self, event: ServerEvent, server: Server) -> None:
-        if event is ServerEvent.RELEASED:
-            self._moves.wake()
-            return
-        log_event(
-            f"server_{event.value}", server=server.server, state=server.state.value
-        )
-        if event is ServerEvent.LOST:
-            self._moves.note_lost(server)
-        if event is ServerEvent.RETURNED:
-            self._moves.note_returned(server)
-        if event is ServerEvent.RESTARTED:
-            self._moves.note_restarted(server)
-        self._moves.replan()
-        self._publish_servers()
-
-    async def _read(
-        self,
-        session: RouterSession,
-        first: SyncRequest,
-        requests: AsyncIterator[SyncRequest],
-    ) -> None:
-        """Take in the requests of one stream."""
-        self._note_request(session, first)
-        async for request in requests:
-            self._note_request(session, request)
-            if request.leaving:
-                self._sessions.remove(session)
-                return
-
-    def _note_request(self, session: RouterSession, request: SyncRequest) -> None:
-        session.note_request(request, request.term == self._term)
-        if request.drained:
-            self._moves.wake()
-        if request.suspects:
-            holder = Holder(request.instance, request.boot_id)
-            self._suspects.report(request.suspects, holder, self._clock())
-            # Queued before the reply, which confirms that all routers are told.
-            self._publish_suspects()
-        reply = SyncReply(sequence=request.sequence)
-        if request.applied_rules_version < self._rules.version:
-            reply.rules_text = self._rules.text
-        session.push(reply)
-
-    def _complete(self, session: RouterSession, reply: SyncReply) -> None:
-        """Add what must be read directly before sending: versions, rules and the lease.
-
-        A reply that waited behind a later change names the version of that change.
-        Named from the time of queueing, it could renew the lease of a router that was
-        counted as expired and does not know yet that a unit is moving.
-        """
-        reply.term = self._term
-        reply.assignment_version = self._version
-        reply.rules_version = self._rules.version
-        if reply.HasField("rules_text"):
-            reply.rules_text = self._rules.text
-        left_ms = self._lease.left_ms
-        if not reply.sequence or left_ms <= 0:
-            return
-        timing = self._options.timing
-        lease_ms = int(min(timing.lease_ms, left_ms)) + timing.bridge_ms
-        reply.routing_lease_ms = lease_ms
-        session.note_lease(self._clock() + lease_ms + timing.margin_ms)
-
-    def _full_view(self, request: SyncRequest) -> SyncReply:
-        assignment = self._moves.assignment
-        updates = [
-            UnitUpdate(service, unit)
-            for service, units in assignment.ranges.items()
-            for unit in units
-        ]
-        updates += [
-            UnitUpdate(service, unit)
-            for service, units in assignment.overrides.items()
-            for unit in units.values()
-        ]
-        reply = SyncReply(
-            full=True,
-            view_version=self._version,
-            units=[unit_message(update) for update in updates],
-            servers=self._server_messages(),
-            suspects=self._suspects.known(),
-        )
-        if request.applied_rules_version < self._rules.version:
-            reply.rules_text = self._rules.text
-        return reply
-
-    def _publish_units(self, updates: Sequence[UnitUpdate]) -> None:
-        self._version += 1
-        self._push(
-            view_version=self._version,
-            units=[unit_message(update) for update in updates],
-        )
-
-    def _publish_servers(self) -> None:
-        messages = self._server_messages()
-        if messages == self._published_servers:
-            return
-        self._published_servers = messages
-        self._version += 1
-        self._push(view_version=self._version, servers=messages)
-
-    def _publish_suspects(self) -> None:
-        changes = self._suspects.take_changes()
-        if changes:
-            self._push(suspects=changes)
-
-    def _push(self, **fields: Any) -> None:
-        for session in self._sessions.connected:
-            # Each stream completes its own copy directly before sending.
-            session.push(SyncReply(**fields))
-
-    def _server_messages(self) -> list[peer_pb2.Server]:
-        return [
-            peer_pb2.Server(
-                server=entry.server,
-                service=entry.service,
-                data_centre=entry.data_centre,
-                host=entry.host,
-                port=entry.port,
-                state=entry.state.value,
-                boot_id=entry.boot_id,
-            )
-            for entry in (s.entry for s in self._membership.servers.values())
-        ]
-
-
-def unit_message(update: UnitUpdate) -> peer_pb2.UnitUpdate:
-    """Return the message that publishes a changed unit."""
-    unit = update.unit
-    return peer_pb2.UnitUpdate(
-        service=update.service,
-        unit=unit.unit,
-        owner=unit.owner or "",
-        epoch=unit.epoch,
-        state=unit.state.value,
-        next_owner=unit.next_owner or "",
-    )
--- a/packages/router/mulberryrelay_router/peerserver.py
+++ b/packages/router/mulberryrelay_router/peerserver.py
@@ -5,7 +5,8 @@
 
 import grpc
 
-from mulberryrelay_control.coordinator import Coordinator, NotCoordinatorError
+from mulberryrelay_control.coordinator import Coordinator
+from mulberryrelay_control.coordinatorterm import NotCoordinatorError
 from mulberryrelay_control.lease import CoordinatorLease
 from mulberryrelay_kernel.ids import (
     InstanceId,
