--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -0,0 +1,81 @@
+"""What the edge router needs of an adapter to a platform."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+import msgspec
+from multidict import istr
+from returns.result import Result
+
+from .messages import BackendServer, LoadReport, RouteTable
+from .options import EdgeOptions
+from .tablestore import Source, TableStore
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Names of the headers that the router reads or sets."""
+
+    request_id: istr
+    deadline_ms: istr
+    receipt: istr
+    """Proof of a server that an answer is its own."""
+    expected_server: istr
+    load: istr
+    not_run: istr
+    key: istr
+
+
+class OrderRefused(msgspec.Struct, frozen=True):
+    """A server refused an order, because it has seen a higher fence or a bad call."""
+
+    status: int
+
+
+class OrderLost(msgspec.Struct, frozen=True):
+    """No answer to an order; it may be carried out later."""
+
+    error: str
+
+
+class ServerOrders(Protocol):
+    """Orders about keys to a server; the sender needs no proof of its identity."""
+
+    async def grant(
+        self,
+        server: BackendServer,
+        first: int,
+        last: int,
+        fence: int,
+        hold_ms: float,
+        token: str | None,
+    ) -> Result[None, OrderRefused | OrderLost]:
+        """Let the server run requests for these keys for ``hold_ms``."""
+
+    async def release(
+        self, server: BackendServer, first: int, last: int, fence: int
+    ) -> Result[str | None, OrderRefused | OrderLost]:
+        """Take keys back; returns the token that warms up the next owner."""
+
+    async def close(self) -> None:
+        """Release connections."""
+
+
+class Adapter(Protocol):
+    """Everything that differs from platform to platform."""
+
+    @property
+    def options(self) -> EdgeOptions: ...
+    @property
+    def headers(self) -> HeaderNames: ...
+    @property
+    def store(self) -> TableStore: ...
+    @property
+    def orders(self) -> ServerOrders: ...
+    @property
+    def route_source(self) -> Source[RouteTable]: ...
+    @property
+    def server_source(self) -> Source[BackendServer]: ...
+    @property
+    def ready_path(self) -> str: ...
+    def parse_load(self, headers: Mapping[str, str]) -> LoadReport | None:
+        """Return the load that an answer states, if any."""
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -0,0 +1,348 @@
+"""Keeps every key of every keyed service owned, while this process is the leader."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import ServiceName
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.states import ServerState
+
+from .adapter import OrderRefused, ServerOrders
+from .catalog import Catalog
+from .holders import HOLD_MS, RENEW_MS, Holders, Life
+from .keyspace import (
+    Piece,
+    begin_moves,
+    complete_move,
+    divide,
+    merge_neighbours,
+    raise_fence,
+)
+from .keyload import KeyLoad
+from .lease import LeaderLease
+from .messages import BackendServer, KeyRange
+from .ownership import Ownership
+from .rangestore import RangeStore, TermEndedError
+from .rebalance import Capacity, place_orphans, plan_moves
+from .tablestore import TableStore
+
+TICK_S = 0.1
+SETTLE_MS = 1500.0
+"""Time for servers to register before keys are divided for the first time."""
+REBALANCE_MS = 1000.0
+GRANT_TRIES = 3
+MERGE_ABOVE = 48
+"""Ranges of a service from which on neighbours are joined."""
+MERGES_AT_ONCE = 8
+
+
+class Coordinator:
+    """Follows the lease; runs a term whenever this process has it."""
+
+    def __init__(
+        self,
+        lease: LeaderLease,
+        store: TableStore,
+        orders: ServerOrders,
+        catalog: Catalog,
+        ownership: Ownership,
+        load: KeyLoad,
+        slowness: Callable[[BackendServer], float],
+        longest_hold_ms: float,
+        boot_id: str,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._store = store
+        self._orders = orders
+        self._catalog = catalog
+        self._ownership = ownership
+        self._load = load
+        self._slowness = slowness
+        self._longest_hold_ms = longest_hold_ms
+        self._boot_id = boot_id
+        self._clock = clock
+        self._known: dict[Life, BackendServer] = {}
+        self._term: asyncio.Task[None] | None = None
+        lease.changes.subscribe(self._on_lease)
+        catalog.changes.subscribe(lambda _: self._remember())
+
+    def _remember(self) -> None:
+        routes = self._catalog.routes
+        if routes is None:
+            return
+        for service in routes.services.values():
+            if not service.is_keyed:
+                continue
+            for server in self._catalog.servers(service.name):
+                self._known[server.server, server.born_ms] = server
+
+    def _on_lease(self, is_leader: bool) -> None:
+        if self._term is not None:
+            self._term.cancel()
+            self._term = None
+        if is_leader:
+            self._term = asyncio.create_task(self._run_term())
+
+    async def _run_term(self) -> None:
+        term = _Term(
+            self._lease,
+            RangeStore(
+                self._store,
+                self._ownership,
+                self._boot_id,
+                lambda: self._lease.is_valid,
+            ),
+            Holders(
+                self._orders,
+                self._catalog,
+                self._known,
+                self._longest_hold_ms,
+                self._lease.previous_end_ms,
+                lambda: self._lease.is_valid,
+                self._clock,
+            ),
+            self._catalog,
+            self._load,
+            self._slowness,
+            self._longest_hold_ms,
+            self._clock,
+        )
+        try:
+            await term.run()
+        except TermEndedError:
+            log_event("term_ended", term=self._lease.term)
+        finally:
+            term.cancel()
+
+
+class _Term:
+    """One term: renewals, moves, and the plans for them."""
+
+    def __init__(
+        self,
+        lease: LeaderLease,
+        ranges: RangeStore,
+        holders: Holders,
+        catalog: Catalog,
+        load: KeyLoad,
+        slowness: Callable[[BackendServer], float],
+        longest_hold_ms: float,
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._ranges = ranges
+        self._holders = holders
+        self._catalog = catalog
+        self._load = load
+        self._slowness = slowness
+        self._longest_hold_ms = longest_hold_ms
+        self._clock = clock
+        self._started_ms = clock()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._moving: set[tuple[ServiceName, int]] = set()
+        self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
+        self._planned_ms: dict[ServiceName, float] = {}
+        self._planning: set[ServiceName] = set()
+
+    async def run(self) -> None:
+        """Work until the term ends.
+
+        Raises:
+            TermEndedError: the lease was lost.
+        """
+        await self._ranges.load()
+        while self._lease.is_valid:
+            for service in self._keyed_services():
+                self._work_on(service)
+            await asyncio.sleep(TICK_S)
+        raise TermEndedError
+
+    def cancel(self) -> None:
+        """End all tasks of the term."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _keyed_services(self) -> list[ServiceName]:
+        routes = self._catalog.routes
+        if routes is None:
+            return []
+        return [s.name for s in routes.services.values() if s.is_keyed]
+
+    def _work_on(self, service: ServiceName) -> None:
+        ranges = self._ranges.ranges(service)
+        if not ranges:
+            self._divide(service)
+            return
+        for part in ranges:
+            if part.is_moving:
+                if (service, part.first) not in self._moving:
+                    self._moving.add((service, part.first))
+                    self._start(self._move(service, part))
+                continue
+            self._renew_if_due(service, part)
+        if service in self._planning:
+            return
+        pieces = self._plan(service)
+        if pieces:
+            self._planning.add(service)
+            self._start(self._begin(service, pieces))
+
+    def _divide(self, service: ServiceName) -> None:
+        servers = self._catalog.serving(service)
+        has_settled = self._clock() - self._started_ms >= SETTLE_MS
+        if not servers or not has_settled or service in self._planning:
+            return
+        self._planning.add(service)
+        log_event("keys_divided", service=service, servers=len(servers))
+        self._start(self._store_division(service, servers))
+
+    async def _store_division(
+        self, service: ServiceName, servers: list[BackendServer]
+    ) -> None:
+        try:
+            await self._ranges.update(
+                service, lambda ranges: ranges or divide(servers)
+            )
+        finally:
+            self._planning.discard(service)
+
+    def _renew_if_due(self, service: ServiceName, part: KeyRange) -> None:
+        due = (service, part.first, part.fence)
+        period_ms = RENEW_MS
+        hold_ms = HOLD_MS
+        if self._lease.is_troubled:
+            # The store may stay away for longer than a hold of the usual length.
+            hold_ms = self._longest_hold_ms
+            period_ms = RENEW_MS / 2
+        last_ms = self._renewed_ms.get(due, float("-inf"))
+        if self._clock() - last_ms < period_ms:
+            return
+        life = (part.owner, part.owner_born_ms)
+        if self._holders.address(life) is None:
+            return
+        self._renewed_ms[due] = self._clock() - random.uniform(0, 0.1) * period_ms
+        self._start(self._renew(service, part, hold_ms))
+
+    async def _renew(
+        self, service: ServiceName, part: KeyRange, hold_ms: float
+    ) -> None:
+        result = await self._holders.renew(service, part, hold_ms)
+        if isinstance(result, Success):
+            return
+        failure = result.failure()
+        if not isinstance(failure, OrderRefused):
+            return
+        log_event(
+            "renewal_refused",
+            service=service,
+            first=part.first,
+            last=part.last,
+            server=part.owner,
+            fence=part.fence,
+            status=failure.status,
+        )
+        await self._ranges.update(service, raise_fence(part))
+
+    def _plan(self, service: ServiceName) -> list[Piece]:
+        """Return moves away from servers that leave, or else for balance."""
+        ranges = self._ranges.ranges(service)
+        targets = self._targets(service)
+        orphans = [part for part in ranges if self._must_move(part)]
+        if orphans:
+            samples = self._load.samples(service)
+            return place_orphans(orphans, ranges, samples, targets)
+        now_ms = self._clock()
+        if now_ms - self._planned_ms.get(service, 0.0) < REBALANCE_MS:
+            return []
+        if self._lease.is_troubled or any(part.is_moving for part in ranges):
+            return []
+        self._planned_ms[service] = now_ms
+        if len(ranges) > MERGE_ABOVE:
+            self._start(self._merge(service))
+        return plan_moves(ranges, self._load.samples(service), targets)
+
+    def _must_move(self, part: KeyRange) -> bool:
+        if part.is_moving:
+            return False
+        entry = self._catalog.server(part.owner)
+        if entry is None or not part.is_held_by(entry):
+            return True
+        if entry.state is ServerState.DRAINING:
+            return True
+        return self._holders.is_lost((part.owner, part.owner_born_ms))
+
+    def _targets(self, service: ServiceName) -> list[Capacity]:
+        targets = []
+        for server in self._catalog.serving(service):
+            if self._holders.is_silent((server.server, server.born_ms)):
+                continue
+            capacity = server.slots / max(0.4, min(2.5, self._slowness(server)))
+            targets.append(Capacity(server, capacity))
+        return targets
+
+    async def _begin(self, service: ServiceName, pieces: list[Piece]) -> None:
+        try:
+            for piece in pieces:
+                log_event(
+                    "move_planned",
+                    service=service,
+                    first=piece.first,
+                    last=piece.last,
+                    to=piece.to.server,
+                )
+            await self._ranges.update(service, begin_moves(pieces))
+        finally:
+            self._planning.discard(service)
+
+    async def _merge(self, service: ServiceName) -> None:
+        await self._ranges.update(service, merge_neighbours(MERGES_AT_ONCE))
+
+    async def _move(self, service: ServiceName, part: KeyRange) -> None:
+        started_ms = self._clock()
+        try:
+            token = await self._holders.free(service, part)
+            outcome = "granted"
+            for _ in range(GRANT_TRIES):
+                result = await self._holders.grant_next(service, part, token)
+                if isinstance(result, Success):
+                    break
+                outcome = str(result.failure())
+                if not self._lease.is_valid:
+                    raise TermEndedError
+                if isinstance(result, Failure) and isinstance(
+                    result.failure(), OrderRefused
+                ):
+                    await self._ranges.update(service, raise_fence(part))
+                    return
+            # A grant without an answer may still be carried out, so the next owner is
+            # the owner now, whether it answers or not.
+            await self._ranges.update(service, complete_move(part))
+            log_event(
+                "move_completed",
+                service=service,
+                first=part.first,
+                last=part.last,
+                owner=part.next_owner,
+                fence=part.fence,
+                is_warm=token is not None,
+                outcome=outcome,
+                took_ms=round(self._clock() - started_ms),
+            )
+        finally:
+            self._moving.discard((service, part.first))
+
+    def _start(self, work: object) -> None:
+        task = asyncio.create_task(self._guard(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, work: object) -> None:
+        try:
+            await work  # type: ignore[misc]
+        except TermEndedError:
+            return
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -0,0 +1,178 @@
+"""Orders to the servers that hold keys, and until when each may hold them at most."""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import ServerId, ServiceName
+from mulberryrelay_kernel.logs import log_event
+
+from .adapter import OrderLost, OrderRefused, ServerOrders
+from .catalog import Catalog
+from .keyspace import GRANT_STEP, RELEASE_STEP
+from .messages import BackendServer, KeyRange
+
+HOLD_MS = 6000.0
+RENEW_MS = 1000.0
+SLOW_CLOCK_FACTOR = 1.02
+"""A server's clock may run this much slower than the true time."""
+HOLD_MARGIN_MS = 300.0
+SHORTEST_HOLD_MS = 300.0
+RETRY_S = 0.1
+UNASSIGNED = -1
+
+Life = tuple[ServerId, int]
+
+
+class Holders:
+    """Orders of one term of this process."""
+
+    def __init__(
+        self,
+        orders: ServerOrders,
+        catalog: Catalog,
+        known: dict[Life, BackendServer],
+        longest_hold_ms: float,
+        previous_end_ms: float,
+        is_valid: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._orders = orders
+        self._catalog = catalog
+        self._known = known
+        """Entries of servers that may have left the list since."""
+        self._longest_hold_ms = longest_hold_ms
+        self._first_end_ms = (
+            previous_end_ms + longest_hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
+        )
+        self._is_valid = is_valid
+        self._clock = clock
+        self._ends: dict[Life, float] = {}
+        self._silent_since: dict[Life, float] = {}
+
+    def address(self, life: Life) -> BackendServer | None:
+        """Return the last known entry of a life of a server."""
+        entry = self._catalog.server(life[0])
+        if entry is not None and entry.born_ms == life[1]:
+            return entry
+        return self._known.get(life)
+
+    def hold_end_ms(self, life: Life) -> float:
+        """Return when a server's last possible hold has run out."""
+        return self._ends.get(life, self._first_end_ms)
+
+    def is_silent(self, life: Life) -> bool:
+        """Return whether a server's last order got no answer."""
+        return life in self._silent_since
+
+    def is_lost(self, life: Life) -> bool:
+        """Return whether a server is silent and can hold nothing any more."""
+        return self.is_silent(life) and self._clock() >= self.hold_end_ms(life)
+
+    async def renew(
+        self, service: ServiceName, part: KeyRange, hold_ms: float
+    ) -> Result[None, OrderRefused | OrderLost]:
+        """Grant a settled range to its owner again.
+
+        A silent owner is asked with what is left of its hold, so that the end of its
+        hold does not move on while it may be lost.
+        """
+        life = (part.owner, part.owner_born_ms)
+        server = self.address(life)
+        if server is None:
+            return Failure(OrderLost("no address"))
+        if self.is_silent(life):
+            left_ms = (self.hold_end_ms(life) - self._clock() - HOLD_MARGIN_MS) / 1.1
+            if left_ms < SHORTEST_HOLD_MS:
+                return Failure(OrderLost("silent"))
+            hold_ms = min(hold_ms, left_ms)
+        return await self._grant(service, server, part, part.fence, hold_ms, None)
+
+    async def free(self, service: ServiceName, part: KeyRange) -> str | None:
+        """Return once the owner of a moving range cannot run requests for it.
+
+        Returns the token for the next owner, if the owner released the range itself.
+        """
+        life = (part.owner, part.owner_born_ms)
+        if not part.owner:
+            return None
+        end_ms = self.hold_end_ms(life)
+        while self._is_valid():
+            left_ms = end_ms - self._clock()
+            if left_ms <= 0:
+                log_event(
+                    "hold_ran_out",
+                    service=service,
+                    first=part.first,
+                    last=part.last,
+                    server=part.owner,
+                    fence=part.fence,
+                )
+                return None
+            server = self.address(life)
+            if server is None:
+                await asyncio.sleep(min(RETRY_S, left_ms / 1000))
+                continue
+            fence = part.fence + RELEASE_STEP
+            result = await self._orders.release(server, part.first, part.last, fence)
+            if isinstance(result, Success):
+                return result.unwrap()
+            log_event(
+                "release_failed",
+                service=service,
+                first=part.first,
+                last=part.last,
+                server=part.owner,
+                fence=fence,
+                error=str(result.failure()),
+                left_ms=round(left_ms),
+            )
+            await asyncio.sleep(RETRY_S)
+        return None
+
+    async def grant_next(
+        self, service: ServiceName, part: KeyRange, token: str | None
+    ) -> Result[None, OrderRefused | OrderLost]:
+        """Grant a moving range to its next owner."""
+        server = self.address((part.next_owner, part.next_born_ms))
+        if server is None:
+            return Failure(OrderLost("no address"))
+        fence = part.fence + GRANT_STEP
+        return await self._grant(service, server, part, fence, HOLD_MS, token)
+
+    async def _grant(
+        self,
+        service: ServiceName,
+        server: BackendServer,
+        part: KeyRange,
+        fence: int,
+        hold_ms: float,
+        token: str | None,
+    ) -> Result[None, OrderRefused | OrderLost]:
+        if not self._is_valid():
+            return Failure(OrderLost("not leader"))
+        hold_ms = min(hold_ms, self._longest_hold_ms)
+        life = (server.server, server.born_ms)
+        self._known[life] = server
+        end_ms = self._clock() + hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
+        self._ends[life] = max(self.hold_end_ms(life), end_ms)
+        result = await self._orders.grant(
+            server, part.first, part.last, fence, hold_ms, token
+        )
+        if isinstance(result, Success):
+            if self._silent_since.pop(life, None) is not None:
+                log_event("server_answers_orders", server=server.server)
+            return result
+        failure = result.failure()
+        if isinstance(failure, OrderLost) and life not in self._silent_since:
+            self._silent_since[life] = self._clock()
+            log_event(
+                "server_silent",
+                server=server.server,
+                service=service,
+                error=failure.error,
+                hold_left_ms=round(self._ends[life] - self._clock()),
+            )
+        return result
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -0,0 +1,106 @@
+"""Runs one edge router until it is told to stop."""
+
+import asyncio
+import signal
+import uuid
+
+from mulberryrelay_kernel.clock import Clock, suspended_ms
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_router.pool import Pool
+
+from .adapter import Adapter
+from .callers import CallerServer
+from .catalog import Catalog
+from .coordinator import Coordinator
+from .dispatch import Dispatcher
+from .keyload import SAMPLES_PATH, KeyLoad, SampleExchange
+from .lease import LeaderLease
+from .ownership import RANGES_TABLE, Ownership
+from .requests import RequestPath
+from .catalog import follow_table
+
+CONNECTIONS_PER_SERVER = 12
+"""A server accepts about 110 connections from all routers together."""
+KEEPALIVE_S = 5.0
+"""Shorter than the time after which servers close idle connections."""
+RELEASE_TIMEOUT_S = 1.0
+
+
+async def run_edge(adapter: Adapter, clock: Clock = suspended_ms) -> None:
+    """Serve callers until SIGTERM or SIGINT, then shut down gracefully.
+
+    Raises:
+        Exception: of a task that must run as long as the process.
+    """
+    options = adapter.options
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    boot_id = uuid.uuid4().hex[:12]
+    catalog = Catalog(
+        adapter.store,
+        adapter.route_source,
+        adapter.server_source,
+        options.relist_ms,
+        clock,
+    )
+    ownership = Ownership()
+    dispatcher = Dispatcher(options.data_centre, clock)
+    catalog.changes.subscribe(lambda _: dispatcher.wake())
+    ownership.changes.subscribe(lambda _: dispatcher.wake())
+    load = KeyLoad(clock)
+    pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
+    path = RequestPath(
+        adapter, catalog, ownership, dispatcher, pool, load.note, clock
+    )
+    callers = CallerServer(adapter, catalog, path, clock)
+    sample_url = f"http://{options.host}:{options.internal_port}{SAMPLES_PATH}"
+    lease = LeaderLease(
+        adapter.store, ownership, options.instance, boot_id, sample_url, clock
+    )
+    Coordinator(
+        lease,
+        adapter.store,
+        adapter.orders,
+        catalog,
+        ownership,
+        load,
+        lambda server: dispatcher.loads.view(server).slowness,
+        options.longest_hold_ms,
+        boot_id,
+        clock,
+    )
+    samples = SampleExchange(load, ownership, boot_id)
+    await samples.start(options.host, options.internal_port)
+    await callers.start()
+    log_event("started", instance=options.instance, boot_id=boot_id)
+    tasks = [
+        asyncio.ensure_future(work)
+        for work in (
+            *catalog.tasks(),
+            follow_table(
+                adapter.store, RANGES_TABLE, ownership.take, lambda _: None
+            ),
+            lease.run(),
+            dispatcher.run(),
+            samples.run(),
+        )
+    ]
+    stop = asyncio.create_task(stopping.wait())
+    await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        if task.done():
+            task.result()
+    log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
+    releasing = asyncio.create_task(lease.release())
+    await callers.stop()
+    await asyncio.wait({releasing}, timeout=RELEASE_TIMEOUT_S)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await samples.close()
+    await pool.close()
+    await adapter.orders.close()
+    await adapter.store.close()
+    log_event("stopped", instance=options.instance)
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -0,0 +1,260 @@
+"""The leader lease: at most one router gives orders about keys at a time.
+
+The lease ends on the store's clock. Its holder compares with an upper estimate of that
+clock, taken from the start of its last call, so that it stops before anyone else can
+see the lease as expired.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from reactivex.subject import Subject
+from returns.result import Failure, Result, Success
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import InstanceId
+from mulberryrelay_kernel.logs import log_event
+
+from .messages import LeaderNoticeRow, LeaderRow
+from .ownership import NOTICE_KEY, RANGES_TABLE, Ownership
+from .tablestore import (
+    Committed,
+    RowCondition,
+    RowWrite,
+    TableFailure,
+    TableRead,
+    TableStore,
+)
+
+LEADER_TABLE = "leader"
+LEASE_KEY = "lease"
+LEASE_MS = 2500.0
+RENEW_MS = 700.0
+RETRY_MS = 150.0
+CHECK_MS = 2200.0
+"""Mean period in which a follower looks at the lease."""
+MARGIN_MS = 100.0
+"""For clocks that run at different speeds."""
+
+
+class LeaderLease:
+    """The lease as this process holds or watches it."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        ownership: Ownership,
+        instance: InstanceId,
+        boot_id: str,
+        sample_url: str,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._ownership = ownership
+        self._instance = instance
+        self._boot_id = boot_id
+        self._sample_url = sample_url
+        self._clock = clock
+        self._row: LeaderRow | None = None
+        """The row of this process's current term."""
+        self._version = 0
+        self._valid_until_ms = float("-inf")
+        self._clock_offset_ms = 0.0
+        """Upper bound of the store's clock less the clock of this process."""
+        self._previous_end_ms = float("-inf")
+        self._is_troubled = False
+        self._is_leaving = False
+        self._edits = 0
+        self._check = asyncio.Event()
+        self._changes: Subject[bool] = Subject()
+
+    @property
+    def changes(self) -> Subject[bool]:
+        """Emits True when a term begins and False when it ends."""
+        return self._changes
+
+    @property
+    def term(self) -> int:
+        """Number of the current or last term of this process."""
+        return self._row.term if self._row is not None else 0
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether this process may give orders now."""
+        return self._clock() < self._valid_until_ms
+
+    @property
+    def is_troubled(self) -> bool:
+        """Whether the last renewal got no answer."""
+        return self._is_troubled
+
+    @property
+    def previous_end_ms(self) -> float:
+        """Latest time at which an earlier leader may have given an order."""
+        return self._previous_end_ms
+
+    async def run(self) -> None:
+        """Acquire the lease whenever it is free, and renew it."""
+        self._ownership.changes.subscribe(lambda _: self._note_notice())
+        while not self._is_leaving:
+            if self._row is None:
+                await self._watch()
+                continue
+            await self._renew()
+
+    async def release(self) -> None:
+        """Let another router take over at once."""
+        self._is_leaving = True
+        row = self._row
+        if row is None or not self.is_valid:
+            return
+        self._valid_until_ms = float("-inf")
+        self._changes.on_next(False)
+        released = LeaderRow(row.term, row.holder, row.boot_id, 0.0, self._new_edit())
+        notice = LeaderNoticeRow(row.term, "")
+        await self._commit(released, notice)
+        log_event("leader_released", term=row.term)
+
+    def _note_notice(self) -> None:
+        notice = self._ownership.notice
+        if notice is not None and not notice.boot_id:
+            self._check.set()
+
+    async def _watch(self) -> None:
+        """Look at the lease, take it if it is free, then wait."""
+        started_ms = self._clock()
+        result = await self._store.read(LEADER_TABLE)
+        if isinstance(result, Success):
+            read = result.unwrap()
+            self._clock_offset_ms = read.store_ms - started_ms
+            if await self._take_if_free(read):
+                return
+        self._check.clear()
+        notice = self._ownership.notice
+        if notice is not None and not notice.boot_id:
+            wait_ms = RETRY_MS
+        else:
+            wait_ms = CHECK_MS * random.uniform(0.5, 1.5)
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._check.wait()
+        except TimeoutError:
+            pass
+
+    async def _take_if_free(self, read: TableRead) -> bool:
+        previous = LeaderRow(0, InstanceId(""), "", 0.0)
+        version = 0
+        for row in read.rows:
+            if row.key == LEASE_KEY and row.value is not None:
+                previous = msgspec.json.decode(row.value, type=LeaderRow)
+                version = row.version
+        if previous.expires_ms + MARGIN_MS > read.store_ms:
+            return False
+        self._version = version
+        now_ms = self._clock()
+        expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
+        row_now = LeaderRow(
+            previous.term + 1,
+            self._instance,
+            self._boot_id,
+            expires_ms,
+            self._new_edit(),
+        )
+        notice = LeaderNoticeRow(row_now.term, self._boot_id, self._sample_url)
+        # Orders of the earlier leader ended with its lease, which is over by now.
+        self._previous_end_ms = now_ms
+        result = await self._commit(row_now, notice)
+        if not isinstance(result, Success):
+            return False
+        self._begin(row_now, result.unwrap())
+        return True
+
+    def _begin(self, row: LeaderRow, committed: Committed) -> None:
+        self._row = row
+        self._version = committed.version
+        self._valid_until_ms = row.expires_ms - self._clock_offset_ms
+        self._is_troubled = False
+        log_event("leader_acquired", term=row.term, row_version=committed.version)
+        self._changes.on_next(True)
+
+    async def _renew(self) -> None:
+        row = self._row
+        assert row is not None
+        pause_ms = RETRY_MS if self._is_troubled else RENEW_MS
+        await asyncio.sleep(pause_ms / 1000)
+        if self._is_leaving:
+            return
+        if not self.is_valid:
+            self._lose("expired")
+            return
+        started_ms = self._clock()
+        expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
+        renewed = msgspec.structs.replace(
+            row, expires_ms=expires_ms, edit=self._new_edit()
+        )
+        result = await self._commit(renewed, None)
+        if isinstance(result, Success):
+            self._row = renewed
+            self._version = result.unwrap().version
+            self._valid_until_ms = expires_ms - self._clock_offset_ms
+            self._clock_offset_ms = min(
+                self._clock_offset_ms, result.unwrap().store_ms - started_ms
+            )
+            if self._is_troubled:
+                log_event("lease_regained", term=row.term)
+            self._is_troubled = False
+            return
+        if result.failure() is TableFailure.CONFLICT:
+            self._lose("taken")
+            return
+        if not self._is_troubled:
+            log_event(
+                "lease_troubled",
+                term=row.term,
+                reason=result.failure().value,
+                left_ms=round(self._valid_until_ms - self._clock()),
+            )
+        self._is_troubled = True
+
+    def _lose(self, reason: str) -> None:
+        log_event("leader_lost", term=self.term, reason=reason)
+        self._row = None
+        self._valid_until_ms = float("-inf")
+        self._is_troubled = False
+        if not self._is_leaving:
+            self._changes.on_next(False)
+
+    async def _commit(
+        self, row: LeaderRow, notice: LeaderNoticeRow | None
+    ) -> Result[Committed, TableFailure]:
+        """Write the lease; a write whose reply was lost is looked for."""
+        condition = RowCondition(LEADER_TABLE, LEASE_KEY, self._version)
+        writes = [RowWrite(LEADER_TABLE, LEASE_KEY, msgspec.json.encode(row))]
+        if notice is not None:
+            encoded = msgspec.json.encode(notice)
+            writes.append(RowWrite(RANGES_TABLE, NOTICE_KEY, encoded))
+        result = await self._store.commit([condition], writes)
+        if isinstance(result, Success):
+            return result
+        if result.failure() is TableFailure.REFUSED:
+            return result
+        read = await self._store.read(LEADER_TABLE)
+        if not isinstance(read, Success):
+            return result
+        for found in read.unwrap().rows:
+            if found.key != LEASE_KEY or found.value is None:
+                continue
+            current = msgspec.json.decode(found.value, type=LeaderRow)
+            if current.edit == row.edit:
+                return Success(Committed(found.version, read.unwrap().store_ms))
+            if current.boot_id == self._boot_id and current.term == self.term:
+                # An earlier renewal whose reply was lost.
+                self._version = found.version
+                return Failure(TableFailure.UNKNOWN)
+        return result
+
+    def _new_edit(self) -> str:
+        self._edits += 1
+        return f"{self._boot_id}-{self._edits}"
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -0,0 +1,162 @@
+"""Writes the ranges of services; only the leader uses it.
+
+Edits that arrive while a write is under way are written together with the next one.
+A write whose reply was lost is looked for, and sent again under the same condition, so
+that it can take effect at most once.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Success
+
+from mulberryrelay_kernel.ids import ServiceName
+from mulberryrelay_kernel.logs import log_event
+
+from .keyspace import Edit, Ranges
+from .messages import RangeMapRow
+from .ownership import NOTICE_KEY, RANGES_TABLE, Ownership
+from .tablestore import RowCondition, RowWrite, TableFailure, TableRead, TableStore
+
+RETRY_S = 0.15
+
+
+class TermEndedError(Exception):
+    """This process is no longer the leader."""
+
+
+class RangeStore:
+    """The ranges during one term of this process."""
+
+    def __init__(
+        self,
+        store: TableStore,
+        ownership: Ownership,
+        boot_id: str,
+        is_valid: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._ownership = ownership
+        self._boot_id = boot_id
+        self._is_valid = is_valid
+        self._rows: dict[ServiceName, RangeMapRow] = {}
+        self._versions: dict[ServiceName, int] = {}
+        self._pending: dict[ServiceName, list[tuple[Edit, asyncio.Future[None]]]] = {}
+        self._writers: dict[ServiceName, asyncio.Task[None]] = {}
+        self._edits = 0
+
+    @property
+    def services(self) -> list[ServiceName]:
+        """Services whose keys are divided."""
+        return list(self._rows)
+
+    def ranges(self, service: ServiceName) -> Ranges:
+        """Return the ranges last written or read; empty if there are none."""
+        row = self._rows.get(service)
+        return row.ranges if row is not None else ()
+
+    async def load(self) -> None:
+        """Read all ranges.
+
+        Raises:
+            TermEndedError: the term ended first.
+        """
+        while True:
+            self._check_term()
+            result = await self._store.read(RANGES_TABLE)
+            if isinstance(result, Success):
+                self._take(result.unwrap())
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def update(self, service: ServiceName, edit: Edit) -> None:
+        """Apply an edit and return when it is stored.
+
+        Raises:
+            TermEndedError: the term ended first; the edit may have been stored.
+        """
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._pending.setdefault(service, []).append((edit, done))
+        if service not in self._writers:
+            self._writers[service] = asyncio.create_task(self._write_all(service))
+        await done
+
+    def _check_term(self) -> None:
+        if not self._is_valid():
+            raise TermEndedError
+
+    def _take(self, read: TableRead) -> None:
+        for row in read.rows:
+            if row.value is None or row.key == NOTICE_KEY:
+                continue
+            service = ServiceName(row.key)
+            if row.version < self._versions.get(service, 0):
+                continue
+            self._rows[service] = msgspec.json.decode(row.value, type=RangeMapRow)
+            self._versions[service] = row.version
+        self._ownership.take(read, False)
+
+    async def _write_all(self, service: ServiceName) -> None:
+        try:
+            while batch := self._pending.pop(service, []):
+                error: Exception | None = None
+                try:
+                    await self._write(service, [edit for edit, _ in batch])
+                except TermEndedError as ended:
+                    error = ended
+                for _, done in batch:
+                    if done.done():
+                        continue
+                    if error is not None:
+                        done.set_exception(error)
+                    else:
+                        done.set_result(None)
+        finally:
+            del self._writers[service]
+
+    async def _write(self, service: ServiceName, edits: list[Edit]) -> None:
+        while True:
+            self._check_term()
+            old = self.ranges(service)
+            ranges = old
+            for edit in edits:
+                ranges = edit(ranges)
+            if ranges == old:
+                return
+            self._edits += 1
+            row = RangeMapRow(f"{self._boot_id}-{self._edits}", ranges)
+            if await self._store_row(service, row):
+                return
+
+    async def _store_row(self, service: ServiceName, row: RangeMapRow) -> bool:
+        """Return whether the row was stored; if not, the newest row was read."""
+        value = msgspec.json.encode(row)
+        condition = RowCondition(
+            RANGES_TABLE, service, self._versions.get(service, 0)
+        )
+        while True:
+            self._check_term()
+            result = await self._store.commit(
+                [condition], [RowWrite(RANGES_TABLE, service, value)]
+            )
+            if isinstance(result, Success):
+                self._versions[service] = result.unwrap().version
+                self._rows[service] = row
+                log_event(
+                    "ranges_written",
+                    service=service,
+                    row_version=result.unwrap().version,
+                    ranges=len(row.ranges),
+                    moving=sum(part.is_moving for part in row.ranges),
+                )
+                return True
+            if result.failure() is TableFailure.REFUSED:
+                await asyncio.sleep(RETRY_S)
+                continue
+            await self.load()
+            if self._rows.get(service, RangeMapRow("", ())).edit == row.edit:
+                return True
+            if result.failure() is TableFailure.CONFLICT:
+                return False
+            await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/routetable.py
@@ -0,0 +1,47 @@
+"""Finds the route of a request and the service that its turn falls to."""
+
+from mulberryrelay_kernel.ids import ServiceName
+
+from .messages import Route, RouteTable
+
+
+class RouteMatcher:
+    """Looks routes up by host and longest prefix, and deals out weighted shares."""
+
+    def __init__(self) -> None:
+        self._version = -1
+        self._hosts: dict[str, list[Route]] = {}
+        self._credits: dict[str, dict[ServiceName, float]] = {}
+
+    def match(self, table: RouteTable, host: str, path: str) -> Route | None:
+        """Return the route of a path, or None if the table has none."""
+        if table.version != self._version:
+            self._index(table)
+        for route in self._hosts.get(host.partition(":")[0].lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def pick_service(self, route: Route) -> ServiceName:
+        """Return the service of the next request by smooth weighted round robin."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credit = self._credits.setdefault(route.name, {})
+        total = 0.0
+        best = route.shares[0].service
+        for share in route.shares:
+            total += share.weight
+            credit[share.service] = credit.get(share.service, 0.0) + share.weight
+            if credit[share.service] > credit.get(best, 0.0):
+                best = share.service
+        credit[best] = credit.get(best, 0.0) - total
+        return best
+
+    def _index(self, table: RouteTable) -> None:
+        self._version = table.version
+        self._hosts = {}
+        self._credits = {}
+        for route in table.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
--- a/packages/kernel/mulberryrelay_kernel/clock.py
+++ b/packages/kernel/mulberryrelay_kernel/clock.py
@@ -14,3 +14,8 @@
 def monotonic_ms() -> float:
     """Return elapsed milliseconds of the operating system's monotonic clock."""
     return time.monotonic_ns() / 1e6
+
+
+def suspended_ms() -> float:
+    """Return elapsed milliseconds, counting time in which the machine was suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -49,12 +49,17 @@
     Answers are passed on as they are: no decompression, redirects or cookies.
     """
 
-    def __init__(self, connections_per_server: int, force_close: bool = False) -> None:
+    def __init__(
+        self,
+        connections_per_server: int,
+        force_close: bool = False,
+        keepalive_s: float = KEEPALIVE_S,
+    ) -> None:
         self._force_close = force_close
         self._connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=connections_per_server,
-            keepalive_timeout=None if force_close else KEEPALIVE_S,
+            keepalive_timeout=None if force_close else keepalive_s,
             force_close=force_close,
             use_dns_cache=False,
         )
@@ -85,16 +90,10 @@
         headers["Host"] = f"{host}:{port}"
         if self._force_close:
             headers["Connection"] = "close"
-        while True:
-            connection = await self._connect(template)
-            if _is_usable(connection):
-                break
-            # Nothing was written. Closing takes the connection out of the pool.
-            connection.close()
+        connection = await self.open(host, port)
         try:
-            response = await self._write(
-                connection, template, method, path, headers, attempt
-            )
+            writer = await self.write(connection, method, path, headers, attempt)
+            response = self._response(method, template, writer)
             try:
                 await response.start(connection)
             except BaseException:
@@ -105,6 +104,20 @@
             raise
         return response
 
+    async def open(self, host: str, port: int) -> Connection:
+        """Return a usable connection, which the caller releases or closes.
+
+        Raises:
+            aiohttp.ClientError: no connection could be opened.
+        """
+        template = self._template(host, port)
+        while True:
+            connection = await self._connect(template)
+            if _is_usable(connection):
+                return connection
+            # Nothing was written. Closing takes the connection out of the pool.
+            connection.close()
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
@@ -129,15 +142,19 @@
             # A timeout of the caller arrives as a cancellation.
             raise aiohttp.ConnectionTimeoutError("connection timeout") from None
 
-    async def _write(
+    async def write(
         self,
         connection: Connection,
-        template: aiohttp.ClientRequest,
         method: str,
         path: str,
         headers: CIMultiDict[str],
         attempt: SendHook,
-    ) -> aiohttp.ClientResponse:
+    ) -> StreamWriter:
+        """Write a whole request in one step, after the last checks of the attempt.
+
+        Raises:
+            NotSentError: the attempt must not be sent now.
+        """
         protocol = connection.protocol
         assert protocol is not None
         protocol.set_response_params(
@@ -151,6 +168,11 @@
         # write_headers only fills a buffer; write_eof writes it with the body.
         await writer.write_headers(f"{method} {path} HTTP/1.1", headers)
         await writer.write_eof(attempt.body)
+        return writer
+
+    def _response(
+        self, method: str, template: aiohttp.ClientRequest, writer: StreamWriter
+    ) -> aiohttp.ClientResponse:
         return aiohttp.ClientResponse(
             method,
             template.url,
