Divide keys once servers have settled, spread single hot keys, gather writes

Change: wait for servers to settle, cut both ends around a hot key and move it to a faster server, gather edits for 30 ms, keep twice the usual latency in reserve.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -21,6 +21,7 @@
 
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
+SERVERS_GATHER_S = 0.15
 
 
 async def follow_table(
@@ -28,9 +29,12 @@
     table: str,
     take: Callable[[TableRead, bool], None],
     on_contact: Callable[[bool], None],
+    gather_s: float = 0.0,
 ) -> None:
     """Read a table, then pass on each change; never returns.
 
+    Changes within ``gather_s`` seconds of one are fetched together.
+
     ``take`` is given the rows and whether they are the complete table; ``on_contact``
     whether the store answered, at each change of that.
     """
@@ -49,6 +53,8 @@
             read = result.unwrap()
             take(read, version is None)
             version = read.version
+            if gather_s and read.rows:
+                await asyncio.sleep(gather_s)
             continue
         reason = result.failure()
         if reason is TableFailure.HISTORY_LOST:
@@ -127,6 +133,7 @@
                 self._server_source.table,
                 self.take_servers,
                 self.note_contact,
+                SERVERS_GATHER_S,
             ),
         ]
 
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -31,9 +31,10 @@
 from .tablestore import TableStore
 
 TICK_S = 0.1
-SETTLE_MS = 1500.0
-"""Time for servers to register before keys are divided for the first time."""
-REBALANCE_MS = 1000.0
+SETTLE_MS = 2000.0
+"""Time without a new server before keys are divided for the first time."""
+LONGEST_SETTLE_MS = 6000.0
+REBALANCE_MS = 700.0
 GRANT_TRIES = 3
 MERGE_ABOVE = 48
 """Ranges of a service from which on neighbours are joined."""
@@ -148,6 +149,8 @@
         self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
         self._planned_ms: dict[ServiceName, float] = {}
         self._planning: set[ServiceName] = set()
+        self._server_counts: dict[ServiceName, int] = {}
+        self._counted_ms: dict[ServiceName, float] = {}
 
     async def run(self) -> None:
         """Work until the term ends.
@@ -194,8 +197,15 @@
 
     def _divide(self, service: ServiceName) -> None:
         servers = self._catalog.serving(service)
-        has_settled = self._clock() - self._started_ms >= SETTLE_MS
-        if not servers or not has_settled or service in self._planning:
+        now_ms = self._clock()
+        if len(servers) != self._server_counts.get(service, 0):
+            self._server_counts[service] = len(servers)
+            self._counted_ms[service] = now_ms
+        is_settled = now_ms - self._counted_ms.get(service, now_ms) >= SETTLE_MS
+        is_overdue = now_ms - self._started_ms >= LONGEST_SETTLE_MS
+        if not servers or service in self._planning:
+            return
+        if not is_settled and not is_overdue:
             return
         self._planning.add(service)
         log_event("keys_divided", service=service, servers=len(servers))
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -120,6 +120,8 @@
             assert protocol is not None
             headers = self._headers()
             closed = protocol.closed
+            if closed is not None:
+                closed.add_done_callback(_retrieve)
             await pool.write(
                 connection, self._request.method, self._request.target, headers, self
             )
@@ -204,6 +206,12 @@
         return AttemptResult(verdict, detail=detail)
 
 
+def _retrieve(closed: "asyncio.Future[None]") -> None:
+    """Mark the end of a connection as seen, which matters to unframed answers only."""
+    if not closed.cancelled():
+        closed.exception()
+
+
 def _is_unframed(message: RawResponseMessage) -> bool:
     """Return whether the body ends with the connection, RFC 9112 section 6.3."""
     if message.chunked or message.code in (204, 304):
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -71,7 +71,7 @@
         boot_id,
         clock,
     )
-    samples = SampleExchange(load, ownership, boot_id)
+    samples = SampleExchange(load, ownership, boot_id, lease.check_soon)
     await samples.start(options.host, options.internal_port)
     await callers.start()
     log_event("started", instance=options.instance, boot_id=boot_id)
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -73,8 +74,15 @@
 class SampleExchange:
     """Sends the samples of this router to the leader, and takes those of others."""
 
-    def __init__(self, load: KeyLoad, ownership: Ownership, boot_id: str) -> None:
+    def __init__(
+        self,
+        load: KeyLoad,
+        ownership: Ownership,
+        boot_id: str,
+        on_leader_lost: Callable[[], None],
+    ) -> None:
         self._load = load
+        self._on_leader_lost = on_leader_lost
         self._ownership = ownership
         self._boot_id = boot_id
         self._session: aiohttp.ClientSession | None = None
@@ -107,6 +115,8 @@
                     was_taken = reply.status == 204
             except (aiohttp.ClientError, TimeoutError, OSError):
                 was_taken = False
+            if not was_taken:
+                self._on_leader_lost()
             if is_lost is was_taken:
                 is_lost = not was_taken
                 event = "leader_unreachable" if is_lost else "leader_reached"
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -33,7 +33,7 @@
 LEASE_MS = 2500.0
 RENEW_MS = 700.0
 RETRY_MS = 150.0
-CHECK_MS = 2200.0
+CHECK_MS = 3500.0
 """Mean period in which a follower looks at the lease."""
 MARGIN_MS = 100.0
 """For clocks that run at different speeds."""
@@ -117,6 +117,10 @@
         await self._commit(released, notice)
         log_event("leader_released", term=row.term)
 
+    def check_soon(self) -> None:
+        """Look at the lease now, as the leader may be gone."""
+        self._check.set()
+
     def _note_notice(self) -> None:
         notice = self._ownership.notice
         if notice is not None and not notice.boot_id:
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -20,6 +20,9 @@
 from .tablestore import RowCondition, RowWrite, TableFailure, TableRead, TableStore
 
 RETRY_S = 0.15
+GATHER_S = 0.03
+"""Time in which edits after the first are gathered for one write, as each write wakes
+every router."""
 
 
 class TermEndedError(Exception):
@@ -82,6 +85,10 @@
             self._writers[service] = asyncio.create_task(self._write_all(service))
         await done
 
+    def _is_gathering(self, service: ServiceName) -> bool:
+        """Return whether more edits are to be expected soon."""
+        return sum(part.is_moving for part in self.ranges(service)) > 1
+
     def _check_term(self) -> None:
         if not self._is_valid():
             raise TermEndedError
@@ -99,7 +106,12 @@
 
     async def _write_all(self, service: ServiceName) -> None:
         try:
-            while batch := self._pending.pop(service, []):
+            while True:
+                if self._is_gathering(service):
+                    await asyncio.sleep(GATHER_S)
+                batch = self._pending.pop(service, [])
+                if not batch:
+                    return
                 error: Exception | None = None
                 try:
                     await self._write(service, [edit for edit, _ in batch])
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -6,10 +6,12 @@
 
 import math
 from bisect import bisect_left
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
+from mulberryrelay_kernel.ids import ServerId
+
 from .keyspace import Piece, Ranges
 from .messages import BackendServer, KeyRange
 
@@ -20,6 +22,8 @@
 MAX_MOVES = 6
 MIN_SAMPLES = 20
 MAX_RANGES = 96
+FASTER_FACTOR = 1.3
+"""Gain in capacity for which a single busy key moves."""
 
 
 class Capacity(msgspec.Struct, frozen=True):
@@ -46,7 +50,8 @@
     """Return the moves that bring the load of all targets near the mean.
 
     ``samples`` are the keys of recent requests, sorted. Ranges that belong to servers
-    outside ``targets`` are left alone.
+    outside ``targets`` are left alone. A key too busy for its server moves to one that
+    is faster.
     """
     if len(targets) < 2 or len(samples) < MIN_SAMPLES:
         return []
@@ -62,9 +67,15 @@
         counted += weight
     mean = counted / sum(target.capacity for target in targets)
     pieces: list[Piece] = []
-    room = MAX_RANGES - len(ranges)
-    while len(pieces) < MAX_MOVES and len(pieces) < room:
-        source = max(loads.values(), key=lambda load: load.relative)
+    most = min(MAX_MOVES, MAX_RANGES - len(ranges))
+    stuck: set[ServerId] = set()
+    while len(pieces) < most:
+        movable = [
+            load for name, load in loads.items() if name not in stuck and load.ranges
+        ]
+        if not movable:
+            break
+        source = max(movable, key=lambda load: load.relative)
         sink = min(loads.values(), key=lambda load: load.relative)
         fair = mean * source.target.capacity
         excess = source.samples - fair
@@ -73,7 +84,10 @@
         missing = mean * sink.target.capacity - sink.samples
         piece = _cut(source, sink, samples, min(excess, missing))
         if piece is None:
-            break
+            piece = _speed_up(source, loads.values(), samples)
+        if piece is None:
+            stuck.add(source.target.server.server)
+            continue
         pieces.append(piece)
     return pieces
 
@@ -81,37 +95,77 @@
 def _cut(
     source: _Load, sink: _Load, samples: Sequence[int], wanted: float
 ) -> Piece | None:
-    """Take about ``wanted`` samples from the source's busiest range."""
-    if wanted < 1 or not source.ranges:
+    """Take about ``wanted`` samples off the source, at an end of one of its ranges.
+
+    A range may be taken whole if that is not too much. Returns None if each range is
+    either idle or its first and last keys are too busy.
+    """
+    if wanted < 1:
         return None
+    by_weight = sorted(
+        source.ranges,
+        key=lambda part: _count(samples, part.first, part.last),
+        reverse=True,
+    )
+    for part in by_weight:
+        inside = samples[
+            bisect_left(samples, part.first) : bisect_left(samples, part.last + 1)
+        ]
+        if not inside:
+            return None
+        cut = _end_of(part, inside, wanted)
+        if cut is None:
+            continue
+        first, last = cut
+        moved = _count(samples, first, last)
+        source.samples -= moved
+        sink.samples += moved
+        source.ranges.remove(part)
+        if part.first < first:
+            source.ranges.append(msgspec.structs.replace(part, last=first - 1))
+        if last < part.last:
+            source.ranges.append(msgspec.structs.replace(part, first=last + 1))
+        return Piece(first, last, sink.target.server)
+    return None
+
+
+def _end_of(
+    part: KeyRange, inside: Sequence[int], wanted: float
+) -> tuple[int, int] | None:
+    """Return an end of a range, or all of it, with at most ``wanted`` samples."""
+    most = max(1, round(wanted))
+    if len(inside) <= most:
+        return part.first, part.last
+    # The most that fits from above: everything over the key that is one too many.
+    first = inside[len(inside) - most - 1] + 1
+    above = len(inside) - bisect_left(inside, first)
+    last = inside[most] - 1
+    below = bisect_left(inside, last + 1)
+    if above >= below and above:
+        return first, part.last
+    if below:
+        return part.first, last
+    return None
+
+
+def _speed_up(
+    source: _Load, loads: Iterable[_Load], samples: Sequence[int]
+) -> Piece | None:
+    """Move the source's busiest range, of one busy key, to a much faster server."""
+    fastest = max(loads, key=lambda load: load.target.capacity)
+    gain = fastest.target.capacity / source.target.capacity
     busiest = max(
         source.ranges, key=lambda part: _count(samples, part.first, part.last)
     )
-    first = bisect_left(samples, busiest.first)
-    last = bisect_left(samples, busiest.last + 1)
-    inside = samples[first:last]
-    count = min(len(inside), max(1, round(wanted)))
-    if not count:
+    weight = _count(samples, busiest.first, busiest.last)
+    if gain < FASTER_FACTOR or 2 * weight < source.samples:
         return None
-    if len(inside) - count < 1 and len(source.ranges) == 1:
-        # The whole load of the source is one key, or cannot be divided.
-        if inside[0] == inside[-1]:
-            return None
-        count = len(inside) // 2
-    cut = inside[len(inside) - count]
-    if cut == inside[0]:
-        # Many requests for one key: all from the next key on move instead.
-        above = [key for key in inside if key > cut]
-        if not above:
-            return None
-        cut = above[0]
-    piece = Piece(cut, busiest.last, sink.target.server)
-    moved = _count(samples, cut, busiest.last)
-    source.samples -= moved
+    if fastest.samples + weight > source.samples * gain:
+        return None
+    source.samples -= weight
+    fastest.samples += weight
     source.ranges.remove(busiest)
-    source.ranges.append(msgspec.structs.replace(busiest, last=cut - 1))
-    sink.samples += moved
-    return piece
+    return Piece(busiest.first, busiest.last, fastest.target.server)
 
 
 def place_orphans(
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -19,8 +19,10 @@
 from .retrybudget import RetryBudget
 
 RETRY_AFTER_S = 0.3
-# Share of the time until the deadline that a request may wait for its first send.
-WAIT_SHARE = 0.6
+# A request is not sent with less time left than this multiple of the usual latency.
+LATENCY_RESERVE = 2.0
+# Share of the time until the deadline that a request may wait at least.
+WAIT_SHARE = 0.5
 # Pause before a server that does not hold a key is asked again.
 NOT_HELD_PAUSE_S = 0.05
 
@@ -61,7 +63,8 @@
         while True:
             usual_ms = self._dispatcher.loads.latency_ms(request.route.name)
             give_up_ms = request.deadline_ms - min(
-                usual_ms, (1 - WAIT_SHARE) * (request.deadline_ms - request.arrived_ms)
+                LATENCY_RESERVE * usual_ms,
+                (1 - WAIT_SHARE) * (request.deadline_ms - request.arrived_ms),
             )
             turn = await self._dispatcher.acquire(
                 request, candidates, is_keyed, give_up_ms, frozenset(tried)
@@ -140,7 +143,9 @@
             latency_ms = loads.end(server, number, load)
         if result.verdict is Verdict.ANSWERED:
             is_failure = result.status >= 500
-            loads.note_answer(server, request.route.name, latency_ms, is_failure)
+            loads.note_answer(
+                server, request.route.name, latency_ms, result.load, is_failure
+            )
         elif result.verdict is Verdict.NOT_RUN:
             if result.status != 421:
                 loads.note_refusal(server)
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -134,9 +134,14 @@
         return now_ms - sent_ms
 
     def note_answer(
-        self, server: BackendServer, route: str, latency_ms: float, is_failure: bool
+        self,
+        server: BackendServer,
+        route: str,
+        latency_ms: float,
+        load: LoadReport | None,
+        is_failure: bool,
     ) -> None:
-        """Note a whole answer."""
+        """Note a whole answer; requests wait where the load says so."""
         view = self.view(server)
         view.answered_ms = self._clock()
         if is_failure:
@@ -146,9 +151,10 @@
         view.ejections = 0
         view.limit = min(view.limit + 0.5, server.slots + WAITING_ALLOWED + 2.0)
         usual_ms = self.latency_ms(route)
-        ratio = min(8.0, latency_ms / max(1.0, usual_ms))
-        view.slowness += SPEED_WEIGHT * (ratio - view.slowness)
-        view.slowness = max(0.2, view.slowness)
+        if load is None or not load.waiting:
+            ratio = min(8.0, latency_ms / max(1.0, usual_ms))
+            view.slowness += SPEED_WEIGHT * (ratio - view.slowness)
+            view.slowness = max(0.2, view.slowness)
         self._latencies[route] = usual_ms + 0.05 * (latency_ms - usual_ms)
 
     def note_refusal(self, server: BackendServer) -> None:
