Treat requests as keyed by their service, judge silence per request, end idle callers

Cause: the dispatcher took every request with a key as keyed, also at services without key ownership, and asked only the first server of the list; a server looked silent to short requests while it worked on long ones; at shutdown aiohttp's close() of an idle connection ends its task and leaves its transport open, so a later request got no answer; a long poll that the store lost ended only after its whole wait. Ruled out: overload (10 of 13 servers were idle while requests waited). Change: is_keyed comes from the service; overdue time per request in flight; close, then shutdown of each connection; a short poll probes the store for all tables; keys move only off busy servers.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -30,8 +30,9 @@
 FIRST_LIMITS = CallerLimits(header_bytes=16_384, body_bytes=1 << 26, idle_ms=15_000)
 # The load balancer needs two missed checks, a second apart, to take a router out.
 STOP_ACCEPTING_S = 2.6
-STOP_RESERVE_S = 0.4
-STOP_POLL_S = 0.05
+# Time for the last answers to leave before the process is killed.
+STOP_RESERVE_MS = 300.0
+LAST_ANSWER_MS = 200.0
 
 
 class CallerServer:
@@ -48,6 +49,7 @@
         self._matcher = RouteMatcher()
         self._in_flight = 0
         self._is_stopping = False
+        self._stop_ms = float("inf")
         self._runner: web.ServerRunner | None = None
         self._site: web.TCPSite | None = None
         self._ready_runner: web.AppRunner | None = None
@@ -85,19 +87,20 @@
     async def stop(self) -> None:
         """Report not ready, then end without cutting a request off."""
         self._is_stopping = True
-        grace_s = self._options.stop_grace_ms / 1000 - STOP_RESERVE_S
+        grace_ms = self._options.stop_grace_ms - STOP_RESERVE_MS
+        self._stop_ms = self._clock() + grace_ms
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + grace_s
+        end_s = loop.time() + grace_ms / 1000
         await asyncio.sleep(STOP_ACCEPTING_S)
         assert self._site is not None and self._runner is not None
         await self._site.stop()
-        idle_until_s = loop.time() + 1.0
-        while loop.time() < end_s:
-            server = self._runner.server
-            is_idle = not self._in_flight and loop.time() > idle_until_s
-            if is_idle or server is None or not server.connections:
-                break
-            await asyncio.sleep(STOP_POLL_S)
+        server = self._runner.server
+        assert server is not None
+        for connection in server.connections:
+            # Ends the wait for a further request; a busy connection goes on.
+            connection.close()
+        await asyncio.sleep(0)
+        await server.shutdown(max(0.0, end_s - loop.time()))
         log_event("callers_stopped", in_flight=self._in_flight)
         await self._runner.cleanup()
         if self._ready_runner is not None:
@@ -162,7 +165,10 @@
             route=route,
             service=self._matcher.pick_service(route),
             arrived_ms=arrived_ms,
-            deadline_ms=arrived_ms + min(patience_ms, route.timeout_ms),
+            deadline_ms=min(
+                arrived_ms + min(patience_ms, route.timeout_ms),
+                self._stop_ms - LAST_ANSWER_MS,
+            ),
             caller_deadline_ms=arrived_ms + patience_ms,
         )
         return await self._path.run(edge_request)
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -274,7 +274,8 @@
         self._planned_ms[service] = now_ms
         if len(ranges) > MERGE_ABOVE:
             self._start(self._merge(service))
-        return plan_moves(ranges, self._load.samples(service), targets)
+        samples = self._load.samples(service)
+        return plan_moves(ranges, samples, targets, self._load.work_per_sample(service))
 
     def _must_move(self, part: KeyRange) -> bool:
         if part.is_moving:
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -25,6 +25,8 @@
 REMOTE_PENALTY = 0.35
 """Added cost of a server in another data centre."""
 EXPIRY_PERIOD_S = 0.02
+MAX_DESCRIBED = 4
+"""Servers named in the line of a request that found no room."""
 
 
 class Turn(msgspec.Struct, frozen=True):
@@ -39,11 +41,13 @@
         self,
         request: EdgeRequest,
         candidates: Candidates,
+        is_keyed: bool,
         give_up_ms: float,
         avoided: frozenset[ServerId],
     ) -> None:
         self.request = request
         self.candidates = candidates
+        self.is_keyed = is_keyed
         self.give_up_ms = give_up_ms
         self.avoided = avoided
         self.turn: asyncio.Future[Turn | None] = (
@@ -83,10 +87,10 @@
 
         ``avoided`` servers are chosen only if there is no other.
         """
-        waiter = _Waiter(request, candidates, give_up_ms, avoided)
+        waiter = _Waiter(request, candidates, is_keyed, give_up_ms, avoided)
         queue = self._queues.setdefault(request.service, [])
         if not queue:
-            turn = self._try(waiter, is_keyed)
+            turn = self._try(waiter)
             if turn is not None:
                 return turn
         if len(queue) >= MAX_WAITING:
@@ -96,7 +100,7 @@
             self.wake()
         left_s = (give_up_ms - self._clock()) / 1000
         expiry = asyncio.get_running_loop().call_later(
-            max(0.0, left_s), _expire, waiter
+            max(0.0, left_s), self._expire, waiter
         )
         try:
             return await waiter.turn
@@ -143,37 +147,36 @@
         for waiter in sorted(queue, key=order):
             if waiter.turn.done():
                 continue
-            is_keyed = waiter.request.key is not None
-            if is_keyed:
+            if waiter.is_keyed:
                 owners = waiter.candidates()
                 if not owners or owners[0].server in full:
                     continue
-            turn = self._try(waiter, is_keyed)
+            turn = self._try(waiter)
             if turn is not None:
                 waiter.turn.set_result(turn)
                 continue
-            if is_keyed:
+            if waiter.is_keyed:
                 full.add(owners[0].server)
             elif not waiter.avoided:
                 # Nobody after this one finds room either, unless the key is held.
                 break
 
-    def _try(self, waiter: _Waiter, is_keyed: bool) -> Turn | None:
-        server = self._choose(waiter, is_keyed)
+    def _try(self, waiter: _Waiter) -> Turn | None:
+        server = self._choose(waiter)
         if server is None:
             return None
-        return Turn(server, self._loads.begin(server))
+        route = waiter.request.route.name
+        return Turn(server, self._loads.begin(server, route))
 
-    def _choose(self, waiter: _Waiter, is_keyed: bool) -> BackendServer | None:
+    def _choose(self, waiter: _Waiter) -> BackendServer | None:
         candidates = waiter.candidates()
-        if is_keyed:
+        if waiter.is_keyed:
             if not candidates:
                 return None
             owner = candidates[0]
             if self._loads.has_room(owner, KEYED_WAITING_ALLOWED):
                 return owner
             return None
-        route = waiter.request.route.name
         best: BackendServer | None = None
         best_cost = float("inf")
         healthy = [s for s in candidates if not self._loads.is_ejected(s)]
@@ -182,7 +185,7 @@
         for server in pool:
             if not self._loads.has_room(server, WAITING_ALLOWED):
                 continue
-            if self._loads.is_silent(server, route):
+            if self._loads.is_silent(server):
                 continue
             cost = self._loads.cost(server)
             if server.server in waiter.avoided:
@@ -195,14 +198,16 @@
             return None
         return best
 
-
-def _expire(waiter: _Waiter) -> None:
-    if not waiter.turn.done():
+    def _expire(self, waiter: _Waiter) -> None:
+        if waiter.turn.done():
+            return
         waiter.turn.set_result(None)
+        candidates = waiter.candidates()
         log_event(
             "wait_ended",
             request_id=waiter.request.request_id,
             service=waiter.request.service,
             key=waiter.request.key,
-            candidates=[server.server for server in waiter.candidates()][:2],
+            candidates=len(candidates),
+            servers=[self._loads.describe(s) for s in candidates[:MAX_DESCRIBED]],
         )
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -10,14 +10,13 @@
 
 from .adapter import Adapter
 from .callers import CallerServer
-from .catalog import Catalog
+from .catalog import Catalog, StoreContact, follow_table
 from .coordinator import Coordinator
 from .dispatch import Dispatcher
 from .keyload import SAMPLES_PATH, KeyLoad, SampleExchange
 from .lease import LeaderLease
 from .ownership import RANGES_TABLE, Ownership
 from .requests import RequestPath
-from .catalog import follow_table
 
 CONNECTIONS_PER_SERVER = 12
 """A server accepts about 110 connections from all routers together."""
@@ -38,10 +37,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     boot_id = uuid.uuid4().hex[:12]
+    contact = StoreContact()
     catalog = Catalog(
         adapter.store,
         adapter.route_source,
         adapter.server_source,
+        contact,
         options.relist_ms,
         clock,
     )
@@ -52,7 +53,7 @@
     load = KeyLoad(clock)
     pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
     path = RequestPath(
-        adapter, catalog, ownership, dispatcher, pool, load.note, clock
+        adapter, catalog, ownership, dispatcher, pool, load, clock
     )
     callers = CallerServer(adapter, catalog, path, clock)
     sample_url = f"http://{options.host}:{options.internal_port}{SAMPLES_PATH}"
@@ -79,9 +80,7 @@
         asyncio.ensure_future(work)
         for work in (
             *catalog.tasks(),
-            follow_table(
-                adapter.store, RANGES_TABLE, ownership.take, lambda _: None
-            ),
+            follow_table(adapter.store, RANGES_TABLE, ownership.take, contact),
             lease.run(),
             dispatcher.run(),
             samples.run(),
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -32,6 +32,7 @@
         self._clock = clock
         self._keys: dict[ServiceName, deque[tuple[float, int]]] = {}
         self._unreported: dict[ServiceName, list[int]] = {}
+        self._latencies: dict[ServiceName, float] = {}
 
     def note(self, request: EdgeRequest) -> None:
         """Count a request of this router."""
@@ -64,6 +65,15 @@
             keys.popleft()
         return sorted(key for _, key in keys)
 
+    def note_latency(self, service: ServiceName, latency_ms: float) -> None:
+        """Note how long a server worked on a request."""
+        usual_ms = self._latencies.get(service, latency_ms)
+        self._latencies[service] = usual_ms + 0.05 * (latency_ms - usual_ms)
+
+    def work_per_sample(self, service: ServiceName) -> float:
+        """Return the slots that one sample stands for, on a server of usual speed."""
+        return self._latencies.get(service, 0.0) / MEMORY_MS
+
     def _add(self, service: ServiceName, key: int) -> None:
         keys = self._keys.get(service)
         if keys is None:
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -22,6 +22,8 @@
 MAX_MOVES = 6
 MIN_SAMPLES = 20
 MAX_RANGES = 96
+CALM_UTILISATION = 0.4
+"""Share of busy slots up to which a server needs no relief."""
 FASTER_FACTOR = 1.3
 """Gain in capacity for which a single busy key moves."""
 
@@ -45,13 +47,17 @@
 
 
 def plan_moves(
-    ranges: Ranges, samples: Sequence[int], targets: Sequence[Capacity]
+    ranges: Ranges,
+    samples: Sequence[int],
+    targets: Sequence[Capacity],
+    work_per_sample: float,
 ) -> list[Piece]:
     """Return the moves that bring the load of all targets near the mean.
 
-    ``samples`` are the keys of recent requests, sorted. Ranges that belong to servers
-    outside ``targets`` are left alone. A key too busy for its server moves to one that
-    is faster.
+    ``samples`` are the keys of recent requests, sorted; each stands for
+    ``work_per_sample`` occupied slots. Ranges that belong to servers outside
+    ``targets`` are left alone, and so is a server with enough free slots. A key too
+    busy for its server moves to one that is faster.
     """
     if len(targets) < 2 or len(samples) < MIN_SAMPLES:
         return []
@@ -77,6 +83,8 @@
             break
         source = max(movable, key=lambda load: load.relative)
         sink = min(loads.values(), key=lambda load: load.relative)
+        if source.relative * work_per_sample < CALM_UTILISATION:
+            break
         fair = mean * source.target.capacity
         excess = source.samples - fair
         if excess <= TOLERATED_EXCESS * fair + NOISE_FACTOR * math.sqrt(fair):
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -1,7 +1,6 @@
 """The way of one request: waits for its turn, sends it, repeats it where that is safe."""
 
 import asyncio
-from collections.abc import Callable
 
 from multidict import CIMultiDict
 
@@ -14,6 +13,7 @@
 from .catalog import Catalog
 from .dispatch import Candidates, Dispatcher
 from .exchange import AttemptResult, Exchange, Verdict
+from .keyload import KeyLoad
 from .messages import BackendServer, EdgeAnswer, EdgeRequest
 from .ownership import Ownership
 from .retrybudget import RetryBudget
@@ -37,7 +37,7 @@
         ownership: Ownership,
         dispatcher: Dispatcher,
         pool: Pool,
-        note_key: Callable[[EdgeRequest], None],
+        key_load: KeyLoad,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -45,7 +45,7 @@
         self._ownership = ownership
         self._dispatcher = dispatcher
         self._pool = pool
-        self._note_key = note_key
+        self._key_load = key_load
         self._clock = clock
         self._budget = RetryBudget(adapter.options, clock)
 
@@ -53,7 +53,7 @@
         """Return the answer to a request, at its deadline at the latest."""
         is_keyed = self._is_keyed(request)
         if is_keyed:
-            self._note_key(request)
+            self._key_load.note(request)
         candidates = self._candidates(request, is_keyed)
         self._budget.note_request(request.service)
         tried: set[ServerId] = set()
@@ -142,6 +142,8 @@
             load = result.load if result is not None else None
             latency_ms = loads.end(server, number, load)
         if result.verdict is Verdict.ANSWERED:
+            if result.load is None or not result.load.waiting:
+                self._key_load.note_latency(request.service, latency_ms)
             is_failure = result.status >= 500
             loads.note_answer(
                 server, request.route.name, latency_ms, result.load, is_failure
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -48,6 +48,8 @@
         self.answered_ms = float("-inf")
         self.sent_ms: dict[int, float] = {}
         """Start of each request in flight."""
+        self.overdue_ms: dict[int, float] = {}
+        """When each request in flight takes unusually long."""
 
 
 class ServerLoads:
@@ -86,14 +88,25 @@
             return True
         return view.failures >= FAILURES_TO_EJECT and view.in_flight > 0
 
-    def is_silent(self, server: BackendServer, route: str) -> bool:
-        """Return whether requests wait at a server for longer than is usual."""
+    def is_silent(self, server: BackendServer) -> bool:
+        """Return whether a server answers nothing, and a request takes too long."""
         view = self.view(server)
-        if not view.sent_ms:
+        if not view.overdue_ms:
             return False
-        since_ms = max(min(view.sent_ms.values()), view.answered_ms)
-        usual_ms = SILENCE_FACTOR * self.latency_ms(route)
-        return self._clock() - since_ms > max(SHORTEST_SILENCE_MS, usual_ms)
+        if self._clock() - view.answered_ms < SHORTEST_SILENCE_MS:
+            return False
+        return min(view.overdue_ms.values()) < self._clock()
+
+    def describe(self, server: BackendServer) -> str:
+        """Return a server's state for a log line."""
+        view = self.view(server)
+        state = f"{server.server}/{view.in_flight}of{view.limit:.1f}"
+        state += f"/load{self.expected_load(server):.1f}/x{view.slowness:.1f}"
+        if self.is_ejected(server):
+            state += "/ejected"
+        if self.is_silent(server):
+            state += "/silent"
+        return state
 
     def has_room(self, server: BackendServer, waiting_allowed: float) -> bool:
         """Return whether one more request may be sent to a server."""
@@ -111,12 +124,15 @@
             cost *= COLD_FACTOR
         return cost + load / (4.0 * server.slots)
 
-    def begin(self, server: BackendServer) -> int:
+    def begin(self, server: BackendServer, route: str) -> int:
         """Count a request as in flight; returns its number for ``end``."""
         view = self.view(server)
         self._sends += 1
         view.in_flight += 1
-        view.sent_ms[self._sends] = self._clock()
+        now_ms = self._clock()
+        view.sent_ms[self._sends] = now_ms
+        usual_ms = SILENCE_FACTOR * view.slowness * self.latency_ms(route)
+        view.overdue_ms[self._sends] = now_ms + max(SHORTEST_SILENCE_MS, usual_ms)
         return self._sends
 
     def end(self, server: BackendServer, number: int, load: LoadReport | None) -> float:
@@ -126,6 +142,7 @@
         sent_ms = view.sent_ms.pop(number, None)
         if sent_ms is None:
             return 0.0
+        view.overdue_ms.pop(number, None)
         view.in_flight -= 1
         if load is not None:
             view.others = max(0.0, load.running + load.waiting - view.in_flight - 1)
--- a/packages/edge/mulberryrelay_edge/tablestore.py
+++ b/packages/edge/mulberryrelay_edge/tablestore.py
@@ -74,8 +74,10 @@
     async def read(self, table: str) -> Result[TableRead, TableFailure]:
         """Read all rows of a table."""
 
-    async def follow(self, table: str, after: int) -> Result[TableRead, TableFailure]:
-        """Wait for changes after a version; none arrived if there are no rows."""
+    async def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> Result[TableRead, TableFailure]:
+        """Wait for changes after a version; none came in time if there are no rows."""
 
     async def commit(
         self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
