Let a leader's term outlast a slow renewal

Cause: with the store 28 times slower a renewal took longer than what was left of the lease; the term's task ended, the next renewal succeeded, and nobody led until the final restart.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -23,10 +23,10 @@
     raise_fence,
 )
 from .keyload import KeyLoad
-from .lease import LeaderLease
+from .lease import LeaderLease, TermEndedError
 from .messages import BackendServer, KeyRange
 from .ownership import Ownership
-from .rangestore import RangeStore, TermEndedError
+from .rangestore import RangeStore
 from .rebalance import Capacity, place_orphans, plan_moves
 from .tablestore import TableStore
 
@@ -96,15 +96,14 @@
                 self._store,
                 self._ownership,
                 self._boot_id,
-                lambda: self._lease.is_valid,
+                self._lease,
             ),
             Holders(
                 self._orders,
                 self._catalog,
                 self._known,
                 self._longest_hold_ms,
-                self._lease.previous_end_ms,
-                lambda: self._lease.is_valid,
+                self._lease,
                 self._clock,
             ),
             self._catalog,
@@ -159,11 +158,11 @@
             TermEndedError: the lease was lost.
         """
         await self._ranges.load()
-        while self._lease.is_valid:
+        while True:
+            await self._lease.wait_valid()
             for service in self._keyed_services():
                 self._work_on(service)
             await asyncio.sleep(TICK_S)
-        raise TermEndedError
 
     def cancel(self) -> None:
         """End all tasks of the term."""
@@ -269,7 +268,7 @@
         now_ms = self._clock()
         if now_ms - self._planned_ms.get(service, 0.0) < REBALANCE_MS:
             return []
-        if self._lease.is_troubled or any(part.is_moving for part in ranges):
+        if self._lease.is_slow or any(part.is_moving for part in ranges):
             return []
         self._planned_ms[service] = now_ms
         if len(ranges) > MERGE_ABOVE:
@@ -323,8 +322,7 @@
                 if isinstance(result, Success):
                     break
                 outcome = str(result.failure())
-                if not self._lease.is_valid:
-                    raise TermEndedError
+                await self._lease.wait_valid()
                 if isinstance(result, Failure) and isinstance(
                     result.failure(), OrderRefused
                 ):
--- a/packages/edge/mulberryrelay_edge/holders.py
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -1,7 +1,6 @@
 """Orders to the servers that hold keys, and until when each may hold them at most."""
 
 import asyncio
-from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
@@ -12,6 +11,7 @@
 from .adapter import OrderLost, OrderRefused, ServerOrders
 from .catalog import Catalog
 from .keyspace import GRANT_STEP, RELEASE_STEP
+from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
 
 HOLD_MS = 6000.0
@@ -21,7 +21,6 @@
 HOLD_MARGIN_MS = 300.0
 SHORTEST_HOLD_MS = 300.0
 RETRY_S = 0.1
-UNASSIGNED = -1
 
 Life = tuple[ServerId, int]
 
@@ -35,8 +34,7 @@
         catalog: Catalog,
         known: dict[Life, BackendServer],
         longest_hold_ms: float,
-        previous_end_ms: float,
-        is_valid: Callable[[], bool],
+        lease: LeaderLease,
         clock: Clock,
     ) -> None:
         self._orders = orders
@@ -45,9 +43,9 @@
         """Entries of servers that may have left the list since."""
         self._longest_hold_ms = longest_hold_ms
         self._first_end_ms = (
-            previous_end_ms + longest_hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
+            lease.previous_end_ms + longest_hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
         )
-        self._is_valid = is_valid
+        self._lease = lease
         self._clock = clock
         self._ends: dict[Life, float] = {}
         self._silent_since: dict[Life, float] = {}
@@ -99,7 +97,8 @@
         if not part.owner:
             return None
         end_ms = self.hold_end_ms(life)
-        while self._is_valid():
+        while True:
+            await self._lease.wait_valid()
             left_ms = end_ms - self._clock()
             if left_ms <= 0:
                 log_event(
@@ -130,7 +129,6 @@
                 left_ms=round(left_ms),
             )
             await asyncio.sleep(RETRY_S)
-        return None
 
     async def grant_next(
         self, service: ServiceName, part: KeyRange, token: str | None
@@ -151,7 +149,7 @@
         hold_ms: float,
         token: str | None,
     ) -> Result[None, OrderRefused | OrderLost]:
-        if not self._is_valid():
+        if not self._lease.is_valid:
             return Failure(OrderLost("not leader"))
         hold_ms = min(hold_ms, self._longest_hold_ms)
         life = (server.server, server.born_ms)
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -30,15 +30,21 @@
 
 LEADER_TABLE = "leader"
 LEASE_KEY = "lease"
-LEASE_MS = 2500.0
+LEASE_MS = 3000.0
 RENEW_MS = 700.0
 RETRY_MS = 150.0
 CHECK_MS = 3500.0
 """Mean period in which a follower looks at the lease."""
+VALID_POLL_S = 0.03
+SLOW_RENEWAL_MS = 150.0
 MARGIN_MS = 100.0
 """For clocks that run at different speeds."""
 
 
+class TermEndedError(Exception):
+    """This process is no longer the leader."""
+
+
 class LeaderLease:
     """The lease as this process holds or watches it."""
 
@@ -65,6 +71,7 @@
         """Upper bound of the store's clock less the clock of this process."""
         self._previous_end_ms = float("-inf")
         self._is_troubled = False
+        self._renewal_ms = 0.0
         self._is_leaving = False
         self._edits = 0
         self._check = asyncio.Event()
@@ -85,11 +92,32 @@
         """Whether this process may give orders now."""
         return self._clock() < self._valid_until_ms
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the term goes on; orders also need ``is_valid``."""
+        return self._row is not None and not self._is_leaving
+
     @property
     def is_troubled(self) -> bool:
         """Whether the last renewal got no answer."""
         return self._is_troubled
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the last renewal took so long that moves had better wait."""
+        return self._is_troubled or self._renewal_ms > SLOW_RENEWAL_MS
+
+    async def wait_valid(self) -> None:
+        """Return as soon as orders may be given.
+
+        Raises:
+            TermEndedError: the term has ended.
+        """
+        while not self.is_valid:
+            if not self.is_held:
+                raise TermEndedError
+            await asyncio.sleep(VALID_POLL_S)
+
     @property
     def previous_end_ms(self) -> float:
         """Latest time at which an earlier leader may have given an order."""
@@ -199,6 +227,7 @@
             row, expires_ms=expires_ms, edit=self._new_edit()
         )
         result = await self._commit(renewed, None)
+        self._renewal_ms = self._clock() - started_ms
         if isinstance(result, Success):
             self._row = renewed
             self._version = result.unwrap().version
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 
 import msgspec
 from returns.result import Success
@@ -15,6 +14,7 @@
 from mulberryrelay_kernel.logs import log_event
 
 from .keyspace import Edit, Ranges
+from .lease import LeaderLease, TermEndedError
 from .messages import RangeMapRow
 from .ownership import NOTICE_KEY, RANGES_TABLE, Ownership
 from .tablestore import RowCondition, RowWrite, TableFailure, TableRead, TableStore
@@ -25,10 +25,6 @@
 every router."""
 
 
-class TermEndedError(Exception):
-    """This process is no longer the leader."""
-
-
 class RangeStore:
     """The ranges during one term of this process."""
 
@@ -37,12 +33,12 @@
         store: TableStore,
         ownership: Ownership,
         boot_id: str,
-        is_valid: Callable[[], bool],
+        lease: LeaderLease,
     ) -> None:
         self._store = store
         self._ownership = ownership
         self._boot_id = boot_id
-        self._is_valid = is_valid
+        self._lease = lease
         self._rows: dict[ServiceName, RangeMapRow] = {}
         self._versions: dict[ServiceName, int] = {}
         self._pending: dict[ServiceName, list[tuple[Edit, asyncio.Future[None]]]] = {}
@@ -66,7 +62,7 @@
             TermEndedError: the term ended first.
         """
         while True:
-            self._check_term()
+            await self._lease.wait_valid()
             result = await self._store.read(RANGES_TABLE)
             if isinstance(result, Success):
                 self._take(result.unwrap())
@@ -89,10 +85,6 @@
         """Return whether more edits are to be expected soon."""
         return sum(part.is_moving for part in self.ranges(service)) > 1
 
-    def _check_term(self) -> None:
-        if not self._is_valid():
-            raise TermEndedError
-
     def _take(self, read: TableRead) -> None:
         for row in read.rows:
             if row.value is None or row.key == NOTICE_KEY:
@@ -129,7 +121,7 @@
 
     async def _write(self, service: ServiceName, edits: list[Edit]) -> None:
         while True:
-            self._check_term()
+            await self._lease.wait_valid()
             old = self.ranges(service)
             ranges = old
             for edit in edits:
@@ -148,7 +140,7 @@
             RANGES_TABLE, service, self._versions.get(service, 0)
         )
         while True:
-            self._check_term()
+            await self._lease.wait_valid()
             result = await self._store.commit(
                 [condition], [RowWrite(RANGES_TABLE, service, value)]
             )
