Match refusals by id, reload settings, wait for servers to register again

Cause (by review): a late second copy of a refusal could be taken for the refusal of the next request on its connection; SIGHUP ended the process; a leader that started during an outage of the store took servers that had yet to register again as gone; a draining owner whose keys did not move got requests without end; the margin of a hold was shorter than the time an order may take to leave. Change: answers without an id count only on a new connection; settings are read again at SIGHUP and every 2 s; grace for unknown owners; last send 1.2 s after the drain.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -64,7 +64,16 @@
     """Everything that differs from platform to platform."""
 
     @property
-    def options(self) -> EdgeOptions: ...
+    def options(self) -> EdgeOptions:
+        """The options in force; bounds may change when the settings are reloaded."""
+
+    def reload(self) -> bool:
+        """Read the settings again; return whether they changed.
+
+        Raises:
+            FindingsError: the new settings are not valid; the old ones stay in force.
+        """
+
     @property
     def headers(self) -> HeaderNames: ...
     @property
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -25,6 +25,8 @@
 PROBE_WAIT_MS = 1800
 LONG_WAIT_MS = 10_000
 SERVERS_GATHER_S = 0.4
+LAST_SEND_MS = 1200.0
+"""Time after which a draining owner gets no more requests, if its keys do not move."""
 
 
 class StoreContact:
@@ -154,6 +156,8 @@
         self._absent: dict[ServerId, float] = {}
         """Servers missing since an outage of the store, with the end of their time to
         register again."""
+        self._draining_ms: dict[ServerId, float] = {}
+        """When each draining server was first seen to drain."""
         self._regained_ms = float("-inf")
         self._in_contact = True
         self._changes: Subject[None] = Subject()
@@ -173,6 +177,16 @@
         """Whether requests can be routed."""
         return self._routes is not None and bool(self._servers)
 
+    @property
+    def is_relisting(self) -> bool:
+        """Whether living servers may be missing after an outage of the store."""
+        return self._clock() < self._regained_ms + self._relist_ms
+
+    def has_drained(self, server: BackendServer) -> bool:
+        """Return whether a server drains for so long that it gets no more requests."""
+        since_ms = self._draining_ms.get(server.server)
+        return since_ms is not None and self._clock() - since_ms > LAST_SEND_MS
+
     def server(self, server: ServerId) -> BackendServer | None:
         """Return the entry of a server, if it is registered."""
         return self._servers.get(server)
@@ -237,6 +251,10 @@
             named.add(server)
             self._absent.pop(server, None)
             self._note_entry(entry, row.version)
+            if entry.state is ServerState.DRAINING:
+                self._draining_ms.setdefault(server, self._clock())
+            else:
+                self._draining_ms.pop(server, None)
             self._servers[server] = entry
         if is_complete:
             for server in [s for s in self._servers if s not in named]:
@@ -265,6 +283,7 @@
 
     def _forget(self, server: ServerId) -> None:
         entry = self._servers.pop(server, None)
+        self._draining_ms.pop(server, None)
         if entry is not None:
             log_event("server_gone", server=server, service=entry.service)
 
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -280,7 +280,9 @@
         if part.is_moving:
             return False
         entry = self._catalog.server(part.owner)
-        if entry is None or not part.is_held_by(entry):
+        if entry is None:
+            return not self._catalog.is_relisting
+        if not part.is_held_by(entry):
             return True
         if entry.state is ServerState.DRAINING:
             return True
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from enum import Enum
+from weakref import WeakSet
 
 import aiohttp
 import msgspec
@@ -15,6 +16,7 @@
 from multidict import CIMultiDict, istr
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_router.forward import (
     CONTENT_LENGTH_HEADER,
     HOP_BY_HOP_HEADERS,
@@ -31,6 +33,8 @@
 MAX_FOREIGN_ANSWERS = 3
 # Statuses with which a server says that it did not run a request.
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
+USED_CONNECTIONS: WeakSet[ResponseHandler] = WeakSet()
+"""Connections that carried a request before."""
 
 
 class Verdict(Enum):
@@ -119,13 +123,15 @@
             protocol = connection.protocol
             assert protocol is not None
             headers = self._headers()
+            is_fresh = protocol not in USED_CONNECTIONS
+            USED_CONNECTIONS.add(protocol)
             closed = protocol.closed
             if closed is not None:
                 closed.add_done_callback(_retrieve)
             await pool.write(
                 connection, self._request.method, self._request.target, headers, self
             )
-            message, body = await self._read(protocol)
+            message, body = await self._read(protocol, is_fresh)
             if _is_unframed(message):
                 if closed is not None:
                     # Raises if the connection was reset instead of closed.
@@ -149,7 +155,7 @@
         return headers
 
     async def _read(
-        self, protocol: ResponseHandler
+        self, protocol: ResponseHandler, is_fresh: bool
     ) -> tuple[RawResponseMessage, bytes]:
         """Return the answer to this request, passing over those to earlier ones."""
         request_id = self._adapter.headers.request_id
@@ -159,12 +165,19 @@
             while 100 <= message.code < 200:
                 message, payload = await protocol.read()
             body = await payload.read()
-            if not self._request.request_id:
+            answered_id = message.headers.get(request_id, "")
+            if answered_id == self._request.request_id:
                 return message, body
-            if message.headers.get(request_id) == self._request.request_id:
-                return message, body
-            if self._adapter.headers.not_run in message.headers:
+            if not answered_id and is_fresh:
+                # Refusals may lack the id; on a new connection there is no other.
                 return message, body
+            log_event(
+                "foreign_answer",
+                request_id=self._request.request_id,
+                answered_id=answered_id,
+                status=message.code,
+                server=self._server.server,
+            )
             if message.should_close:
                 break
         raise _BadAnswerError("the answer is not to this request")
--- a/packages/edge/mulberryrelay_edge/holders.py
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -18,7 +18,8 @@
 RENEW_MS = 1000.0
 SLOW_CLOCK_FACTOR = 1.02
 """A server's clock may run this much slower than the true time."""
-HOLD_MARGIN_MS = 300.0
+HOLD_MARGIN_MS = 600.0
+"""For the time until an order leaves this process and arrives."""
 SHORTEST_HOLD_MS = 300.0
 RETRY_S = 0.1
 
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -5,6 +5,7 @@
 import uuid
 
 from mulberryrelay_kernel.clock import Clock, suspended_ms
+from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_router.pool import Pool
 
@@ -23,6 +24,24 @@
 KEEPALIVE_S = 5.0
 """Shorter than the time after which servers close idle connections."""
 RELEASE_TIMEOUT_S = 1.0
+RELOAD_S = 2.0
+"""Period in which the settings are read again, as they may change without a signal."""
+
+
+async def follow_settings(adapter: Adapter, hangup: asyncio.Event) -> None:
+    """Reload the settings regularly, and at each SIGHUP; never returns."""
+    while True:
+        hangup.clear()
+        try:
+            async with asyncio.timeout(RELOAD_S):
+                await hangup.wait()
+        except TimeoutError:
+            pass
+        try:
+            if adapter.reload():
+                log_event("reloaded", by_signal=hangup.is_set())
+        except FindingsError as error:
+            log_event("reload_failed", findings=str(error))
 
 
 async def run_edge(adapter: Adapter, clock: Clock = suspended_ms) -> None:
@@ -36,6 +55,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    hangup = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
     boot_id = uuid.uuid4().hex[:12]
     contact = StoreContact()
     catalog = Catalog(
@@ -84,6 +105,7 @@
             lease.run(),
             dispatcher.run(),
             samples.run(),
+            follow_settings(adapter, hangup),
         )
     ]
     stop = asyncio.create_task(stopping.wait())
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -47,7 +47,7 @@
         self._pool = pool
         self._key_load = key_load
         self._clock = clock
-        self._budget = RetryBudget(adapter.options, clock)
+        self._budget = RetryBudget(lambda: adapter.options, clock)
 
     async def run(self, request: EdgeRequest) -> EdgeAnswer:
         """Return the answer to a request, at its deadline at the latest."""
@@ -117,6 +117,8 @@
             server = self._catalog.server(part.owner)
             if server is None or not part.is_held_by(server):
                 return []
+            if self._catalog.has_drained(server):
+                return []
             return [server]
 
         return owner
--- a/packages/edge/mulberryrelay_edge/retrybudget.py
+++ b/packages/edge/mulberryrelay_edge/retrybudget.py
@@ -1,6 +1,7 @@
 """Bounds how often requests are sent again, without talking to other routers."""
 
 from collections import deque
+from collections.abc import Callable
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServiceName
@@ -14,7 +15,7 @@
 class RetryBudget:
     """Repeated sends of one router in a sliding window, for each service."""
 
-    def __init__(self, options: EdgeOptions, clock: Clock) -> None:
+    def __init__(self, options: Callable[[], EdgeOptions], clock: Clock) -> None:
         self._options = options
         self._clock = clock
         self._requests: dict[ServiceName, deque[float]] = {}
@@ -28,12 +29,13 @@
         """Take one repeated send; return whether the budget allows it."""
         requests = self._requests.setdefault(service, deque())
         repeats = self._repeats.setdefault(service, deque())
-        oldest_ms = self._clock() - self._options.retry_window_ms
+        options = self._options()
+        oldest_ms = self._clock() - options.retry_window_ms
         for times in (requests, repeats):
             while times and times[0] < oldest_ms:
                 times.popleft()
-        slack = self._options.retry_slack / self._options.routers
-        allowed = USED_SHARE * (self._options.retry_ratio * len(requests) + slack)
+        slack = options.retry_slack / options.routers
+        allowed = USED_SHARE * (options.retry_ratio * len(requests) + slack)
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(self._clock())
