Tell a lost leader by the reports to it; longer holds as soon as a renewal is late

Change: reports of keys go to the leader every 0.7 s also when empty, 0.25 s while requests wait; a renewal without answer for 300 ms lengthens holds; at most 2 requests in flight at a server whose load is not known; keys are remembered for 2.5 s.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -34,7 +34,7 @@
 SETTLE_MS = 2000.0
 """Time without a new server before keys are divided for the first time."""
 LONGEST_SETTLE_MS = 6000.0
-REBALANCE_MS = 400.0
+REBALANCE_MS = 600.0
 GRANT_TRIES = 3
 MERGE_ABOVE = 48
 """Ranges of a service from which on neighbours are joined."""
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -97,6 +97,7 @@
         boot_id,
         lease.check_soon,
         lambda: dispatcher.waiting > 0,
+        lambda: lease.is_valid,
     )
     await samples.start(options.host, options.internal_port)
     await callers.start()
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -21,7 +21,7 @@
 BUSY_REPORT_S = 0.25
 """Period of the reports while requests wait here."""
 REPORT_TIMEOUT_S = 0.5
-MEMORY_MS = 4000.0
+MEMORY_MS = 2500.0
 """Age after which a request no longer counts."""
 MAX_SAMPLES = 4000
 MAX_REPORT = 400
@@ -93,9 +93,11 @@
         boot_id: str,
         on_leader_lost: Callable[[], None],
         has_waiting: Callable[[], bool],
+        is_leader: Callable[[], bool],
     ) -> None:
         self._load = load
         self._has_waiting = has_waiting
+        self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
         self._ownership = ownership
         self._boot_id = boot_id
@@ -111,7 +113,7 @@
         await web.TCPSite(self._runner, host, port).start()
 
     async def run(self) -> None:
-        """Report to the leader regularly."""
+        """Report to the leader regularly, which also shows whether it lives."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
         self._session = periodic_session(timeout=timeout)
         is_lost = False
@@ -124,7 +126,7 @@
             periods = 0
             notice = self._ownership.notice
             report = self._load.take_report()
-            if notice is None or not notice.boot_id or not report.keys:
+            if notice is None or not notice.boot_id:
                 continue
             if notice.boot_id == self._boot_id:
                 continue
@@ -156,4 +158,4 @@
             log_event("bad_samples", error=str(error))
             return web.Response(status=400)
         self._load.add_report(report)
-        return web.Response(status=204)
+        return web.Response(status=204 if self._is_leader() else 409)
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -32,10 +32,11 @@
 LEASE_MS = 3000.0
 RENEW_MS = 900.0
 RETRY_MS = 150.0
-CHECK_MS = 6000.0
-"""Mean period in which a follower looks at the lease."""
+CHECK_MS = 10_000.0
+"""Mean period in which a follower looks at the lease without a reason."""
 VALID_POLL_S = 0.03
 SLOW_RENEWAL_MS = 150.0
+LATE_RENEWAL_MS = 300.0
 MARGIN_MS = 100.0
 """For clocks that run at different speeds."""
 
@@ -71,6 +72,8 @@
         self._previous_end_ms = float("-inf")
         self._is_troubled = False
         self._renewal_ms = 0.0
+        self._renewing_ms = float("inf")
+        """Start of the renewal under way."""
         self._is_leaving = False
         self._edits = 0
         self._check = asyncio.Event()
@@ -98,13 +101,14 @@
 
     @property
     def is_troubled(self) -> bool:
-        """Whether the last renewal got no answer."""
-        return self._is_troubled
+        """Whether a renewal got no answer, or waits for one unusually long."""
+        waited_ms = self._clock() - self._renewing_ms
+        return self._is_troubled or waited_ms > LATE_RENEWAL_MS
 
     @property
     def is_slow(self) -> bool:
         """Whether the last renewal took so long that moves had better wait."""
-        return self._is_troubled or self._renewal_ms > SLOW_RENEWAL_MS
+        return self.is_troubled or self._renewal_ms > SLOW_RENEWAL_MS
 
     async def wait_valid(self) -> None:
         """Return as soon as orders may be given.
@@ -162,12 +166,12 @@
             self._clock_offset_ms = read.store_ms - started_ms
             if await self._take_if_free(read):
                 return
-        self._check.clear()
         notice = self._ownership.notice
-        if notice is not None and not notice.boot_id:
-            wait_ms = RETRY_MS
+        if notice is None or not notice.boot_id or self._check.is_set():
+            wait_ms = RETRY_MS * random.uniform(1.0, 3.0)
         else:
             wait_ms = CHECK_MS * random.uniform(0.5, 1.5)
+        self._check.clear()
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 await self._check.wait()
@@ -226,7 +230,9 @@
         renewed = msgspec.structs.replace(
             row, expires_ms=expires_ms, edit=self._new_edit()
         )
+        self._renewing_ms = started_ms
         result = await self._commit(renewed, None)
+        self._renewing_ms = float("inf")
         self._renewal_ms = self._clock() - started_ms
         if isinstance(result, Success):
             self._row = renewed
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -20,7 +20,7 @@
 from .tablestore import RowCondition, RowWrite, TableFailure, TableRead, TableStore
 
 RETRY_S = 0.15
-GATHER_S = 0.06
+GATHER_S = 0.1
 """Time in which edits after the first are gathered for one write, as each write wakes
 every router."""
 
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -19,10 +19,10 @@
 """Load above the mean that no move corrects."""
 NOISE_FACTOR = 1.5
 """Standard deviations of the sample that an excess must have."""
-MAX_MOVES = 6
+MAX_MOVES = 10
 MIN_SAMPLES = 20
 MAX_RANGES = 96
-CALM_UTILISATION = 0.4
+CALM_UTILISATION = 0.45
 """Share of busy slots up to which a server needs no relief."""
 FASTER_FACTOR = 1.3
 """Gain in capacity for which a single busy key moves."""
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -14,6 +14,9 @@
 from .messages import BackendServer, LoadReport
 
 REPORT_HALF_LIFE_MS = 400.0
+STALE_REPORT_MS = 600.0
+UNKNOWN_LIMIT = 2
+"""Requests in flight at a server whose load is not known."""
 SPEED_WEIGHT = 0.15
 """Weight of the newest answer in the moving average of a server's speed."""
 FIRST_LIMIT = 3.0
@@ -113,6 +116,9 @@
         view = self.view(server)
         if view.in_flight >= view.limit:
             return False
+        if self._clock() - view.reported_ms > STALE_REPORT_MS:
+            # All routers may turn to a server at once, such as a key's new owner.
+            return view.in_flight < UNKNOWN_LIMIT
         return self.expected_load(server) < server.slots + waiting_allowed
 
     def cost(self, server: BackendServer) -> float:
