Plan moves over 1.2 s of requests while these suffice, and every 0.3 s

Cause: a hot key was found 1.2 to 1.8 s after it became hot, as its requests were thinned by those of the 2.5 s before. Change: samples of 1.2 s if there are 150 of them; plans every 0.3 s.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -34,7 +34,7 @@
 SETTLE_MS = 2000.0
 """Time without a new server before keys are divided for the first time."""
 LONGEST_SETTLE_MS = 6000.0
-REBALANCE_MS = 600.0
+REBALANCE_MS = 300.0
 GRANT_TRIES = 3
 MERGE_ABOVE = 48
 """Ranges of a service from which on neighbours are joined."""
@@ -265,8 +265,8 @@
         targets = self._targets(service)
         orphans = [part for part in ranges if self._must_move(part)]
         if orphans:
-            samples = self._load.samples(service)
-            return place_orphans(orphans, ranges, samples, targets)
+            keys = self._load.sample(service).keys
+            return place_orphans(orphans, ranges, keys, targets)
         now_ms = self._clock()
         if now_ms - self._planned_ms.get(service, 0.0) < REBALANCE_MS:
             return []
@@ -275,8 +275,8 @@
         self._planned_ms[service] = now_ms
         if len(ranges) > MERGE_ABOVE:
             self._start(self._merge(service))
-        samples = self._load.samples(service)
-        return plan_moves(ranges, samples, targets, self._load.work_per_sample(service))
+        sample = self._load.sample(service)
+        return plan_moves(ranges, sample.keys, targets, sample.work_per_key)
 
     def _must_move(self, part: KeyRange) -> bool:
         if part.is_moving:
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -23,10 +23,22 @@
 REPORT_TIMEOUT_S = 0.5
 MEMORY_MS = 2500.0
 """Age after which a request no longer counts."""
+SHORT_MEMORY_MS = 1200.0
+"""Age that suffices while there are ``ENOUGH_SAMPLES`` younger ones."""
+ENOUGH_SAMPLES = 150
 MAX_SAMPLES = 4000
 MAX_REPORT = 400
 
 
+class KeySample(msgspec.Struct, frozen=True):
+    """Recently requested keys of a service."""
+
+    keys: list[int]
+    """In order, one for each request."""
+    work_per_key: float
+    """Slots that one of them stands for, on a server of usual speed."""
+
+
 class KeyLoad:
     """Recently requested keys of each service."""
 
@@ -57,25 +69,25 @@
             for key in keys[:MAX_REPORT]:
                 self._add(service, key)
 
-    def samples(self, service: ServiceName) -> list[int]:
-        """Return the recently requested keys in order."""
-        keys = self._keys.get(service)
-        if keys is None:
-            return []
-        oldest_ms = self._clock() - MEMORY_MS
-        while keys and keys[0][0] < oldest_ms:
+    def sample(self, service: ServiceName) -> KeySample:
+        """Return the recently requested keys, over a short time if they suffice."""
+        keys = self._keys.get(service, deque())
+        now_ms = self._clock()
+        while keys and keys[0][0] < now_ms - MEMORY_MS:
             keys.popleft()
-        return sorted(key for _, key in keys)
+        recent = [key for at_ms, key in keys if at_ms >= now_ms - SHORT_MEMORY_MS]
+        window_ms = SHORT_MEMORY_MS
+        if len(recent) < ENOUGH_SAMPLES:
+            recent = [key for _, key in keys]
+            window_ms = MEMORY_MS
+        work = self._latencies.get(service, 0.0) / window_ms
+        return KeySample(sorted(recent), work)
 
     def note_latency(self, service: ServiceName, latency_ms: float) -> None:
         """Note how long a server worked on a request."""
         usual_ms = self._latencies.get(service, latency_ms)
         self._latencies[service] = usual_ms + 0.05 * (latency_ms - usual_ms)
 
-    def work_per_sample(self, service: ServiceName) -> float:
-        """Return the slots that one sample stands for, on a server of usual speed."""
-        return self._latencies.get(service, 0.0) / MEMORY_MS
-
     def _add(self, service: ServiceName, key: int) -> None:
         keys = self._keys.get(service)
         if keys is None:
