Give fast servers more keys while slots are free, prefer the own data centre

Cause: at low load answers were late where keys lay on slow servers; a third of the bytes between zones were requests to slightly less busy servers elsewhere; small corrections woke all routers several times a second; a refused connection was tried again without a pause for a keyed request. Change: capacity is slots times speed to the power 1 to 2, by free slots; remote penalty 0.35 to 0.8; corrections of servers under 55% busy every 1.5 s.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -27,7 +27,13 @@
 from .messages import BackendServer, KeyRange
 from .ownership import Ownership
 from .rangestore import RangeStore
-from .rebalance import Capacity, place_orphans, plan_moves
+from .rebalance import (
+    BUSY_UTILISATION,
+    CALM_UTILISATION,
+    Capacity,
+    place_orphans,
+    plan_moves,
+)
 from .tablestore import TableStore
 
 TICK_S = 0.1
@@ -35,7 +41,12 @@
 """Time without a new server before keys are divided for the first time."""
 LONGEST_SETTLE_MS = 6000.0
 REBALANCE_MS = 300.0
+CALM_REBALANCE_MS = 1500.0
+"""Time after a plan until servers that are not very busy are relieved again."""
 GRANT_TRIES = 3
+LEAST_SLOWNESS = 0.4
+MOST_SLOWNESS = 2.5
+"""Bounds of a server's observed time for a request, relative to the usual time."""
 MERGE_ABOVE = 48
 """Ranges of a service from which on neighbours are joined."""
 MERGES_AT_ONCE = 8
@@ -267,16 +278,21 @@
         if orphans:
             keys = self._load.sample(service).keys
             return place_orphans(orphans, ranges, keys, targets)
-        now_ms = self._clock()
-        if now_ms - self._planned_ms.get(service, 0.0) < REBALANCE_MS:
-            return []
         if self._lease.is_slow or any(part.is_moving for part in ranges):
             return []
-        self._planned_ms[service] = now_ms
+        now_ms = self._clock()
+        since_ms = now_ms - self._planned_ms.get(service, float("-inf"))
+        if since_ms < REBALANCE_MS:
+            return []
         if len(ranges) > MERGE_ABOVE:
             self._start(self._merge(service))
+        is_early = since_ms < CALM_REBALANCE_MS
+        least = BUSY_UTILISATION if is_early else CALM_UTILISATION
         sample = self._load.sample(service)
-        return plan_moves(ranges, sample.keys, targets, sample.work_per_key)
+        pieces = plan_moves(ranges, sample.keys, targets, sample.work_per_key, least)
+        if pieces:
+            self._planned_ms[service] = now_ms
+        return pieces
 
     def _must_move(self, part: KeyRange) -> bool:
         if part.is_moving:
@@ -291,13 +307,22 @@
         return self._holders.is_lost((part.owner, part.owner_born_ms))
 
     def _targets(self, service: ServiceName) -> list[Capacity]:
-        targets = []
-        for server in self._catalog.serving(service):
-            if self._holders.is_silent((server.server, server.born_ms)):
-                continue
-            capacity = server.slots / max(0.4, min(2.5, self._slowness(server)))
-            targets.append(Capacity(server, capacity))
-        return targets
+        """Return the servers that may get keys.
+
+        While slots are free, fast servers get more than their share, since requests
+        end sooner there.
+        """
+        servers = [
+            (server, 1.0 / max(LEAST_SLOWNESS, min(MOST_SLOWNESS, slowness)))
+            for server in self._catalog.serving(service)
+            if not self._holders.is_silent((server.server, server.born_ms))
+            for slowness in [self._slowness(server)]
+        ]
+        sample = self._load.sample(service)
+        slots = sum(server.slots * speed for server, speed in servers)
+        busy = len(sample.keys) * sample.work_per_key / max(1.0, slots)
+        exponent = 1.0 + max(0.0, 1.0 - busy)
+        return [Capacity(s, s.slots * speed**exponent) for s, speed in servers]
 
     async def _begin(self, service: ServiceName, pieces: list[Piece]) -> None:
         try:
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -22,7 +22,7 @@
 MAX_WAITING = 600
 KEYED_WAITING_ALLOWED = 4.0
 """Requests that may wait at the one server that holds a key."""
-REMOTE_PENALTY = 0.35
+REMOTE_PENALTY = 0.8
 """Added cost of a server in another data centre."""
 EXPIRY_PERIOD_S = 0.02
 MAX_DESCRIBED = 4
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -22,8 +22,10 @@
 MAX_MOVES = 10
 MIN_SAMPLES = 20
 MAX_RANGES = 96
-CALM_UTILISATION = 0.45
+CALM_UTILISATION = 0.35
 """Share of busy slots up to which a server needs no relief."""
+BUSY_UTILISATION = 0.55
+"""Share of busy slots from which on a server needs relief soon after a plan."""
 FASTER_FACTOR = 1.3
 """Gain in capacity for which a single busy key moves."""
 
@@ -51,13 +53,15 @@
     samples: Sequence[int],
     targets: Sequence[Capacity],
     work_per_sample: float,
+    least_utilisation: float = CALM_UTILISATION,
 ) -> list[Piece]:
     """Return the moves that bring the load of all targets near the mean.
 
     ``samples`` are the keys of recent requests, sorted; each stands for
     ``work_per_sample`` occupied slots. Ranges that belong to servers outside
-    ``targets`` are left alone, and so is a server with enough free slots. A key too
-    busy for its server moves to one that is faster.
+    ``targets`` are left alone, and so is a server of which a smaller share of slots
+    than ``least_utilisation`` is busy. A key too busy for its server moves to one that
+    is faster.
     """
     if len(targets) < 2 or len(samples) < MIN_SAMPLES:
         return []
@@ -83,7 +87,7 @@
             break
         source = max(movable, key=lambda load: load.relative)
         sink = min(loads.values(), key=lambda load: load.relative)
-        if source.relative * work_per_sample < CALM_UTILISATION:
+        if source.relative * work_per_sample < least_utilisation:
             break
         fair = mean * source.target.capacity
         excess = source.samples - fair
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -23,8 +23,8 @@
 LATENCY_RESERVE = 2.0
 # Share of the time until the deadline that a request may wait at least.
 WAIT_SHARE = 0.5
-# Pause before a server that does not hold a key is asked again.
-NOT_HELD_PAUSE_S = 0.05
+# Pause before the owner of a key is asked again; grows with each refusal.
+REFUSED_PAUSE_S = 0.05
 
 
 class RequestPath:
@@ -89,15 +89,16 @@
                     return self._given_up(request, result, "attempts", ran)
             if result.verdict is Verdict.LATE or self._clock() >= request.deadline_ms:
                 return self._given_up(request, result, "deadline", ran)
-            if result.verdict is not Verdict.NOT_SENT:
-                refusals += 1
-                if not self._budget.take(request.service):
-                    return self._given_up(request, result, "retry-budget", ran)
+            refusals += 1
+            reached = result.verdict is not Verdict.NOT_SENT
+            if reached and not self._budget.take(request.service):
+                return self._given_up(request, result, "retry-budget", ran)
             if is_keyed:
                 tried.clear()
-                await asyncio.sleep(NOT_HELD_PAUSE_S * refusals)
+                await asyncio.sleep(REFUSED_PAUSE_S * refusals)
             elif len(tried) >= len(candidates()):
                 tried.clear()
+                await asyncio.sleep(REFUSED_PAUSE_S)
 
     def _is_keyed(self, request: EdgeRequest) -> bool:
         routes = self._catalog.routes
