Explain a failed request: bounded logs, metrics page, mulberryctl explain

Cause: lines were written without a bound and waited for their reader; served requests left no trace; there was no way from a request's id to its cause but reading all lines. Ruled out: a thread for the output (a non-blocking descriptor does).

--- a/packages/ctl/mulberryctl/main.py
+++ b/packages/ctl/mulberryctl/main.py
@@ -4,7 +4,7 @@
 import functools
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, NoReturn, TypeVar
+from typing import Any, NoReturn, TextIO, TypeVar
 
 import click
 import msgspec
@@ -30,6 +30,7 @@
 from .access import Access, AccessError, ExitCode, find_access
 from .answers import checked_text, error_text, history_text, plan_text, status_text
 from .client import AdminClient, ApiFailure
+from .story import find_story, story_text
 
 # Rules are in force at every live router within 4 s; the rest covers slow answers.
 DEFAULT_WAIT_S = 10.0
@@ -266,3 +267,18 @@
         session.fail(ExitCode.NOT_IN_FORCE, AdminError("not-in-force", detail))
     if not session.as_json:
         click.echo(f"version {version} is in force at every live router")
+
+
+@main.command()
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.File("r"))
+@common_options
+def explain(session: Session, request_id: str, logs: tuple[TextIO, ...]) -> None:
+    """Tell from log lines what became of a request; reads standard input by default."""
+    files: tuple[TextIO, ...] = logs or (click.get_text_stream("stdin"),)
+    lines = [line.rstrip("\n") for file in files for line in file]
+    story = find_story(lines, request_id)
+    if not story:
+        message = f"no line has request_id={request_id}"
+        session.fail(ExitCode.USAGE, AdminError("unknown-request", message))
+    session.print(story, story_text(story))
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -161,6 +161,7 @@
         self._draining_ms: dict[ServerId, float] = {}
         """When each draining server was first seen to drain."""
         self._regained_ms = float("-inf")
+        self._lost_ms = float("-inf")
         self._in_contact = True
         self._changes: Subject[None] = Subject()
 
@@ -169,6 +170,16 @@
         """The newest routes seen; never an older version than before."""
         return self._routes
 
+    @property
+    def version(self) -> int:
+        """Version of the routes in force; 0 before the first."""
+        return self._routes.version if self._routes is not None else 0
+
+    @property
+    def store_silent_ms(self) -> float:
+        """How long ago the store was lost; 0 while it answers."""
+        return 0.0 if self._in_contact else self._clock() - self._lost_ms
+
     @property
     def changes(self) -> Subject[None]:
         """Emits after each change of routes or servers."""
@@ -235,6 +246,8 @@
         """Note that the store was lost or answers again."""
         if in_contact and not self._in_contact:
             self._regained_ms = self._clock()
+        if not in_contact and self._in_contact:
+            self._lost_ms = self._clock()
         self._in_contact = in_contact
 
     def take_routes(self, read: TableRead, is_complete: bool) -> None:
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -41,7 +41,7 @@
 """Time without a new server before keys are divided for the first time."""
 LONGEST_SETTLE_MS = 6000.0
 REBALANCE_MS = 300.0
-CALM_REBALANCE_MS = 1500.0
+CALM_REBALANCE_MS = 2500.0
 """Time after a plan until servers that are not very busy are relieved again."""
 GRANT_TRIES = 3
 LEAST_SLOWNESS = 0.4
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -6,7 +6,9 @@
 
 from mulberryrelay_kernel.clock import Clock, suspended_ms
 from mulberryrelay_kernel.errors import FindingsError
+from mulberryrelay_kernel.ids import Tenant
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_router.pool import Pool
 
 from .adapter import Adapter
@@ -16,6 +18,7 @@
 from .dispatch import Dispatcher
 from .keyload import SAMPLES_PATH, KeyLoad, SampleExchange
 from .lease import LeaderLease
+from .metricspage import MetricsPage
 from .ownership import RANGES_TABLE, Ownership
 from .requests import RequestPath
 
@@ -24,6 +27,7 @@
 KEEPALIVE_S = 5.0
 """Shorter than the time after which servers close idle connections."""
 RELEASE_TIMEOUT_S = 1.0
+SUMMARY_S = 10.0
 RELOAD_S = 2.0
 """Period in which the settings are read again, as they may change without a signal."""
 
@@ -44,6 +48,21 @@
             log_event("reload_failed", findings=str(error))
 
 
+async def log_summaries(metrics: Metrics) -> None:
+    """Log regularly what ended, as served requests have no lines; never returns."""
+    while True:
+        await asyncio.sleep(SUMMARY_S)
+        for summary in metrics.summaries():
+            log_event(
+                "requests_summed",
+                service=summary.service,
+                route=summary.request_class,
+                p50_ms=round(summary.p50_us / 1000, 1),
+                p99_ms=round(summary.p99_us / 1000, 1),
+                **summary.outcomes,
+            )
+
+
 async def run_edge(adapter: Adapter, clock: Clock = suspended_ms) -> None:
     """Serve callers until SIGTERM or SIGINT, then shut down gracefully.
 
@@ -73,7 +92,10 @@
     ownership.changes.subscribe(lambda _: dispatcher.wake())
     load = KeyLoad(clock)
     pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
-    path = RequestPath(adapter, catalog, ownership, dispatcher, pool, load, clock)
+    metrics = Metrics(Tenant(""))
+    path = RequestPath(
+        adapter, catalog, ownership, dispatcher, pool, load, metrics, clock
+    )
     callers = CallerServer(adapter, catalog, path, clock)
     sample_url = f"http://{options.host}:{options.internal_port}{SAMPLES_PATH}"
     lease = LeaderLease(
@@ -101,6 +123,17 @@
     )
     await samples.start(options.host, options.internal_port)
     await callers.start()
+    page = MetricsPage(
+        metrics,
+        lambda: {
+            "in_flight": callers.in_flight,
+            "waiting": dispatcher.waiting,
+            "leader": float(lease.is_valid),
+            "routes_version": catalog.version,
+            "store_silent_ms": catalog.store_silent_ms,
+        },
+    )
+    await page.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
     tasks = [
         asyncio.ensure_future(work)
@@ -111,6 +144,7 @@
             dispatcher.run(),
             samples.run(),
             follow_settings(adapter, hangup),
+            log_summaries(metrics),
         )
     ]
     stop = asyncio.create_task(stopping.wait())
@@ -126,6 +160,7 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await samples.close()
+    await page.close()
     await pool.close()
     await adapter.orders.close()
     await adapter.store.close()
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -126,6 +126,8 @@
     status: int
     headers: CIMultiDict[str]
     body: bytes
+    is_own: bool = False
+    """Whether the router made it, and not a server."""
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -14,6 +14,7 @@
     caller_port: int
     ready_port: int
     internal_port: int
+    metrics_port: int
     stop_grace_ms: float
     """Time from the signal to stop until the process is killed."""
     longest_hold_ms: float
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -37,6 +37,10 @@
         """The last announcement of a leader."""
         return self._notice
 
+    def version(self, service: ServiceName) -> int:
+        """Return the store's version of a service's ranges; 0 before the first."""
+        return self._versions.get(service, 0)
+
     def find(self, service: ServiceName, key: int) -> KeyRange | None:
         """Return the range of a key, or None before the keys were divided."""
         row = self._maps.get(service)
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -5,8 +5,10 @@
 from multidict import CIMultiDict
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.ids import RequestClass, ServerId
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.metrics import Metrics
+from mulberryrelay_kernel.states import Outcome
 from mulberryrelay_router.pool import Pool
 
 from .adapter import Adapter
@@ -38,6 +40,7 @@
         dispatcher: Dispatcher,
         pool: Pool,
         key_load: KeyLoad,
+        metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -46,11 +49,22 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._key_load = key_load
+        self._metrics = metrics
         self._clock = clock
         self._budget = RetryBudget(lambda: adapter.options, clock)
 
     async def run(self, request: EdgeRequest) -> EdgeAnswer:
         """Return the answer to a request, at its deadline at the latest."""
+        answer = await self._run(request)
+        self._metrics.record(
+            request.service,
+            RequestClass(request.route.name),
+            _outcome_of(answer),
+            self._clock() - request.arrived_ms,
+        )
+        return answer
+
+    async def _run(self, request: EdgeRequest) -> EdgeAnswer:
         is_keyed = self._is_keyed(request)
         if is_keyed:
             self._key_load.note(request)
@@ -186,7 +200,11 @@
             status=status,
             waited_ms=round(waited_ms, 1),
             queued=self._dispatcher.waiting,
+            routes_version=self._catalog.version,
+            ranges_version=self._ownership.version(request.service),
+            store_silent_ms=round(self._catalog.store_silent_ms),
         )
+        self._metrics.count(f"given_up_{reason}")
         return own_answer(status)
 
     def _log_attempt(
@@ -199,8 +217,16 @@
             verdict=result.verdict.value,
             status=result.status,
             detail=result.detail,
-            load=round(self._dispatcher.loads.expected_load(server), 1),
+            state=self._dispatcher.loads.describe(server),
+            born_ms=server.born_ms,
         )
+        self._metrics.count(f"attempt_{result.verdict.value}")
+
+
+def _outcome_of(answer: EdgeAnswer) -> Outcome:
+    if answer.is_own:
+        return Outcome.NOT_RUN if answer.status == 503 else Outcome.UNKNOWN
+    return Outcome.RAN
 
 
 def own_answer(status: int, retry_after_s: float = RETRY_AFTER_S) -> EdgeAnswer:
@@ -208,7 +234,7 @@
     headers: CIMultiDict[str] = CIMultiDict()
     if status == 503:
         headers["Retry-After"] = f"{retry_after_s:.2f}"
-    return EdgeAnswer(status, headers, b"")
+    return EdgeAnswer(status, headers, b"", is_own=True)
 
 
 def _passed_on(result: AttemptResult) -> EdgeAnswer:
--- a/packages/kernel/mulberryrelay_kernel/logs.py
+++ b/packages/kernel/mulberryrelay_kernel/logs.py
@@ -1,7 +1,10 @@
 """Logs: one line of key=value pairs for each event, written through eliot."""
 
 import json
+import os
 import sys
+import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import eliot
@@ -27,6 +30,69 @@
     eliot.add_destinations(write)
 
 
+class BoundedWriter:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines beyond ``lines_per_second``, or for which the reader leaves no room, are
+    dropped and counted; the count is written as soon as there is room again.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_second: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._descriptor = descriptor
+        self._lines_per_second = lines_per_second
+        self._clock = clock
+        self._second = 0
+        self._lines = 0
+        self._dropped = 0
+        self._unwritten = b""
+        os.set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """Lines dropped since the last report of them."""
+        return self._dropped
+
+    def write(self, line: str) -> None:
+        """Write or drop a line."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        self._lines += 1
+        if self._lines > self._lines_per_second or not self._flush():
+            self._dropped += 1
+            return
+        report = ""
+        if self._dropped:
+            report = f"event=log_dropped lines={self._dropped}\n"
+            self._dropped = 0
+        self._unwritten = f"{report}{line}\n".encode()
+        self._flush()
+
+    def _flush(self) -> bool:
+        """Write what is left of the last lines; return whether nothing is left."""
+        try:
+            while self._unwritten:
+                written = os.write(self._descriptor, self._unwritten)
+                self._unwritten = self._unwritten[written:]
+        except OSError:
+            # The reader is slow or gone.
+            return False
+        return True
+
+
+def write_bounded_lines_to(descriptor: int, lines_per_second: int) -> BoundedWriter:
+    """Write each event as one line to a descriptor, without ever blocking."""
+    writer = BoundedWriter(descriptor, lines_per_second)
+    eliot.add_destinations(lambda message: writer.write(format_line(message)))
+    return writer
+
+
 def format_line(message: dict[str, Any]) -> str:
     """Return the key=value line of an eliot message."""
     event = message.get("message_type") or message.get("action_type", "event")
