Give no server a fence that another life may have had

Ruled out: the fence of a move (it rises); a check of the entry alone (the store does not hear of a server that starts again behind a cut). Change: a new leader raises all fences before its first grant; orders name the server that is meant, and one that is misdirected proves that it is gone; a server that did not answer for 1 s gets probes only, and grants after its fences were raised; a lost order is repeated after 0.15 s.

--- a/packages/ctl/mulberryctl/main.py
+++ b/packages/ctl/mulberryctl/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NoReturn, TextIO, TypeVar
@@ -275,7 +276,7 @@
 @common_options
 def explain(session: Session, request_id: str, logs: tuple[TextIO, ...]) -> None:
     """Tell from log lines what became of a request; reads standard input by default."""
-    files: tuple[TextIO, ...] = logs or (click.get_text_stream("stdin"),)
+    files = logs or (sys.stdin,)
     lines = [line.rstrip("\n") for file in files for line in file]
     story = find_story(lines, request_id)
     if not story:
--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -7,6 +7,8 @@
 from multidict import istr
 from returns.result import Result
 
+from mulberryrelay_kernel.ids import ServerId
+
 from .messages import BackendServer, LoadReport, RouteTable
 from .options import EdgeOptions
 from .tablestore import Source, TableStore
@@ -39,6 +41,15 @@
     error: str
 
 
+class OrderMisdirected(msgspec.Struct, frozen=True):
+    """Another server has the address now; the one that was meant is gone."""
+
+    found: ServerId
+
+
+OrderFailure = OrderRefused | OrderLost | OrderMisdirected
+
+
 class ServerOrders(Protocol):
     """Orders about keys to a server; the sender needs no proof of its identity."""
 
@@ -50,14 +61,19 @@
         fence: int,
         hold_ms: float,
         token: str | None,
-    ) -> Result[None, OrderRefused | OrderLost]:
+    ) -> Result[None, OrderFailure]:
         """Let the server run requests for these keys for ``hold_ms``."""
 
     async def release(
         self, server: BackendServer, first: int, last: int, fence: int
-    ) -> Result[str | None, OrderRefused | OrderLost]:
+    ) -> Result[str | None, OrderFailure]:
         """Take keys back; returns the token that warms up the next owner."""
 
+    async def probe(
+        self, server: BackendServer, health_path: str
+    ) -> Result[None, OrderFailure]:
+        """Return whether the server answers; gives it no order."""
+
     async def close(self) -> None:
         """Release connections."""
 
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -21,7 +21,9 @@
     complete_move,
     divide,
     merge_neighbours,
+    raise_all_fences,
     raise_fence,
+    raise_fences_of,
 )
 from .lease import LeaderLease, TermEndedError
 from .messages import BackendServer, KeyRange
@@ -43,6 +45,9 @@
 REBALANCE_MS = 300.0
 CALM_REBALANCE_MS = 2500.0
 """Time after a plan until servers that are not very busy are relieved again."""
+PROBE_MS = 500.0
+"""Period in which a silent owner is asked whether it answers again."""
+RENEW_RETRY_MS = 150.0
 GRANT_TRIES = 3
 LEAST_SLOWNESS = 0.4
 MOST_SLOWNESS = 2.5
@@ -161,6 +166,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._moving: set[tuple[ServiceName, int]] = set()
         self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
+        self._probed_ms: dict[Life, float] = {}
         self._planned_ms: dict[ServiceName, float] = {}
         self._planning: set[ServiceName] = set()
         self._server_counts: dict[ServiceName, int] = {}
@@ -173,6 +179,9 @@
             TermEndedError: the lease was lost.
         """
         await self._ranges.load()
+        for service in self._ranges.services:
+            # Owners may have started again under an earlier leader, unnoticed.
+            await self._ranges.update(service, raise_all_fences)
         while True:
             await self._lease.wait_valid()
             for service in self._keyed_services():
@@ -247,9 +256,26 @@
         life = (part.owner, part.owner_born_ms)
         if self._holders.address(life) is None:
             return
+        if self._holders.is_silent(life):
+            self._probe_if_due(service, life)
+            return
         self._renewed_ms[due] = self._clock() - random.uniform(0, 0.1) * period_ms
         self._start(self._renew(service, part, hold_ms))
 
+    def _probe_if_due(self, service: ServiceName, life: Life) -> None:
+        last_ms = self._probed_ms.get(life, float("-inf"))
+        if self._clock() - last_ms < PROBE_MS:
+            return
+        self._probed_ms[life] = self._clock()
+        self._start(self._probe(service, life))
+
+    async def _probe(self, service: ServiceName, life: Life) -> None:
+        routes = self._catalog.routes
+        path = routes.services[service].health_path if routes is not None else "/"
+        if await self._holders.probe(life, path):
+            await self._ranges.update(service, raise_fences_of(*life))
+            self._holders.forgive(life)
+
     async def _renew(
         self, service: ServiceName, part: KeyRange, hold_ms: float
     ) -> None:
@@ -258,6 +284,8 @@
             return
         failure = result.failure()
         if not isinstance(failure, OrderRefused):
+            due = (service, part.first, part.fence)
+            self._renewed_ms[due] = self._clock() - RENEW_MS + RENEW_RETRY_MS
             return
         log_event(
             "renewal_refused",
--- a/packages/edge/mulberryrelay_edge/holders.py
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -8,7 +8,7 @@
 from mulberryrelay_kernel.ids import ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 
-from .adapter import OrderLost, OrderRefused, ServerOrders
+from .adapter import OrderFailure, OrderLost, OrderMisdirected, ServerOrders
 from .catalog import Catalog
 from .keyspace import GRANT_STEP, RELEASE_STEP
 from .lease import LeaderLease
@@ -20,8 +20,9 @@
 """A server's clock may run this much slower than the true time."""
 HOLD_MARGIN_MS = 500.0
 """For the time until an order leaves this process and arrives."""
-SHORTEST_HOLD_MS = 300.0
 RETRY_S = 0.1
+SHORTEST_RESTART_MS = 1000.0
+"""A server that answered less than this ago has not started again since."""
 
 Life = tuple[ServerId, int]
 
@@ -50,6 +51,8 @@
         self._clock = clock
         self._ends: dict[Life, float] = {}
         self._silent_since: dict[Life, float] = {}
+        self._answered_ms: dict[Life, float] = {}
+        """When the last order that got an answer was sent."""
 
     def address(self, life: Life) -> BackendServer | None:
         """Return the last known entry of a life of a server."""
@@ -72,22 +75,52 @@
 
     async def renew(
         self, service: ServiceName, part: KeyRange, hold_ms: float
-    ) -> Result[None, OrderRefused | OrderLost]:
-        """Grant a settled range to its owner again.
+    ) -> Result[None, OrderFailure]:
+        """Grant a settled range to its owner again."""
+        server = self.address((part.owner, part.owner_born_ms))
+        if server is None:
+            return Failure(OrderLost("no address"))
+        return await self._grant(service, server, part, part.fence, hold_ms, None)
+
+    async def probe(self, life: Life, health_path: str) -> bool:
+        """Ask whether a silent server answers again; return whether it does.
 
-        A silent owner is asked with what is left of its hold, so that the end of its
-        hold does not move on while it may be lost.
+        It counts as silent until ``forgive``: it may have started again meanwhile, so
+        its fences have to be raised before the next grant.
         """
-        life = (part.owner, part.owner_born_ms)
         server = self.address(life)
         if server is None:
-            return Failure(OrderLost("no address"))
-        if self.is_silent(life):
-            left_ms = (self.hold_end_ms(life) - self._clock() - HOLD_MARGIN_MS) / 1.1
-            if left_ms < SHORTEST_HOLD_MS:
-                return Failure(OrderLost("silent"))
-            hold_ms = min(hold_ms, left_ms)
-        return await self._grant(service, server, part, part.fence, hold_ms, None)
+            return False
+        result = await self._orders.probe(server, health_path)
+        if isinstance(result, Success):
+            return True
+        self._note_failure(server, result.failure())
+        return False
+
+    def forgive(self, life: Life) -> None:
+        """Give grants to a silent server again, after its fences were raised."""
+        self._silent_since.pop(life, None)
+        log_event("server_answers_orders", server=life[0])
+
+    def _note_failure(self, server: BackendServer, failure: OrderFailure) -> None:
+        life = (server.server, server.born_ms)
+        if isinstance(failure, OrderMisdirected):
+            # A server is gone for good once another one has its address.
+            self._ends[life] = self._clock()
+            self._catalog.note_replaced(server, failure.found)
+            return
+        answered_ms = self._answered_ms.get(life, float("-inf"))
+        if self._clock() - answered_ms < SHORTEST_RESTART_MS:
+            return
+        if isinstance(failure, OrderLost) and life not in self._silent_since:
+            self._silent_since[life] = self._clock()
+            log_event(
+                "server_silent",
+                server=server.server,
+                service=server.service,
+                error=failure.error,
+                hold_left_ms=round(self.hold_end_ms(life) - self._clock()),
+            )
 
     async def free(self, service: ServiceName, part: KeyRange) -> str | None:
         """Return once the owner of a moving range cannot run requests for it.
@@ -116,7 +149,7 @@
                 await asyncio.sleep(min(RETRY_S, left_ms / 1000))
                 continue
             fence = part.fence + RELEASE_STEP
-            result: Result[str | None, OrderRefused | OrderLost]
+            result: Result[str | None, OrderFailure]
             try:
                 async with asyncio.timeout(left_ms / 1000):
                     result = await self._orders.release(
@@ -127,6 +160,9 @@
             if isinstance(result, Success):
                 token: str | None = result.unwrap()
                 return token
+            if isinstance(result.failure(), OrderMisdirected):
+                self._note_failure(server, result.failure())
+                return None
             log_event(
                 "release_failed",
                 service=service,
@@ -141,7 +177,7 @@
 
     async def grant_next(
         self, service: ServiceName, part: KeyRange, token: str | None
-    ) -> Result[None, OrderRefused | OrderLost]:
+    ) -> Result[None, OrderFailure]:
         """Grant a moving range to its next owner."""
         server = self.address((part.next_owner, part.next_born_ms))
         if server is None:
@@ -157,29 +193,20 @@
         fence: int,
         hold_ms: float,
         token: str | None,
-    ) -> Result[None, OrderRefused | OrderLost]:
+    ) -> Result[None, OrderFailure]:
         if not self._lease.is_valid:
             return Failure(OrderLost("not leader"))
         hold_ms = min(hold_ms, self._longest_hold_ms)
         life = (server.server, server.born_ms)
         self._known[life] = server
-        end_ms = self._clock() + hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
+        sent_ms = self._clock()
+        end_ms = sent_ms + hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
         self._ends[life] = max(self.hold_end_ms(life), end_ms)
         result = await self._orders.grant(
             server, part.first, part.last, fence, hold_ms, token
         )
         if isinstance(result, Success):
-            if self._silent_since.pop(life, None) is not None:
-                log_event("server_answers_orders", server=server.server)
-            return result
-        failure = result.failure()
-        if isinstance(failure, OrderLost) and life not in self._silent_since:
-            self._silent_since[life] = self._clock()
-            log_event(
-                "server_silent",
-                server=server.server,
-                service=service,
-                error=failure.error,
-                hold_left_ms=round(self._ends[life] - self._clock()),
-            )
+            self._answered_ms[life] = sent_ms
+        else:
+            self._note_failure(server, result.failure())
         return result
--- a/packages/edge/mulberryrelay_edge/keyspace.py
+++ b/packages/edge/mulberryrelay_edge/keyspace.py
@@ -91,8 +91,26 @@
 
 def raise_fence(part: KeyRange) -> Edit:
     """Return an edit that raises the fence of a range over all earlier orders."""
-    raised = msgspec.structs.replace(part, fence=part.fence + REFENCE_STEP)
-    return replace_range(part, raised)
+    return replace_range(part, _raised(part))
+
+
+def raise_fences_of(owner: ServerId, born_ms: int) -> Edit:
+    """Return an edit that raises the fences of all ranges of one life of a server."""
+
+    def edit(ranges: Ranges) -> Ranges:
+        return tuple(
+            _raised(part)
+            if part.owner == owner and part.owner_born_ms == born_ms
+            else part
+            for part in ranges
+        )
+
+    return edit
+
+
+def raise_all_fences(ranges: Ranges) -> Ranges:
+    """Raise all fences over those of orders under any earlier leader."""
+    return tuple(_raised(part) for part in ranges)
 
 
 def replace_range(old: KeyRange, new: KeyRange) -> Edit:
@@ -130,6 +148,10 @@
     return edit
 
 
+def _raised(part: KeyRange) -> KeyRange:
+    return msgspec.structs.replace(part, fence=part.fence + REFENCE_STEP)
+
+
 def _can_join(left: KeyRange, right: KeyRange) -> bool:
     return (
         not left.is_moving
--- a/standins/keyholders.py
+++ b/standins/keyholders.py
@@ -10,7 +10,12 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from mulberryrelay_edge.adapter import OrderLost, OrderRefused
+from mulberryrelay_edge.adapter import (
+    OrderFailure,
+    OrderLost,
+    OrderMisdirected,
+    OrderRefused,
+)
 from mulberryrelay_edge.messages import LAST_KEY, BackendServer
 from mulberryrelay_kernel.ids import ServerId
 
@@ -34,8 +39,14 @@
 class KeyHolder:
     """The keys of one life of a server."""
 
-    def __init__(self, server: BackendServer, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        clock: Callable[[], float],
+        granted: Callable[["KeyHolder", int, int, int], None],
+    ) -> None:
         self.server = server
+        self.granted = granted
         self._clock = clock
         self.is_up = True
         self.is_silent = False
@@ -56,6 +67,7 @@
 
     def grant(self, first: int, last: int, fence: int, hold_ms: float) -> int:
         """Apply a grant; return the status of the answer."""
+        self.granted(self, first, last, fence)
         if any(self._seen(key) > fence for key in watched(first, last)):
             return 409
         self._cut_out(first, last)
@@ -64,6 +76,10 @@
         self._note(first, last, fence)
         return 200
 
+    def accepts(self, key: int, fence: int) -> bool:
+        """Return whether it would take a grant of a key at a fence."""
+        return self._seen(key) <= fence
+
     def release(self, first: int, last: int, fence: int) -> int:
         """Apply a release, which is never refused."""
         self._cut_out(first, last)
@@ -102,13 +118,25 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.lives: list[KeyHolder] = []
+        self.low_fences: list[str] = []
+        """Grants whose fence was not above those of all other lives for a key."""
+        self._highest: dict[int, tuple[int, KeyHolder]] = {}
 
     def start(self, server: BackendServer) -> KeyHolder:
         """Start a server, with no keys."""
-        holder = KeyHolder(server, self._clock)
+        holder = KeyHolder(server, self._clock, self._note_grant)
         self.lives.append(holder)
         return holder
 
+    def _note_grant(self, holder: KeyHolder, first: int, last: int, fence: int) -> None:
+        for key in range(-(-first // STEP) * STEP, last + 1, STEP):
+            highest, by = self._highest.get(key, (0, holder))
+            if by is not holder and fence <= highest and holder.accepts(key, fence):
+                names = f"{holder.server.server}, {by.server.server}"
+                self.low_fences.append(f"key {key} fence {fence}: {names}")
+            if fence > highest:
+                self._highest[key] = (fence, holder)
+
     def at(self, server: BackendServer) -> KeyHolder | None:
         """Return the running process at the address of an entry."""
         for holder in self.lives:
@@ -153,7 +181,7 @@
         fence: int,
         hold_ms: float,
         token: str | None,
-    ) -> Result[None, OrderRefused | OrderLost]:
+    ) -> Result[None, OrderFailure]:
         # The time of a grant counts from the arrival of the call, however late it is
         # carried out.
         arrived_ms = asyncio.get_running_loop().time() * 1000
@@ -167,15 +195,21 @@
 
     async def release(
         self, server: BackendServer, first: int, last: int, fence: int
-    ) -> Result[str | None, OrderRefused | OrderLost]:
+    ) -> Result[str | None, OrderFailure]:
         return await self._send(server, lambda h: h.release(first, last, fence))
 
+    async def probe(
+        self, server: BackendServer, health_path: str
+    ) -> Result[None, OrderFailure]:
+        result = await self._send(server, lambda holder: 200)
+        return result.map(lambda _: None)
+
     async def close(self) -> None:
         """Nothing to release."""
 
     async def _send(
         self, server: BackendServer, apply: Callable[[KeyHolder], int]
-    ) -> Result[str | None, OrderRefused | OrderLost]:
+    ) -> Result[str | None, OrderFailure]:
         await asyncio.sleep(ANSWER_S / 2)
         holder = self._holders.at(server)
         if holder is None:
@@ -183,6 +217,8 @@
         if holder.is_silent:
             await asyncio.sleep(ORDER_TIMEOUT_S)
             return Failure(OrderLost("timeout"))
+        if holder.server.server != server.server:
+            return Failure(OrderMisdirected(holder.server.server))
         if self._rng.random() < self.late_share:
             loop = asyncio.get_running_loop()
             loop.call_later(self._rng.uniform(*LATE_S), _apply_late, holder, apply)
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -123,6 +123,40 @@
     play(scenario)
 
 
+def test_a_server_replaced_at_its_address_gets_no_old_fence() -> None:
+    """Guards against a renewal that reaches the next process at an address."""
+
+    async def scenario(fleet: Fleet) -> None:
+        first = fleet.holders.lives[0]
+        first.is_up = False
+        other = backend(8, port=first.server.port)
+        fleet.holders.start(other)
+        fleet.restart(leader_of(fleet))
+        await asyncio.sleep(5.0)
+        fleet.unregister(first.server)
+        fleet.register(other)
+        await asyncio.sleep(5.0)
+        await fleet.settle()
+
+    play(scenario)
+
+
+def test_a_server_reborn_unseen_gets_no_old_fence() -> None:
+    """The store does not hear of the new life, which has the same id."""
+
+    async def scenario(fleet: Fleet) -> None:
+        first = fleet.holders.lives[0]
+        first.is_up = False
+        await asyncio.sleep(1.5)
+        fleet.holders.start(first.server)
+        await asyncio.sleep(1.0)
+        fleet.restart(leader_of(fleet))
+        await asyncio.sleep(5.0)
+        await fleet.settle()
+
+    play(scenario)
+
+
 def test_all_routers_killed_during_a_move_finish_it_after_their_return() -> None:
     async def scenario(fleet: Fleet) -> None:
         leaving = fleet.holders.lives[0]
@@ -272,6 +306,9 @@
     "a lease never ends": patch.object(
         LeaderLease, "is_valid", property(lambda self: self.is_held)
     ),
+    "a new leader keeps the fences": patch(
+        "mulberryrelay_edge.coordinator.raise_all_fences", lambda ranges: ranges
+    ),
     "earlier leaders are not waited for": patch.object(
         LeaderLease, "previous_end_ms", property(lambda self: float("-inf"))
     ),
