Move keys at once when another service's server has their owner's address

Ruled out: refusing releases (a server with keys never does). Change: such an answer proves that the owner is gone; only moves younger than 1 s hold back further plans.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -45,6 +45,7 @@
     """Another server has the address now; the one that was meant is gone."""
 
     found: ServerId
+    """Empty if the server takes no orders about keys and does not say who it is."""
 
 
 OrderFailure = OrderRefused | OrderLost | OrderMisdirected
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -43,6 +43,8 @@
 """Time without a new server before keys are divided for the first time."""
 LONGEST_SETTLE_MS = 6000.0
 REBALANCE_MS = 300.0
+LONGEST_MOVE_MS = 1000.0
+"""Time in which a move with the owner's help is over."""
 CALM_REBALANCE_MS = 2500.0
 """Time after a plan until servers that are not very busy are relieved again."""
 PROBE_MS = 500.0
@@ -164,7 +166,8 @@
         self._clock = clock
         self._started_ms = clock()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._moving: set[tuple[ServiceName, int]] = set()
+        self._moving: dict[tuple[ServiceName, int], float] = {}
+        """Start of each move under way, by the first key of its range."""
         self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
         self._probed_ms: dict[Life, float] = {}
         self._planned_ms: dict[ServiceName, float] = {}
@@ -207,7 +210,7 @@
         for part in ranges:
             if part.is_moving:
                 if (service, part.first) not in self._moving:
-                    self._moving.add((service, part.first))
+                    self._moving[service, part.first] = self._clock()
                     self._start(self._move(service, part))
                 continue
             self._renew_if_due(service, part)
@@ -306,9 +309,14 @@
         if orphans:
             keys = self._load.sample(service).keys
             return place_orphans(orphans, ranges, keys, targets)
-        if self._lease.is_slow or any(part.is_moving for part in ranges):
-            return []
         now_ms = self._clock()
+        # Older moves wait for a silent owner, and others need not wait for them.
+        is_moving = any(
+            moved == service and now_ms - since_ms < LONGEST_MOVE_MS
+            for (moved, _), since_ms in self._moving.items()
+        )
+        if self._lease.is_slow or is_moving:
+            return []
         since_ms = now_ms - self._planned_ms.get(service, float("-inf"))
         if since_ms < REBALANCE_MS:
             return []
@@ -400,7 +408,7 @@
                 took_ms=round(self._clock() - started_ms),
             )
         finally:
-            self._moving.discard((service, part.first))
+            self._moving.pop((service, part.first), None)
 
     def _start(self, work: object) -> None:
         task = asyncio.create_task(self._guard(work))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,16 +1,25 @@
 """The adapter to the users' platform: settings, configuration and entries."""
 
+import asyncio
 import json
 import re
 import subprocess
 from pathlib import Path
 
+from returns.result import Success
+
+from mulberryrelay_edge.adapter import OrderMisdirected, OrderRefused
 from mulberryrelay_edge.tablestore import TableRow
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.entries import decode_routes, decode_server
+from mulberryrelay_platform.orders import PlatformOrders
 from mulberryrelay_platform.settings import parse_settings
 
+from .fixtures import async_test
+from .fixtures.edgefleet import backend
+from .fixtures.rawserver import RawRequest, raw_server
+
 ROOT = Path(__file__).parent.parent
 
 SETTINGS = """\
@@ -154,6 +163,38 @@
         assert decode_server(row(value, "i-1")) is None, value
 
 
+@async_test
+async def test_an_order_to_a_server_without_keys_shows_that_the_owner_is_gone() -> None:
+    """Guards against keys that wait for a hold of a server that no longer exists."""
+    cases = {
+        "400 Bad Request": OrderMisdirected,
+        "404 Not Found": OrderMisdirected,
+        "421 Misdirected Request": OrderMisdirected,
+        "409 Conflict": OrderRefused,
+        "200 OK": None,
+    }
+    for status, expected in cases.items():
+
+        async def respond(
+            request: RawRequest, writer: asyncio.StreamWriter, status: str = status
+        ) -> None:
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+
+        orders = PlatformOrders()
+        async with raw_server(respond) as server:
+            entry = backend(1, host="127.0.0.1", port=server.port)
+            released = await orders.release(entry, 0, 9, 3)
+            granted = await orders.grant(entry, 0, 9, 3, 1000.0, None)
+            for result in (released, granted):
+                if expected is None:
+                    assert isinstance(result, Success), status
+                    continue
+                assert isinstance(result.failure(), expected), status
+            named = server.received[0].headers["mulberryrelay-expect-instance"]
+            assert named == "server-1"
+        await orders.close()
+
+
 def test_only_the_adapter_knows_the_names_of_the_platform() -> None:
     pattern = re.compile(r"Mulberryrelay-|rows-(tx|feed|get)|MULBERRYRELAY_CONFIG")
     listed = subprocess.run(
