--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -27,7 +27,6 @@
 IDLE_TIMEOUT_S = 60.0
 LISTEN_BACKLOG = 1024
 MAX_HEADER_BYTES = 65_536
-FIRST_LIMITS = CallerLimits(header_bytes=16_384, body_bytes=1 << 26, idle_ms=15_000)
 # The load balancer needs two missed checks, a second apart, to take a router out.
 STOP_ACCEPTING_S = 2.6
 # Share of the time to stop within which new connections are taken at most.
@@ -144,6 +143,9 @@
             return own_answer(400)
         if body is None:
             return own_answer(413)
+        header_bytes = sum(len(k) + len(v) for k, v in request.raw_headers)
+        if header_bytes > routes.limits.header_bytes:
+            return own_answer(431)
         names = self._adapter.headers
         route = self._matcher.match(routes, request.host, request.rel_url.raw_path)
         if route is None:
@@ -177,7 +179,6 @@
                 arrived_ms + min(patience_ms, route.timeout_ms),
                 self._stop_ms - LAST_ANSWER_MS,
             ),
-            caller_deadline_ms=arrived_ms + patience_ms,
         )
         return await self._path.run(edge_request)
 
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -48,8 +48,6 @@
 
     name: ServiceName
     health_path: str
-    connections: int
-    """Connections that each server accepts from all callers together."""
     is_keyed: bool
     """Whether each key is held by one server."""
 
@@ -59,7 +57,6 @@
 
     header_bytes: int
     body_bytes: int
-    idle_ms: float
 
 
 class RouteTable(msgspec.Struct, frozen=True):
@@ -117,7 +114,6 @@
     arrived_ms: float
     deadline_ms: float
     """When the caller or the route stops waiting, whichever is first."""
-    caller_deadline_ms: float
 
 
 class EdgeAnswer(msgspec.Struct, frozen=True):
