--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,8 +4,11 @@
 import json
 import re
 import subprocess
+import sys
+import tempfile
 from pathlib import Path
 
+import aiohttp
 from returns.result import Success
 
 from mulberryrelay_edge.adapter import OrderMisdirected, OrderRefused
@@ -13,6 +16,7 @@
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.entries import decode_routes, decode_server
+from mulberryrelay_platform.names import SETTINGS_VARIABLE
 from mulberryrelay_platform.orders import PlatformOrders
 from mulberryrelay_platform.settings import parse_settings
 
@@ -212,3 +216,21 @@
         and pattern.search((ROOT / name).read_text())
     ]
     assert found == []
+
+
+def test_the_start_script_imports_everything_and_states_all_findings() -> None:
+    """Guards against a start that needs TLS, or a package that is not installed."""
+    dependencies = str(Path(aiohttp.__file__).parent.parent)
+    with tempfile.TemporaryDirectory() as folder:
+        settings = Path(folder) / "settings"
+        settings.write_text("Node=edge-1\nZone=\n")
+        ended = subprocess.run(
+            [sys.executable, "-S", "platform/start.py"],
+            cwd=ROOT,
+            env={"PYTHONPATH": dependencies, SETTINGS_VARIABLE: str(settings)},
+            capture_output=True,
+            text=True,
+        )
+    assert ended.returncode == 2, ended.stderr
+    for name in ("Zone", "Listen.Front", "Provider.Address"):
+        assert name in ended.stderr, ended.stderr
