Tell routers of range changes through the leader instead of the store's feed

Ruled out: gathering more changes per write (keys wait longer), intentions in a table of their own (halves the wake-ups only). Change: a report of requested keys waits at the leader until ranges change or the store is lost or back; the answer has the changed ranges, and the newest change of each table, which shows a router that a poll of its own was lost. The ranges' feed is followed only without a leader, and short polls are made only then. Found by the new test of outages: the table that is read first after an outage dropped servers that had lapsed meanwhile if it was not the probe; now any answer ends the outage. Random faults now also cut routers from the leader.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -5,133 +5,24 @@
 """
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable
 
 from reactivex.subject import Subject
-from returns.result import Failure, Result, Success
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.states import ServerState
 
+from .following import Followed, StoreContact, follow_table
 from .messages import BackendServer, RouteTable
-from .tablestore import Source, TableFailure, TableRead, TableStore
+from .tablestore import Source, TableRead, TableStore
 
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.8
-PROBE_WAIT_MS = 2000
-LONG_WAIT_MS = 10_000
 SERVERS_GATHER_S = 0.4
 LAST_SEND_MS = 1200.0
 """Time after which a draining owner gets no more requests, if its keys do not move."""
 
 
-class StoreContact:
-    """Whether the store answers, as the calls with the shortest wait show.
-
-    A long call that was lost on the way ends only after its whole wait. So one table is
-    followed in short calls, and all others are read again once the store is back.
-    """
-
-    def __init__(self) -> None:
-        self._regained = asyncio.Event()
-        self._changes: Subject[bool] = Subject()
-
-    @property
-    def changes(self) -> Subject[bool]:
-        """Emits whether the store answers, at each change of that."""
-        return self._changes
-
-    @property
-    def regained(self) -> asyncio.Event:
-        """Is set when the store answers again, and replaced at once."""
-        return self._regained
-
-    def note(self, answers: bool) -> None:
-        """Note that the store was lost or answers again."""
-        self._changes.on_next(answers)
-        if answers:
-            self._regained.set()
-            self._regained = asyncio.Event()
-
-
-async def follow_table(
-    store: TableStore,
-    table: str,
-    take: Callable[[TableRead, bool], None],
-    contact: StoreContact,
-    wait_ms: int = LONG_WAIT_MS,
-    gather_s: float = 0.0,
-) -> None:
-    """Read a table, then pass on each change; never returns.
-
-    ``take`` is given the rows and whether they are the complete table. Changes within
-    ``gather_s`` seconds of one are fetched together. The loop with the shortest wait
-    tells ``contact`` of each loss of the store.
-    """
-    version: int | None = None
-    failures = 0
-    is_probe = wait_ms == PROBE_WAIT_MS
-    while True:
-        regained = contact.regained
-        if version is None:
-            result = await store.read(table)
-        elif is_probe:
-            result = await store.follow(table, version, wait_ms)
-        else:
-            result = await _unless_regained(
-                store.follow(table, version, wait_ms), regained
-            )
-        if isinstance(result, Success):
-            if failures:
-                log_event("store_regained", table=table, failures=failures)
-                failures = 0
-                if is_probe:
-                    contact.note(True)
-            read = result.unwrap()
-            take(read, version is None)
-            version = read.version
-            if gather_s and read.rows:
-                await asyncio.sleep(gather_s)
-            continue
-        reason = result.failure()
-        if reason is TableFailure.HISTORY_LOST:
-            log_event("history_lost", table=table, version=version)
-            version = None
-            continue
-        if regained.is_set() and version is not None:
-            version = None
-            continue
-        # A wait may be lost on the way; a read shows at once whether the store answers.
-        version = None
-        if not failures:
-            log_event("store_lost", table=table, reason=reason.value)
-            if is_probe:
-                contact.note(False)
-        failures += 1
-        delay_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2 ** min(failures, 8))
-        await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
-
-
-async def _unless_regained(
-    call: Coroutine[Any, Any, Result[TableRead, TableFailure]], regained: asyncio.Event
-) -> Result[TableRead, TableFailure]:
-    """Return the result of a call, or give it up when the store was lost meanwhile."""
-    following = asyncio.ensure_future(call)
-    waiting = asyncio.ensure_future(regained.wait())
-    try:
-        await asyncio.wait({following, waiting}, return_when=asyncio.FIRST_COMPLETED)
-        if following.done():
-            return following.result()
-        return Failure(TableFailure.UNKNOWN)
-    finally:
-        following.cancel()
-        waiting.cancel()
-
-
 class Catalog:
     """Routes and servers in force here."""
 
@@ -225,21 +116,11 @@
 
     def tasks(self) -> list[Awaitable[None]]:
         """Return the loops that keep the catalog current."""
+        routes = Followed(self._route_source.table, is_probe=True)
+        servers = Followed(self._server_source.table, gather_s=SERVERS_GATHER_S)
         return [
-            follow_table(
-                self._store,
-                self._route_source.table,
-                self.take_routes,
-                self._contact,
-                PROBE_WAIT_MS,
-            ),
-            follow_table(
-                self._store,
-                self._server_source.table,
-                self.take_servers,
-                self._contact,
-                gather_s=SERVERS_GATHER_S,
-            ),
+            follow_table(self._store, routes, self.take_routes, self._contact),
+            follow_table(self._store, servers, self.take_servers, self._contact),
         ]
 
     def note_contact(self, in_contact: bool) -> None:
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -13,10 +13,12 @@
 
 from .adapter import Adapter
 from .callers import CallerServer
-from .catalog import Catalog, StoreContact, follow_table
+from .catalog import Catalog
 from .coordinator import Coordinator
 from .dispatch import Dispatcher
-from .keyload import SAMPLES_PATH, KeyLoad, SampleExchange
+from .following import Followed, StoreContact, follow_table
+from .keyload import KeyLoad
+from .leaderlink import LINK_PATH, LeaderDesk, LeaderLink, LinkClient, LinkServer
 from .lease import LeaderLease
 from .metricspage import MetricsPage
 from .ownership import RANGES_TABLE, Ownership
@@ -97,9 +99,9 @@
         adapter, catalog, ownership, dispatcher, pool, load, metrics, clock
     )
     callers = CallerServer(adapter, catalog, path, clock)
-    sample_url = f"http://{options.host}:{options.internal_port}{SAMPLES_PATH}"
+    link_url = f"http://{options.host}:{options.internal_port}{LINK_PATH}"
     lease = LeaderLease(
-        adapter.store, ownership, options.instance, boot_id, sample_url, clock
+        adapter.store, ownership, options.instance, boot_id, link_url, clock
     )
     Coordinator(
         lease,
@@ -113,15 +115,22 @@
         boot_id,
         clock,
     )
-    samples = SampleExchange(
+    desk = LeaderDesk(load, ownership, contact, lambda: lease.is_valid, clock)
+    lease.changes.subscribe(lambda _: desk.wake())
+    link_server = LinkServer(desk)
+    await link_server.start(options.host, options.internal_port)
+    link_client = LinkClient()
+    link = LeaderLink(
         load,
         ownership,
+        contact,
         boot_id,
+        lambda: lease.is_valid,
         lease.check_soon,
         lambda: dispatcher.waiting > 0,
-        lambda: lease.is_valid,
+        link_client.send,
+        clock,
     )
-    await samples.start(options.host, options.internal_port)
     await callers.start()
     page = MetricsPage(
         metrics,
@@ -129,20 +138,22 @@
             "in_flight": callers.in_flight,
             "waiting": dispatcher.waiting,
             "leader": float(lease.is_valid),
+            "linked": float(contact.is_linked),
             "routes_version": catalog.version,
             "store_silent_ms": catalog.store_silent_ms,
         },
     )
     await page.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
+    ranges = Followed(RANGES_TABLE, is_relayed=True)
     tasks = [
         asyncio.ensure_future(work)
         for work in (
             *catalog.tasks(),
-            follow_table(adapter.store, RANGES_TABLE, ownership.take, contact),
+            follow_table(adapter.store, ranges, ownership.take, contact),
             lease.run(),
             dispatcher.run(),
-            samples.run(),
+            link.run(),
             follow_settings(adapter, hangup),
             log_summaries(metrics),
         )
@@ -159,7 +170,8 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    await samples.close()
+    await link_client.close()
+    await link_server.close()
     await page.close()
     await pool.close()
     await adapter.orders.close()
--- a/packages/edge/mulberryrelay_edge/keyspace.py
+++ b/packages/edge/mulberryrelay_edge/keyspace.py
@@ -148,6 +148,35 @@
     return edit
 
 
+def changed_ranges(old: Ranges, new: Ranges) -> Ranges:
+    """Return the new ranges that the old ones do not have."""
+    known = set(old)
+    return tuple(part for part in new if part not in known)
+
+
+def patch_ranges(old: Ranges, changed: Ranges) -> Ranges:
+    """Return the ranges to which the old ones were changed."""
+    patched: list[KeyRange] = list(changed)
+    kept = iter(changed)
+    cover = next(kept, None)
+    for part in old:
+        while cover is not None and cover.last < part.first:
+            cover = next(kept, None)
+        if cover is None or cover.first > part.last:
+            patched.append(part)
+    return tuple(sorted(patched, key=lambda part: part.first))
+
+
+def is_whole(ranges: Ranges) -> bool:
+    """Return whether ranges cover all keys in order, without gaps."""
+    first = 0
+    for part in ranges:
+        if part.first != first or part.last < first:
+            return False
+        first = part.last + 1
+    return first == LAST_KEY + 1
+
+
 def _raised(part: KeyRange) -> KeyRange:
     return msgspec.structs.replace(part, fence=part.fence + REFENCE_STEP)
 
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -54,14 +54,14 @@
         ownership: Ownership,
         instance: InstanceId,
         boot_id: str,
-        sample_url: str,
+        link_url: str,
         clock: Clock,
     ) -> None:
         self._store = store
         self._ownership = ownership
         self._instance = instance
         self._boot_id = boot_id
-        self._sample_url = sample_url
+        self._link_url = link_url
         self._clock = clock
         self._row: LeaderRow | None = None
         """The row of this process's current term."""
@@ -197,7 +197,7 @@
             expires_ms,
             self._new_edit(),
         )
-        notice = LeaderNoticeRow(row_now.term, self._boot_id, self._sample_url)
+        notice = LeaderNoticeRow(row_now.term, self._boot_id, self._link_url)
         if previous.term:
             # Orders of the earlier leader ended with its lease, which is over by now.
             self._previous_end_ms = now_ms
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -174,11 +174,37 @@
 
     term: int
     boot_id: str
-    sample_url: str = ""
-    """Where the leader takes reports of requested keys."""
+    link_url: str = ""
+    """Where the leader takes the reports of other routers."""
 
 
-class KeySamples(msgspec.Struct, frozen=True):
-    """Keys requested at one router since its last report, by service."""
+class RangeChange(msgspec.Struct, frozen=True, array_like=True):
+    """Ranges of a service as of one version of its row."""
+
+    service: ServiceName
+    version: int
+    base_version: int
+    """Version to which the ranges are a change; 0 if they are complete."""
+    ranges: tuple[KeyRange, ...]
+    """Those that the base does not have; they cover what they replace."""
+
+
+class RouterReport(msgspec.Struct, frozen=True):
+    """What a router tells the leader: requested keys, and what it knows."""
 
     keys: dict[ServiceName, list[int]]
+    """Keys requested since the last report."""
+    range_versions: dict[ServiceName, int]
+    store_answers: bool
+    """What the leader last said of the store."""
+    wait_ms: float
+    """Longest time to wait for something new."""
+
+
+class LeaderView(msgspec.Struct, frozen=True):
+    """What the leader tells a router."""
+
+    ranges: list[RangeChange]
+    changed_versions: dict[str, int]
+    """Version of the newest change of each table that routers follow themselves."""
+    store_answers: bool
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -17,7 +17,14 @@
 from .lease import LeaderLease, TermEndedError
 from .messages import RangeMapRow
 from .ownership import NOTICE_KEY, RANGES_TABLE, Ownership
-from .tablestore import RowCondition, RowWrite, TableFailure, TableRead, TableStore
+from .tablestore import (
+    RowCondition,
+    RowWrite,
+    TableFailure,
+    TableRead,
+    TableRow,
+    TableStore,
+)
 
 RETRY_S = 0.15
 GATHER_S = 0.1
@@ -143,12 +150,15 @@
                 [condition], [RowWrite(RANGES_TABLE, service, value)]
             )
             if isinstance(result, Success):
-                self._versions[service] = result.unwrap().version
+                version = result.unwrap().version
+                self._versions[service] = version
                 self._rows[service] = row
+                written = TableRow(service, value, version)
+                self._ownership.take(TableRead([written], version, 0.0), False)
                 log_event(
                     "ranges_written",
                     service=service,
-                    row_version=result.unwrap().version,
+                    row_version=version,
                     ranges=len(row.ranges),
                     moving=sum(part.is_moving for part in row.ranges),
                 )
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from mulberryrelay_edge.catalog import Catalog, StoreContact
+from mulberryrelay_edge.catalog import Catalog
+from mulberryrelay_edge.following import StoreContact
 from mulberryrelay_edge.keyspace import begin_moves, complete_move, divide
 from mulberryrelay_edge.messages import ServiceShare
 from mulberryrelay_edge.rebalance import Capacity, plan_moves
--- /dev/null
+++ b/tests/test_edge_leaderlink.py
@@ -0,0 +1,276 @@
+"""What the leader tells the other routers: current ranges with few calls to the store.
+
+Tests that run a fleet do so in virtual time.
+"""
+
+import asyncio
+import random
+
+import msgspec
+
+from mulberryrelay_edge.following import PROBE_WAIT_MS, Followed, StoreContact
+from mulberryrelay_edge.keyload import KeyLoad
+from mulberryrelay_edge.keyspace import (
+    Piece,
+    Ranges,
+    begin_moves,
+    changed_ranges,
+    complete_move,
+    divide,
+    is_whole,
+    merge_neighbours,
+    patch_ranges,
+    raise_all_fences,
+)
+from mulberryrelay_edge.leaderlink import (
+    LINK_PATH,
+    LeaderDesk,
+    LinkClient,
+    LinkServer,
+)
+from mulberryrelay_edge.messages import RangeChange, RangeMapRow, RouterReport
+from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.tablestore import TableRead, TableRow
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.states import ServerState
+
+from .fixtures import async_test
+from .fixtures.edgefleet import (
+    LINK_ANSWER_S,
+    ROUTES_TABLE,
+    SERVICE,
+    Fleet,
+    FleetRouter,
+    backend,
+    route_table,
+)
+from .fixtures.rawserver import HOST
+from .fixtures.virtual_time import run_virtual
+
+SEED = 20261204
+IN_FORCE_S = 2.0
+"""A version of the routes is in force everywhere after this time."""
+EDITS = 200
+
+
+def followers_of(fleet: Fleet) -> list[FleetRouter]:
+    """Return the routers that do not lead."""
+    return [router for router in fleet.routers if router is not fleet.leader]
+
+
+def put_routes(fleet: Fleet, version: int) -> None:
+    """Write a version as the operator does."""
+    value = msgspec.json.encode(route_table(version))
+    fleet.tables.write(ROUTES_TABLE, "routes", value)
+
+
+def drain(fleet: Fleet, number: int) -> None:
+    """Let a server leave."""
+    leaving = fleet.holders.lives[number].server
+    fleet.register(msgspec.structs.replace(leaving, state=ServerState.DRAINING))
+
+
+async def settled(seed: int = 1, routers: int = 5) -> Fleet:
+    """Return a fleet that serves all keys, with all routers linked."""
+    fleet = Fleet(seed, routers)
+    await fleet.settle()
+    await asyncio.sleep(1.0)
+    assert all(router.contact.is_linked for router in fleet.routers)
+    return fleet
+
+
+def test_moves_reach_all_routers_without_further_calls_to_the_store() -> None:
+    """Guards against a wake-up of each router by the store for each change."""
+
+    async def scenario() -> None:
+        fleet = await settled()
+        leader = fleet.leader
+        assert leader is not None
+        before = fleet.tables.calls
+        seen_version = leader.ownership.version(SERVICE)
+        drain(fleet, 0)
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+            version = leader.ownership.version(SERVICE)
+            await asyncio.sleep(3 * LINK_ANSWER_S)
+            for router in followers_of(fleet):
+                assert router.ownership.version(SERVICE) >= version
+        assert leader.ownership.version(SERVICE) > seen_version
+        # Two writes and the leader's renewals; each router learns of the entry by a
+        # poll of its own, which it then repeats.
+        assert fleet.tables.calls - before <= 2 + 4 + 2 * len(fleet.routers)
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_router_cut_from_the_leader_follows_the_store() -> None:
+    async def scenario() -> None:
+        fleet = await settled()
+        alone = followers_of(fleet)[0]
+        alone.is_unreachable = True
+        await asyncio.sleep(2.0)
+        assert not alone.contact.is_linked
+        drain(fleet, 1)
+        await asyncio.sleep(2.0)
+        leader = fleet.leader
+        assert leader is not None
+        expected = leader.ownership.version(SERVICE)
+        assert alone.ownership.version(SERVICE) == expected
+        alone.is_unreachable = False
+        await asyncio.sleep(2.0)
+        assert alone.contact.is_linked
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_lost_poll_of_a_linked_router_is_made_up_for() -> None:
+    """Guards against a poll of 10 s whose connection went silent."""
+
+    async def scenario() -> None:
+        fleet = await settled()
+        silent = followers_of(fleet)[0]
+        silent.store.is_cut = True
+        put_routes(fleet, 2)
+        await asyncio.sleep(0.01)
+        silent.store.is_cut = False
+        await asyncio.sleep(IN_FORCE_S)
+        assert silent.catalog.version == 2
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_an_outage_is_known_to_linked_routers_and_made_up_for_after_it() -> None:
+    """Guards against servers that lapse unnoticed while long polls wait."""
+
+    async def scenario() -> None:
+        fleet = await settled()
+        for router in fleet.routers:
+            router.store.is_cut = True
+        await asyncio.sleep(4.5)
+        assert all(router.catalog.store_silent_ms > 0 for router in fleet.routers)
+        lapsed = backend(3)
+        fleet.unregister(lapsed)
+        put_routes(fleet, 2)
+        for router in fleet.routers:
+            router.store.is_cut = False
+        await asyncio.sleep(1.5)
+        for router in fleet.routers:
+            assert router.catalog.server(lapsed.server) is not None, router.name
+        fleet.register(lapsed)
+        await asyncio.sleep(3.0)
+        assert all(router.catalog.version == 2 for router in fleet.routers)
+        assert all(router.catalog.server(lapsed.server) for router in fleet.routers)
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_routers_find_a_new_leader_soon_after_the_old_one_left() -> None:
+    async def scenario() -> None:
+        fleet = await settled()
+        old = fleet.leader
+        assert old is not None
+        await old.lease.release()
+        fleet.restart(old)
+        await asyncio.sleep(2.0)
+        assert all(router.contact.is_linked for router in fleet.routers)
+        assert fleet.leader is not None
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_polls_are_short_without_a_leader() -> None:
+    """Guards against an outage that nobody notices before a long poll ends."""
+
+    async def scenario() -> None:
+        contact = StoreContact()
+        probe = Followed("routes", is_probe=True)
+        await contact.turn(probe)
+        assert contact.wait_ms(probe) == PROBE_WAIT_MS
+        contact.set_linked(True)
+        assert contact.wait_ms(probe) > PROBE_WAIT_MS
+        event = await contact.turn(probe)
+        contact.set_linked(False)
+        assert event.is_set()
+        assert contact.wait_ms(probe) == PROBE_WAIT_MS
+
+    run_virtual(scenario())
+
+
+def _edited(ranges: Ranges, rng: random.Random) -> Ranges:
+    moving = [part for part in ranges if part.is_moving]
+    kind = rng.randrange(4)
+    if kind == 0 and moving:
+        return complete_move(rng.choice(moving))(ranges)
+    if kind == 1:
+        return merge_neighbours(2)(ranges)
+    if kind == 2 and rng.random() < 0.2:
+        return raise_all_fences(ranges)
+    first = rng.randrange(65536)
+    last = min(65535, first + rng.randrange(1, 9000))
+    return begin_moves([Piece(first, last, backend(rng.randrange(5)))])(ranges)
+
+
+def test_changes_patch_any_earlier_version() -> None:
+    """Guards against ranges that overlap or go missing in a change."""
+    rng = random.Random(SEED)
+    versions = [divide([backend(number) for number in range(5)])]
+    for _ in range(EDITS):
+        versions.append(_edited(versions[-1], rng))
+        assert is_whole(versions[-1])
+        base = rng.choice(versions[-6:])
+        changed = changed_ranges(base, versions[-1])
+        assert patch_ranges(base, changed) == versions[-1]
+
+
+def test_changes_to_an_unknown_version_are_not_applied() -> None:
+    """Guards against a change that is patched into other ranges than its base."""
+    ownership = Ownership()
+    ranges = divide([backend(1), backend(2)])
+    known = msgspec.json.encode(RangeMapRow("a", ranges))
+    ownership.take(TableRead([TableRow(SERVICE, known, 5)], 5, 0.0), False)
+    moved = begin_moves([Piece(0, 99, backend(2))])(ranges)
+    changed = changed_ranges(ranges, moved)
+    for base_version in (4, 6):
+        ownership.take_changes([RangeChange(SERVICE, 7, base_version, changed)])
+        assert ownership.version(SERVICE) == 5
+    ownership.take_changes([RangeChange(SERVICE, 7, 0, changed)])
+    assert ownership.version(SERVICE) == 5, "ranges with gaps"
+    ownership.take_changes([RangeChange(SERVICE, 7, 5, changed)])
+    found = ownership.find(SERVICE, 50)
+    assert found is not None and found.next_owner == backend(2).server
+    ownership.take_changes([RangeChange(SERVICE, 6, 0, ranges)])
+    assert ownership.version(SERVICE) == 7, "went back"
+
+
+@async_test
+async def test_reports_travel_over_http_and_only_the_leader_answers() -> None:
+    load = KeyLoad(monotonic_ms)
+    ownership = Ownership()
+    ranges = divide([backend(1)])
+    row = TableRow(SERVICE, msgspec.json.encode(RangeMapRow("a", ranges)), 3)
+    ownership.take(TableRead([row], 3, 0.0), False)
+    leads = True
+    desk = LeaderDesk(load, ownership, StoreContact(), lambda: leads, monotonic_ms)
+    server = LinkServer(desk)
+    client = LinkClient()
+    try:
+        port = await server.start(HOST, 0)
+        url = f"http://{HOST}:{port}{LINK_PATH}"
+        view = await client.send(url, RouterReport({SERVICE: [7, 7]}, {}, True, 50.0))
+        assert view is not None
+        assert view.ranges == [RangeChange(SERVICE, 3, 0, ranges)]
+        assert load.sample(SERVICE).keys == [7, 7]
+        known = RouterReport({}, {SERVICE: 3}, True, 50.0)
+        view = await client.send(url, known)
+        assert view is not None and view.ranges == []
+        leads = False
+        assert await client.send(url, known) is None
+        await server.close()
+        assert await client.send(url, known) is None
+    finally:
+        await client.close()
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -26,6 +26,19 @@
 SILENT_S = 7.0
 LEASE_S = 3.0
 
+KINDS = (
+    "kill",
+    "kill_all",
+    "cut",
+    "link",
+    "store",
+    "late",
+    "lost",
+    "silent",
+    "crash",
+    "drain",
+)
+
 Scenario = Callable[[Fleet], Awaitable[None]]
 
 
@@ -226,9 +239,7 @@
 
 async def _strike(fleet: Fleet, rng: random.Random, born: int) -> None:
     """Stage one random fault, which may outlast this call."""
-    kind = rng.choice(
-        ["kill", "kill_all", "cut", "store", "late", "lost", "silent", "crash", "drain"]
-    )
+    kind = rng.choice(KINDS)
     leader = fleet.leader
     victims = [leader] if leader and rng.random() < 0.7 else fleet.routers
     router = rng.choice(victims)
@@ -248,6 +259,9 @@
     if kind == "cut":
         router.store.is_cut = True
         later(lambda: setattr(router.store, "is_cut", False))
+    if kind == "link":
+        router.is_unreachable = True
+        later(lambda: setattr(router, "is_unreachable", False))
     if kind == "store":
         for each in fleet.routers:
             each.store.refuses = True
