Count holds under an earlier leader from the end of its lease

Ruled out: the time of a released lease is not known, so it counts from the takeover as before. Change: the end is the store's clock in the read less the lease's end, before now; a stale read makes it later, never earlier.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -35,6 +35,8 @@
 CHECK_MS = 10_000.0
 """Mean period in which a follower looks at the lease without a reason."""
 VALID_POLL_S = 0.03
+RELEASED_MS = 0.0
+"""Stands for the end of a lease that was given up at a time that is not known."""
 SLOW_RENEWAL_MS = 150.0
 LATE_RENEWAL_MS = 300.0
 MARGIN_MS = 100.0
@@ -143,7 +145,9 @@
             return
         self._valid_until_ms = float("-inf")
         self._changes.on_next(False)
-        released = LeaderRow(row.term, row.holder, row.boot_id, 0.0, self._new_edit())
+        released = LeaderRow(
+            row.term, row.holder, row.boot_id, RELEASED_MS, self._new_edit()
+        )
         notice = LeaderNoticeRow(row.term, "")
         await self._commit(released, notice)
         log_event("leader_released", term=row.term)
@@ -199,8 +203,10 @@
         )
         notice = LeaderNoticeRow(row_now.term, self._boot_id, self._link_url)
         if previous.term:
-            # Orders of the earlier leader ended with its lease, which is over by now.
             self._previous_end_ms = now_ms
+            if previous.expires_ms != RELEASED_MS:
+                # Orders of the earlier leader ended with its lease.
+                self._previous_end_ms -= read.store_ms - previous.expires_ms
         result = await self._commit(row_now, notice)
         if not isinstance(result, Success):
             return False
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -16,7 +16,7 @@
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_kernel.states import ServerState
 
-from .fixtures.edgefleet import Fleet, FleetRouter, backend
+from .fixtures.edgefleet import LONGEST_HOLD_MS, Fleet, FleetRouter, backend
 from .fixtures.virtual_time import run_virtual
 
 SEEDS = range(12)
@@ -237,6 +237,27 @@
     play(scenario)
 
 
+def test_keys_of_a_server_lost_in_an_outage_wait_no_longer_than_its_hold() -> None:
+    """Guards against holds counted from the end of the outage by the next leader."""
+
+    async def scenario(fleet: Fleet) -> None:
+        lost = fleet.holders.lives[0]
+        for router in fleet.routers:
+            router.store.is_cut = True
+        await asyncio.sleep(3.5)
+        # The lease is over, so that no order is sent any more.
+        lost.is_silent = True
+        fleet.unregister(lost.server)
+        await asyncio.sleep(8.0 - 3.5)
+        for router in fleet.routers:
+            router.store.is_cut = False
+        await asyncio.sleep(LEASE_S + LONGEST_HOLD_MS * 1.02 / 1000 - 8.0 + 1.5)
+        assert fleet.holders.unheld_share() == 0
+        assert not lost.holds(0)
+
+    play(scenario)
+
+
 async def _strike(fleet: Fleet, rng: random.Random, born: int) -> None:
     """Stage one random fault, which may outlast this call."""
     kind = rng.choice(KINDS)
