Name silent servers in the lease, so that the next leader knows when their holds end

Ruled out: a shorter longest hold (keys would lapse in outages of 8 s); the end of a hold in the ranges' row (a renewal may be under way while the row is written). Change: the lease row names servers that answer no orders, with the end of their last hold on the store's clock; a server that is named gets no grant until a stored lease names it no longer. The names travel with renewals and cost no call. A server whose hold is over is still asked to release, so that grants that it has not yet carried out come too late; failed releases count as silence.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -13,7 +13,7 @@
 
 from .adapter import OrderRefused, ServerOrders
 from .catalog import Catalog
-from .holders import HOLD_MS, RENEW_MS, Holders, Life
+from .holders import HOLD_MS, RENEW_MS, Holders
 from .keyload import KeyLoad
 from .keyspace import (
     Piece,
@@ -36,6 +36,7 @@
     place_orphans,
     plan_moves,
 )
+from .silences import Life
 from .tablestore import TableStore
 
 TICK_S = 0.1
@@ -277,7 +278,7 @@
         path = routes.services[service].health_path if routes is not None else "/"
         if await self._holders.probe(life, path):
             await self._ranges.update(service, raise_fences_of(*life))
-            self._holders.forgive(life)
+            await self._holders.forgive(life)
 
     async def _renew(
         self, service: ServiceName, part: KeyRange, hold_ms: float
--- a/packages/edge/mulberryrelay_edge/holders.py
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ServerId, ServiceName
+from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 
 from .adapter import OrderFailure, OrderLost, OrderMisdirected, ServerOrders
@@ -13,6 +13,7 @@
 from .keyspace import GRANT_STEP, RELEASE_STEP
 from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
+from .silences import Life
 
 HOLD_MS = 5000.0
 RENEW_MS = 800.0
@@ -21,11 +22,11 @@
 HOLD_MARGIN_MS = 500.0
 """For the time until an order leaves this process and arrives."""
 RETRY_S = 0.1
+LAST_RELEASE_S = 0.2
+"""Time for the answer to a release when the hold is over."""
 SHORTEST_RESTART_MS = 1000.0
 """A server that answered less than this ago has not started again since."""
 
-Life = tuple[ServerId, int]
-
 
 class Holders:
     """Orders of one term of this process."""
@@ -49,8 +50,9 @@
         )
         self._lease = lease
         self._clock = clock
-        self._ends: dict[Life, float] = {}
-        self._silent_since: dict[Life, float] = {}
+        self._silences = lease.silences
+        self._ends = self._silences.ends
+        self._silent_since = dict.fromkeys(self._ends, clock())
         self._answered_ms: dict[Life, float] = {}
         """When the last order that got an answer was sent."""
 
@@ -97,8 +99,10 @@
         self._note_failure(server, result.failure())
         return False
 
-    def forgive(self, life: Life) -> None:
+    async def forgive(self, life: Life) -> None:
         """Give grants to a silent server again, after its fences were raised."""
+        self._lease.renew_soon()
+        await self._silences.withdraw(life)
         self._silent_since.pop(life, None)
         log_event("server_answers_orders", server=life[0])
 
@@ -114,6 +118,7 @@
             return
         if isinstance(failure, OrderLost) and life not in self._silent_since:
             self._silent_since[life] = self._clock()
+            self._silences.add(life, self.hold_end_ms(life))
             log_event(
                 "server_silent",
                 server=server.server,
@@ -131,10 +136,11 @@
         if not part.owner:
             return None
         end_ms = self.hold_end_ms(life)
+        was_asked = False
         while True:
             await self._lease.wait_valid()
             left_ms = end_ms - self._clock()
-            if left_ms <= 0:
+            if left_ms <= 0 and was_asked:
                 log_event(
                     "hold_ran_out",
                     service=service,
@@ -146,12 +152,16 @@
                 return None
             server = self.address(life)
             if server is None:
-                await asyncio.sleep(min(RETRY_S, left_ms / 1000))
+                was_asked = True
+                await asyncio.sleep(max(0.0, min(RETRY_S, left_ms / 1000)))
                 continue
+            # A server that lives is told even after its hold, as it may still be about
+            # to carry out an older grant.
+            was_asked = True
             fence = part.fence + RELEASE_STEP
             result: Result[str | None, OrderFailure]
             try:
-                async with asyncio.timeout(left_ms / 1000):
+                async with asyncio.timeout(max(LAST_RELEASE_S, left_ms / 1000)):
                     result = await self._orders.release(
                         server, part.first, part.last, fence
                     )
@@ -160,8 +170,8 @@
             if isinstance(result, Success):
                 token: str | None = result.unwrap()
                 return token
+            self._note_failure(server, result.failure())
             if isinstance(result.failure(), OrderMisdirected):
-                self._note_failure(server, result.failure())
                 return None
             log_event(
                 "release_failed",
@@ -173,7 +183,7 @@
                 error=str(result.failure()),
                 left_ms=round(left_ms),
             )
-            await asyncio.sleep(RETRY_S)
+            await asyncio.sleep(max(0.0, min(RETRY_S, left_ms / 1000)))
 
     async def grant_next(
         self, service: ServiceName, part: KeyRange, token: str | None
@@ -198,6 +208,8 @@
             return Failure(OrderLost("not leader"))
         hold_ms = min(hold_ms, self._longest_hold_ms)
         life = (server.server, server.born_ms)
+        if self._silences.is_named(life):
+            return Failure(OrderLost("named as silent"))
         self._known[life] = server
         sent_ms = self._clock()
         end_ms = sent_ms + hold_ms * SLOW_CLOCK_FACTOR + HOLD_MARGIN_MS
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -18,6 +18,7 @@
 
 from .messages import LeaderNoticeRow, LeaderRow
 from .ownership import NOTICE_KEY, RANGES_TABLE, Ownership
+from .silences import Silences
 from .tablestore import (
     Committed,
     RowCondition,
@@ -65,6 +66,8 @@
         self._boot_id = boot_id
         self._link_url = link_url
         self._clock = clock
+        self._silences = Silences(clock)
+        self._renew_now = asyncio.Event()
         self._row: LeaderRow | None = None
         """The row of this process's current term."""
         self._version = 0
@@ -86,6 +89,11 @@
         """Emits True when a term begins and False when it ends."""
         return self._changes
 
+    @property
+    def silences(self) -> Silences:
+        """The servers that the lease names as silent."""
+        return self._silences
+
     @property
     def term(self) -> int:
         """Number of the current or last term of this process."""
@@ -146,12 +154,21 @@
         self._valid_until_ms = float("-inf")
         self._changes.on_next(False)
         released = LeaderRow(
-            row.term, row.holder, row.boot_id, RELEASED_MS, self._new_edit()
+            row.term,
+            row.holder,
+            row.boot_id,
+            RELEASED_MS,
+            self._new_edit(),
+            self._silences.rows(self._clock_offset_ms),
         )
         notice = LeaderNoticeRow(row.term, "")
         await self._commit(released, notice)
         log_event("leader_released", term=row.term)
 
+    def renew_soon(self) -> None:
+        """Renew the lease now, as what it says has changed."""
+        self._renew_now.set()
+
     def check_soon(self) -> None:
         """Look at the lease now, as the leader may be gone."""
         self._check.set()
@@ -176,11 +193,7 @@
         else:
             wait_ms = CHECK_MS * random.uniform(0.5, 1.5)
         self._check.clear()
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                await self._check.wait()
-        except TimeoutError:
-            pass
+        await _wait(self._check, wait_ms)
 
     async def _take_if_free(self, read: TableRead) -> bool:
         previous = LeaderRow(0, InstanceId(""), "", 0.0)
@@ -194,12 +207,14 @@
         self._version = version
         now_ms = self._clock()
         expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
+        self._silences.load(previous.silent, read.store_ms)
         row_now = LeaderRow(
             previous.term + 1,
             self._instance,
             self._boot_id,
             expires_ms,
             self._new_edit(),
+            previous.silent,
         )
         notice = LeaderNoticeRow(row_now.term, self._boot_id, self._link_url)
         if previous.term:
@@ -225,7 +240,7 @@
         row = self._row
         assert row is not None
         pause_ms = RETRY_MS if self._is_troubled else RENEW_MS
-        await asyncio.sleep(pause_ms / 1000)
+        await _wait(self._renew_now, pause_ms)
         if self._is_leaving:
             return
         if not self.is_valid:
@@ -234,7 +249,10 @@
         started_ms = self._clock()
         expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
         renewed = msgspec.structs.replace(
-            row, expires_ms=expires_ms, edit=self._new_edit()
+            row,
+            expires_ms=expires_ms,
+            edit=self._new_edit(),
+            silent=self._silences.rows(self._clock_offset_ms),
         )
         self._renewing_ms = started_ms
         result = await self._commit(renewed, None)
@@ -242,6 +260,7 @@
         self._renewal_ms = self._clock() - started_ms
         if isinstance(result, Success):
             self._row = renewed
+            self._silences.note_stored(renewed.silent)
             self._version = result.unwrap().version
             self._valid_until_ms = expires_ms - self._clock_offset_ms
             self._clock_offset_ms = min(
@@ -303,3 +322,13 @@
     def _new_edit(self) -> str:
         self._edits += 1
         return f"{self._boot_id}-{self._edits}"
+
+
+async def _wait(event: asyncio.Event, most_ms: float) -> None:
+    """Wait for an event for some time, and clear it."""
+    try:
+        async with asyncio.timeout(most_ms / 1000):
+            await event.wait()
+    except TimeoutError:
+        return
+    event.clear()
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -159,6 +159,15 @@
     ranges: tuple[KeyRange, ...]
 
 
+class SilentServer(msgspec.Struct, frozen=True, array_like=True):
+    """A life of a server that gets no grants, since it answered no orders."""
+
+    server: ServerId
+    born_ms: int
+    hold_end_ms: float
+    """When its last possible hold has run out, on the store's own clock."""
+
+
 class LeaderRow(msgspec.Struct, frozen=True):
     """The leader lease; ``expires_ms`` is on the store's own clock."""
 
@@ -167,6 +176,7 @@
     boot_id: str
     expires_ms: float
     edit: str = ""
+    silent: tuple[SilentServer, ...] = ()
 
 
 class LeaderNoticeRow(msgspec.Struct, frozen=True):
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -14,6 +14,7 @@
 
 from mulberryrelay_edge.holders import Holders
 from mulberryrelay_edge.lease import LeaderLease
+from mulberryrelay_edge.silences import Life, Silences
 from mulberryrelay_kernel.states import ServerState
 
 from .fixtures.edgefleet import LONGEST_HOLD_MS, Fleet, FleetRouter, backend
@@ -258,6 +259,41 @@
     play(scenario)
 
 
+def test_keys_of_a_lost_server_do_not_wait_again_for_the_next_leader() -> None:
+    """Guards against a new wait for the longest hold with each leader."""
+
+    async def scenario(fleet: Fleet) -> None:
+        lost = fleet.holders.lives[0]
+        lost.is_silent = True
+        fleet.unregister(lost.server)
+        await asyncio.sleep(3.0)
+        # The leader has found out and renewed its lease, which has to run out first.
+        for router in list(fleet.routers):
+            fleet.restart(router)
+        await asyncio.sleep(LEASE_S + 1.5)
+        assert fleet.holders.unheld_share() == 0
+
+    play(scenario)
+
+
+def test_a_server_that_answers_again_is_granted_keys_and_no_longer_named() -> None:
+    """Guards against a stated end of a hold that a later grant outlasts."""
+
+    async def scenario(fleet: Fleet) -> None:
+        paused = fleet.holders.lives[0]
+        for _ in range(3):
+            paused.is_silent = True
+            await asyncio.sleep(2.5)
+            paused.is_silent = False
+            await asyncio.sleep(1.5)
+            assert paused.held
+            fleet.restart(leader_of(fleet))
+            await asyncio.sleep(8.0)
+        await fleet.settle()
+
+    play(scenario)
+
+
 async def _strike(fleet: Fleet, rng: random.Random, born: int) -> None:
     """Stage one random fault, which may outlast this call."""
     kind = rng.choice(KINDS)
@@ -334,6 +370,11 @@
         play(lambda fleet, seed=seed: _random_faults(fleet, seed), seed)  # type: ignore[misc]
 
 
+async def _withdraw_at_once(self: Silences, life: Life) -> None:
+    self._ends.pop(life, None)
+    self._stored -= {life}
+
+
 SEEDED_FAULTS: dict[str, Any] = {
     "a hold is taken to end at once": patch.object(
         Holders, "hold_end_ms", lambda self, life: 0.0
@@ -344,6 +385,9 @@
     "a new leader keeps the fences": patch(
         "mulberryrelay_edge.coordinator.raise_all_fences", lambda ranges: ranges
     ),
+    "a server that answers again is granted keys while it is named": patch.object(
+        Silences, "withdraw", _withdraw_at_once
+    ),
     "earlier leaders are not waited for": patch.object(
         LeaderLease, "previous_end_ms", property(lambda self: float("-inf"))
     ),
