Move a hot key to the fastest server in the first plan, and its neighbours away

Change: utilisation counts slots by speed alone; a key that makes up most of a server's load moves at once to a server that is 1.3 times faster, and what else that server holds leaves it in the same plan. The new test fails without the change.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -359,7 +359,10 @@
         slots = sum(server.slots * speed for server, speed in servers)
         busy = len(sample.keys) * sample.work_per_key / max(1.0, slots)
         exponent = 1.0 + max(0.0, 1.0 - busy)
-        return [Capacity(s, s.slots * speed**exponent) for s, speed in servers]
+        return [
+            Capacity(server, server.slots * speed**exponent, server.slots * speed)
+            for server, speed in servers
+        ]
 
     async def _begin(self, service: ServiceName, pieces: list[Piece]) -> None:
         try:
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -26,15 +26,20 @@
 """Share of busy slots up to which a server needs no relief."""
 BUSY_UTILISATION = 0.55
 """Share of busy slots from which on a server needs relief soon after a plan."""
+DOMINANT_UTILISATION = 0.5
+"""Share of busy slots from which on a single key has its server for itself."""
 FASTER_FACTOR = 1.3
 """Gain in capacity for which a single busy key moves."""
 
 
 class Capacity(msgspec.Struct, frozen=True):
-    """A server that may hold keys and what it can do, relative to others."""
+    """A server that may hold keys and what it can do."""
 
     server: BackendServer
-    capacity: float
+    share: float
+    """What it is to do, relative to others."""
+    slots: float
+    """What it can do: slots of a server of usual speed."""
 
 
 class _Load:
@@ -42,10 +47,16 @@
         self.target = target
         self.ranges: list[KeyRange] = []
         self.samples = 0
+        self.arriving = 0
+        """Samples of a single key that is to move here."""
 
     @property
     def relative(self) -> float:
-        return self.samples / self.target.capacity
+        return self.samples / self.target.share
+
+    def utilisation(self, work_per_sample: float) -> float:
+        """Return the share of its slots that is busy."""
+        return self.samples * work_per_sample / self.target.slots
 
 
 def plan_moves(
@@ -75,7 +86,7 @@
         weight = _count(samples, part.first, part.last)
         load.samples += weight
         counted += weight
-    mean = counted / sum(target.capacity for target in targets)
+    mean = counted / sum(target.share for target in targets)
     pieces: list[Piece] = []
     most = min(MAX_MOVES, MAX_RANGES - len(ranges))
     stuck: set[ServerId] = set()
@@ -87,16 +98,13 @@
             break
         source = max(movable, key=lambda load: load.relative)
         sink = min(loads.values(), key=lambda load: load.relative)
-        if source.relative * work_per_sample < least_utilisation:
-            break
-        fair = mean * source.target.capacity
-        excess = source.samples - fair
-        if excess <= TOLERATED_EXCESS * fair + NOISE_FACTOR * math.sqrt(fair):
-            break
-        missing = mean * sink.target.capacity - sink.samples
-        piece = _cut(source, sink, samples, min(excess, missing))
-        if piece is None:
+        piece = None
+        if source.utilisation(work_per_sample) >= least_utilisation:
             piece = _speed_up(source, loads.values(), samples)
+            excess = _excess(source, samples, mean, work_per_sample)
+            if piece is None and excess > 0:
+                missing = mean * sink.target.share - sink.samples
+                piece = _cut(source, sink, samples, min(excess, missing))
         if piece is None:
             stuck.add(source.target.server.server)
             continue
@@ -104,6 +112,21 @@
     return pieces
 
 
+def _excess(
+    source: _Load, samples: Sequence[int], mean: float, work_per_sample: float
+) -> float:
+    """Return how many samples are to leave a server, or 0 if it may stay as it is."""
+    weight = _dominant_weight(source, samples)
+    if weight * work_per_sample > DOMINANT_UTILISATION * source.target.slots:
+        # Other keys would wait behind the busy one.
+        return source.samples - weight
+    fair = mean * source.target.share
+    excess = source.samples - fair
+    if excess <= TOLERATED_EXCESS * fair + NOISE_FACTOR * math.sqrt(fair):
+        return 0.0
+    return excess
+
+
 def _cut(
     source: _Load, sink: _Load, samples: Sequence[int], wanted: float
 ) -> Piece | None:
@@ -120,9 +143,7 @@
         reverse=True,
     )
     for part in by_weight:
-        inside = samples[
-            bisect_left(samples, part.first) : bisect_left(samples, part.last + 1)
-        ]
+        inside = _inside(samples, part)
         if not inside:
             return None
         cut = _end_of(part, inside, wanted)
@@ -132,11 +153,7 @@
         moved = _count(samples, first, last)
         source.samples -= moved
         sink.samples += moved
-        source.ranges.remove(part)
-        if part.first < first:
-            source.ranges.append(msgspec.structs.replace(part, last=first - 1))
-        if last < part.last:
-            source.ranges.append(msgspec.structs.replace(part, first=last + 1))
+        _take_out(source, part, first, last)
         return Piece(first, last, sink.target.server)
     return None
 
@@ -163,21 +180,58 @@
 def _speed_up(
     source: _Load, loads: Iterable[_Load], samples: Sequence[int]
 ) -> Piece | None:
-    """Move the source's busiest range, of one busy key, to a much faster server."""
-    fastest = max(loads, key=lambda load: load.target.capacity)
-    gain = fastest.target.capacity / source.target.capacity
-    busiest = max(
-        source.ranges, key=lambda part: _count(samples, part.first, part.last)
-    )
-    weight = _count(samples, busiest.first, busiest.last)
-    if gain < FASTER_FACTOR or 2 * weight < source.samples:
+    """Move a key that makes up most of the source's load to a much faster server.
+
+    What else that server holds moves away afterwards, unless it is such a key, too.
+    """
+    found = _dominant_key(source, samples)
+    if found is None:
         return None
-    if fastest.samples + weight > source.samples * gain:
+    part, key, weight = found
+    best: _Load | None = None
+    best_load = weight / (FASTER_FACTOR * source.target.slots)
+    for load in loads:
+        load_there = (weight + _dominant_weight(load, samples)) / load.target.slots
+        if load is not source and load_there < best_load:
+            best, best_load = load, load_there
+    if best is None:
         return None
     source.samples -= weight
-    fastest.samples += weight
-    source.ranges.remove(busiest)
-    return Piece(busiest.first, busiest.last, fastest.target.server)
+    best.samples += weight
+    best.arriving += weight
+    _take_out(source, part, key, key)
+    return Piece(key, key, best.target.server)
+
+
+def _dominant_weight(load: _Load, samples: Sequence[int]) -> int:
+    """Return the samples of the one key that makes up most of a load, or 0."""
+    found = _dominant_key(load, samples)
+    return max(load.arriving, found[2] if found is not None else 0)
+
+
+def _dominant_key(
+    load: _Load, samples: Sequence[int]
+) -> tuple[KeyRange, int, int] | None:
+    """Return a key with half of a server's load, its range and its samples."""
+    for part in load.ranges:
+        inside = _inside(samples, part)
+        if 2 * len(inside) < load.samples or not inside:
+            continue
+        # A key with half of all samples is also the middle one of its range.
+        key = inside[len(inside) // 2]
+        weight = _count(inside, key, key)
+        if 2 * weight >= load.samples:
+            return part, key, weight
+    return None
+
+
+def _take_out(source: _Load, part: KeyRange, first: int, last: int) -> None:
+    """Leave the rest of a range to the source."""
+    source.ranges.remove(part)
+    if part.first < first:
+        source.ranges.append(msgspec.structs.replace(part, last=first - 1))
+    if last < part.last:
+        source.ranges.append(msgspec.structs.replace(part, first=last + 1))
 
 
 def place_orphans(
@@ -204,12 +258,18 @@
         reverse=True,
     )
     for part in by_weight:
-        best = min(targets, key=lambda t: loads[t.server.server] / t.capacity)
+        best = min(targets, key=lambda t: loads[t.server.server] / t.share)
         loads[best.server.server] += _count(samples, part.first, part.last)
         loads[best.server.server] += (part.last - part.first + 1) * width_weight
         pieces.append(Piece(part.first, part.last, best.server))
     return pieces
 
 
+def _inside(samples: Sequence[int], part: KeyRange) -> Sequence[int]:
+    """Return the samples of a range."""
+    first = bisect_left(samples, part.first)
+    return samples[first : bisect_left(samples, part.last + 1)]
+
+
 def _count(samples: Sequence[int], first: int, last: int) -> int:
     return bisect_left(samples, last + 1) - bisect_left(samples, first)
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -177,11 +177,47 @@
         assert abs(picked.count(share.service) / 200 - share.weight / 100) <= 0.01
 
 
+def test_a_hot_key_moves_to_the_fastest_server_which_gives_up_its_other_keys() -> None:
+    """Guards against a hot key that waits for its neighbours to move first.
+
+    The fastest server is to do more than its share while slots are free, which is no
+    reason to count it as idle.
+    """
+    rng = random.Random(SEED)
+    servers = [backend(number) for number in range(6)]
+    speeds = [1.0, 0.7, 2.0, 1.0, 0.7, 1.0]
+    targets = [
+        Capacity(server, 4.0 * speed**1.6, 4.0 * speed)
+        for server, speed in zip(servers, speeds, strict=True)
+    ]
+    hot_key = 15_000
+    samples = sorted(
+        [hot_key] * 80
+        + [rng.randrange(14_900, 15_100) for _ in range(20)]
+        + [rng.randrange(65536) for _ in range(80)]
+    )
+    ranges = divide(servers)
+    pieces = plan_moves(ranges, samples, targets, work_per_sample=0.06)
+    ranges = begin_moves(pieces)(ranges)
+    for part in [part for part in ranges if part.is_moving]:
+        ranges = complete_move(part)(ranges)
+    fastest = servers[2].server
+    at_fastest = [
+        key
+        for part in ranges
+        if part.owner == fastest
+        for key in samples
+        if part.first <= key <= part.last
+    ]
+    assert at_fastest.count(hot_key) == 80
+    assert len(at_fastest) - 80 <= 5, "keys beside the hot one"
+
+
 def test_balance_isolates_a_busy_key_and_spreads_its_neighbours() -> None:
     """Busy neighbours end up on several servers within a few plans."""
     rng = random.Random(SEED)
     servers = [backend(number) for number in range(6)]
-    targets = [Capacity(server, 4.0) for server in servers]
+    targets = [Capacity(server, 4.0, 4.0) for server in servers]
     samples = sorted(
         [4000] * 40
         + [rng.randrange(4001, 4200) for _ in range(200)]
