Let only the leader poll the store, and pass all tables on through its link

Ruled out: hints of versions only (each router still reads each change); relaying without compression (a manifest to each router in another data centre). Change: the answer to a report has the rows that changed since the version that the router knows, from a mirror that also knows removals; equal answers are encoded once. Routers that hear from the leader do not poll. A leader whose renewal is late by 0.7 s or fails says so, and the others follow the store themselves at once. The tests that fail without it: the calls of a fleet at rest, a version written just after the leader was cut from the store, a lost poll of the leader, removals told to any version.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -18,7 +18,7 @@
 from .messages import BackendServer, RouteTable
 from .tablestore import Source, TableRead, TableStore
 
-SERVERS_GATHER_S = 0.4
+SERVERS_GATHER_S = 0.2
 LAST_SEND_MS = 1200.0
 """Time after which a draining owner gets no more requests, if its keys do not move."""
 
@@ -116,12 +116,13 @@
 
     def tasks(self) -> list[Awaitable[None]]:
         """Return the loops that keep the catalog current."""
-        routes = Followed(self._route_source.table, is_probe=True)
-        servers = Followed(self._server_source.table, gather_s=SERVERS_GATHER_S)
-        return [
-            follow_table(self._store, routes, self.take_routes, self._contact),
-            follow_table(self._store, servers, self.take_servers, self._contact),
-        ]
+        tables = (
+            Followed(self._route_source.table, self.take_routes, is_probe=True),
+            Followed(
+                self._server_source.table, self.take_servers, gather_s=SERVERS_GATHER_S
+            ),
+        )
+        return [follow_table(self._store, table, self._contact) for table in tables]
 
     def note_contact(self, in_contact: bool) -> None:
         """Note that the store was lost or answers again."""
--- a/packages/edge/mulberryrelay_edge/following.py
+++ b/packages/edge/mulberryrelay_edge/following.py
@@ -1,13 +1,14 @@
-"""Follows tables of the store, on its own or with what the leader tells.
+"""Follows tables of the store: by polls, or through the leader.
 
-A poll that waits for changes may be lost on the way and then ends only after its whole
-wait. A router that hears from the leader is told of lost polls and outages; one that
-does not follows one table, the probe, with short polls, which show the same.
+Only the leader and routers that do not hear from it poll. A poll that waits for changes
+may be lost on the way and then ends only after its whole wait, so one table, the probe,
+is followed with short polls, which show whether the store answers.
 """
 
 import asyncio
 import random
 from collections.abc import Callable, Coroutine, Mapping
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -16,6 +17,7 @@
 
 from mulberryrelay_kernel.logs import log_event
 
+from .tablemirror import TableMirror, TableUpdate
 from .tablestore import TableFailure, TableRead, TableStore
 
 FIRST_RETRY_S = 0.1
@@ -24,35 +26,46 @@
 LONG_WAIT_MS = 10_000
 
 
+class Role(Enum):
+    """How a router learns of changes."""
+
+    ALONE = "alone"
+    """By polls of its own."""
+    LINKED = "linked"
+    """From the leader."""
+    LEADING = "leading"
+    """By polls of its own, which it passes on; it writes the ranges itself."""
+
+
 class Followed(msgspec.Struct, frozen=True):
     """How a table is followed."""
 
     table: str
+    take: Callable[[TableRead, bool], None]
+    """Is given rows, and whether they are the complete table."""
     is_probe: bool = False
     """Whether its polls show if the store answers."""
-    is_relayed: bool = False
-    """Whether the leader passes its rows on, so that it need not be polled."""
+    is_written_here: bool = False
+    """Whether the leader writes it, and passes it on by other means."""
     gather_s: float = 0.0
     """Time in which changes after one are fetched together."""
 
 
 class StoreContact:
-    """Whether the store answers, and what is known of each table."""
+    """Whether the store answers, and what is known of its tables."""
 
     def __init__(self) -> None:
-        self._is_linked = False
-        self._unlinked = asyncio.Event()
-        self._unlinked.set()
-        self._rereads: dict[str, asyncio.Event] = {}
+        self._role = Role.ALONE
+        self._role_changed = asyncio.Event()
         self._followed: dict[str, Followed] = {}
-        self._read_versions: dict[str, int] = {}
-        self._changed_versions: dict[str, int] = {}
+        self._mirrors: dict[str, TableMirror] = {}
+        self._rereads: dict[str, asyncio.Event] = {}
         self._answers = True
         self._changes: Subject[bool] = Subject()
 
     @property
     def changes(self) -> Subject[bool]:
-        """Emits whether the store answers, at each change of that."""
+        """Emits after each change of whether the store answers, and of a table."""
         return self._changes
 
     @property
@@ -61,18 +74,20 @@
         return self._answers
 
     @property
-    def is_linked(self) -> bool:
-        """Whether the leader tells this router what changes, or is this router."""
-        return self._is_linked
+    def role(self) -> Role:
+        """How this router learns of changes."""
+        return self._role
 
     @property
-    def changed_versions(self) -> Mapping[str, int]:
-        """The version of the newest change seen of each table that is not relayed."""
-        return self._changed_versions
+    def table_versions(self) -> dict[str, int]:
+        """The store's version up to which each table is known."""
+        return {table: mirror.version for table, mirror in self._mirrors.items()}
 
-    def read_version(self, table: str) -> int:
-        """Return the store's version up to which changes of a table are known."""
-        return self._read_versions.get(table, 0)
+    def follow(self, followed: Followed) -> None:
+        """Begin to keep what is known of a table."""
+        self._followed[followed.table] = followed
+        if not followed.is_written_here:
+            self._mirrors[followed.table] = TableMirror()
 
     def note(self, answers: bool) -> None:
         """Note that the store was lost or answers again; then all is read anew."""
@@ -81,72 +96,79 @@
         if not answers:
             return
         for table in self._followed:
-            self.reread(table)
+            self._reread(table)
 
-    def set_linked(self, is_linked: bool) -> None:
-        """Note whether the leader tells this router what changes."""
-        if is_linked is self._is_linked:
+    def set_role(self, role: Role) -> None:
+        """Note how this router learns of changes from now on."""
+        if role is self._role:
             return
-        self._is_linked = is_linked
-        if is_linked:
-            self._unlinked.clear()
-        else:
-            self._unlinked.set()
-        for followed in self._followed.values():
-            # Ends the polls whose kind is another now.
-            if followed.is_relayed or (followed.is_probe and not is_linked):
-                self.reread(followed.table)
-
-    def reread(self, table: str) -> None:
-        """End the poll of a table and read it as a whole."""
-        event = self._rereads.get(table)
-        if event is not None:
-            event.set()
+        log_event("role_changed", role=role.value, former=self._role.value)
+        self._role = role
+        self._role_changed.set()
+        self._role_changed = asyncio.Event()
+        # Ends polls that are not needed, or may have been lost unnoticed.
+        for table in self._followed:
+            self._reread(table)
 
     async def turn(self, followed: Followed) -> asyncio.Event:
-        """Return when a table is to be asked for; the event ends a poll of it."""
-        self._followed[followed.table] = followed
-        if followed.is_relayed:
-            await self._unlinked.wait()
+        """Return when a table is to be polled; the event ends the poll."""
+        while not self._is_polled(followed):
+            await self._role_changed.wait()
         event = self._rereads.get(followed.table)
         if event is None or event.is_set():
             event = self._rereads[followed.table] = asyncio.Event()
         return event
 
-    def wait_ms(self, followed: Followed) -> int:
-        """Return how long a poll waits for changes."""
-        is_short = followed.is_probe and not self._is_linked
-        return PROBE_WAIT_MS if is_short else LONG_WAIT_MS
-
-    def note_read(self, followed: Followed, read: TableRead) -> None:
-        """Note up to which version a table is known, and its newest change."""
-        self._read_versions[followed.table] = read.version
-        if followed.is_relayed or not read.rows:
+    def take(self, table: str, read: TableRead, is_complete: bool) -> None:
+        """Pass on rows of a table and keep them for other routers."""
+        followed = self._followed.get(table)
+        if followed is None:
             return
-        newest = max(row.version for row in read.rows)
-        known = self._changed_versions.get(followed.table, 0)
-        self._changed_versions[followed.table] = max(known, newest)
+        followed.take(read, is_complete)
+        mirror = self._mirrors.get(table)
+        if mirror is not None:
+            mirror.take(read, is_complete)
+            if read.rows:
+                self._changes.on_next(self._answers)
+
+    def updates_since(self, known: Mapping[str, int]) -> list[TableUpdate]:
+        """Return what is new to a router that knows tables up to the given versions."""
+        updates = []
+        for table, mirror in self._mirrors.items():
+            update = mirror.update_since(table, known.get(table, 0))
+            if update is not None:
+                updates.append(update)
+        return updates
+
+    def _is_polled(self, followed: Followed) -> bool:
+        if self._role is Role.LEADING:
+            return not followed.is_written_here
+        return self._role is Role.ALONE
+
+    def _reread(self, table: str) -> None:
+        event = self._rereads.get(table)
+        if event is not None:
+            event.set()
 
 
 async def follow_table(
-    store: TableStore,
-    followed: Followed,
-    take: Callable[[TableRead, bool], None],
-    contact: StoreContact,
+    store: TableStore, followed: Followed, contact: StoreContact
 ) -> None:
-    """Read a table, then pass on each change; never returns.
-
-    ``take`` is given the rows and whether they are the complete table.
-    """
+    """Read a table, then pass on each change; never returns."""
     table = followed.table
+    wait_ms = PROBE_WAIT_MS if followed.is_probe else LONG_WAIT_MS
+    contact.follow(followed)
     version: int | None = None
     failures = 0
+    reread = asyncio.Event()
     while True:
+        is_reread = reread.is_set()
         reread = await contact.turn(followed)
+        if is_reread:
+            version = None
         if version is None:
             result = await store.read(table)
         else:
-            wait_ms = contact.wait_ms(followed)
             result = await _unless_set(store.follow(table, version, wait_ms), reread)
         if isinstance(result, Success):
             if failures:
@@ -156,9 +178,8 @@
                 # Whichever table is read first: what it lacks may be back soon.
                 contact.note(True)
             read = result.unwrap()
-            take(read, version is None)
+            contact.take(table, read, version is None)
             version = read.version
-            contact.note_read(followed, read)
             if followed.gather_s and read.rows:
                 await asyncio.sleep(followed.gather_s)
             continue
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -16,7 +16,7 @@
 from .catalog import Catalog
 from .coordinator import Coordinator
 from .dispatch import Dispatcher
-from .following import Followed, StoreContact, follow_table
+from .following import Followed, Role, StoreContact, follow_table
 from .keyload import KeyLoad
 from .leaderlink import LINK_PATH, LeaderDesk, LeaderLink, LinkClient, LinkServer
 from .lease import LeaderLease
@@ -115,7 +115,14 @@
         boot_id,
         clock,
     )
-    desk = LeaderDesk(load, ownership, contact, lambda: lease.is_valid, clock)
+    desk = LeaderDesk(
+        load,
+        ownership,
+        contact,
+        lambda: lease.is_valid,
+        lambda: lease.is_cut_off,
+        clock,
+    )
     lease.changes.subscribe(lambda _: desk.wake())
     link_server = LinkServer(desk)
     await link_server.start(options.host, options.internal_port)
@@ -124,12 +131,12 @@
         load,
         ownership,
         contact,
+        desk,
         boot_id,
         lambda: lease.is_valid,
         lease.check_soon,
         lambda: dispatcher.waiting > 0,
         link_client.send,
-        clock,
     )
     await callers.start()
     page = MetricsPage(
@@ -138,19 +145,19 @@
             "in_flight": callers.in_flight,
             "waiting": dispatcher.waiting,
             "leader": float(lease.is_valid),
-            "linked": float(contact.is_linked),
+            "linked": float(contact.role is Role.LINKED),
             "routes_version": catalog.version,
             "store_silent_ms": catalog.store_silent_ms,
         },
     )
     await page.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
-    ranges = Followed(RANGES_TABLE, is_relayed=True)
+    ranges = Followed(RANGES_TABLE, ownership.take, is_written_here=True)
     tasks = [
         asyncio.ensure_future(work)
         for work in (
             *catalog.tasks(),
-            follow_table(adapter.store, ranges, ownership.take, contact),
+            follow_table(adapter.store, ranges, contact),
             lease.run(),
             dispatcher.run(),
             link.run(),
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -1,12 +1,14 @@
 """What the leader and the other routers tell each other.
 
 A router reports the keys that were requested from it, and the leader answers as soon as
-ranges have changed, or the store was lost or is back. So other routers need not poll
-the store for ranges, and notice that polls of other tables were lost. Everything told
-here is also in the store; a router without a leader follows the store alone.
+there is something new: rows of tables, ranges, or that the store does not answer it. So
+other routers need not poll the store. Everything told here is also in the store; a
+router without a leader follows the store alone.
 """
 
 import asyncio
+import zlib
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -17,10 +19,11 @@
 from mulberryrelay_kernel.httpclient import periodic_session
 from mulberryrelay_kernel.logs import log_event
 
-from .following import StoreContact
+from .following import Role, StoreContact
 from .keyload import KeyLoad
 from .messages import LeaderNoticeRow, LeaderView, RouterReport
 from .ownership import Ownership
+from .tablestore import TableRead
 
 LINK_PATH = "/link"
 REPORT_MS = 600.0
@@ -30,8 +33,14 @@
 ANSWER_TIMEOUT_S = 0.5
 """Time for an answer beyond the wait that the report allows."""
 LONGEST_WAIT_MS = 2000.0
-BEHIND_MS = 300.0
-"""Time in which a router's own poll should have brought what the leader has seen."""
+WATCH_S = 0.1
+"""Period in which the leader looks whether it still hears from the store."""
+COMPRESSED_BYTES = 2000
+"""Size from which an answer is compressed."""
+COMPRESSION_LEVEL = 1
+KEPT_BODIES = 8
+PLAIN = b"\0"
+COMPRESSED = b"\1"
 
 Send = Callable[[str, RouterReport], Awaitable[LeaderView | None]]
 """Sends a report to a leader's address; returns None if no leader answers there."""
@@ -46,13 +55,16 @@
         ownership: Ownership,
         contact: StoreContact,
         is_leader: Callable[[], bool],
+        is_store_lost: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._load = load
         self._ownership = ownership
         self._contact = contact
         self._is_leader = is_leader
+        self._is_store_lost = is_store_lost
         self._clock = clock
+        self._store_answers = True
         self._news = asyncio.Event()
         ownership.changes.subscribe(lambda _: self.wake())
         contact.changes.subscribe(lambda _: self.wake())
@@ -62,6 +74,14 @@
         self._news.set()
         self._news = asyncio.Event()
 
+    def watch(self) -> None:
+        """Look whether the store still answers; to be called regularly."""
+        store_answers = self._contact.answers and not self._is_store_lost()
+        if store_answers is not self._store_answers:
+            self._store_answers = store_answers
+            log_event("leader_store_changed", store_answers=store_answers)
+            self.wake()
+
     async def answer(self, report: RouterReport) -> LeaderView | None:
         """Return what is new to a router, or None if this one is not the leader."""
         self._load.add_report(report.keys)
@@ -69,13 +89,13 @@
         while self._is_leader():
             news = self._news
             view = LeaderView(
+                self._contact.updates_since(report.table_versions),
                 self._ownership.changes_since(report.range_versions),
-                dict(self._contact.changed_versions),
-                self._contact.answers,
+                self._store_answers,
             )
             left_ms = end_ms - self._clock()
-            has_news = view.ranges or view.store_answers is not report.store_answers
-            if has_news or left_ms <= 0:
+            is_other_word = view.store_answers is not report.store_answers
+            if view.tables or view.ranges or is_other_word or left_ms <= 0:
                 return view
             try:
                 async with asyncio.timeout(left_ms / 1000):
@@ -93,73 +113,74 @@
         load: KeyLoad,
         ownership: Ownership,
         contact: StoreContact,
+        desk: LeaderDesk,
         boot_id: str,
         is_leader: Callable[[], bool],
         on_leader_lost: Callable[[], None],
         has_waiting: Callable[[], bool],
         send: Send,
-        clock: Clock,
     ) -> None:
         self._load = load
         self._ownership = ownership
         self._contact = contact
+        self._desk = desk
         self._boot_id = boot_id
         self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
         self._has_waiting = has_waiting
         self._send = send
-        self._clock = clock
         self._store_answers = True
         """What the leader last said."""
-        self._behind_ms: dict[str, float] = {}
-        """Since when the leader knows more of a table than this router."""
         self._is_lost = False
 
     async def run(self) -> None:
         """Report to the leader for ever."""
         while True:
+            if self._is_leader():
+                self._load.take_report()
+                self._contact.set_role(Role.LEADING)
+                self._desk.watch()
+                await asyncio.sleep(WATCH_S)
+                continue
             notice = self._ownership.notice
             if notice is None or notice.boot_id in ("", self._boot_id):
                 self._load.take_report()
-                self._contact.set_linked(self._is_leader())
-                await asyncio.sleep(RETRY_S)
+                self._contact.set_role(Role.ALONE)
+                await asyncio.sleep(WATCH_S)
                 continue
             report = RouterReport(
                 self._load.take_report(),
                 dict(self._ownership.range_versions),
+                self._contact.table_versions,
                 self._store_answers,
                 BUSY_REPORT_MS if self._has_waiting() else REPORT_MS,
             )
             view = await self._send(notice.link_url, report)
             self._note_reached(view is not None, notice)
+            if self._is_leader():
+                continue
             if view is None:
-                self._contact.set_linked(self._is_leader())
+                self._contact.set_role(Role.ALONE)
                 self._on_leader_lost()
                 await asyncio.sleep(RETRY_S)
                 continue
             self._take(view)
-            self._contact.set_linked(True)
 
     def _take(self, view: LeaderView) -> None:
+        is_news = view.store_answers is not self._store_answers
+        self._store_answers = view.store_answers
+        # First, since what the tables lack after an outage may be back soon.
+        if view.store_answers and not self._contact.answers:
+            self._contact.note(True)
+        elif is_news and not view.store_answers:
+            self._contact.note(False)
+        for update in view.tables:
+            if update.version > self._contact.table_versions.get(update.table, 0):
+                read = TableRead(update.rows, update.version, 0.0)
+                self._contact.take(update.table, read, update.is_complete)
         self._ownership.take_changes(view.ranges)
-        if view.store_answers is not self._store_answers:
-            self._store_answers = view.store_answers
-            self._contact.note(view.store_answers)
-        for table, version in view.changed_versions.items():
-            if version <= self._contact.read_version(table):
-                self._behind_ms.pop(table, None)
-                continue
-            since_ms = self._behind_ms.setdefault(table, self._clock())
-            if self._clock() - since_ms < BEHIND_MS:
-                continue
-            del self._behind_ms[table]
-            log_event(
-                "poll_lost",
-                table=table,
-                read_version=self._contact.read_version(table),
-                leader_version=version,
-            )
-            self._contact.reread(table)
+        # Without the store, the leader does not hear of changes.
+        self._contact.set_role(Role.LINKED if view.store_answers else Role.ALONE)
 
     def _note_reached(self, is_reached: bool, notice: LeaderNoticeRow) -> None:
         if self._is_lost is not is_reached:
@@ -175,6 +196,8 @@
     def __init__(self, desk: LeaderDesk) -> None:
         self._desk = desk
         self._runner: web.AppRunner | None = None
+        self._bodies: OrderedDict[object, bytes] = OrderedDict()
+        """The last answers, as many routers know the same and are told the same."""
 
     async def start(self, host: str, port: int) -> int:
         """Listen for the reports of other routers; returns the port."""
@@ -193,14 +216,31 @@
     async def _take(self, request: web.Request) -> web.Response:
         body = await request.read()
         try:
-            report = msgspec.json.decode(body, type=RouterReport)
+            report = msgspec.msgpack.decode(body, type=RouterReport)
         except msgspec.MsgspecError as error:
             log_event("bad_report", error=str(error))
             return web.Response(status=400)
         view = await self._desk.answer(report)
         if view is None:
             return web.Response(status=409)
-        return web.Response(body=msgspec.json.encode(view))
+        return web.Response(body=self._body(report, view))
+
+    def _body(self, report: RouterReport, view: LeaderView) -> bytes:
+        told = (
+            tuple((update.table, update.version) for update in view.tables),
+            tuple((change.service, change.version) for change in view.ranges),
+            view.store_answers,
+        )
+        known = (
+            tuple(sorted(report.table_versions.items())),
+            tuple(sorted(report.range_versions.items())),
+        )
+        body = self._bodies.get((known, told))
+        if body is None:
+            body = self._bodies[known, told] = _packed(msgspec.msgpack.encode(view))
+        if len(self._bodies) > KEPT_BODIES:
+            self._bodies.popitem(last=False)
+        return body
 
 
 class LinkClient:
@@ -211,20 +251,34 @@
 
     async def send(self, url: str, report: RouterReport) -> LeaderView | None:
         """Send a report to a leader's address; implements ``Send``."""
-        body = msgspec.json.encode(report)
+        body = msgspec.msgpack.encode(report)
         timeout_s = report.wait_ms / 1000 + ANSWER_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=ANSWER_TIMEOUT_S)
         try:
             async with self._session.post(url, data=body, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
-                return msgspec.json.decode(await reply.read(), type=LeaderView)
+                body = _unpacked(await reply.read())
+                return msgspec.msgpack.decode(body, type=LeaderView)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log_event("report_failed", url=url, error=repr(error))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, zlib.error) as error:
             log_event("bad_view", url=url, error=str(error))
         return None
 
     async def close(self) -> None:
         """Release connections."""
         await self._session.close()
+
+
+def _packed(body: bytes) -> bytes:
+    """Return a body, compressed if it is large, behind a byte that says so."""
+    if len(body) < COMPRESSED_BYTES:
+        return PLAIN + body
+    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def _unpacked(body: bytes) -> bytes:
+    if body[:1] == COMPRESSED:
+        return zlib.decompress(body[1:])
+    return body[1:]
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -33,13 +33,15 @@
 LEASE_MS = 3000.0
 RENEW_MS = 900.0
 RETRY_MS = 150.0
-CHECK_MS = 10_000.0
-"""Mean period in which a follower looks at the lease without a reason."""
+CHECK_MS = 60_000.0
+"""Mean period in which a follower looks at the lease without a reason; a leader that
+does not answer reports is one."""
 VALID_POLL_S = 0.03
 RELEASED_MS = 0.0
 """Stands for the end of a lease that was given up at a time that is not known."""
 SLOW_RENEWAL_MS = 150.0
 LATE_RENEWAL_MS = 300.0
+LOST_RENEWAL_MS = 700.0
 MARGIN_MS = 100.0
 """For clocks that run at different speeds."""
 
@@ -115,6 +117,12 @@
         waited_ms = self._clock() - self._renewing_ms
         return self._is_troubled or waited_ms > LATE_RENEWAL_MS
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether changes in the store may go unnoticed here."""
+        waited_ms = self._clock() - self._renewing_ms
+        return self._is_troubled or waited_ms > LOST_RENEWAL_MS
+
     @property
     def is_slow(self) -> bool:
         """Whether the last renewal took so long that moves had better wait."""
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -16,6 +16,8 @@
 )
 from mulberryrelay_kernel.states import ServerState
 
+from .tablemirror import TableUpdate
+
 LAST_KEY = 65535
 
 
@@ -205,6 +207,7 @@
     keys: dict[ServiceName, list[int]]
     """Keys requested since the last report."""
     range_versions: dict[ServiceName, int]
+    table_versions: dict[str, int]
     store_answers: bool
     """What the leader last said of the store."""
     wait_ms: float
@@ -214,7 +217,7 @@
 class LeaderView(msgspec.Struct, frozen=True):
     """What the leader tells a router."""
 
+    tables: list[TableUpdate]
     ranges: list[RangeChange]
-    changed_versions: dict[str, int]
-    """Version of the newest change of each table that routers follow themselves."""
     store_answers: bool
+    """Whether the leader's own calls are answered, so that it knows what changes."""
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from mulberryrelay_edge.following import PROBE_WAIT_MS, Followed, StoreContact
+from mulberryrelay_edge.following import Role, StoreContact
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.keyspace import (
     Piece,
@@ -30,6 +30,7 @@
 )
 from mulberryrelay_edge.messages import RangeChange, RangeMapRow, RouterReport
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.tablemirror import TableMirror
 from mulberryrelay_edge.tablestore import TableRead, TableRow
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.states import ServerState
@@ -48,6 +49,8 @@
 from .fixtures.virtual_time import run_virtual
 
 SEED = 20261204
+CONTACT_S = 3.0
+"""Time in which the leader notices that it hears from the store again."""
 IN_FORCE_S = 2.0
 """A version of the routes is in force everywhere after this time."""
 EDITS = 200
@@ -58,6 +61,11 @@
     return [router for router in fleet.routers if router is not fleet.leader]
 
 
+def _hears(router: FleetRouter) -> bool:
+    """Return whether a router leads or is told what changes."""
+    return router.contact.role is not Role.ALONE
+
+
 def put_routes(fleet: Fleet, version: int) -> None:
     """Write a version as the operator does."""
     value = msgspec.json.encode(route_table(version))
@@ -75,7 +83,7 @@
     fleet = Fleet(seed, routers)
     await fleet.settle()
     await asyncio.sleep(1.0)
-    assert all(router.contact.is_linked for router in fleet.routers)
+    assert all(_hears(router) for router in fleet.routers)
     return fleet
 
 
@@ -96,9 +104,8 @@
             for router in followers_of(fleet):
                 assert router.ownership.version(SERVICE) >= version
         assert leader.ownership.version(SERVICE) > seen_version
-        # Two writes and the leader's renewals; each router learns of the entry by a
-        # poll of its own, which it then repeats.
-        assert fleet.tables.calls - before <= 2 + 4 + 2 * len(fleet.routers)
+        # Two writes, renewals, and polls of two tables by the leader alone.
+        assert fleet.tables.calls - before <= 2 + 4 + 4
         fleet.stop()
 
     run_virtual(scenario())
@@ -110,7 +117,7 @@
         alone = followers_of(fleet)[0]
         alone.is_unreachable = True
         await asyncio.sleep(2.0)
-        assert not alone.contact.is_linked
+        assert not _hears(alone)
         drain(fleet, 1)
         await asyncio.sleep(2.0)
         leader = fleet.leader
@@ -119,24 +126,27 @@
         assert alone.ownership.version(SERVICE) == expected
         alone.is_unreachable = False
         await asyncio.sleep(2.0)
-        assert alone.contact.is_linked
+        assert _hears(alone)
         fleet.stop()
 
     run_virtual(scenario())
 
 
-def test_a_lost_poll_of_a_linked_router_is_made_up_for() -> None:
+def test_a_lost_poll_is_made_up_for() -> None:
     """Guards against a poll of 10 s whose connection went silent."""
 
     async def scenario() -> None:
         fleet = await settled()
-        silent = followers_of(fleet)[0]
-        silent.store.is_cut = True
-        put_routes(fleet, 2)
-        await asyncio.sleep(0.01)
-        silent.store.is_cut = False
-        await asyncio.sleep(IN_FORCE_S)
-        assert silent.catalog.version == 2
+        assert fleet.leader is not None
+        for silent in (followers_of(fleet)[0], fleet.leader):
+            before = silent.catalog.version
+            silent.store.is_cut = True
+            put_routes(fleet, before + 1)
+            await asyncio.sleep(0.01)
+            silent.store.is_cut = False
+            await asyncio.sleep(CONTACT_S + IN_FORCE_S)
+            for router in fleet.routers:
+                assert router.catalog.version == before + 1
         fleet.stop()
 
     run_virtual(scenario())
@@ -176,31 +186,72 @@
         await old.lease.release()
         fleet.restart(old)
         await asyncio.sleep(2.0)
-        assert all(router.contact.is_linked for router in fleet.routers)
+        assert all(_hears(router) for router in fleet.routers)
         assert fleet.leader is not None
         fleet.stop()
 
     run_virtual(scenario())
 
 
-def test_polls_are_short_without_a_leader() -> None:
-    """Guards against an outage that nobody notices before a long poll ends."""
+def test_only_the_leader_polls_the_store() -> None:
+    async def scenario() -> None:
+        fleet = await settled()
+        before = fleet.tables.calls
+        await asyncio.sleep(10.0)
+        # Renewals every 0.9 s, polls of 2 s of one table and of 10 s of another.
+        assert fleet.tables.calls - before <= 12 + 6 + 2
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_version_is_in_force_although_the_leader_is_cut_from_the_store() -> None:
+    """Guards against routers that wait for a leader that hears of nothing."""
 
     async def scenario() -> None:
-        contact = StoreContact()
-        probe = Followed("routes", is_probe=True)
-        await contact.turn(probe)
-        assert contact.wait_ms(probe) == PROBE_WAIT_MS
-        contact.set_linked(True)
-        assert contact.wait_ms(probe) > PROBE_WAIT_MS
-        event = await contact.turn(probe)
-        contact.set_linked(False)
-        assert event.is_set()
-        assert contact.wait_ms(probe) == PROBE_WAIT_MS
+        fleet = await settled()
+        leader = fleet.leader
+        assert leader is not None
+        others = followers_of(fleet)
+        leader.store.is_cut = True
+        await asyncio.sleep(0.05)
+        put_routes(fleet, 2)
+        await asyncio.sleep(IN_FORCE_S)
+        assert all(router.catalog.version == 2 for router in others)
+        fleet.stop()
 
     run_virtual(scenario())
 
 
+def test_rows_that_were_removed_are_told_whatever_a_router_knows() -> None:
+    """Guards against servers that stay at a router that missed their removal."""
+    rng = random.Random(SEED)
+    rows: dict[str, TableRow] = {}
+    leader, other = TableMirror(), TableMirror()
+    for version in range(1, EDITS):
+        key = f"row-{rng.randrange(6)}"
+        changed = TableRow(key, None if rng.random() < 0.4 else b"v", version)
+        if changed.value is None:
+            rows.pop(key, None)
+        else:
+            rows[key] = changed
+        if rng.random() < 0.5:
+            leader.take(TableRead(list(rows.values()), version, 0.0), True)
+        elif leader.version == version - 1:
+            leader.take(TableRead([changed], version, 0.0), False)
+        if rng.random() < 0.3:
+            update = leader.update_since("table", other.version)
+            if update is not None:
+                read = TableRead(update.rows, update.version, 0.0)
+                other.take(read, update.is_complete)
+            known = other.update_since("table", 0)
+            expected = leader.update_since("table", 0)
+            assert known is not None and expected is not None
+            assert sorted(r.key for r in known.rows) == sorted(
+                r.key for r in expected.rows
+            )
+
+
 def _edited(ranges: Ranges, rng: random.Random) -> Ranges:
     moving = [part for part in ranges if part.is_moving]
     kind = rng.randrange(4)
@@ -255,17 +306,26 @@
     row = TableRow(SERVICE, msgspec.json.encode(RangeMapRow("a", ranges)), 3)
     ownership.take(TableRead([row], 3, 0.0), False)
     leads = True
-    desk = LeaderDesk(load, ownership, StoreContact(), lambda: leads, monotonic_ms)
+    desk = LeaderDesk(
+        load,
+        ownership,
+        StoreContact(),
+        lambda: leads,
+        lambda: False,
+        monotonic_ms,
+    )
     server = LinkServer(desk)
     client = LinkClient()
     try:
         port = await server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
-        view = await client.send(url, RouterReport({SERVICE: [7, 7]}, {}, True, 50.0))
+        view = await client.send(
+            url, RouterReport({SERVICE: [7, 7]}, {}, {}, True, 50.0)
+        )
         assert view is not None
         assert view.ranges == [RangeChange(SERVICE, 3, 0, ranges)]
         assert load.sample(SERVICE).keys == [7, 7]
-        known = RouterReport({}, {SERVICE: 3}, True, 50.0)
+        known = RouterReport({}, {SERVICE: 3}, {}, True, 50.0)
         view = await client.send(url, known)
         assert view is not None and view.ranges == []
         leads = False
