Divide the budget of repeats among the routers that there are

Cause: the settings do not say how many routers there are, and the shared part of the budget was divided by 12; with 62 routers five times the users' bound could be spent. Ruled out: counting entries of routers in the store (further calls). Change: the leader counts the routers that report and tells them; 12 stays the least number, as routers out of touch spend their part, too. A router counts for 30 s after its last report.

--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -96,7 +96,15 @@
     pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
     metrics = Metrics(Tenant(""))
     path = RequestPath(
-        adapter, catalog, ownership, dispatcher, pool, load, metrics, clock
+        adapter,
+        catalog,
+        ownership,
+        dispatcher,
+        pool,
+        load,
+        metrics,
+        lambda: link.routers,
+        clock,
     )
     callers = CallerServer(adapter, catalog, path, clock)
     link_url = f"http://{options.host}:{options.internal_port}{LINK_PATH}"
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -33,6 +33,8 @@
 ANSWER_TIMEOUT_S = 0.5
 """Time for an answer beyond the wait that the report allows."""
 LONGEST_WAIT_MS = 2000.0
+FORGOTTEN_MS = 30_000.0
+"""Time after its last report for which a router counts."""
 WATCH_S = 0.1
 """Period in which the leader looks whether it still hears from the store."""
 COMPRESSED_BYTES = 2000
@@ -65,10 +67,21 @@
         self._is_store_lost = is_store_lost
         self._clock = clock
         self._store_answers = True
+        self._reported_ms: dict[str, float] = {}
+        """When each router last reported."""
         self._news = asyncio.Event()
         ownership.changes.subscribe(lambda _: self.wake())
         contact.changes.subscribe(lambda _: self.wake())
 
+    @property
+    def routers(self) -> int:
+        """Number of routers that reported lately, and this one."""
+        oldest_ms = self._clock() - FORGOTTEN_MS
+        for boot_id, reported_ms in list(self._reported_ms.items()):
+            if reported_ms < oldest_ms:
+                del self._reported_ms[boot_id]
+        return 1 + len(self._reported_ms)
+
     def wake(self) -> None:
         """Look whether there is news for the routers that wait."""
         self._news.set()
@@ -85,6 +98,7 @@
     async def answer(self, report: RouterReport) -> LeaderView | None:
         """Return what is new to a router, or None if this one is not the leader."""
         self._load.add_report(report.keys)
+        self._reported_ms[report.boot_id] = self._clock()
         end_ms = self._clock() + min(report.wait_ms, LONGEST_WAIT_MS)
         while self._is_leader():
             news = self._news
@@ -92,6 +106,7 @@
                 self._contact.updates_since(report.table_versions),
                 self._ownership.changes_since(report.range_versions),
                 self._store_answers,
+                self.routers,
             )
             left_ms = end_ms - self._clock()
             is_other_word = view.store_answers is not report.store_answers
@@ -131,8 +146,14 @@
         self._send = send
         self._store_answers = True
         """What the leader last said."""
+        self._routers = 1
         self._is_lost = False
 
+    @property
+    def routers(self) -> int:
+        """Number of routers, as last known here."""
+        return self._routers
+
     async def run(self) -> None:
         """Report to the leader for ever."""
         while True:
@@ -140,6 +161,7 @@
                 self._load.take_report()
                 self._contact.set_role(Role.LEADING)
                 self._desk.watch()
+                self._routers = self._desk.routers
                 await asyncio.sleep(WATCH_S)
                 continue
             notice = self._ownership.notice
@@ -149,6 +171,7 @@
                 await asyncio.sleep(WATCH_S)
                 continue
             report = RouterReport(
+                self._boot_id,
                 self._load.take_report(),
                 dict(self._ownership.range_versions),
                 self._contact.table_versions,
@@ -167,6 +190,7 @@
             self._take(view)
 
     def _take(self, view: LeaderView) -> None:
+        self._routers = view.routers
         is_news = view.store_answers is not self._store_answers
         self._store_answers = view.store_answers
         # First, since what the tables lack after an outage may be back soon.
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -204,6 +204,7 @@
 class RouterReport(msgspec.Struct, frozen=True):
     """What a router tells the leader: requested keys, and what it knows."""
 
+    boot_id: str
     keys: dict[ServiceName, list[int]]
     """Keys requested since the last report."""
     range_versions: dict[ServiceName, int]
@@ -221,3 +222,5 @@
     ranges: list[RangeChange]
     store_answers: bool
     """Whether the leader's own calls are answered, so that it knows what changes."""
+    routers: int
+    """Number of routers that report, and the leader."""
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -27,4 +27,4 @@
     retry_slack: float
     """Further repeated sends in a window, for all routers together."""
     routers: int
-    """Planned number of routers, among which shared budgets are divided."""
+    """Least number of routers among which shared budgets are divided."""
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -1,6 +1,7 @@
 """The way of one request: it waits for its turn, is sent, and repeated if safe."""
 
 import asyncio
+from collections.abc import Callable
 
 from multidict import CIMultiDict
 
@@ -43,6 +44,7 @@
         pool: Pool,
         key_load: KeyLoad,
         metrics: Metrics,
+        routers: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -53,7 +55,7 @@
         self._key_load = key_load
         self._metrics = metrics
         self._clock = clock
-        self._budget = RetryBudget(lambda: adapter.options, clock)
+        self._budget = RetryBudget(lambda: adapter.options, routers, clock)
 
     async def run(self, request: EdgeRequest) -> EdgeAnswer:
         """Return the answer to a request, at its deadline at the latest."""
--- a/packages/edge/mulberryrelay_edge/retrybudget.py
+++ b/packages/edge/mulberryrelay_edge/retrybudget.py
@@ -15,8 +15,14 @@
 class RetryBudget:
     """Repeated sends of one router in a sliding window, for each service."""
 
-    def __init__(self, options: Callable[[], EdgeOptions], clock: Clock) -> None:
+    def __init__(
+        self,
+        options: Callable[[], EdgeOptions],
+        routers: Callable[[], int],
+        clock: Clock,
+    ) -> None:
         self._options = options
+        self._routers = routers
         self._clock = clock
         self._requests: dict[ServiceName, deque[float]] = {}
         self._repeats: dict[ServiceName, deque[float]] = {}
@@ -34,7 +40,8 @@
         for times in (requests, repeats):
             while times and times[0] < oldest_ms:
                 times.popleft()
-        slack = options.retry_slack / options.routers
+        # Routers that are out of touch spend their part, too.
+        slack = options.retry_slack / max(options.routers, self._routers())
         allowed = USED_SHARE * (options.retry_ratio * len(requests) + slack)
         if len(repeats) + 1 > allowed:
             return False
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import random
 
 import msgspec
@@ -30,6 +31,7 @@
 )
 from mulberryrelay_edge.messages import RangeChange, RangeMapRow, RouterReport
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.retrybudget import RetryBudget
 from mulberryrelay_edge.tablemirror import TableMirror
 from mulberryrelay_edge.tablestore import TableRead, TableRow
 from mulberryrelay_kernel.clock import monotonic_ms
@@ -45,8 +47,9 @@
     backend,
     route_table,
 )
+from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
-from .fixtures.virtual_time import run_virtual
+from .fixtures.virtual_time import now_ms, run_virtual
 
 SEED = 20261204
 CONTACT_S = 3.0
@@ -205,6 +208,30 @@
     run_virtual(scenario())
 
 
+def test_shared_budgets_are_divided_among_all_routers() -> None:
+    """Guards against a fixed number of routers, each of which spends too much.
+
+    60 repeats in a window are allowed for all routers together.
+    """
+
+    async def scenario() -> None:
+        fleet = await settled(routers=20)
+        assert all(router.link.routers == 20 for router in fleet.routers)
+        options = EdgeAdapter(fleet.tables).options
+        limited = msgspec.structs.replace(
+            options, retry_ratio=0.0, retry_slack=60.0, routers=4
+        )
+        taken = 0
+        for router in fleet.routers:
+            known = router.link.routers
+            budget = RetryBudget(lambda: limited, functools.partial(int, known), now_ms)
+            taken += sum(budget.take(SERVICE) for _ in range(10))
+        assert 0 < taken <= 60
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
 def test_a_version_is_in_force_although_the_leader_is_cut_from_the_store() -> None:
     """Guards against routers that wait for a leader that hears of nothing."""
 
@@ -320,12 +347,12 @@
         port = await server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
         view = await client.send(
-            url, RouterReport({SERVICE: [7, 7]}, {}, {}, True, 50.0)
+            url, RouterReport("a", {SERVICE: [7, 7]}, {}, {}, True, 50.0)
         )
         assert view is not None
         assert view.ranges == [RangeChange(SERVICE, 3, 0, ranges)]
         assert load.sample(SERVICE).keys == [7, 7]
-        known = RouterReport({}, {SERVICE: 3}, {}, True, 50.0)
+        known = RouterReport("a", {}, {SERVICE: 3}, {}, True, 50.0)
         view = await client.send(url, known)
         assert view is not None and view.ranges == []
         leads = False
