Show what an edge router believes: leader, ranges, holds, silent servers, routes

Cause: on call had only logs to find out who leads, who holds a key and for how long; mulberryctl status knows the coordinator's deployments alone. Change: the listener of the metrics serves a status, and mulberryctl edge-status prints it; the leader adds how long each hold lasts at most. Tests read the status of a fleet and the command's output, also when no router answers.

--- a/packages/ctl/mulberryctl/answers.py
+++ b/packages/ctl/mulberryctl/answers.py
@@ -5,6 +5,7 @@
 
 from mulberryrelay_kernel.messages import (
     AdminError,
+    EdgeStatus,
     RouterStatus,
     RulesChecked,
     RulesPlan,
@@ -66,6 +67,34 @@
     return "\n".join(lines)
 
 
+def edge_status_text(status: EdgeStatus) -> str:
+    """Return an edge router's status with one line for each range."""
+    store = "answers"
+    if not status.store_answers:
+        store = f"silent for {status.store_silent_ms / 1000:.1f} s"
+    lines = [
+        f"router {status.instance}: {status.role}, {status.in_flight} requests in"
+        f" flight, {status.waiting} waiting",
+        f"leader: term {status.term} at {status.leader_url or 'no address'},"
+        f" {status.routers} routers",
+        f"store: {store}",
+        f"routes: version {status.routes_version},"
+        f" in force for {status.routes_age_ms / 1000:.1f} s; {status.servers} servers",
+    ]
+    if status.silent_servers:
+        lines.append(f"servers without grants: {', '.join(status.silent_servers)}")
+    for service in status.services:
+        lines.append(f"{service.service}: ranges of row version {service.row_version}")
+        for part in service.ranges:
+            line = f"  {part.first}-{part.last} {part.server} fence {part.fence}"
+            if part.next_server:
+                line += f", moves to {part.next_server}"
+            if part.hold_left_ms is not None:
+                line += f", held for at most {part.hold_left_ms / 1000:.1f} s"
+            lines.append(line)
+    return "\n".join(lines)
+
+
 def history_text(rows: Sequence[RulesRow]) -> str:
     """Return one line for each version."""
     return "\n".join(_row_text(row) for row in rows) or "no version was submitted"
--- a/packages/ctl/mulberryctl/main.py
+++ b/packages/ctl/mulberryctl/main.py
@@ -17,6 +17,7 @@
 from mulberryrelay_kernel.ids import RulesVersion
 from mulberryrelay_kernel.messages import (
     AdminError,
+    EdgeStatus,
     RouterStatus,
     RulesChecked,
     RulesPlan,
@@ -29,7 +30,14 @@
 from mulberryrelay_kernel.settings import load_settings
 
 from .access import Access, AccessError, ExitCode, find_access
-from .answers import checked_text, error_text, history_text, plan_text, status_text
+from .answers import (
+    checked_text,
+    edge_status_text,
+    error_text,
+    history_text,
+    plan_text,
+    status_text,
+)
 from .client import AdminClient, ApiFailure
 from .story import find_story, story_text
 
@@ -67,9 +75,9 @@
         except AccessError as error:
             self.fail(ExitCode.USAGE, AdminError("settings", str(error)))
 
-    def call(self, call: Call[Answer]) -> Answer:
+    def call(self, call: Call[Answer], access: Access | None = None) -> Answer:
         """Return the answer of the administration API or exit."""
-        access = self.access()
+        access = access or self.access()
 
         async def run() -> Result[Answer, ApiFailure]:
             async with AdminClient(access) as client:
@@ -203,6 +211,18 @@
     session.print(answer, status_text(answer))
 
 
+@main.command("edge-status")
+@common_options
+def edge_status(session: Session) -> None:
+    """Show what an edge router believes; the address is that of its metrics."""
+    if session.address is None:
+        message = "give the address of a router's metrics with --address"
+        session.fail(ExitCode.USAGE, AdminError("settings", message))
+    access = Access(session.address, "")
+    answer = session.call(lambda c: c.get("/status", EdgeStatus), access)
+    session.print(answer, edge_status_text(answer))
+
+
 @main.command()
 @click.option("--limit", type=click.IntRange(1, 1000), default=20, show_default=True)
 @common_options
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -43,6 +43,7 @@
         self._relist_ms = relist_ms
         self._clock = clock
         self._routes: RouteTable | None = None
+        self._routes_ms = float("-inf")
         self._servers: dict[ServerId, BackendServer] = {}
         self._absent: dict[ServerId, float] = {}
         """Servers missing since an outage of the store, with the end of their time to
@@ -66,6 +67,16 @@
         """Version of the routes in force; 0 before the first."""
         return self._routes.version if self._routes is not None else 0
 
+    @property
+    def routes_age_ms(self) -> float:
+        """How long the routes have been in force here; 0 before the first."""
+        return self._clock() - self._routes_ms if self._routes is not None else 0.0
+
+    @property
+    def server_count(self) -> int:
+        """Number of registered servers of all services."""
+        return len(self._servers)
+
     @property
     def store_silent_ms(self) -> float:
         """How long ago the store was lost; 0 while it answers."""
@@ -143,6 +154,7 @@
             if self._routes is not None and table.version <= self._routes.version:
                 continue
             self._routes = table
+            self._routes_ms = self._clock()
             log_event("routes_applied", version=table.version, row_version=row.version)
             self._changes.on_next(None)
 
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -88,6 +88,8 @@
         self._clock = clock
         self._known: dict[Life, BackendServer] = {}
         self._term: asyncio.Task[None] | None = None
+        self._holders: Holders | None = None
+        """Of the current term."""
         lease.changes.subscribe(self._on_lease)
         catalog.changes.subscribe(lambda _: self._remember())
 
@@ -101,8 +103,13 @@
             for server in self._catalog.servers(service.name):
                 self._known[server.server, server.born_ms] = server
 
+    def hold_end_ms(self, life: Life) -> float | None:
+        """Return when a server's last possible hold runs out, if this router leads."""
+        return self._holders.hold_end_ms(life) if self._holders is not None else None
+
     def abort(self) -> None:
         """End the work of the current term without any further order."""
+        self._holders = None
         if self._term is not None:
             self._term.cancel()
             self._term = None
@@ -113,6 +120,14 @@
             self._term = asyncio.create_task(self._run_term())
 
     async def _run_term(self) -> None:
+        self._holders = Holders(
+            self._orders,
+            self._catalog,
+            self._known,
+            self._longest_hold_ms,
+            self._lease,
+            self._clock,
+        )
         term = _Term(
             self._lease,
             RangeStore(
@@ -121,14 +136,7 @@
                 self._boot_id,
                 self._lease,
             ),
-            Holders(
-                self._orders,
-                self._catalog,
-                self._known,
-                self._longest_hold_ms,
-                self._lease,
-                self._clock,
-            ),
+            self._holders,
             self._catalog,
             self._load,
             self._slowness,
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -23,6 +23,7 @@
 from .metricspage import MetricsPage
 from .ownership import RANGES_TABLE, Ownership
 from .requests import RequestPath
+from .status import StatusSource
 
 CONNECTIONS_PER_SERVER = 12
 """A server accepts about 110 connections from all routers together."""
@@ -111,7 +112,7 @@
     lease = LeaderLease(
         adapter.store, ownership, options.instance, boot_id, link_url, clock
     )
-    Coordinator(
+    coordinator = Coordinator(
         lease,
         adapter.store,
         adapter.orders,
@@ -147,6 +148,16 @@
         link_client.send,
     )
     await callers.start()
+    status = StatusSource(
+        options.instance,
+        catalog,
+        ownership,
+        contact,
+        lease,
+        coordinator,
+        link,
+        clock,
+    )
     page = MetricsPage(
         metrics,
         lambda: {
@@ -157,6 +168,7 @@
             "routes_version": catalog.version,
             "store_silent_ms": catalog.store_silent_ms,
         },
+        lambda: status.take(callers.in_flight, dispatcher.waiting),
     )
     await page.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
--- a/packages/edge/mulberryrelay_edge/metricspage.py
+++ b/packages/edge/mulberryrelay_edge/metricspage.py
@@ -1,16 +1,19 @@
-"""Serves counters and latencies of an edge router as a text page.
+"""Serves counters and latencies of an edge router as a text page, and its status.
 
 Latencies are kept in histograms for each service and route; the page shows quantiles.
 """
 
 from collections.abc import Callable, Iterator
 
+import msgspec
 from aiohttp import web
 
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.messages import EdgeStatus
 from mulberryrelay_kernel.metrics import Metrics
 
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
 PREFIX = "mulberryrelay"
 Gauges = Callable[[], dict[str, float]]
 
@@ -69,15 +72,25 @@
 class MetricsPage:
     """The listener of the metrics page."""
 
-    def __init__(self, metrics: Metrics, gauges: Gauges) -> None:
+    def __init__(
+        self, metrics: Metrics, gauges: Gauges, status: Callable[[], EdgeStatus]
+    ) -> None:
         self._metrics = metrics
         self._gauges = gauges
+        self._status = status
         self._runner: web.AppRunner | None = None
 
+    @property
+    def port(self) -> int:
+        """Port of the listener, once it is started."""
+        assert self._runner is not None
+        return int(self._runner.addresses[0][1])
+
     async def start(self, host: str, port: int) -> None:
         """Listen; a port that is taken costs the page and not the router."""
         app = web.Application()
         app.router.add_get(METRICS_PATH, self._show)
+        app.router.add_get(STATUS_PATH, self._show_status)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         try:
@@ -90,6 +103,10 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _show_status(self, request: web.Request) -> web.Response:
+        body = msgspec.json.encode(self._status())
+        return web.Response(body=body, content_type="application/json")
+
     async def _show(self, request: web.Request) -> web.Response:
         page = render_page(self._metrics, self._gauges)
         return web.Response(body=page, content_type="text/plain", charset="utf-8")
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -55,6 +55,10 @@
             return None
         return ranges[bisect_right(self._starts[service], key) - 1]
 
+    def ranges(self, service: ServiceName) -> Ranges:
+        """Return all ranges of a service; none before its keys were divided."""
+        return self._maps.get(service, ())
+
     @property
     def range_versions(self) -> Mapping[ServiceName, int]:
         """The store's version of the ranges of each service."""
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/status.py
@@ -0,0 +1,80 @@
+"""What this router believes, for the status page and ``mulberryctl edge-status``."""
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import InstanceId
+from mulberryrelay_kernel.messages import (
+    EdgeRangeStatus,
+    EdgeServiceStatus,
+    EdgeStatus,
+)
+
+from .catalog import Catalog
+from .coordinator import Coordinator
+from .following import StoreContact
+from .leaderlink import LeaderLink
+from .lease import LeaderLease
+from .messages import KeyRange
+from .ownership import Ownership
+
+
+class StatusSource:
+    """The parts of a router that a status is taken from."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        catalog: Catalog,
+        ownership: Ownership,
+        contact: StoreContact,
+        lease: LeaderLease,
+        coordinator: Coordinator,
+        link: LeaderLink,
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._catalog = catalog
+        self._ownership = ownership
+        self._contact = contact
+        self._lease = lease
+        self._coordinator = coordinator
+        self._link = link
+        self._clock = clock
+
+    def take(self, in_flight: int, waiting: int) -> EdgeStatus:
+        """Return the status now."""
+        notice = self._ownership.notice
+        silent = self._lease.silences.ends if self._lease.is_valid else {}
+        return EdgeStatus(
+            instance=self._instance,
+            role=self._contact.role.value,
+            term=notice.term if notice is not None else 0,
+            leader_url=notice.link_url if notice is not None else "",
+            routers=self._link.routers,
+            store_answers=self._contact.answers,
+            store_silent_ms=self._catalog.store_silent_ms,
+            routes_version=self._catalog.version,
+            routes_age_ms=self._catalog.routes_age_ms,
+            servers=self._catalog.server_count,
+            in_flight=in_flight,
+            waiting=waiting,
+            silent_servers=sorted(server for server, _ in silent),
+            services=[
+                EdgeServiceStatus(
+                    service,
+                    version,
+                    [self._range(part) for part in self._ownership.ranges(service)],
+                )
+                for service, version in self._ownership.range_versions.items()
+            ],
+        )
+
+    def _range(self, part: KeyRange) -> EdgeRangeStatus:
+        end_ms = self._coordinator.hold_end_ms((part.owner, part.owner_born_ms))
+        return EdgeRangeStatus(
+            part.first,
+            part.last,
+            part.owner,
+            part.fence,
+            part.next_owner,
+            None if end_ms is None else end_ms - self._clock(),
+        )
--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -411,3 +411,47 @@
     """Backend servers as this router sees them."""
     listed: list[ListedInstance] | None
     """The platform's list; None if the platform does not answer."""
+
+
+class EdgeRangeStatus(msgspec.Struct, frozen=True):
+    """Keys of a service that one server holds, as an edge router knows them."""
+
+    first: int
+    last: int
+    server: ServerId
+    fence: int
+    next_server: ServerId
+    """Empty unless the keys move."""
+    hold_left_ms: float | None
+    """Time until its last hold has run out; only the leader knows it."""
+
+
+class EdgeServiceStatus(msgspec.Struct, frozen=True):
+    """Owners of the keys of one service."""
+
+    service: ServiceName
+    row_version: int
+    ranges: list[EdgeRangeStatus]
+
+
+class EdgeStatus(msgspec.Struct, frozen=True):
+    """What an edge router believes now; times in milliseconds."""
+
+    instance: InstanceId
+    role: str
+    """How it learns of changes: alone, linked or leading."""
+    term: int
+    """Of the last leader that it heard of."""
+    leader_url: str
+    routers: int
+    store_answers: bool
+    store_silent_ms: float
+    routes_version: int
+    routes_age_ms: float
+    """Time since these routes were put in force here."""
+    servers: int
+    in_flight: int
+    waiting: int
+    silent_servers: list[ServerId]
+    """Servers that the leader gives no grants, as they answer no orders."""
+    services: list[EdgeServiceStatus]
--- /dev/null
+++ b/tests/test_edge_status.py
@@ -0,0 +1,92 @@
+"""The status of an edge router, and how operators read it."""
+
+import asyncio
+
+from click.testing import CliRunner, Result
+
+from mulberryctl.main import main
+from mulberryrelay_edge.metricspage import MetricsPage
+from mulberryrelay_edge.status import StatusSource
+from mulberryrelay_kernel.ids import InstanceId, Tenant
+from mulberryrelay_kernel.messages import EdgeStatus
+from mulberryrelay_kernel.metrics import Metrics
+
+from .fixtures import async_test
+from .fixtures.edgefleet import SERVICE, Fleet, FleetRouter
+from .fixtures.rawserver import HOST
+from .fixtures.virtual_time import now_ms, run_virtual
+
+
+def status_of(router: FleetRouter) -> EdgeStatus:
+    """Return a router's status."""
+    source = StatusSource(
+        InstanceId(router.name),
+        router.catalog,
+        router.ownership,
+        router.contact,
+        router.lease,
+        router.coordinator,
+        router.link,
+        now_ms,
+    )
+    return source.take(in_flight=3, waiting=1)
+
+
+def fleet_status() -> tuple[EdgeStatus, EdgeStatus]:
+    """Return the status of a leader and of another router; one server is silent."""
+    found: list[EdgeStatus] = []
+
+    async def scenario() -> None:
+        fleet = Fleet(1)
+        await fleet.settle()
+        fleet.holders.lives[0].is_silent = True
+        await asyncio.sleep(3.0)
+        leader = fleet.leader
+        assert leader is not None
+        other = next(router for router in fleet.routers if router is not leader)
+        found.extend((status_of(leader), status_of(other)))
+        fleet.stop()
+
+    run_virtual(scenario())
+    return found[0], found[1]
+
+
+def test_a_status_tells_the_leader_its_ranges_and_silent_servers() -> None:
+    leader, other = fleet_status()
+    assert (leader.role, other.role) == ("leading", "linked")
+    assert leader.term == other.term == 1
+    assert leader.routers == other.routers == 3
+    assert leader.silent_servers == ["server-0"]
+    assert leader.store_answers and leader.routes_version == 1
+    assert leader.routes_age_ms > 3000.0
+    for status in (leader, other):
+        assert [service.service for service in status.services] == [SERVICE]
+        ranges = status.services[0].ranges
+        assert ranges[0].first == 0 and ranges[-1].last == 65535
+    assert all(part.hold_left_ms is not None for part in leader.services[0].ranges)
+    assert all(part.hold_left_ms is None for part in other.services[0].ranges)
+
+
+def run_ctl(*arguments: str) -> Result:
+    """Run the command line in this process."""
+    return CliRunner().invoke(main, ["edge-status", *arguments])
+
+
+@async_test
+async def test_operators_read_the_status_from_the_address_of_the_metrics() -> None:
+    status, _ = await asyncio.to_thread(fleet_status)
+    page = MetricsPage(Metrics(Tenant("")), dict, lambda: status)
+    await page.start(HOST, 0)
+    try:
+        url = f"http://{HOST}:{page.port}"
+        shown = await asyncio.to_thread(run_ctl, "--address", url)
+        assert shown.exit_code == 0, shown.output
+        for part in ("leading", "term 1", "fence", "without grants: server-0"):
+            assert part in shown.output, shown.output
+        as_json = await asyncio.to_thread(run_ctl, "--address", url, "--json")
+        assert '"role":"leading"' in as_json.output
+    finally:
+        await page.close()
+    gone = await asyncio.to_thread(run_ctl, "--address", url)
+    assert gone.exit_code == 4
+    assert (await asyncio.to_thread(run_ctl)).exit_code == 2
