--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -0,0 +1,145 @@
+"""The parts of a router that know and decide who serves what, put together."""
+
+from collections.abc import Awaitable, Callable
+
+from mulberryrelay_kernel.clock import Clock
+
+from .adapter import Adapter
+from .catalog import Catalog
+from .coordinator import Coordinator
+from .following import Followed, StoreContact, follow_table
+from .keyload import KeyLoad
+from .leaderlink import LINK_PATH, LeaderDesk, LeaderLink, LinkClient, LinkServer
+from .lease import LeaderLease
+from .messages import BackendServer
+from .ownership import RANGES_TABLE, Ownership
+from .status import StatusSource
+
+
+class ControlPlane:
+    """Routes, servers and owners of keys, the leader lease, and the leader's work."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        boot_id: str,
+        slowness: Callable[[BackendServer], float],
+        has_waiting: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        options = adapter.options
+        self._adapter = adapter
+        self._contact = StoreContact()
+        self._catalog = Catalog(
+            adapter.store,
+            adapter.route_source,
+            adapter.server_source,
+            self._contact,
+            options.relist_ms,
+            clock,
+        )
+        self._ownership = Ownership()
+        self._key_load = KeyLoad(clock)
+        link_url = f"http://{options.host}:{options.internal_port}{LINK_PATH}"
+        self._lease = lease = LeaderLease(
+            adapter.store, self._ownership, options.instance, boot_id, link_url, clock
+        )
+        coordinator = Coordinator(
+            lease,
+            adapter.store,
+            adapter.orders,
+            self._catalog,
+            self._ownership,
+            self._key_load,
+            slowness,
+            options.longest_hold_ms,
+            boot_id,
+            clock,
+        )
+        desk = LeaderDesk(
+            self._key_load,
+            self._ownership,
+            self._contact,
+            lambda: lease.is_valid,
+            lambda: lease.is_cut_off,
+            clock,
+        )
+        lease.changes.subscribe(lambda _: desk.wake())
+        self._link_server = LinkServer(desk)
+        self._link_client = LinkClient()
+        self._link = LeaderLink(
+            self._key_load,
+            self._ownership,
+            self._contact,
+            desk,
+            boot_id,
+            lambda: lease.is_valid,
+            lease.check_soon,
+            has_waiting,
+            self._link_client.send,
+        )
+        self._status = StatusSource(
+            options.instance,
+            self._catalog,
+            self._ownership,
+            self._contact,
+            lease,
+            coordinator,
+            self._link,
+            clock,
+        )
+
+    @property
+    def catalog(self) -> Catalog:
+        """Routes and servers."""
+        return self._catalog
+
+    @property
+    def ownership(self) -> Ownership:
+        """Owners of keys."""
+        return self._ownership
+
+    @property
+    def key_load(self) -> KeyLoad:
+        """Counts of requested keys."""
+        return self._key_load
+
+    @property
+    def lease(self) -> LeaderLease:
+        """The leader lease as this process holds or watches it."""
+        return self._lease
+
+    @property
+    def contact(self) -> StoreContact:
+        """Whether the store answers, and how this router learns of changes."""
+        return self._contact
+
+    @property
+    def status(self) -> StatusSource:
+        """What is believed, for operators."""
+        return self._status
+
+    @property
+    def routers(self) -> int:
+        """Number of routers, as last known here."""
+        return self._link.routers
+
+    async def start(self) -> None:
+        """Listen for the reports of other routers."""
+        options = self._adapter.options
+        await self._link_server.start(options.host, options.internal_port)
+
+    def tasks(self) -> list[Awaitable[None]]:
+        """Return the loops that run as long as the process."""
+        ranges = Followed(RANGES_TABLE, self._ownership.take, is_written_here=True)
+        return [
+            *self._catalog.tasks(),
+            follow_table(self._adapter.store, ranges, self._contact),
+            self._lease.run(),
+            self._link.run(),
+        ]
+
+    async def close(self) -> None:
+        """Release connections and the port."""
+        await self._link_client.close()
+        await self._link_server.close()
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -13,17 +13,11 @@
 
 from .adapter import Adapter
 from .callers import CallerServer
-from .catalog import Catalog
-from .coordinator import Coordinator
+from .controlplane import ControlPlane
 from .dispatch import Dispatcher
-from .following import Followed, Role, StoreContact, follow_table
-from .keyload import KeyLoad
-from .leaderlink import LINK_PATH, LeaderDesk, LeaderLink, LinkClient, LinkServer
-from .lease import LeaderLease
+from .following import Role
 from .metricspage import MetricsPage
-from .ownership import RANGES_TABLE, Ownership
 from .requests import RequestPath
-from .status import StatusSource
 
 CONNECTIONS_PER_SERVER = 12
 """A server accepts about 110 connections from all routers together."""
@@ -80,107 +74,51 @@
     hangup = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
     boot_id = uuid.uuid4().hex[:12]
-    contact = StoreContact()
-    catalog = Catalog(
-        adapter.store,
-        adapter.route_source,
-        adapter.server_source,
-        contact,
-        options.relist_ms,
+    dispatcher = Dispatcher(options.data_centre, clock)
+    control = ControlPlane(
+        adapter,
+        boot_id,
+        lambda server: dispatcher.loads.view(server).slowness,
+        lambda: dispatcher.waiting > 0,
         clock,
     )
-    ownership = Ownership()
-    dispatcher = Dispatcher(options.data_centre, clock)
-    catalog.changes.subscribe(lambda _: dispatcher.wake())
-    ownership.changes.subscribe(lambda _: dispatcher.wake())
-    load = KeyLoad(clock)
+    control.catalog.changes.subscribe(lambda _: dispatcher.wake())
+    control.ownership.changes.subscribe(lambda _: dispatcher.wake())
     pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
     metrics = Metrics(Tenant(""))
     path = RequestPath(
         adapter,
-        catalog,
-        ownership,
+        control.catalog,
+        control.ownership,
         dispatcher,
         pool,
-        load,
+        control.key_load,
         metrics,
-        lambda: link.routers,
-        clock,
-    )
-    callers = CallerServer(adapter, catalog, path, clock)
-    link_url = f"http://{options.host}:{options.internal_port}{LINK_PATH}"
-    lease = LeaderLease(
-        adapter.store, ownership, options.instance, boot_id, link_url, clock
-    )
-    coordinator = Coordinator(
-        lease,
-        adapter.store,
-        adapter.orders,
-        catalog,
-        ownership,
-        load,
-        lambda server: dispatcher.loads.view(server).slowness,
-        options.longest_hold_ms,
-        boot_id,
+        lambda: control.routers,
         clock,
     )
-    desk = LeaderDesk(
-        load,
-        ownership,
-        contact,
-        lambda: lease.is_valid,
-        lambda: lease.is_cut_off,
-        clock,
-    )
-    lease.changes.subscribe(lambda _: desk.wake())
-    link_server = LinkServer(desk)
-    await link_server.start(options.host, options.internal_port)
-    link_client = LinkClient()
-    link = LeaderLink(
-        load,
-        ownership,
-        contact,
-        desk,
-        boot_id,
-        lambda: lease.is_valid,
-        lease.check_soon,
-        lambda: dispatcher.waiting > 0,
-        link_client.send,
-    )
+    callers = CallerServer(adapter, control.catalog, path, clock)
+    await control.start()
     await callers.start()
-    status = StatusSource(
-        options.instance,
-        catalog,
-        ownership,
-        contact,
-        lease,
-        coordinator,
-        link,
-        clock,
-    )
     page = MetricsPage(
         metrics,
         lambda: {
             "in_flight": callers.in_flight,
             "waiting": dispatcher.waiting,
-            "leader": float(lease.is_valid),
-            "linked": float(contact.role is Role.LINKED),
-            "routes_version": catalog.version,
-            "store_silent_ms": catalog.store_silent_ms,
+            "leader": float(control.lease.is_valid),
+            "linked": float(control.contact.role is Role.LINKED),
+            "routes_version": control.catalog.version,
+            "store_silent_ms": control.catalog.store_silent_ms,
         },
-        lambda: status.take(callers.in_flight, dispatcher.waiting),
+        lambda: control.status.take(callers.in_flight, dispatcher.waiting),
     )
     await page.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
-    ranges = Followed(RANGES_TABLE, ownership.take, is_written_here=True)
     tasks = [
         asyncio.ensure_future(work)
         for work in (
-            *catalog.tasks(),
-            follow_table(adapter.store, ranges, contact),
-            lease.run(),
+            *control.tasks(),
             dispatcher.run(),
-            link.run(),
             follow_settings(adapter, hangup),
             log_summaries(metrics),
         )
@@ -191,14 +129,13 @@
         if task.done():
             task.result()
     log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
-    releasing = asyncio.create_task(lease.release())
+    releasing = asyncio.create_task(control.lease.release())
     await callers.stop()
     await asyncio.wait({releasing}, timeout=RELEASE_TIMEOUT_S)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    await link_client.close()
-    await link_server.close()
+    await control.close()
     await page.close()
     await pool.close()
     await adapter.orders.close()
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -383,7 +383,7 @@
         LeaderLease, "is_valid", property(lambda self: self.is_held)
     ),
     "a new leader keeps the fences": patch(
-        "mulberryrelay_edge.coordinator.raise_all_fences", lambda ranges: ranges
+        "mulberryrelay_edge.term.raise_all_fences", lambda ranges: ranges
     ),
     "a server that answers again is granted keys while it is named": patch.object(
         Silences, "withdraw", _withdraw_at_once
