Let all routers report the time that requests take, and count it over the time observed

Change: reports carry the number and the time of answers; the average is plain over the first 60 answers; failures do not count; the memory counts as far as it is filled. The new test fails without the change.

--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -7,15 +7,18 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServiceName
 
-from .messages import EdgeRequest
+from .messages import EdgeRequest, KeyReport, Work
 
 MEMORY_MS = 2500.0
 """Age after which a request no longer counts."""
 SHORT_MEMORY_MS = 1200.0
 """Age that suffices while there are ``ENOUGH_SAMPLES`` younger ones."""
 ENOUGH_SAMPLES = 150
+LEAST_WINDOW_MS = 300.0
 MAX_SAMPLES = 4000
 MAX_REPORT = 400
+AVERAGED_ANSWERS = 60
+"""Answers over which the time for a request is averaged."""
 
 
 class KeySample(msgspec.Struct, frozen=True):
@@ -34,7 +37,8 @@
         self._clock = clock
         self._keys: dict[ServiceName, deque[tuple[float, int]]] = {}
         self._unreported: dict[ServiceName, list[int]] = {}
-        self._latencies: dict[ServiceName, float] = {}
+        self._work: dict[ServiceName, Work] = {}
+        self._unreported_work: dict[ServiceName, Work] = {}
 
     def note(self, request: EdgeRequest) -> None:
         """Count a request of this router."""
@@ -45,17 +49,20 @@
         if len(report) < MAX_REPORT:
             report.append(request.key)
 
-    def take_report(self) -> dict[ServiceName, list[int]]:
-        """Return what was counted here since the last report, by service."""
-        report = self._unreported
+    def take_report(self) -> KeyReport:
+        """Return what was counted here since the last report."""
+        report = KeyReport(self._unreported, self._unreported_work)
         self._unreported = {}
+        self._unreported_work = {}
         return report
 
-    def add_report(self, report: dict[ServiceName, list[int]]) -> None:
+    def add_report(self, report: KeyReport) -> None:
         """Count the requests of another router."""
-        for service, keys in report.items():
+        for service, keys in report.keys.items():
             for key in keys[:MAX_REPORT]:
                 self._add(service, key)
+        for service, work in report.work.items():
+            self._add_work(service, work)
 
     def sample(self, service: ServiceName) -> KeySample:
         """Return the recently requested keys, over a short time if they suffice."""
@@ -68,13 +75,24 @@
         if len(recent) < ENOUGH_SAMPLES:
             recent = [key for _, key in keys]
             window_ms = MEMORY_MS
-        work = self._latencies.get(service, 0.0) / window_ms
+        if keys:
+            # The memory of a new leader is not full yet.
+            window_ms = min(window_ms, max(LEAST_WINDOW_MS, now_ms - keys[0][0]))
+        work = self._work.get(service, Work(0, 0.0)).mean_ms / window_ms
         return KeySample(sorted(recent), work)
 
     def note_latency(self, service: ServiceName, latency_ms: float) -> None:
-        """Note how long a server worked on a request."""
-        usual_ms = self._latencies.get(service, latency_ms)
-        self._latencies[service] = usual_ms + 0.05 * (latency_ms - usual_ms)
+        """Note how long a server worked on a request of this router."""
+        unreported = self._unreported_work.get(service, Work(0, 0.0))
+        self._unreported_work[service] = unreported.plus(1, latency_ms)
+        self._add_work(service, Work(1, latency_ms))
+
+    def _add_work(self, service: ServiceName, work: Work) -> None:
+        known = self._work.get(service, Work(0, 0.0)).plus(work.answers, work.total_ms)
+        if known.answers > AVERAGED_ANSWERS:
+            # Older answers lose weight.
+            known = Work(AVERAGED_ANSWERS, known.mean_ms * AVERAGED_ANSWERS)
+        self._work[service] = known
 
     def _add(self, service: ServiceName, key: int) -> None:
         keys = self._keys.get(service)
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -97,7 +97,7 @@
 
     async def answer(self, report: RouterReport) -> LeaderView | None:
         """Return what is new to a router, or None if this one is not the leader."""
-        self._load.add_report(report.keys)
+        self._load.add_report(report.requested)
         self._reported_ms[report.boot_id] = self._clock()
         end_ms = self._clock() + min(report.wait_ms, LONGEST_WAIT_MS)
         while self._is_leader():
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -201,12 +201,33 @@
     """Those that the base does not have; they cover what they replace."""
 
 
+class Work(msgspec.Struct, frozen=True, array_like=True):
+    """Time that servers took for requests that did not wait there."""
+
+    answers: int
+    total_ms: float
+
+    @property
+    def mean_ms(self) -> float:
+        return self.total_ms / self.answers if self.answers else 0.0
+
+    def plus(self, answers: int, total_ms: float) -> "Work":
+        """Return the work with further answers."""
+        return Work(self.answers + answers, self.total_ms + total_ms)
+
+
+class KeyReport(msgspec.Struct, frozen=True):
+    """What was requested at one router since its last report, by service."""
+
+    keys: dict[ServiceName, list[int]]
+    work: dict[ServiceName, Work]
+
+
 class RouterReport(msgspec.Struct, frozen=True):
     """What a router tells the leader: requested keys, and what it knows."""
 
     boot_id: str
-    keys: dict[ServiceName, list[int]]
-    """Keys requested since the last report."""
+    requested: KeyReport
     range_versions: dict[ServiceName, int]
     table_versions: dict[str, int]
     store_answers: bool
--- a/packages/edge/mulberryrelay_edge/requests.py
+++ b/packages/edge/mulberryrelay_edge/requests.py
@@ -163,9 +163,10 @@
             load = result.load if result is not None else None
             latency_ms = loads.end(server, number, load)
         if result.verdict is Verdict.ANSWERED:
-            if result.load is None or not result.load.waiting:
-                self._key_load.note_latency(request.service, latency_ms)
             is_failure = result.status >= 500
+            has_waited = result.load is not None and result.load.waiting > 0
+            if not is_failure and not has_waited:
+                self._key_load.note_latency(request.service, latency_ms)
             loads.note_answer(
                 server, request.route.name, latency_ms, result.load, is_failure
             )
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -7,8 +7,9 @@
 
 from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.following import StoreContact
+from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.keyspace import begin_moves, complete_move, divide
-from mulberryrelay_edge.messages import ServiceShare
+from mulberryrelay_edge.messages import KeyReport, ServiceShare, Work
 from mulberryrelay_edge.rebalance import Capacity, plan_moves
 from mulberryrelay_edge.routetable import RouteMatcher
 from mulberryrelay_kernel.ids import ServiceName
@@ -177,6 +178,24 @@
         assert abs(picked.count(share.service) / 200 - share.weight / 100) <= 0.01
 
 
+def test_the_load_of_servers_is_known_soon_after_the_first_requests() -> None:
+    """Guards against a new leader that takes busy servers for idle ones.
+
+    100 requests a second of 80 ms each at other routers keep 8 slots busy; this one
+    had a single answer, in an unusually short time.
+    """
+    clock_ms = 0.0
+    load = KeyLoad(lambda: clock_ms)
+    load.note_latency(SERVICE, 5.0)
+    for number in range(500):
+        clock_ms = 10.0 * number
+        load.add_report(KeyReport({SERVICE: [number]}, {SERVICE: Work(1, 80.0)}))
+        sample = load.sample(SERVICE)
+        if clock_ms >= 500.0:
+            busy = len(sample.keys) * sample.work_per_key
+            assert 0.8 * 8 <= busy <= 1.2 * 8, clock_ms
+
+
 def test_a_hot_key_moves_to_the_fastest_server_which_gives_up_its_other_keys() -> None:
     """Guards against a hot key that waits for its neighbours to move first.
 
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -29,7 +29,13 @@
     LinkClient,
     LinkServer,
 )
-from mulberryrelay_edge.messages import RangeChange, RangeMapRow, RouterReport
+from mulberryrelay_edge.messages import (
+    KeyReport,
+    RangeChange,
+    RangeMapRow,
+    RouterReport,
+    Work,
+)
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.retrybudget import RetryBudget
 from mulberryrelay_edge.tablemirror import TableMirror
@@ -342,17 +348,17 @@
         monotonic_ms,
     )
     server = LinkServer(desk)
+    asked = KeyReport({SERVICE: [7, 7]}, {SERVICE: Work(2, 240.0)})
     client = LinkClient()
     try:
         port = await server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
-        view = await client.send(
-            url, RouterReport("a", {SERVICE: [7, 7]}, {}, {}, True, 50.0)
-        )
+        view = await client.send(url, RouterReport("a", asked, {}, {}, True, 50.0))
         assert view is not None
         assert view.ranges == [RangeChange(SERVICE, 3, 0, ranges)]
         assert load.sample(SERVICE).keys == [7, 7]
-        known = RouterReport("a", {}, {SERVICE: 3}, {}, True, 50.0)
+        assert load.sample(SERVICE).work_per_key > 0
+        known = RouterReport("a", KeyReport({}, {}), {SERVICE: 3}, {}, True, 50.0)
         view = await client.send(url, known)
         assert view is not None and view.ranges == []
         leads = False
