--- a/packages/edge/mulberryrelay_edge/holders.py
+++ b/packages/edge/mulberryrelay_edge/holders.py
@@ -15,8 +15,11 @@
 from .messages import BackendServer, KeyRange
 from .silences import Life
 
-HOLD_MS = 5000.0
 RENEW_MS = 800.0
+RENEWAL_SPACING_MS = 4.0
+"""Least time between two renewals, which leaves the leader time for requests."""
+TAKEOVER_MS = 4200.0
+"""Time for which holds outlast the last renewal of a leader that is lost."""
 SLOW_CLOCK_FACTOR = 1.02
 """A server's clock may run this much slower than the true time."""
 HOLD_MARGIN_MS = 500.0
@@ -28,6 +31,16 @@
 """A server that answered less than this ago has not started again since."""
 
 
+def renewal_period_ms(ranges: int) -> float:
+    """Return the time after which each of a number of ranges is renewed."""
+    return max(RENEW_MS, RENEWAL_SPACING_MS * ranges)
+
+
+def usual_hold_ms(period_ms: float, longest_hold_ms: float) -> float:
+    """Return the time for which ranges are granted that are renewed so often."""
+    return min(longest_hold_ms, period_ms + TAKEOVER_MS)
+
+
 class Holders:
     """Orders of one term of this process."""
 
@@ -186,14 +199,14 @@
             await asyncio.sleep(max(0.0, min(RETRY_S, left_ms / 1000)))
 
     async def grant_next(
-        self, service: ServiceName, part: KeyRange, token: str | None
+        self, service: ServiceName, part: KeyRange, hold_ms: float, token: str | None
     ) -> Result[None, OrderFailure]:
         """Grant a moving range to its next owner."""
         server = self.address((part.next_owner, part.next_born_ms))
         if server is None:
             return Failure(OrderLost("no address"))
         fence = part.fence + GRANT_STEP
-        return await self._grant(service, server, part, fence, HOLD_MS, token)
+        return await self._grant(service, server, part, fence, hold_ms, token)
 
     async def _grant(
         self,
--- a/packages/edge/mulberryrelay_edge/keyspace.py
+++ b/packages/edge/mulberryrelay_edge/keyspace.py
@@ -17,6 +17,8 @@
 REFENCE_STEP = 10
 """Raises a fence over those that orders without an answer may have used."""
 NOBODY = ServerId("")
+LARGEST_MAP = 700
+"""Ranges of a service; their row of at most 90 bytes each has to fit into 64 KB."""
 
 
 class Piece(msgspec.Struct, frozen=True):
@@ -28,7 +30,11 @@
 
 
 def divide(servers: Sequence[BackendServer]) -> Ranges:
-    """Return the whole key space in equal parts, one for each server."""
+    """Return the whole key space in equal parts, one for each server.
+
+    Further servers get keys as soon as there is load.
+    """
+    servers = servers[:LARGEST_MAP]
     ranges = []
     count = len(servers)
     for index, server in enumerate(servers):
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -12,7 +12,7 @@
 
 from mulberryrelay_kernel.ids import ServerId
 
-from .keyspace import Piece, Ranges
+from .keyspace import LARGEST_MAP, Piece, Ranges
 from .messages import BackendServer, KeyRange
 
 TOLERATED_EXCESS = 0.25
@@ -21,7 +21,8 @@
 """Standard deviations of the sample that an excess must have."""
 MAX_MOVES = 10
 MIN_SAMPLES = 20
-MAX_RANGES = 96
+LEAST_MAX_RANGES = 96
+RANGES_PER_SERVER = 4
 CALM_UTILISATION = 0.35
 """Share of busy slots up to which a server needs no relief."""
 BUSY_UTILISATION = 0.55
@@ -59,6 +60,12 @@
         return self.samples * work_per_sample / self.target.slots
 
 
+def most_ranges(servers: int) -> int:
+    """Return into how many ranges the keys of a service may be divided."""
+    wanted = max(LEAST_MAX_RANGES, RANGES_PER_SERVER * servers)
+    return min(LARGEST_MAP, wanted)
+
+
 def plan_moves(
     ranges: Ranges,
     samples: Sequence[int],
@@ -88,7 +95,7 @@
         counted += weight
     mean = counted / sum(target.share for target in targets)
     pieces: list[Piece] = []
-    most = min(MAX_MOVES, MAX_RANGES - len(ranges))
+    most = min(MAX_MOVES, most_ranges(len(targets)) - len(ranges))
     stuck: set[ServerId] = set()
     while len(pieces) < most:
         movable = [
--- a/packages/edge/mulberryrelay_edge/term.py
+++ b/packages/edge/mulberryrelay_edge/term.py
@@ -13,7 +13,7 @@
 
 from .adapter import OrderRefused
 from .catalog import Catalog
-from .holders import HOLD_MS, RENEW_MS, Holders
+from .holders import Holders, renewal_period_ms, usual_hold_ms
 from .keyload import KeyLoad
 from .keyspace import (
     Piece,
@@ -32,6 +32,7 @@
     BUSY_UTILISATION,
     CALM_UTILISATION,
     Capacity,
+    most_ranges,
     place_orphans,
     plan_moves,
 )
@@ -53,8 +54,8 @@
 LEAST_SLOWNESS = 0.4
 MOST_SLOWNESS = 2.5
 """Bounds of a server's observed time for a request, relative to the usual time."""
-MERGE_ABOVE = 48
-"""Ranges of a service from which on neighbours are joined."""
+MERGE_SHARE = 0.5
+"""Share of the most ranges of a service from which on neighbours are joined."""
 MERGES_AT_ONCE = 8
 
 
@@ -86,6 +87,8 @@
         """Start of each move under way, by the first key of its range."""
         self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
         self._probed_ms: dict[Life, float] = {}
+        self._period_ms = renewal_period_ms(0)
+        self._hold_ms = usual_hold_ms(self._period_ms, longest_hold_ms)
         self._planned_ms: dict[ServiceName, float] = {}
         self._planning: set[ServiceName] = set()
         self._server_counts: dict[ServiceName, int] = {}
@@ -103,7 +106,11 @@
             await self._ranges.update(service, raise_all_fences)
         while True:
             await self._lease.wait_valid()
-            for service in self._keyed_services():
+            services = self._keyed_services()
+            ranges = sum(len(self._ranges.ranges(service)) for service in services)
+            self._period_ms = renewal_period_ms(ranges)
+            self._hold_ms = usual_hold_ms(self._period_ms, self._longest_hold_ms)
+            for service in services:
                 self._work_on(service)
             await asyncio.sleep(TICK_S)
 
@@ -163,12 +170,12 @@
 
     def _renew_if_due(self, service: ServiceName, part: KeyRange) -> None:
         due = (service, part.first, part.fence)
-        period_ms = RENEW_MS
-        hold_ms = HOLD_MS
+        period_ms = self._period_ms
+        hold_ms = self._hold_ms
         if self._lease.is_troubled:
             # The store may stay away for longer than a hold of the usual length.
             hold_ms = self._longest_hold_ms
-            period_ms = RENEW_MS / 2
+            period_ms /= 2
         last_ms = self._renewed_ms.get(due, float("-inf"))
         if self._clock() - last_ms < period_ms:
             return
@@ -204,7 +211,7 @@
         failure = result.failure()
         if not isinstance(failure, OrderRefused):
             due = (service, part.first, part.fence)
-            self._renewed_ms[due] = self._clock() - RENEW_MS + RENEW_RETRY_MS
+            self._renewed_ms[due] = self._clock() - self._period_ms + RENEW_RETRY_MS
             return
         log_event(
             "renewal_refused",
@@ -236,7 +243,7 @@
         since_ms = now_ms - self._planned_ms.get(service, float("-inf"))
         if since_ms < REBALANCE_MS:
             return []
-        if len(ranges) > MERGE_ABOVE:
+        if len(ranges) > MERGE_SHARE * most_ranges(len(targets)):
             self._start(self._merge(service))
         is_early = since_ms < CALM_REBALANCE_MS
         least = BUSY_UTILISATION if is_early else CALM_UTILISATION
@@ -302,7 +309,9 @@
             token = await self._holders.free(service, part)
             outcome = "granted"
             for _ in range(GRANT_TRIES):
-                result = await self._holders.grant_next(service, part, token)
+                result = await self._holders.grant_next(
+                    service, part, self._hold_ms, token
+                )
                 if isinstance(result, Success):
                     break
                 outcome = str(result.failure())
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -7,9 +7,15 @@
 
 from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.following import StoreContact
+from mulberryrelay_edge.holders import renewal_period_ms, usual_hold_ms
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.keyspace import begin_moves, complete_move, divide
-from mulberryrelay_edge.messages import KeyReport, ServiceShare, Work
+from mulberryrelay_edge.keyspace import (
+    begin_moves,
+    complete_move,
+    divide,
+    is_whole,
+)
+from mulberryrelay_edge.messages import KeyReport, RangeMapRow, ServiceShare, Work
 from mulberryrelay_edge.rebalance import Capacity, plan_moves
 from mulberryrelay_edge.routetable import RouteMatcher
 from mulberryrelay_kernel.ids import ServiceName
@@ -178,6 +184,46 @@
         assert abs(picked.count(share.service) / 200 - share.weight / 100) <= 0.01
 
 
+def test_holds_outlast_a_lost_leader_however_many_ranges_there_are() -> None:
+    """Guards against a leader that spends its time on renewals, or too short holds.
+
+    The next leader renews within 4.1 s: a lease of 3 s, its margin, and the notice.
+    """
+    for ranges in (1, 40, 200, 320, 1000, 1400):
+        period_ms = renewal_period_ms(ranges)
+        assert ranges / period_ms <= 250 / 1000
+        hold_ms = usual_hold_ms(period_ms, 10_000.0)
+        assert period_ms + 4100.0 <= hold_ms <= 10_000.0, ranges
+
+
+def test_a_service_of_many_servers_is_balanced() -> None:
+    """Guards against a fixed number of ranges that many servers use up.
+
+    The row of the ranges has to fit into the 64 KB of the store's rows.
+    """
+    rng = random.Random(SEED)
+    for count in (55, 80, 1000):
+        servers = [backend(number) for number in range(count)]
+        targets = [Capacity(server, 4.0, 4.0) for server in servers]
+        ranges = divide(servers)
+        samples = sorted(rng.randrange(0, 1200) for _ in range(2000))
+        for _ in range(12):
+            pieces = plan_moves(ranges, samples, targets, work_per_sample=0.1)
+            ranges = begin_moves(pieces)(ranges)
+            row = msgspec.json.encode(RangeMapRow("0123456789ab-1234", ranges))
+            assert len(row) <= 65_536
+            for part in [part for part in ranges if part.is_moving]:
+                ranges = complete_move(part)(ranges)
+        assert is_whole(ranges)
+        busy = {
+            part.owner
+            for part in ranges
+            if any(part.first <= key <= part.last for key in samples)
+        }
+        if count < 1000:
+            assert len(busy) >= count / 3, (count, len(busy))
+
+
 def test_the_load_of_servers_is_known_soon_after_the_first_requests() -> None:
     """Guards against a new leader that takes busy servers for idle ones.
 
