--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -69,26 +69,49 @@
     return [result for part in results for result in part]
 
 
-async def _ask_on_idle(port: int, pause_s: float) -> str:
-    """Send two requests on one connection with a pause between them."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    request = b"POST /till/pay HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n"
-    answers = []
-    try:
-        for pause in (0.0, pause_s):
-            await asyncio.sleep(pause)
+class _IdleCallers:
+    """Callers with one connection each, which a stop finds idle."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._answered = 0
+        self._all_answered = asyncio.Event()
+        self._is_stopping = asyncio.Event()
+
+    async def stop(self, router: Process) -> None:
+        """Stop the router once every connection has had its first answer."""
+        await self._all_answered.wait()
+        router.signal(signal.SIGTERM)
+        self._is_stopping.set()
+
+    async def ask(self, pause_s: float) -> str:
+        """Send a request, and another one some time after the stop has begun."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        try:
+            heads = [await self._exchange(reader, writer)]
+            self._answered += 1
+            if self._answered == IDLE_CALLERS:
+                self._all_answered.set()
+            await self._is_stopping.wait()
+            await asyncio.sleep(pause_s)
             if reader.at_eof():
                 return "closed"
-            writer.write(request)
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            length = int(head.partition("Content-Length: ")[2].split()[0])
-            await reader.readexactly(length)
-            answers.append(head)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return "lost"
-    finally:
-        writer.close()
-    return "ran" if all("Mulberry-Outcome: ran" in head for head in answers) else "bad"
+            heads.append(await self._exchange(reader, writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return "lost"
+        finally:
+            writer.close()
+        have_run = all("Mulberry-Outcome: ran" in head for head in heads)
+        return "ran" if have_run else "bad"
+
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> str:
+        writer.write(b"POST /till/pay HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n")
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        length = int(head.partition("Content-Length: ")[2].split()[0])
+        await reader.readexactly(length)
+        return head
 
 
 def test_idle_connections_are_answered_while_the_router_stops() -> None:
@@ -99,13 +122,10 @@
     """
 
     async def run() -> list[str]:
-        port = router.port("caller_port")
-        calls = [
-            asyncio.create_task(_ask_on_idle(port, 0.3 + number / IDLE_CALLERS))
-            for number in range(IDLE_CALLERS)
-        ]
-        await asyncio.sleep(0.2)
-        router.signal(signal.SIGTERM)
+        callers = _IdleCallers(router.port("caller_port"))
+        pauses_s = [0.1 + number / IDLE_CALLERS for number in range(IDLE_CALLERS)]
+        calls = [asyncio.create_task(callers.ask(pause_s)) for pause_s in pauses_s]
+        await callers.stop(router)
         return await asyncio.gather(*calls)
 
     with Deployment(DEPLOYMENT_SETTINGS) as deployment:
