Answer requests on connections that a stopping router takes last

The listener closes 2.6 s after SIGTERM, at 23.657 s. aiohttp ignores what arrives on a connection that is closed before the task of the connection has begun, and ends it only at the end of the shutdown; asyncio drops a connection that it is accepting when the listener closes, without closing its socket. Ruled out: a request that was passed on, or that crossed the close of an idle connection; the deadline of 26.557 s would have brought an answer to any request that was seen. Change: the router first stops to accept, closes the listener 20 ms later, and idle connections 150 ms after that.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers of an edge router, and its readiness."""
 
 import asyncio
+import socket
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -29,6 +30,11 @@
 MAX_HEADER_BYTES = 65_536
 # The load balancer needs two missed checks, a second apart, to take a router out.
 STOP_ACCEPTING_S = 2.6
+# Time for connections that are being accepted; asyncio drops them with the listener.
+LAST_ACCEPT_S = 0.02
+# Time for the first request of a connection that was taken last. aiohttp ignores what
+# arrives on a connection that is closed before its task has begun, and never ends it.
+LAST_REQUEST_S = 0.15
 # Share of the time to stop within which new connections are taken at most.
 ACCEPTING_SHARE = 0.45
 # Time for the last answers to leave before the process is killed.
@@ -52,7 +58,8 @@
         self._is_stopping = False
         self._stop_ms = float("inf")
         self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listening: socket.socket | None = None
+        self._site: web.SockSite | None = None
         self._ready_runner: web.AppRunner | None = None
 
     @property
@@ -80,9 +87,11 @@
         self._runner = web.ServerRunner(server, shutdown_timeout=1.0)
         await self._runner.setup()
         options = self._options
-        self._site = web.TCPSite(
-            self._runner, options.host, options.caller_port, backlog=LISTEN_BACKLOG
+        self._listening = socket.create_server(
+            (options.host, options.caller_port), backlog=LISTEN_BACKLOG
         )
+        self._listening.setblocking(False)
+        self._site = web.SockSite(self._runner, self._listening, backlog=LISTEN_BACKLOG)
         await self._site.start()
         app = web.Application()
         app.router.add_get(self._adapter.ready_path, self._ready)
@@ -99,8 +108,9 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + grace_ms / 1000
         await asyncio.sleep(min(STOP_ACCEPTING_S, ACCEPTING_SHARE * grace_ms / 1000))
-        assert self._site is not None and self._runner is not None
-        await self._site.stop()
+        await self._stop_listening()
+        await asyncio.sleep(LAST_REQUEST_S)
+        assert self._runner is not None
         server = self._runner.server
         assert server is not None
         for connection in server.connections:
@@ -113,6 +123,12 @@
         if self._ready_runner is not None:
             await self._ready_runner.cleanup()
 
+    async def _stop_listening(self) -> None:
+        assert self._site is not None and self._listening is not None
+        asyncio.get_running_loop().remove_reader(self._listening)
+        await asyncio.sleep(LAST_ACCEPT_S)
+        await self._site.stop()
+
     async def _ready(self, request: web.Request) -> web.Response:
         is_ready = self._catalog.is_complete and not self._is_stopping
         return web.Response(status=200 if is_ready else 503)
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -5,17 +5,27 @@
 import itertools
 import socket
 import struct
+from unittest.mock import patch
 
 import aiohttp
 import msgspec
 
+from mulberryrelay_edge.callers import CallerServer
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
 from .fixtures.edgerouter import edge_answer, edge_refusal, edge_router, get
-from .fixtures.rawserver import RawRequest, RawServer, close, raw_server, responding
+from .fixtures.rawserver import (
+    HOST,
+    RawRequest,
+    RawServer,
+    close,
+    raw_server,
+    responding,
+)
 
 answering = responding(edge_answer)
+ANSWERED_S = 0.5
 refusing = responding(edge_refusal)
 breaking = close
 
@@ -270,6 +280,58 @@
             await asyncio.sleep(0.01)
 
 
+async def _first_bytes(caller: socket.socket) -> bytes:
+    """Return how an answer begins that has to come soon, and close the socket."""
+    caller.setblocking(False)
+    try:
+        async with asyncio.timeout(ANSWERED_S):
+            loop = asyncio.get_running_loop()
+            return (await loop.sock_recv(caller, 4096))[:12]
+    except ConnectionError:
+        return b"reset"
+    except TimeoutError:
+        return b"nothing"
+    finally:
+        caller.close()
+
+
+@async_test
+async def test_a_request_on_a_connection_taken_last_is_answered() -> None:
+    """Guards against a connection that hangs because it was closed as it began.
+
+    The router stops to listen a number of steps of the event loop after a caller
+    connected and sent its request. A connection that was not accepted is reset.
+    """
+    statuses = []
+    stop_listening = CallerServer._stop_listening
+    for steps in range(9):
+        async with raw_server(answering) as server, edge_router() as router:
+            router.know(server)
+            await router.callers.start()
+            opened: list[socket.socket] = []
+
+            async def stop_late(
+                callers: CallerServer,
+                steps: int = steps,
+                opened: list[socket.socket] = opened,
+            ) -> None:
+                opened.append(socket.create_connection((HOST, callers.port)))
+                head = f"Host: app.example\r\n{HEADERS.request_id}: a\r\n\r\n"
+                opened[0].sendall(f"GET /listing/1 HTTP/1.1\r\n{head}".encode())
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                await stop_listening(callers)
+
+            with patch.object(CallerServer, "_stop_listening", stop_late):
+                stopping = asyncio.create_task(router.callers.stop())
+                while not opened:
+                    await asyncio.sleep(0)
+                statuses.append(await _first_bytes(opened[0]))
+                await stopping
+    assert set(statuses) <= {b"HTTP/1.1 200", b"reset"}, statuses
+    assert b"HTTP/1.1 200" in statuses
+
+
 @async_test
 async def test_a_refusal_by_a_server_with_room_lets_callers_come_back_at_once() -> None:
     """Guards against callers that wait out their target though a slot is free.
