Keep a router running when its stream to the coordinator breaks

Cause: a write to the coordinator that times out cancels the gRPC call. The task that reads replies then ends with CancelledError, and CoordinatorClient._run_stream passed it on, so that the process ended. A reply that cannot be decoded ended the process likewise. Ruled out: shutdown (nothing cancels the client before the callers have been served) and the write task, which turns its own timeout into a reason. Change: the end of a stream is judged by all tasks that have ended; a cancelled or failed one is logged and the client connects again. Before: test_broken_stream_to_the_coordinator_does_not_end_the_router fails with CancelledError (blocked write) and with a timeout. After: it passes for both cases, and the five tests of test_peers pass.

--- a/packages/router/mulberryrelay_router/coordinatorclient.py
+++ b/packages/router/mulberryrelay_router/coordinatorclient.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any
 
 import grpc
@@ -253,7 +253,10 @@
             await self._sync_while_coordinator(self._untried_peers.pop(0))
 
     async def _run_stream(self, peer: RouterAddress) -> str:
-        """Run one stream to a router; return the reason for its end."""
+        """Run one stream to a router; return the reason for its end.
+
+        No reply and no failure of the stream ends this router.
+        """
         async with open_channel(peer) as channel:
             stream = open_stub(channel).Sync()
             # The first task to end gives the reason. A suspended peer process can block
@@ -265,7 +268,7 @@
             ]
             try:
                 done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                return done.pop().result()
+                return _end_reason(done)
             finally:
                 for task in tasks:
                     task.cancel()
@@ -489,3 +492,21 @@
             peer_pb2.UnitRef(service=key[0], unit=key[1], epoch=epoch)
         )
         self._request_due.set()
+
+
+def _end_reason(done: Iterable[asyncio.Task[str]]) -> str:
+    """Return why a stream ended, from the tasks that have ended so far.
+
+    A write that timed out cancels the gRPC call, which then raises ``CancelledError``
+    in the task that reads replies although nobody has cancelled that task.
+    """
+    reason = "the stream was cancelled"
+    for task in done:
+        if task.cancelled():
+            continue
+        error = task.exception()
+        if error is None:
+            return task.result()
+        log_event("coordinator_stream_failed", error=repr(error))
+        reason = repr(error)
+    return reason
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import Any
+from unittest.mock import patch
 
 import msgspec
 
@@ -10,7 +12,13 @@
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import AssignmentVersion, RulesVersion, Tenant, Term
 from mulberryrelay_kernel.messages import Assignment, RouterAddress, RulesDocument
-from mulberryrelay_kernel.peerproto.peer_pb2 import ProbationRequest, Suspect
+from mulberryrelay_kernel.peerproto.peer_pb2 import (
+    ProbationRequest,
+    Server,
+    Suspect,
+    SyncReply,
+)
+from mulberryrelay_router import coordinatorclient, peerchannels
 from mulberryrelay_router.coordinatorclient import CoordinatorClient
 from mulberryrelay_router.inflight import InFlight
 from mulberryrelay_router.peerchannels import PeerChannels
@@ -145,6 +153,63 @@
     asyncio.run(check())
 
 
+class _BrokenStream:
+    """A stream to a suspended or faulty coordinator, in place of a gRPC call.
+
+    As in gRPC, a write that is cancelled cancels the call, and reading from a cancelled
+    call raises ``CancelledError``.
+    """
+
+    def __init__(self, *replies: SyncReply) -> None:
+        self._replies = replies
+        self._cancelled = asyncio.Event()
+
+    def cancel(self) -> None:
+        self._cancelled.set()
+
+    async def write(self, request: object) -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancel()
+
+    async def __aiter__(self) -> AsyncIterator[SyncReply]:
+        for reply in self._replies:
+            yield reply
+        await self._cancelled.wait()
+        raise asyncio.CancelledError
+
+
+def test_broken_stream_to_the_coordinator_does_not_end_the_router() -> None:
+    """Guards against a router process that ends because of its coordinator.
+
+    The first stream blocks until its write times out, or delivers a reply that cannot
+    be decoded. The router must connect again.
+    """
+    malformed = SyncReply(servers=[Server(server="s-1", state="no such state")])
+
+    async def check(broken: _BrokenStream) -> None:
+        streams: list[Any] = [broken]
+
+        def open_stub(channel: Any) -> Any:
+            stub = peerchannels.open_stub(channel)
+            if streams:
+                stub.Sync = streams.pop
+            return stub
+
+        async with (
+            coordinator_deployment() as running,
+            coordinating(running, "e1") as (holder, _),
+        ):
+            with patch.object(coordinatorclient, "open_stub", open_stub):
+                _, view = router(running, "r1", lambda: holder)
+                await wait_for_lease(view)
+                assert not streams
+
+    for replies in ((), (malformed,)):
+        asyncio.run(check(_BrokenStream(*replies)))
+
+
 def test_router_of_another_tenant_is_refused() -> None:
     """Guards against a view with servers of another tenant.
 
