Remove servers that left although only the leader lost the store

The leader told its followers of an outage; each read the tables at once, took its own success for the end of an outage, and kept a server whose registration had been deleted 0.18 s earlier for another 2.2 s. A request reached it 2287 ms after it had left (bound 2000 ms). Ruled out: a lagging read (the missing entry was noticed at 18.085 s, in the same ms as the new role) and the drain grace (the entry was deleted, not marked as draining). Found beside it: the reply to a full read that arrives after newer rows of the leader put deleted servers back, since the read was applied whatever its version. Change: entries are kept only after an outage in which a call of this router itself failed; reads that are older than the applied rows are ignored and logged; a server whose registration is missing gets requests without a key only if no other can serve them.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -57,7 +57,8 @@
         """Entries at whose address a server with another id answered."""
         self._draining_ms: dict[ServerId, float] = {}
         """Time at which each draining server was first observed to drain."""
-        self._store_regained_ms = float("-inf")
+        self._outage_ended_ms = float("-inf")
+        """End of the last outage of the store that this router observed itself."""
         self._store_lost_ms = float("-inf")
         self._is_store_reachable = True
         self._changes: Subject[None] = Subject()
@@ -100,7 +101,7 @@
     @property
     def is_reregistration_pending(self) -> bool:
         """Whether running servers may still be missing after an outage of the store."""
-        return self._clock() < self._store_regained_ms + self._reregistration_ms
+        return self._clock() < self._outage_ended_ms + self._reregistration_ms
 
     def mark_replaced(self, server: BackendServer, by: ServerId) -> None:
         """Remove a server, because another server answered at its address."""
@@ -127,8 +128,15 @@
         return sorted(matching, key=lambda s: s.server)
 
     def serving(self, service: ServiceName) -> list[BackendServer]:
-        """Return the servers of a service that are not draining."""
-        return [s for s in self.servers(service) if s.state is not ServerState.DRAINING]
+        """Return the servers of a service that are not draining.
+
+        Those whose registration is missing are returned only if there are no others.
+        """
+        serving = [
+            s for s in self.servers(service) if s.state is not ServerState.DRAINING
+        ]
+        registered = [s for s in serving if s.server not in self._missing]
+        return registered or serving
 
     def tasks(self) -> list[Awaitable[None]]:
         """Return the tasks that keep the catalog current."""
@@ -144,8 +152,9 @@
 
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
-        if is_reachable and not self._is_store_reachable:
-            self._store_regained_ms = self._clock()
+        has_ended = is_reachable and not self._is_store_reachable
+        if has_ended and self._store_sync.has_own_call_failed:
+            self._outage_ended_ms = self._clock()
         if not is_reachable and self._is_store_reachable:
             self._store_lost_ms = self._clock()
         self._is_store_reachable = is_reachable
@@ -193,7 +202,7 @@
         entry = self._servers.get(server)
         if entry is None or server in self._missing:
             return
-        left_ms = self._store_regained_ms + self._reregistration_ms - self._clock()
+        left_ms = self._outage_ended_ms + self._reregistration_ms - self._clock()
         if left_ms <= 0:
             self._remove(server)
             return
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -72,6 +72,11 @@
         self._mirrors: dict[str, TableMirror] = {}
         self._full_read_events: dict[str, asyncio.Event] = {}
         self._is_reachable = True
+        self._has_own_call_failed = False
+        """Whether a call of this router failed since ``_is_reachable`` last changed.
+
+        The leader's calls may fail while the store answers all other routers.
+        """
         self._changes: Subject[bool] = Subject()
 
     @property
@@ -84,6 +89,15 @@
         """Whether the store answers, as last recorded."""
         return self._is_reachable
 
+    @property
+    def has_own_call_failed(self) -> bool:
+        """Whether a call of this router failed during the current outage of the store.
+
+        Otherwise only the leader reported the outage, and the registrations that this
+        router reads are complete.
+        """
+        return self._has_own_call_failed
+
     @property
     def role(self) -> Role:
         """Where this router gets changes from."""
@@ -104,11 +118,16 @@
         """Record whether the store answers; if it does, read all tables again."""
         self._is_reachable = is_reachable
         self._changes.on_next(is_reachable)
+        self._has_own_call_failed = False
         if not is_reachable:
             return
         for table in self._followed:
             self._request_full_read(table)
 
+    def record_failed_call(self) -> None:
+        """Record that a call of this router to the store failed."""
+        self._has_own_call_failed = True
+
     def set_role(self, role: Role) -> None:
         """Set where this router gets changes from."""
         if role is self._role:
@@ -135,12 +154,24 @@
         return event
 
     def apply_rows(self, table: str, read: TableRead, is_complete: bool) -> None:
-        """Apply rows of a table, and keep them for updates to other routers."""
+        """Apply rows of a table, and keep them for updates to other routers.
+
+        Rows that are older than those already applied are ignored: the reply to a read
+        may arrive after newer rows from the leader, and would undo their deletions.
+        """
         followed = self._followed.get(table)
         if followed is None:
             return
-        followed.apply(read, is_complete)
         mirror = self._mirrors.get(table)
+        if mirror is not None and read.version < mirror.version:
+            log_event(
+                "old_rows_ignored",
+                table=table,
+                row_version=read.version,
+                applied_version=mirror.version,
+            )
+            return
+        followed.apply(read, is_complete)
         if mirror is not None:
             mirror.apply(read, is_complete)
             if read.rows:
@@ -216,6 +247,7 @@
             if followed.is_probe:
                 store_sync.set_reachable(False)
         failures += 1
+        store_sync.record_failed_call()
         delay_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** min(failures, 8))
         await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
 
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -98,6 +98,8 @@
         """Whether calls get no reply."""
         self.is_refusing = False
         """Whether calls are refused."""
+        self.is_deaf = False
+        """Whether waiting polls miss changes."""
         self.lost_share = 0.0
         """Fraction of the transactions that are applied but whose reply is lost."""
         self.late_share = 0.0
@@ -119,7 +121,7 @@
             return Failure(failure)
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                while not self._tables.changes(table, after):
+                while self.is_deaf or not self._tables.changes(table, after):
                     if after < self._tables.compacted_version:
                         return Failure(TableFailure.HISTORY_LOST)
                     await self._tables.wait_changed()
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.grants import normal_grant_ttl_ms, renewal_period_ms
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.messages import (
@@ -22,10 +21,8 @@
 )
 from mulberryrelay_edge.rebalance import Capacity, plan_moves
 from mulberryrelay_edge.routematcher import RouteMatcher
-from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.states import ServerState
-from standins.tables import TableClient, Tables
 
 from .fixtures.edgefleet import (
     REREGISTRATION_MS,
@@ -34,55 +31,16 @@
     SERVICE,
     backend,
     route,
-    route_source,
     route_table,
-    server_source,
 )
-from .fixtures.virtual_time import now_ms, run_virtual
+from .fixtures.followingcatalog import FollowingCatalog
+from .fixtures.virtual_time import run_virtual
 
 SEED = 20261204
 IN_FORCE_S = 5.0
 """Bound for new routes after an outage: 3 s to reconnect to the store, and 2 s."""
 
 
-class FollowingCatalog:
-    """A catalog that follows in-memory tables."""
-
-    def __init__(self) -> None:
-        self.tables = Tables()
-        self.store = TableClient(self.tables, now_ms, random.Random(SEED))
-        self.catalog = Catalog(
-            self.store,
-            route_source(),
-            server_source(),
-            StoreSync(),
-            REREGISTRATION_MS,
-            now_ms,
-        )
-        self.tasks = [asyncio.ensure_future(task) for task in self.catalog.tasks()]
-
-    def put_routes(self, version: int) -> None:
-        """Write a version of the routes as an operator does."""
-        value = msgspec.json.encode(route_table(version))
-        self.tables.write(ROUTES_TABLE, "routes", value)
-
-    def put_server(self, number: int, **changes: ServerState) -> None:
-        """Write a server's registration."""
-        entry = msgspec.structs.replace(backend(number), **changes)
-        self.tables.write(SERVERS_TABLE, entry.server, msgspec.json.encode(entry))
-
-    @property
-    def version(self) -> int:
-        """Version of the routes in force; 0 if there are none."""
-        routes = self.catalog.routes
-        return routes.version if routes is not None else 0
-
-    def stop(self) -> None:
-        """Cancel the catalog's tasks."""
-        for task in self.tasks:
-            task.cancel()
-
-
 def test_routes_written_during_an_outage_are_in_force_soon_after_it() -> None:
     """Guards against a long poll whose reply is lost in the outage."""
 
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -37,7 +37,7 @@
     raise_all_fences,
 )
 from mulberryrelay_edge.retrybudget import RetryBudget
-from mulberryrelay_edge.tablefollower import Role, StoreSync
+from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_edge.tablemirror import TableMirror
 from mulberryrelay_edge.tablestore import TableRead, TableRow
 from mulberryrelay_kernel.clock import monotonic_ms
@@ -49,9 +49,10 @@
     ROUTES_TABLE,
     SERVICE,
     Fleet,
-    FleetRouter,
     backend,
+    followers_of,
     route_table,
+    start_settled_fleet,
 )
 from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
@@ -66,16 +67,6 @@
 """Number of random edits in each randomised test."""
 
 
-def followers_of(fleet: Fleet) -> list[FleetRouter]:
-    """Return the routers other than the leader."""
-    return [router for router in fleet.routers if router is not fleet.leader]
-
-
-def _is_connected(router: FleetRouter) -> bool:
-    """Return whether a router leads or gets updates from the leader."""
-    return router.store_sync.role is not Role.STANDALONE
-
-
 def put_routes(fleet: Fleet, version: int) -> None:
     """Write a version of the routes as an operator does."""
     value = msgspec.json.encode(route_table(version))
@@ -88,15 +79,6 @@
     fleet.register(msgspec.structs.replace(leaving, state=ServerState.DRAINING))
 
 
-async def start_settled_fleet(seed: int = 1, routers: int = 5) -> Fleet:
-    """Return a fleet with all keys granted and its followers connected."""
-    fleet = Fleet(seed, routers)
-    await fleet.settle()
-    await asyncio.sleep(1.0)
-    assert all(_is_connected(router) for router in fleet.routers)
-    return fleet
-
-
 def test_moves_reach_all_routers_without_further_calls_to_the_store() -> None:
     """Guards against a call of each router to the store for each change."""
 
@@ -129,7 +111,7 @@
         separated = followers_of(fleet)[0]
         separated.is_unreachable = True
         await asyncio.sleep(2.0)
-        assert not _is_connected(separated)
+        assert not separated.is_connected
         drain(fleet, 1)
         await asyncio.sleep(2.0)
         leader = fleet.leader
@@ -138,7 +120,7 @@
         assert separated.ownership.version(SERVICE) == expected
         separated.is_unreachable = False
         await asyncio.sleep(2.0)
-        assert _is_connected(separated)
+        assert separated.is_connected
         fleet.stop()
 
     run_virtual(scenario())
@@ -203,7 +185,7 @@
         await old.lease.release()
         fleet.restart(old)
         await asyncio.sleep(2.0)
-        assert all(_is_connected(router) for router in fleet.routers)
+        assert all(router.is_connected for router in fleet.routers)
         assert fleet.leader is not None
         fleet.stop()
 
--- /dev/null
+++ b/tests/test_edge_removals.py
@@ -0,0 +1,157 @@
+"""Removal of servers that left, by each path on which a router learns of it.
+
+A registration may also be missing because it expired during an outage of the store, in
+which the server could not renew it. All tests run in virtual time.
+"""
+
+import asyncio
+
+from mulberryrelay_edge.tablefollower import Role
+from mulberryrelay_edge.tablestore import TableRead, TableRow
+
+from .fixtures.edgefleet import (
+    REREGISTRATION_MS,
+    SERVERS_TABLE,
+    SERVICE,
+    backend,
+    followers_of,
+    start_settled_fleet,
+)
+from .fixtures.followingcatalog import FollowingCatalog
+from .fixtures.virtual_time import now_ms, run_virtual
+
+LEAVING_S = 2.0
+"""Time after which a server whose registration was deleted gets no more requests."""
+SHORT_S = 0.01
+"""Time in which a poll that is waiting ends after a change."""
+CONTACT_S = 3.0
+"""Time in which a router connects to the store again after an outage."""
+
+
+def test_a_server_that_left_is_not_kept_because_the_leader_lost_the_store() -> None:
+    """Guards against requests to a server that left more than 2 s ago.
+
+    The leader loses the store, which answers all other routers, and a server is
+    unregistered. There was no outage in which registrations could expire.
+    """
+
+    async def scenario() -> None:
+        for pause_s in (0.0, 0.4, 0.8, 1.2, 1.6):
+            fleet = await start_settled_fleet()
+            leader = fleet.leader
+            assert leader is not None
+            others = followers_of(fleet)
+            leader.store.is_partitioned = True
+            await asyncio.sleep(pause_s)
+            fleet.unregister(backend(3))
+            await asyncio.sleep(LEAVING_S)
+            for router in others:
+                assert router.catalog.server(backend(3).server) is None, pause_s
+            fleet.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_server_that_left_is_removed_by_every_kind_of_full_read() -> None:
+    """Guards against a grace period for removals that no outage precedes.
+
+    The router reads the whole table because its role changed, because the store has
+    dropped its history, or because a poll failed while other tables were read.
+    """
+
+    async def change_role(following: FollowingCatalog) -> None:
+        following.store_sync.set_role(Role.FOLLOWER)
+        following.tables.write(SERVERS_TABLE, backend(1).server, None)
+        await asyncio.sleep(SHORT_S)
+        following.store_sync.set_role(Role.STANDALONE)
+
+    async def drop_history(following: FollowingCatalog) -> None:
+        following.store.is_deaf = True
+        following.tables.write(SERVERS_TABLE, backend(1).server, None)
+        following.tables.compact()
+        await asyncio.sleep(SHORT_S)
+        following.store.is_deaf = False
+        following.put_server(2)
+
+    async def report_outage_of_leader(following: FollowingCatalog) -> None:
+        following.store_sync.set_role(Role.FOLLOWER)
+        following.tables.write(SERVERS_TABLE, backend(1).server, None)
+        following.store_sync.set_reachable(False)
+        following.store_sync.set_role(Role.STANDALONE)
+
+    async def scenario() -> None:
+        for cause in (change_role, drop_history, report_outage_of_leader):
+            following = FollowingCatalog()
+            following.put_server(1)
+            following.put_server(2)
+            await asyncio.sleep(1.0)
+            assert len(following.catalog.servers(SERVICE)) == 2
+            await cause(following)
+            await asyncio.sleep(LEAVING_S)
+            servers = [s.server for s in following.catalog.servers(SERVICE)]
+            assert servers == [backend(2).server], cause.__name__
+            following.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_read_that_is_older_than_the_leaders_update_is_ignored() -> None:
+    """Guards against a server that left and is in use again.
+
+    A router reads all servers from a slow store. Before the reply arrives, the leader
+    sends the deletion of one of them.
+    """
+
+    async def scenario() -> None:
+        following = FollowingCatalog()
+        for number in (1, 2):
+            following.put_server(number)
+        await asyncio.sleep(1.0)
+        old_rows = [
+            row
+            for (table, _), row in following.tables.rows.items()
+            if table == SERVERS_TABLE
+        ]
+        old_read = TableRead(old_rows, following.tables.version, now_ms())
+        deletion = TableRow(backend(1).server, None, old_read.version + 1)
+        newer = TableRead([deletion], deletion.version, now_ms())
+        following.store_sync.apply_rows(SERVERS_TABLE, newer, False)
+        following.store_sync.apply_rows(SERVERS_TABLE, old_read, True)
+        servers = [s.server for s in following.catalog.servers(SERVICE)]
+        assert servers == [backend(2).server]
+        following.stop()
+
+    run_virtual(scenario())
+
+
+def test_a_missing_server_gets_requests_only_if_no_other_can_serve() -> None:
+    """Guards against requests to a server that may have left during an outage.
+
+    The owner of a key stays known, since no other server may run its requests.
+    """
+
+    async def scenario() -> None:
+        following = FollowingCatalog()
+        for number in (1, 2):
+            following.put_server(number)
+        await asyncio.sleep(1.0)
+        following.store.is_partitioned = True
+        await asyncio.sleep(CONTACT_S)
+        for number in (1, 2):
+            following.tables.write(SERVERS_TABLE, backend(number).server, None)
+        following.store.is_partitioned = False
+        outage_ended_s = 0.0
+        while following.catalog.store_unreachable_ms or not outage_ended_s:
+            await asyncio.sleep(SHORT_S)
+            outage_ended_s = now_ms() / 1000
+        catalog = following.catalog
+        assert len(catalog.serving(SERVICE)) == 2, "no other server of the service"
+        following.put_server(2)
+        await asyncio.sleep(0.5)
+        assert [s.server for s in catalog.serving(SERVICE)] == [backend(2).server]
+        assert catalog.server(backend(1).server) is not None
+        await asyncio.sleep(REREGISTRATION_MS / 1000)
+        assert catalog.server(backend(1).server) is None
+        following.stop()
+
+    run_virtual(scenario())
