Bound what a server may send in response to a request

Cause: a response was collected until the deadline whatever its length, interim responses kept a request until its deadline, responses on an idle connection were queued without limit, and an idempotent request was sent to the same failing server until the retry budget or the deadline ended it, since only distinct servers counted as attempts. Ruled out: heads and header lines without end, which the parser of aiohttp already rejects. Change: connections to servers count the bytes of each response, drop interim responses up to a limit and close when unrequested responses pile up. All responses together share one limit; the largest is ended first. Each failed attempt counts against the attempts of the route, and all attempts that were written are bounded.

--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -7,11 +7,9 @@
 
 import asyncio
 from enum import Enum
-from weakref import WeakSet
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
@@ -26,6 +24,7 @@
     TRANSFER_ENCODING_HEADER,
 )
 from mulberryrelay_router.pool import NotSentError, Pool
+from mulberryrelay_router.serverconnection import ResponseBuffer, ServerConnection
 
 from .adapter import Adapter
 from .messages import BackendServer, EdgeRequest, LoadReport
@@ -40,8 +39,6 @@
 """
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a server can state that it did not run a request."""
-USED_CONNECTIONS: WeakSet[ResponseHandler] = WeakSet()
-"""Connections that have already carried a request."""
 
 
 class AttemptOutcome(Enum):
@@ -87,11 +84,13 @@
         request: EdgeRequest,
         server: BackendServer,
         adapter: Adapter,
+        response_buffer: ResponseBuffer,
         clock: Clock,
     ) -> None:
         self._request = request
         self._server = server
         self._adapter = adapter
+        self._response_buffer = response_buffer
         self._clock = clock
         self._is_sent = False
 
@@ -135,10 +134,9 @@
         is_reusable = False
         try:
             protocol = connection.protocol
-            assert protocol is not None
+            assert isinstance(protocol, ServerConnection)
             headers = self._headers()
-            is_fresh = protocol not in USED_CONNECTIONS
-            USED_CONNECTIONS.add(protocol)
+            is_fresh = not protocol.has_carried_request
             closed = protocol.closed
             if closed is not None:
                 closed.add_done_callback(_retrieve_exception)
@@ -174,7 +172,7 @@
         return headers
 
     async def _read(
-        self, protocol: ResponseHandler, is_fresh: bool
+        self, protocol: ServerConnection, is_fresh: bool
     ) -> tuple[RawResponseMessage, bytes]:
         """Return the response to this request; skip responses to earlier ones.
 
@@ -185,9 +183,7 @@
         for _ in range(MAX_RESPONSES_READ):
             message, payload = await protocol.read()
             assert isinstance(payload, StreamReader)
-            while 100 <= message.code < 200:
-                message, payload = await protocol.read()
-            body = await payload.read()
+            body = await self._read_body(protocol, payload)
             response_id = message.headers.get(request_id, "")
             if response_id == self._request.request_id:
                 return message, body
@@ -206,6 +202,22 @@
                 break
         raise _InvalidResponseError("no response has the id of this request")
 
+    async def _read_body(
+        self, protocol: ServerConnection, payload: StreamReader
+    ) -> bytes:
+        """Return a response's body; the connection closes if it is too long."""
+        chunks: list[bytes] = []
+        hold = self._response_buffer.open(
+            lambda: protocol.reject("all responses together exceed their limit")
+        )
+        try:
+            while chunk := await payload.readany():
+                chunks.append(chunk)
+                hold.add(len(chunk))
+            return b"".join(chunks)
+        finally:
+            self._response_buffer.close(hold)
+
     def _classify(self, message: RawResponseMessage, body: bytes) -> AttemptResult:
         names = self._adapter.headers
         load = self._adapter.parse_load(message.headers)
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -16,6 +16,7 @@
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.states import Outcome
 from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .adapter import Adapter
 from .catalog import Catalog
@@ -37,6 +38,8 @@
 """Multiple of the route's usual latency that must be left when a request is sent."""
 MIN_QUEUE_SHARE = 0.5
 """Minimum share of a request's total time for which it may wait in the queue."""
+MAX_ATTEMPTS = 8
+"""Attempts of one request that were written to a server, refused ones included."""
 RETRY_BACKOFF_S = 0.05
 """Pause before a retry at the owner of a key, multiplied by the number of retries.
 
@@ -70,8 +73,14 @@
         self._key_load = key_load
         self._metrics = metrics
         self._clock = clock
+        self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
 
+    @property
+    def response_buffer(self) -> ResponseBuffer:
+        """The bytes of the responses that are being received."""
+        return self._response_buffer
+
     async def forward(self, request: EdgeRequest) -> EdgeResponse:
         """Return the response to a request, at its deadline at the latest."""
         response = await self._forward(request)
@@ -91,6 +100,8 @@
         self._budget.record_request(request.service)
         tried: set[ServerId] = set()
         possibly_ran: set[ServerId] = set()
+        sent = 0
+        failures = 0
         retries = 0
         result: AttemptResult | None = None
         while True:
@@ -116,9 +127,11 @@
             self._log_failed_attempt(request, server, result)
             if result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT):
                 possibly_ran.add(server.server)
+                failures += 1
                 if not request.route.is_idempotent:
                     return self._give_up(request, result, "unknown", possibly_ran)
-                if len(possibly_ran) >= max(1, request.route.attempts):
+                # The same server may fail each attempt at a key that it owns.
+                if failures >= max(1, request.route.attempts):
                     return self._give_up(request, result, "attempts", possibly_ran)
             if (
                 result.outcome is AttemptOutcome.TIMED_OUT
@@ -126,9 +139,12 @@
             ):
                 return self._give_up(request, result, "deadline", possibly_ran)
             retries += 1
-            was_sent = result.outcome is not AttemptOutcome.NOT_SENT
-            if was_sent and not self._budget.try_consume(request.service):
-                return self._give_up(request, result, "retry-budget", possibly_ran)
+            if result.outcome is not AttemptOutcome.NOT_SENT:
+                sent += 1
+                if sent >= MAX_ATTEMPTS:
+                    return self._give_up(request, result, "attempts", possibly_ran)
+                if not self._budget.try_consume(request.service):
+                    return self._give_up(request, result, "retry-budget", possibly_ran)
             if is_keyed:
                 # Only the owner can run the request, so retry there after a pause.
                 tried.clear()
@@ -177,7 +193,9 @@
         loads = self._dispatcher.loads
         result: AttemptResult | None = None
         try:
-            exchange = Exchange(request, server, self._adapter, self._clock)
+            exchange = Exchange(
+                request, server, self._adapter, self._response_buffer, self._clock
+            )
             result = await exchange.run(self._pool)
         finally:
             load = result.load if result is not None else None
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -95,7 +95,11 @@
     )
     control.catalog.changes.subscribe(lambda _: dispatcher.schedule_dispatch())
     control.ownership.changes.subscribe(lambda _: dispatcher.schedule_dispatch())
-    pool = Pool(CONNECTIONS_PER_SERVER, keepalive_s=KEEPALIVE_S)
+    pool = Pool(
+        CONNECTIONS_PER_SERVER,
+        keepalive_s=KEEPALIVE_S,
+        max_response_bytes=options.max_response_bytes,
+    )
     metrics = Metrics(Tenant(""))
     forwarder = RequestForwarder(
         adapter,
--- a/packages/kernel/mulberryrelay_kernel/httpclient.py
+++ b/packages/kernel/mulberryrelay_kernel/httpclient.py
@@ -1,4 +1,8 @@
-"""HTTP client sessions for periodic calls to the platform, servers and the leader."""
+"""HTTP client sessions for periodic calls to the platform, servers and the leader.
+
+The responses to these calls are read with a limit, since a faulty peer may send a body
+without end.
+"""
 
 import aiohttp
 
@@ -13,11 +17,38 @@
     timeout: aiohttp.ClientTimeout | None = None,
     headers: dict[str, str] | None = None,
 ) -> aiohttp.ClientSession:
-    """Return a client session that sends no cookies and no unused default headers."""
+    """Return a client session that sends no cookies and no unused default headers.
+
+    Responses are not decompressed: no recipient is asked to compress them, and a small
+    compressed body may be very large.
+    """
     return aiohttp.ClientSession(
         connector=connector,
         timeout=timeout or aiohttp.ClientTimeout(),
         headers=headers,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=UNUSED_HEADERS,
+        auto_decompress=False,
     )
+
+
+class ResponseTooLongError(aiohttp.ClientPayloadError):
+    """A peer sent more than a response may have."""
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the body of a response.
+
+    Raises:
+        ResponseTooLongError: it has more than ``max_bytes``; the connection is closed.
+        aiohttp.ClientError: the connection broke.
+    """
+    chunks: list[bytes] = []
+    length = 0
+    while chunk := await response.content.readany():
+        length += len(chunk)
+        if length > max_bytes:
+            response.close()
+            raise ResponseTooLongError(f"a body of more than {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -7,15 +7,20 @@
 """
 
 import asyncio
+import functools
+from math import inf
 from typing import Protocol
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from aiohttp.helpers import TimerNoop
 from aiohttp.http import StreamWriter
 from multidict import CIMultiDict
 from yarl import URL
 
+from .serverconnection import ServerConnection
+
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 30.0
 READ_BUFFER_BYTES = 65_536
@@ -54,8 +59,11 @@
         connections_per_server: int,
         force_close: bool = False,
         keepalive_s: float = KEEPALIVE_S,
+        max_response_bytes: float = inf,
     ) -> None:
+        """``max_response_bytes`` bounds the bodies received for one request."""
         self._force_close = force_close
+        self._max_response_bytes = max_response_bytes
         self._connector = aiohttp.TCPConnector(
             limit=0,
             limit_per_host=connections_per_server,
@@ -63,6 +71,8 @@
             force_close=force_close,
             use_dns_cache=False,
         )
+        # aiohttp has no public way to choose the class of its connections.
+        self._connector._factory = functools.partial(_create_connection)
         self._session = aiohttp.ClientSession(
             connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
         )
@@ -157,7 +167,8 @@
             NotSentError: the attempt must not be sent now.
         """
         protocol = connection.protocol
-        assert protocol is not None
+        assert isinstance(protocol, ServerConnection)
+        protocol.expect_response(self._max_response_bytes)
         protocol.set_response_params(
             skip_payload=method == "HEAD",
             read_until_eof=True,
@@ -213,6 +224,10 @@
         await self._single_use.close()
 
 
+def _create_connection() -> ResponseHandler:
+    return ServerConnection(asyncio.get_running_loop())
+
+
 def _is_usable(connection: Connection) -> bool:
     """Return whether a connection is open and has received no unexpected bytes."""
     protocol = connection.protocol
--- /dev/null
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -0,0 +1,145 @@
+"""Connections to backend servers that bound what a server may send.
+
+A faulty server may send bytes without end: in a head, in a body, as interim responses,
+or on a connection that waits in the pool. ``ServerConnection`` closes the connection at
+once in each of these cases. ``ResponseBuffer`` bounds the bytes that all responses
+together may hold in memory.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from mulberryrelay_kernel.httpclient import ResponseTooLongError
+from mulberryrelay_kernel.logs import log_event
+
+MAX_INTERIM_RESPONSES = 8
+"""Interim responses (1xx) that a server may send before its response."""
+MAX_UNREAD_RESPONSES = 4
+"""Responses that may wait on a connection.
+
+A connection carries one request at a time, so more than one of them is unrequested.
+"""
+MAX_HEAD_BYTES = 65_536
+"""Bytes that all heads of the responses to one request may have together."""
+
+
+class ServerConnection(ResponseHandler):
+    """A connection that is closed when its server sends more than it may.
+
+    Interim responses are dropped. The reader of the response gets a
+    ``ResponseTooLongError``.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._has_carried_request = False
+        self._interim_responses = 0
+        self._bytes_left = float(MAX_HEAD_BYTES)
+
+    @property
+    def has_carried_request(self) -> bool:
+        """Whether a request was already sent on this connection."""
+        return self._has_carried_request
+
+    def expect_response(self, max_bytes: float) -> None:
+        """Permit the next response; ``max_bytes`` bounds the bodies received for it."""
+        self._has_carried_request = True
+        self._interim_responses = 0
+        self._bytes_left = max_bytes + MAX_HEAD_BYTES
+
+    def data_received(self, data: bytes) -> None:
+        self._bytes_left -= len(data)
+        if self._bytes_left < 0:
+            self.reject("a response exceeds its limit")
+            return
+        super().data_received(data)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        message, _ = data
+        if 100 <= message.code < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES or message.code == 101:
+                self.reject("interim responses without end, or an unrequested upgrade")
+            return
+        if len(self) >= MAX_UNREAD_RESPONSES:
+            self.reject("responses that nobody requested")
+            return
+        super().feed_data(data, size)
+
+    def reject(self, reason: str) -> None:
+        """Close the connection; its reader gets a ``ResponseTooLongError``."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        peer = transport.get_extra_info("peername")
+        log_event("response_rejected", peer=peer, reason=reason)
+        error = ResponseTooLongError(reason)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        transport.abort()
+
+
+class ResponseHold:
+    """The bytes that one response holds in memory."""
+
+    def __init__(self, buffer: "ResponseBuffer", on_evict: Callable[[], None]) -> None:
+        self._buffer = buffer
+        self._on_evict = on_evict
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that the response holds."""
+        return self._held_bytes
+
+    def add(self, count: int) -> None:
+        """Count received bytes; evict the largest response if there are too many."""
+        self._held_bytes += count
+        self._buffer.enforce_limit()
+
+    def evict(self) -> None:
+        """End the response, because all responses together hold too much."""
+        self._on_evict()
+
+
+class ResponseBuffer:
+    """Bounds the bytes of all responses that are being received."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._holds: set[ResponseHold] = set()
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that all responses hold."""
+        return sum(hold.held_bytes for hold in self._holds)
+
+    def open(self, on_evict: Callable[[], None]) -> ResponseHold:
+        """Register a response; ``on_evict`` must end it."""
+        hold = ResponseHold(self, on_evict)
+        self._holds.add(hold)
+        return hold
+
+    def close(self, hold: ResponseHold) -> None:
+        """Release all bytes of a response."""
+        self._holds.discard(hold)
+
+    def enforce_limit(self) -> None:
+        """Evict the largest responses until the others are within the limit."""
+        while self._holds and self.held_bytes > self._max_bytes:
+            largest = max(self._holds, key=lambda hold: hold.held_bytes)
+            log_event(
+                "response_evicted",
+                held_bytes=largest.held_bytes,
+                responses=len(self._holds),
+                limit_bytes=self._max_bytes,
+            )
+            self._holds.discard(largest)
+            largest.evict()
--- /dev/null
+++ b/tests/test_edge_endless.py
@@ -0,0 +1,205 @@
+"""Servers that send bytes without end, or bytes that are no response.
+
+The connection must be closed at once, memory stays bounded, and the caller learns the
+truth: a non-idempotent request may have run.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack
+
+from .fixtures import async_test, wait_until
+from .fixtures.edgerouter import (
+    MAX_BUFFERED_BYTES,
+    MAX_RESPONSE_BYTES,
+    EdgeRouter,
+    edge_response,
+    edge_router,
+)
+from .fixtures.rawserver import RawRequest, raw_server, respond_with
+
+DEADLINE_MS = 4000.0
+AT_ONCE_S = 1.0
+"""Time in which an endless response has to be rejected, a quarter of the deadline."""
+SOCKET_BYTES = 16 << 20
+"""Upper bound of what the sockets' buffers may hold beyond what the router reads."""
+MAX_ATTEMPTS_OF_TEST_ROUTE = 2
+"""Attempts that may run, of one request on the route of the tests."""
+
+Endless = Callable[[RawRequest], Iterator[bytes]]
+"""Returns the pieces of a response that never ends."""
+
+
+def _repeat(start: bytes, piece: bytes) -> Iterator[bytes]:
+    yield start
+    while True:
+        yield piece
+
+
+def _head(request: RawRequest, framing: str) -> bytes:
+    """Return the head of a successful response, with a header line for its framing."""
+    return edge_response(request, more=framing, length=False).partition(b"\r\n\r\n")[0]
+
+
+BLOCK = b"x" * 16_384
+CHUNK = b"4000\r\n" + BLOCK + b"\r\n"
+ENDLESS: dict[str, Endless] = {
+    "chunked body": lambda r: _repeat(
+        _head(r, "Transfer-Encoding: chunked\r\n") + b"\r\n\r\n", CHUNK
+    ),
+    "body with a huge length": lambda r: _repeat(
+        _head(r, "Content-Length: 99999999999\r\n") + b"\r\n\r\n", BLOCK
+    ),
+    "body without length": lambda r: _repeat(_head(r, "") + b"\r\n\r\n", BLOCK),
+    "chunk extension": lambda r: _repeat(
+        _head(r, "Transfer-Encoding: chunked\r\n") + b"\r\n\r\n4;", BLOCK
+    ),
+    "trailers": lambda r: _repeat(
+        _head(r, "Transfer-Encoding: chunked\r\n") + b"\r\n\r\n0\r\n", b"A: b\r\n" * 99
+    ),
+    "header lines": lambda r: _repeat(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 99),
+    "one header line": lambda r: _repeat(b"HTTP/1.1 200 OK\r\nA: ", BLOCK),
+    "empty lines": lambda r: _repeat(b"", b"\r\n" * 999),
+    "no response": lambda r: _repeat(b"", BLOCK),
+    "interim responses": lambda r: _repeat(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "upgrade": lambda r: _repeat(
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", BLOCK
+    ),
+}
+
+
+class EndlessServer:
+    """Behaviour of a server that sends until its connection is closed."""
+
+    def __init__(self, make: Endless) -> None:
+        self._make = make
+        self.sent_bytes = 0
+
+    async def respond(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        for piece in self._make(request):
+            writer.write(piece)
+            self.sent_bytes += len(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
+@async_test
+async def test_an_endless_response_is_rejected_at_once() -> None:
+    """Guards against a process that runs out of memory, and against a false "not run".
+
+    Before the limits, one chunked body of 4 s took 573 MB.
+    """
+    for name, make in ENDLESS.items():
+        endless = EndlessServer(make)
+        async with raw_server(endless.respond) as server, edge_router() as router:
+            router.register_server(server)
+            started_s = time.monotonic()
+            request = router.request(is_idempotent=False, timeout_ms=DEADLINE_MS)
+            response = await router.send(request)
+            assert response.status == 502, name
+            assert time.monotonic() - started_s < AT_ONCE_S, name
+            assert len(server.received) == 1, name
+            while not server.closed_connections:
+                await asyncio.sleep(0.005)
+            assert endless.sent_bytes < MAX_RESPONSE_BYTES + SOCKET_BYTES, name
+
+
+@async_test
+async def test_a_request_is_not_sent_to_a_failing_server_again_and_again() -> None:
+    """Guards against 43 attempts of one request within 3 s."""
+    for is_keyed in (False, True):
+        for name, make in ENDLESS.items():
+            endless = EndlessServer(make)
+            async with (
+                raw_server(endless.respond) as server,
+                edge_router(is_keyed) as router,
+            ):
+                entry = router.register_server(server)
+                if is_keyed:
+                    router.assign_all_keys(entry)
+                request = router.request(key=7, timeout_ms=DEADLINE_MS)
+                response = await router.send(request)
+                assert response.status == 502, name
+                assert len(server.received) <= MAX_ATTEMPTS_OF_TEST_ROUTE, name
+
+
+@async_test
+async def test_a_server_that_sends_no_responses_is_ejected() -> None:
+    """Guards against requests to a server that fails each of them."""
+    endless = EndlessServer(ENDLESS["no response"])
+    async with (
+        raw_server(endless.respond) as broken,
+        raw_server(respond_with(edge_response)) as first,
+        raw_server(respond_with(edge_response)) as second,
+        edge_router() as router,
+    ):
+        for number, server in enumerate((broken, first, second)):
+            router.register_server(server, number)
+        for _ in range(60):
+            response = await router.send(router.request())
+            assert response.status == 200
+        assert len(broken.received) <= 6
+
+
+@async_test
+async def test_all_responses_together_hold_bounded_memory() -> None:
+    """Guards against many long responses at once; the largest of them are ended.
+
+    Each server sends most of one long response, which stays below its own limit, and
+    then waits. Its further responses are short.
+    """
+    count = 2 * MAX_BUFFERED_BYTES // MAX_RESPONSE_BYTES
+    released = asyncio.Event()
+    first_requests: dict[object, RawRequest] = {}
+    part = b"x" * (MAX_RESPONSE_BYTES * 3 // 4)
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if (
+            first_requests.setdefault(writer.get_extra_info("sockname"), request)
+            != request
+        ):
+            writer.write(edge_response(request))
+            return
+        framing = f"Content-Length: {MAX_RESPONSE_BYTES}\r\n"
+        writer.write(_head(request, framing) + b"\r\n\r\n" + part)
+        await released.wait()
+        writer.write(b"x" * (MAX_RESPONSE_BYTES - len(part)))
+
+    async with AsyncExitStack() as stack:
+        router = await stack.enter_async_context(edge_router())
+        for number in range(count):
+            server = await stack.enter_async_context(raw_server(respond))
+            router.register_server(server, number)
+        sending = [asyncio.create_task(_send_once(router)) for _ in range(count)]
+        await wait_until(lambda: any(task.done() for task in sending))
+        buffer = router.forwarder.response_buffer
+        assert MAX_RESPONSE_BYTES < buffer.held_bytes <= MAX_BUFFERED_BYTES
+        beside = [_send_once(router) for _ in range(count)]
+        assert await asyncio.gather(*beside) == [200] * count
+        released.set()
+        statuses = await asyncio.gather(*sending)
+        assert statuses.count(200) >= 2 and set(statuses) == {200, 502}
+        assert buffer.held_bytes == 0
+
+
+async def _send_once(router: EdgeRouter) -> int:
+    request = router.request(is_idempotent=False, timeout_ms=DEADLINE_MS)
+    return (await router.send(request)).status
+
+
+@async_test
+async def test_bytes_on_an_idle_connection_close_it() -> None:
+    """Guards against memory taken by a server while nobody waits for a response."""
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(edge_response(request))
+        await asyncio.sleep(0.05)
+        await endless.respond(request, writer)
+
+    endless = EndlessServer(lambda request: _repeat(b"", edge_response(request)))
+    async with raw_server(respond) as server, edge_router() as router:
+        router.register_server(server)
+        response = await router.send(router.request())
+        assert response.status == 200
+        await wait_until(lambda: server.closed_connections == 1)
