Reuse no connection on which a server of the router has refused a request

Cause: a refusal that a server sends twice, the second time late, arrives on the connection that already carries the retry. The retry has the same request id, so that the duplicate was taken for its response: the payment was sent a third time while the second attempt ran. Ruled out: closing the connection after the response was read, since it is released as soon as the head and body have arrived together. Change: the connection itself recognises the header of a refusal and is not reused after it. Before: test_forward.test_a_duplicate_refusal_is_not_the_response_to_the_retry fails, the server receives the payment three times. After: twice, the second one runs.

--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -16,7 +16,7 @@
 from aiohttp.connector import Connection
 from aiohttp.helpers import TimerNoop
 from aiohttp.http import StreamWriter
-from multidict import CIMultiDict
+from multidict import CIMultiDict, istr
 from yarl import URL
 
 from .serverconnection import ServerConnection
@@ -60,8 +60,12 @@
         force_close: bool = False,
         keepalive_s: float = KEEPALIVE_S,
         max_response_bytes: float = inf,
+        last_response_header: istr | None = None,
     ) -> None:
-        """``max_response_bytes`` bounds the bodies received for one request."""
+        """``max_response_bytes`` bounds the bodies received for one request.
+
+        A connection is not reused after a response with ``last_response_header``.
+        """
         self._force_close = force_close
         self._max_response_bytes = max_response_bytes
         self._connector = aiohttp.TCPConnector(
@@ -72,7 +76,9 @@
             use_dns_cache=False,
         )
         # aiohttp has no public way to choose the class of its connections.
-        self._connector._factory = functools.partial(_create_connection)
+        self._connector._factory = functools.partial(
+            _create_connection, last_response_header
+        )
         self._session = aiohttp.ClientSession(
             connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
         )
@@ -202,8 +208,12 @@
 class Pools:
     """Connections of one router to all backend servers."""
 
-    def __init__(self, connections_per_server: int) -> None:
-        self._persistent = Pool(connections_per_server)
+    def __init__(self, connections_per_server: int, refusal_header: istr) -> None:
+        # A duplicate of a refusal would be taken for the response to the retry, which
+        # has the same request id.
+        self._persistent = Pool(
+            connections_per_server, last_response_header=refusal_header
+        )
         # A run under probation needs a new connection. A persistent one may break only
         # because the server closed it while it was idle.
         self._single_use = Pool(connections_per_server, force_close=True)
@@ -224,8 +234,8 @@
         await self._single_use.close()
 
 
-def _create_connection() -> ResponseHandler:
-    return ServerConnection(asyncio.get_running_loop())
+def _create_connection(last_response_header: istr | None) -> ResponseHandler:
+    return ServerConnection(asyncio.get_running_loop(), last_response_header)
 
 
 def _is_usable(connection: Connection) -> bool:
--- a/packages/router/mulberryrelay_router/requestforwarder.py
+++ b/packages/router/mulberryrelay_router/requestforwarder.py
@@ -12,6 +12,7 @@
 from mulberryrelay_kernel.platform import Platform
 
 from .admission import Admission
+from .attempts import NOT_RUN_HEADER
 from .callers import Handler, caller_handler
 from .claims import Claims
 from .inflight import InFlight
@@ -37,7 +38,9 @@
         load: LoadCounters | None = None,
     ) -> None:
         instance = options.instance.name
-        self._pools = Pools(max(s.connections for s in options.services.values()))
+        self._pools = Pools(
+            max(s.connections for s in options.services.values()), NOT_RUN_HEADER
+        )
         self._in_flight = in_flight or InFlight()
         self._claims = Claims(options, platform, monotonic_ms)
         self._readiness = Readiness(view)
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -12,6 +12,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
+from multidict import istr
 
 from mulberryrelay_kernel.httpclient import ResponseTooLongError
 from mulberryrelay_kernel.logs import log_event
@@ -34,8 +35,12 @@
     ``ResponseTooLongError``.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, last_response_header: istr | None = None
+    ) -> None:
+        """``last_response_header`` marks the last response on a connection."""
         super().__init__(loop)
+        self._last_response_header = last_response_header
         self._has_carried_request = False
         self._interim_responses = 0
         self._bytes_left = float(MAX_HEAD_BYTES)
@@ -70,6 +75,8 @@
         if len(self) >= MAX_UNREAD_RESPONSES:
             self.reject("responses that nobody requested")
             return
+        if self._last_response_header in message.headers:
+            self.force_close()
         super().feed_data(data, size)
 
     def reject(self, reason: str) -> None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -86,6 +86,33 @@
         assert len(set(ids)) == len(ids) <= router.path.in_flight.started
 
 
+@async_test
+async def test_a_duplicate_refusal_is_not_the_response_to_the_retry() -> None:
+    """Guards against reporting a payment that ran as not run.
+
+    The owner of the key sends its refusal twice, the second time while the retry, which
+    has the same request id, is running.
+    """
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if len(server.received) == 1:
+            writer.write(refusal(request, "not-owner"))
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.05, writer.write, refusal(request, "not-owner"))
+            return
+        await asyncio.sleep(0.2)
+        writer.write(make_response(request))
+
+    async with (
+        raw_server(respond) as server,
+        running_router([server.entry("server-1", "roster")]) as router,
+    ):
+        router.own("server-1")
+        response = await router.send("/roster/pay", b"pay", Mulberry_Key="k")
+        assert len(server.received) == 2
+        assert (response.status, response.outcome) == (200, "ran")
+
+
 # Each case: behaviour of the server; status and outcome of a payment that it receives
 # once.
 PAYMENT_CASES: list[tuple[Respond, int, str]] = [
