Keep edge routers running after malformed messages and unexpected errors

Cause: a value of the store that is not Base64, a document nested too deeply, or any other unforeseen error in one of the tasks of an edge router ended the process; an error in the leader's term left a leader that renewed its lease and granted nothing. A load header with 5,000 digits failed the request in an unforeseen way. Replies of the store, the leader, the servers' commands and the administration API were read without a limit, and decompressed. Ruled out: crashes by the HTTP parsers, which the seeded fuzz test did not find. Change: one decoder for messages of other processes that reports all its errors as one type; rows are decoded one by one; tasks of the process are logged and started again; a failed term steps down; replies have limits; a deadline that is not a number is ignored; records of libraries become bounded log events instead of stack traces on stderr. Before: three of the five tests of test_fuzz and those of test_edge_errors fail. After: they pass, with 60 examples each.

--- a/packages/control/mulberryrelay_control/grants.py
+++ b/packages/control/mulberryrelay_control/grants.py
@@ -14,7 +14,9 @@
 import msgspec
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.hashing import grants_digest
+from mulberryrelay_kernel.httpclient import read_body
 from mulberryrelay_kernel.ids import (
     BootId,
     Epoch,
@@ -35,6 +37,8 @@
 REVOCATION_POLL_MS = 5.0
 # Pause before a failed command is retried.
 RETRY_DELAY_MS = 25.0
+# Maximum length of a server's reply to a command.
+MAX_REPLY_BYTES = 1_048_576
 # Number of servers whose renewals are sent together. A command takes about 0.1 ms of
 # processor time, so that a group blocks the event loop for a few milliseconds.
 RENEWAL_GROUP_SIZE = 32
@@ -353,8 +357,8 @@
                 data=msgspec.json.encode(command),
                 timeout=timeout,
             ) as response:
-                body = await response.read()
-            reply = msgspec.json.decode(body, type=GrantReply)
+                body = await read_body(response, MAX_REPLY_BYTES)
+            reply = decode_json(body, GrantReply)
         except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
             return None
         # Another server may be listening at this address now.
--- a/packages/control/mulberryrelay_control/platform_http.py
+++ b/packages/control/mulberryrelay_control/platform_http.py
@@ -7,7 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from mulberryrelay_kernel.httpclient import create_client_session
+from mulberryrelay_kernel.decoding import decode_json
+from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.ids import InstanceId, RowName, WriteId
 from mulberryrelay_kernel.messages import Condition, ListedInstance, Row, Write
 from mulberryrelay_kernel.options import PlatformOptions
@@ -17,6 +18,8 @@
 
 INSTANCE_HEADER = "Mulberry-Instance"
 """Request header with the name of the calling instance."""
+MAX_REPLY_BYTES = 67_108_864
+"""Maximum length of a reply; a scan returns all rows with a prefix."""
 
 _NULL_JSON = b"null"
 _NULL = msgspec.Raw(_NULL_JSON)
@@ -134,7 +137,7 @@
         if reply_type is None:
             return Success(None)
         try:
-            return Success(msgspec.json.decode(content, type=reply_type))
+            return Success(decode_json(content, reply_type))
         except msgspec.DecodeError:
             return Failure(StoreFailure.UNKNOWN)
 
@@ -153,7 +156,7 @@
             async with self._session.request(
                 method, self._url + path, data=body, params=query
             ) as response:
-                return response.status, await response.read()
+                return response.status, await read_body(response, MAX_REPLY_BYTES)
         except aiohttp.ClientConnectorError:
             return StoreFailure.UNAVAILABLE
         except (TimeoutError, aiohttp.ClientError, OSError):
--- a/packages/ctl/mulberryctl/client.py
+++ b/packages/ctl/mulberryctl/client.py
@@ -8,6 +8,8 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from mulberryrelay_kernel.decoding import decode_json
+from mulberryrelay_kernel.httpclient import read_body
 from mulberryrelay_kernel.ids import RulesVersion
 from mulberryrelay_kernel.messages import (
     AdminError,
@@ -25,6 +27,9 @@
 A submission may take three store calls of 200 ms, and as many again to read it back.
 """
 
+MAX_RESPONSE_BYTES = 67_108_864
+"""Maximum length of a response; the longest one is the history of all rules."""
+
 STATUS_PERIOD_S = 0.2
 """Period at which the status is polled while waiting for a version to be in force."""
 
@@ -137,7 +142,8 @@
             async with self._session.request(
                 method, self._url + path, data=body
             ) as response:
-                status, content = response.status, await response.read()
+                status = response.status
+                content = await read_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
             return Failure(_unreachable("unreachable", f"{self._url}: {error}"))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -145,8 +151,8 @@
             return Failure(_unreachable(NO_RESPONSE, detail))
         try:
             if status == 200:
-                return Success(msgspec.json.decode(content, type=response_type))
-            error_body = msgspec.json.decode(content, type=AdminError)
+                return Success(decode_json(content, response_type))
+            error_body = decode_json(content, AdminError)
         except msgspec.DecodeError as error:
             detail = f"{self._url}: status {status}: {error}"
             return Failure(_unreachable(NO_RESPONSE, detail))
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+from math import isnan, nan
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -15,6 +16,7 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.supervision import log_failure
 from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER, HOP_BY_HOP_HEADERS
 
 from .adapter import Adapter
@@ -168,6 +170,12 @@
         self._in_flight += 1
         try:
             edge_response = await self._process(request)
+        except (web.HTTPException, web.RequestPayloadError, ConnectionError):
+            raise
+        except Exception as error:
+            # What the request has caused is not known here.
+            log_failure("request", error)
+            edge_response = router_response(500)
         finally:
             self._in_flight -= 1
         response = web.Response(
@@ -254,7 +262,10 @@
     if text is None:
         return default
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
+        number = nan
+    if isnan(number):
         log_event("invalid_header_number", value=text[:32])
         return default
+    return number
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Awaitable
 
 from reactivex.subject import Subject
@@ -15,10 +16,11 @@
 from mulberryrelay_kernel.ids import ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.states import ServerState
+from mulberryrelay_kernel.supervision import run_supervised
 
 from .messages import BackendServer, RouteTable
 from .tablefollower import FollowedTable, StoreSync, follow_table
-from .tablestore import Source, TableRead, TableStore
+from .tablestore import Source, TableRead, TableStore, decode_row
 
 SERVERS_BATCH_DELAY_S = 0.2
 """Pause after a change of the servers table, to fetch several changes at once."""
@@ -148,7 +150,13 @@
                 batch_delay_s=SERVERS_BATCH_DELAY_S,
             ),
         )
-        return [follow_table(self._store, table, self._store_sync) for table in tables]
+        return [
+            run_supervised(
+                f"follow {table.table}",
+                functools.partial(follow_table, self._store, table, self._store_sync),
+            )
+            for table in tables
+        ]
 
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
@@ -164,7 +172,7 @@
         for row in read.rows:
             if row.value is None:
                 continue
-            table = self._route_source.decode(row)
+            table = decode_row(self._route_source, row)
             if table is None:
                 continue
             if self._routes is not None and table.version <= self._routes.version:
@@ -179,7 +187,9 @@
         listed: set[ServerId] = set()
         for row in read.rows:
             server = ServerId(row.key)
-            entry = self._server_source.decode(row) if row.value is not None else None
+            entry = None
+            if row.value is not None:
+                entry = decode_row(self._server_source, row)
             if entry is None:
                 self._handle_deletion(server)
                 continue
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.supervision import run_supervised
 
 from .adapter import Adapter
 from .catalog import Catalog
@@ -140,9 +141,12 @@
         )
         return [
             *self._catalog.tasks(),
-            follow_table(self._adapter.store, ranges, self._store_sync),
-            self._lease.run(),
-            self._link.run(),
+            run_supervised(
+                f"follow {RANGES_TABLE}",
+                lambda: follow_table(self._adapter.store, ranges, self._store_sync),
+            ),
+            run_supervised("lease", self._lease.run),
+            run_supervised("link", self._link.run),
         ]
 
     async def close(self) -> None:
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -5,6 +5,7 @@
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.supervision import log_failure
 
 from .adapter import ServerCommands
 from .catalog import Catalog
@@ -114,5 +115,10 @@
             await term.run()
         except TermEndedError:
             log_event("term_ended", term=self._lease.term)
+        except Exception as error:
+            # Without this term's tasks no grants are renewed, so that another router,
+            # or a new term of this one, has to take over.
+            log_failure("term", error)
+            self._lease.step_down("failed")
         finally:
             term.cancel()
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -9,6 +9,7 @@
 from mulberryrelay_kernel.ids import Tenant
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
+from mulberryrelay_kernel.supervision import run_supervised
 from mulberryrelay_router.pool import Pool
 
 from .adapter import Adapter
@@ -72,11 +73,7 @@
 
 
 async def run_edge(adapter: Adapter, clock: Clock = boottime_ms) -> None:
-    """Serve callers until SIGTERM or SIGINT, then shut down gracefully.
-
-    Raises:
-        Exception: a task that must run as long as the process has failed.
-    """
+    """Serve callers until SIGTERM or SIGINT, then shut down gracefully."""
     options = adapter.options
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -133,16 +130,12 @@
         asyncio.ensure_future(coroutine)
         for coroutine in (
             *control.tasks(),
-            dispatcher.run(),
-            reload_settings(adapter, hangup),
-            log_summaries(metrics),
+            run_supervised("dispatch", dispatcher.run),
+            run_supervised("reload", lambda: reload_settings(adapter, hangup)),
+            run_supervised("summaries", lambda: log_summaries(metrics)),
         )
     ]
-    stop = asyncio.create_task(stopping.wait())
-    await asyncio.wait({stop, *tasks}, return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        if task.done():
-            task.result()
+    await stopping.wait()
     log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
     releasing = asyncio.create_task(control.lease.release())
     await callers.stop()
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -16,7 +16,8 @@
 from aiohttp import web
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.httpclient import create_client_session
+from mulberryrelay_kernel.decoding import decode_msgpack
+from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.logs import log_event
 
 from .keyload import KeyLoad
@@ -49,6 +50,8 @@
 """Level of zlib compression: the fastest."""
 MAX_CACHED_BODIES = 8
 """Number of encoded replies that are cached."""
+MAX_REPLY_BYTES = 33_554_432
+"""Maximum length of a reply, before and after decompression."""
 UNCOMPRESSED = b"\0"
 """First byte of a reply that is not compressed."""
 COMPRESSED = b"\1"
@@ -270,7 +273,7 @@
     async def _handle_report(self, request: web.Request) -> web.Response:
         body = await request.read()
         try:
-            report = msgspec.msgpack.decode(body, type=RouterReport)
+            report = decode_msgpack(body, RouterReport)
         except msgspec.MsgspecError as error:
             log_event("bad_report", error=str(error))
             return web.Response(status=400)
@@ -314,8 +317,8 @@
             async with self._session.post(url, data=body, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
-                body = _decompress_body(await reply.read())
-                return msgspec.msgpack.decode(body, type=LeaderReply)
+                content = await read_body(reply, MAX_REPLY_BYTES)
+                return decode_msgpack(_decompress_body(content), LeaderReply)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log_event("report_failed", url=url, error=repr(error))
         except (msgspec.MsgspecError, zlib.error) as error:
@@ -335,6 +338,15 @@
 
 
 def _decompress_body(body: bytes) -> bytes:
-    if body[:1] == COMPRESSED:
-        return zlib.decompress(body[1:])
-    return body[1:]
+    """Return a body without the compression.
+
+    Raises:
+        zlib.error: the body is malformed or exceeds ``MAX_REPLY_BYTES``.
+    """
+    if body[:1] != COMPRESSED:
+        return body[1:]
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(body[1:], MAX_REPLY_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("incomplete or too long")
+    return decompressed
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -14,6 +14,7 @@
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.states import ServerState
+from mulberryrelay_kernel.supervision import log_failure
 
 from .adapter import CommandRefused
 from .catalog import Catalog
@@ -388,3 +389,6 @@
             await coroutine  # type: ignore[misc]
         except TermEndedError:
             return
+        except Exception as error:
+            # The next tick starts the task again if it is still due.
+            log_failure("term-task", error)
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.ids import InstanceId
 from mulberryrelay_kernel.logs import log_event
 
@@ -98,6 +99,7 @@
         self._check_event = asyncio.Event()
         """Set when a follower has to read the lease."""
         self._changes: Subject[bool] = Subject()
+        ownership.changes.subscribe(lambda _: self._on_ownership_change())
 
     @property
     def changes(self) -> Subject[bool]:
@@ -162,7 +164,6 @@
 
     async def run(self) -> None:
         """Acquire the lease whenever it is free, and renew it while it is held."""
-        self._ownership.changes.subscribe(lambda _: self._on_ownership_change())
         while not self._is_leaving:
             if self._row is None:
                 await self._check_lease()
@@ -189,6 +190,15 @@
         await self._write_lease(released, notice)
         log_event("leader_released", term=row.term)
 
+    def step_down(self, reason: str) -> None:
+        """End the term without writing to the store.
+
+        The lease expires there before any router can acquire it again, so a term after
+        this one treats the grants of this one like those of any earlier leader.
+        """
+        if self._row is not None:
+            self._end_term(reason)
+
     def renew_soon(self) -> None:
         """Renew the lease now, because its contents have changed."""
         self._renew_event.set()
@@ -224,7 +234,12 @@
         version = 0
         for row in read.rows:
             if row.key == LEASE_KEY and row.value is not None:
-                previous = msgspec.json.decode(row.value, type=LeaderRow)
+                try:
+                    previous = decode_json(row.value, LeaderRow)
+                except msgspec.MsgspecError as error:
+                    # Its holder is unknown, so that the lease must not be taken.
+                    log_event("bad_row", table=LEADER_TABLE, error=str(error))
+                    return False
                 version = row.version
         if previous.expires_ms + MARGIN_MS > read.store_ms:
             return False
@@ -282,6 +297,9 @@
         result = await self._write_lease(renewed, None)
         self._renewal_started_ms = float("inf")
         self._renewal_duration_ms = self._clock() - started_ms
+        if self._row is not row:
+            # The term ended while the renewal was on its way.
+            return
         if isinstance(result, Success):
             self._row = renewed
             self._unreachable_servers.mark_stored(renewed.unreachable)
@@ -334,7 +352,11 @@
         for stored in read.unwrap().rows:
             if stored.key != LEASE_KEY or stored.value is None:
                 continue
-            current = msgspec.json.decode(stored.value, type=LeaderRow)
+            try:
+                current = decode_json(stored.value, LeaderRow)
+            except msgspec.MsgspecError as error:
+                log_event("bad_row", table=LEADER_TABLE, error=str(error))
+                return result
             if current.write_id == row.write_id:
                 return Success(Committed(stored.version, read.unwrap().store_ms))
             if current.boot_id == self._boot_id and current.term == self.term:
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -10,6 +10,7 @@
 import msgspec
 from reactivex.subject import Subject
 
+from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 
@@ -112,11 +113,9 @@
             self._versions[row.key] = row.version
             try:
                 if row.key == LEADER_NOTICE_KEY:
-                    self._leader_notice = msgspec.json.decode(
-                        row.value, type=LeaderNoticeRow
-                    )
+                    self._leader_notice = decode_json(row.value, LeaderNoticeRow)
                     continue
-                ranges = msgspec.json.decode(row.value, type=RangeMapRow)
+                ranges = decode_json(row.value, RangeMapRow)
             except msgspec.MsgspecError as error:
                 log_event("bad_row", table=RANGES_TABLE, key=row.key, error=str(error))
                 continue
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -10,10 +10,11 @@
 import msgspec
 from returns.result import Success
 
+from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 
-from .lease import LeaderLease, TermEndedError
+from .lease import LeaderLease
 from .messages import RangeMapRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
 from .rangeedits import Edit, Ranges
@@ -102,7 +103,7 @@
             service = ServiceName(row.key)
             if row.version < self._versions.get(service, 0):
                 continue
-            self._rows[service] = msgspec.json.decode(row.value, type=RangeMapRow)
+            self._rows[service] = decode_json(row.value, RangeMapRow)
             self._versions[service] = row.version
         self._ownership.apply_rows(read, False)
 
@@ -117,8 +118,9 @@
                 error: Exception | None = None
                 try:
                     await self._write(service, [edit for edit, _ in batch])
-                except TermEndedError as ended:
-                    error = ended
+                except Exception as failure:
+                    # Raised where the edits were requested.
+                    error = failure
                 for _, done in batch:
                     if done.done():
                         continue
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -109,7 +109,9 @@
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
     def follow(self, followed: FollowedTable) -> None:
-        """Start to keep a copy of a table."""
+        """Start to keep a copy of a table, unless that was started before."""
+        if followed.table in self._followed:
+            return
         self._followed[followed.table] = followed
         if not followed.is_written_by_leader:
             self._mirrors[followed.table] = TableMirror()
--- a/packages/edge/mulberryrelay_edge/tablestore.py
+++ b/packages/edge/mulberryrelay_edge/tablestore.py
@@ -11,6 +11,8 @@
 import msgspec
 from returns.result import Result
 
+from mulberryrelay_kernel.supervision import log_failure
+
 Item = TypeVar("Item")
 
 
@@ -97,3 +99,16 @@
     table: str
     decode: Callable[[TableRow], Item | None]
     """Returns the decoded row, or None after logging why the row is not usable."""
+
+
+def decode_row(source: Source[Item], row: TableRow) -> Item | None:
+    """Return the decoded row, or None if it is not usable.
+
+    Rows of other writers may contain anything. One that a decoder does not foresee must
+    not hide the other rows.
+    """
+    try:
+        return source.decode(row)
+    except Exception as error:
+        log_failure(f"decode {source.table}/{row.key}", error)
+        return None
--- a/packages/kernel/mulberryrelay_kernel/logs.py
+++ b/packages/kernel/mulberryrelay_kernel/logs.py
@@ -1,6 +1,7 @@
 """Structured logging through eliot: one line of key=value pairs per event."""
 
 import json
+import logging
 import os
 import sys
 import time
@@ -96,6 +97,29 @@
     return writer
 
 
+class _LibraryLogHandler(logging.Handler):
+    """Logs the records of libraries as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        log_event(
+            "library_log",
+            logger=record.name,
+            level=record.levelname,
+            message=record.getMessage(),
+            error=repr(error) if error is not None else "",
+        )
+
+
+def log_library_records() -> None:
+    """Log warnings and errors of libraries as events.
+
+    Otherwise Python writes them to stderr with stack traces, without a bound and
+    blocking, for example one for each malformed request.
+    """
+    logging.getLogger().addHandler(_LibraryLogHandler(logging.WARNING))
+
+
 def format_line(message: dict[str, Any]) -> str:
     """Return the key=value line of an eliot message."""
     event = message.get("message_type") or message.get("action_type", "event")
--- a/packages/router/mulberryrelay_router/admin.py
+++ b/packages/router/mulberryrelay_router/admin.py
@@ -26,6 +26,7 @@
     SubmitFailure,
     SubmitFailureReason,
 )
+from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.errors import Finding
 from mulberryrelay_kernel.ids import BootId, OperatorName, RulesVersion
 from mulberryrelay_kernel.logs import log_event
@@ -360,7 +361,7 @@
 async def _read_body(request: web.Request, body_type: type[Body]) -> Body:
     content = await request.read()
     try:
-        return msgspec.json.decode(content, type=body_type)
+        return decode_json(content, body_type)
     except msgspec.DecodeError as error:
         raise _error(400, "malformed-body", str(error)) from None
 
--- a/packages/router/mulberryrelay_router/controlplane.py
+++ b/packages/router/mulberryrelay_router/controlplane.py
@@ -22,6 +22,7 @@
 from mulberryrelay_kernel.registry import plugin_factory
 from mulberryrelay_kernel.settings import split_host_port
 from mulberryrelay_kernel.states import InstanceKind
+from mulberryrelay_kernel.supervision import run_supervised
 
 from .coordinatorclient import CoordinatorClient
 from .inflight import InFlight
@@ -142,8 +143,10 @@
         return [
             asyncio.create_task(self._lease.run()),
             asyncio.create_task(self._coordinator.run()),
-            asyncio.create_task(self._coordinator_client.run()),
-            asyncio.create_task(self._rules.run()),
+            asyncio.create_task(
+                run_supervised("coordinator-client", self._coordinator_client.run)
+            ),
+            asyncio.create_task(run_supervised("rules", self._rules.run)),
         ]
 
     async def leave(self) -> None:
--- a/packages/router/mulberryrelay_router/main.py
+++ b/packages/router/mulberryrelay_router/main.py
@@ -9,7 +9,7 @@
 import click
 
 from mulberryrelay_kernel.errors import FindingsError
-from mulberryrelay_kernel.logs import write_lines_to
+from mulberryrelay_kernel.logs import log_library_records, write_lines_to
 from mulberryrelay_kernel.options import Options
 from mulberryrelay_kernel.settings import load_settings
 
@@ -53,6 +53,7 @@
     from .instance import run_instance
 
     write_lines_to(sys.stdout)
+    log_library_records()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run_instance(options))
 
