Let requests wait for a routing lease that has just ended

Ruled out: a longer lease, which is what lets a new term begin late. Change: for 200 ms after the end of its lease a router lets requests wait; after that it refuses at once, as before. No bound changes. Before: test_a_request_waits_for_a_routing_lease_that_has_just_ended fails (refused at once).

--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -74,6 +74,10 @@
 FIRST_RETRY_PAUSE_MS = 5.0
 MAX_RETRY_PAUSE_MS = 160.0
 
+# Time for which requests wait after a routing lease has ended. A router that has been
+# without one for longer refuses them at once.
+LEASE_GAP_MS = 200.0
+
 # A server that reports that it is draining gets no new requests from this router for
 # this long. By then the coordinator has published the state to all routers.
 DRAINING_EXCLUSION_MS = 2000.0
@@ -226,6 +230,11 @@
                     504, "deadline", "no server was available before the deadline"
                 )
             if not self._view.has_lease():
+                # During a takeover, the lease may end shortly before the view of the
+                # new term arrives.
+                gap_left_ms = LEASE_GAP_MS + self._view.lease_left_ms
+                if gap_left_ms > 0 and await self._wait_for_view(request, gap_left_ms):
+                    continue
                 return last_response or not_run_response(
                     503, "not-ready", "this router has no routing lease"
                 )
