Show that restarts and silent servers bring nothing back and start nothing again

Cause: two of the faults that operators warn of had no test for the edge router. Ruled out by the tests: a restarted router that uses a server or an owner that left, although the leader's copies are older than the store; a request at a silent server that is sent to an idle one.

--- a/tests/test_edge_removals.py
+++ b/tests/test_edge_removals.py
@@ -24,6 +24,8 @@
 """Time after which a server whose registration was deleted gets no more requests."""
 SHORT_S = 0.01
 """Time in which a poll that is waiting ends after a change."""
+TAKEOVER_S = 15.0
+"""Time for another leader, and for the grants of a server that left to expire."""
 CONTACT_S = 3.0
 """Time in which a router connects to the store again after an outage."""
 
@@ -124,6 +126,37 @@
     run_virtual(scenario())
 
 
+def test_a_restarted_router_does_not_use_what_left() -> None:
+    """Guards against a server that left, or a key's former owner, used after a restart.
+
+    The leader has lost the store, so that its copies are older than the store.
+    """
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet()
+        leader = fleet.leader
+        assert leader is not None
+        follower = followers_of(fleet)[0]
+        before = follower.ownership.find(SERVICE, 0)
+        assert before is not None
+        former_owner = before.owner
+        leader.store.is_partitioned = True
+        fleet.tables.write(SERVERS_TABLE, former_owner, None)
+        restarted = fleet.restart(follower)
+        await asyncio.sleep(LEAVING_S)
+        assert restarted.catalog.server(former_owner) is None
+        await asyncio.sleep(TAKEOVER_S)
+        await fleet.settle()
+        restarted = fleet.restart(restarted)
+        await asyncio.sleep(LEAVING_S)
+        after = restarted.ownership.find(SERVICE, 0)
+        assert after is not None and after.owner != former_owner
+        assert restarted.catalog.server(former_owner) is None
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
 def test_a_missing_server_gets_requests_only_if_no_other_can_serve() -> None:
     """Guards against requests to a server that may have left during an outage.
 
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from mulberryrelay_edge.callers import CallerServer
+from mulberryrelay_edge.serverload import INITIAL_LATENCY_MS, MIN_OVERDUE_MS
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
@@ -69,6 +70,32 @@
         assert len(server.received) == 1
 
 
+@async_test
+async def test_a_request_at_a_silent_server_is_not_started_elsewhere() -> None:
+    """Guards against work that is started again, or given up, while it still runs.
+
+    The server answers only after it counts as unresponsive; another one is idle.
+    """
+    delay_s = 1.5 * MIN_OVERDUE_MS / 1000 + 4 * INITIAL_LATENCY_MS / 1000
+    slow = respond_with(edge_response, delay_s=delay_s)
+    for is_idempotent in (False, True):
+        async with (
+            raw_server(slow) as silent,
+            raw_server(respond_ok) as idle,
+            edge_router() as router,
+        ):
+            entry = router.register_server(silent)
+            request = router.request(is_idempotent, timeout_ms=4000.0)
+            sending = asyncio.create_task(router.send(request))
+            while not router.dispatcher.loads.is_unresponsive(entry):
+                await asyncio.sleep(0.01)
+            router.register_server(idle, 1)
+            response = await sending
+            assert response.status == 200
+            assert len(silent.received) == 1
+            assert idle.received == []
+
+
 @async_test
 async def test_a_refused_non_idempotent_request_is_sent_to_another_server() -> None:
     """Guards against failing a request that certainly did not run."""
