--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -17,8 +17,8 @@
 )
 from mulberryrelay_router.routerrules import RouterRules
 
+from .fixtures import async_test
 from .fixtures.admin import open_admin
-from .fixtures.loop import async_test
 from .fixtures.rules import LIMIT_200, LIMIT_300, rule_options
 
 AMA_HEADERS = {"Authorization": "Bearer credential-of-ama"}
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
 
+from bench.virtual_time import run_virtual
 from mulberryrelay_control.assignment import (
     CHUNKS_PER_TRANSACTION,
     AssignmentStore,
@@ -47,7 +48,6 @@
     lease_options,
     with_routers,
 )
-from .fixtures.virtual_time import run_virtual
 
 SERVICE = ServiceName("slotfinder")
 
--- a/tests/test_claim_states.py
+++ b/tests/test_claim_states.py
@@ -12,6 +12,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result
 
+from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_control.platform_memory import MemoryPlatform
 from mulberryrelay_kernel.ids import (
     IdempotencyKey,
@@ -28,7 +29,6 @@
 from mulberryrelay_router.claims import Claims
 
 from .fixtures.deployment import DEPLOYMENT_SETTINGS
-from .fixtures.virtual_time import now_ms, run_virtual
 
 KEY = IdempotencyKey("key")
 DEADLINE_MS = 1000.0
@@ -109,7 +109,7 @@
         idempotency_key=KEY,
         headers=CIMultiDict(),
         body=b"120",
-        deadline_ms=now_ms() + DEADLINE_MS,
+        deadline_ms=virtual_clock() + DEADLINE_MS,
     )
 
 
@@ -129,7 +129,7 @@
     }
     options = check_settings(document, "test")
     platforms = [ScriptedPlatform(store, script) for script in scripts]
-    routers = [Claims(options, platform, now_ms) for platform in platforms]
+    routers = [Claims(options, platform, virtual_clock) for platform in platforms]
     runs: Counter[str] = Counter()
     outcomes: Counter[str] = Counter()
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -23,8 +23,8 @@
 from mulberryrelay_router.main import main as router_main
 from standins.deployment import Process
 
+from .fixtures import async_test
 from .fixtures.admin import open_admin
-from .fixtures.loop import async_test
 from .fixtures.rules import LIMIT_200, LIMIT_300, SETTINGS
 
 SAMPLES = Path(__file__).parent.parent / "samples"
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bench.virtual_time import run_virtual
 from mulberryrelay_edge.grants import normal_grant_ttl_ms, renewal_period_ms
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.messages import (
@@ -34,7 +35,6 @@
     route_table,
 )
 from .fixtures.followingcatalog import FollowingCatalog
-from .fixtures.virtual_time import run_virtual
 
 SEED = 20261204
 IN_FORCE_S = 5.0
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.dispatch import Dispatcher, QueueRefusal, SendPermit
 from mulberryrelay_edge.messages import BackendServer, LoadReport
 from mulberryrelay_kernel.ids import DataCentre
@@ -11,7 +12,6 @@
 from .fixtures.edgerouter import edge_router
 from .fixtures.rawserver import raw_server
 from .fixtures.router import running_router
-from .fixtures.virtual_time import now_ms, run_virtual
 
 WAIT_MS = 1000.0
 
@@ -30,7 +30,7 @@
     """
 
     async def scenario() -> None:
-        dispatcher = Dispatcher(DataCentre("a"), now_ms)
+        dispatcher = Dispatcher(DataCentre("a"), virtual_clock)
         async with edge_router() as router:
             owner = backend(1)
             for waiting in (6, 3):
@@ -42,7 +42,7 @@
                         router.request(key=key),
                         lambda: [owner],
                         key is not None,
-                        now_ms() + WAIT_MS,
+                        virtual_clock() + WAIT_MS,
                     )
                 )
 
@@ -61,7 +61,7 @@
     """Guards against memory that grows with each server that ever joined."""
 
     async def scenario() -> None:
-        dispatcher = Dispatcher(DataCentre("a"), now_ms)
+        dispatcher = Dispatcher(DataCentre("a"), virtual_clock)
         busy = dispatcher.loads.begin_request(backend(1), "listing")
         for number in range(1, 100):
             dispatcher.loads.stats(backend(number))
--- a/tests/test_edge_errors.py
+++ b/tests/test_edge_errors.py
@@ -3,6 +3,7 @@
 import asyncio
 from unittest.mock import patch
 
+from bench.virtual_time import run_virtual
 from mulberryrelay_edge.leaderterm import Term
 from mulberryrelay_edge.lease import LEADER_TABLE, LEASE_KEY
 from mulberryrelay_edge.tablestore import TableRead
@@ -18,7 +19,6 @@
 from .fixtures.edgerouter import edge_response, edge_router
 from .fixtures.followingcatalog import FollowingCatalog
 from .fixtures.rawserver import raw_server, respond_with
-from .fixtures.virtual_time import run_virtual
 
 TAKEOVER_S = 5.0
 """Time for the lease of 3 s and its margin to pass and for another term to begin."""
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import (
     LINK_PATH,
@@ -56,7 +57,6 @@
 )
 from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
-from .fixtures.virtual_time import now_ms, run_virtual
 
 SEED = 20261204
 RECONNECT_S = 3.0
@@ -223,7 +223,7 @@
         for router in fleet.routers:
             router_count = router.link.routers
             budget = RetryBudget(
-                lambda: limited, functools.partial(int, router_count), now_ms
+                lambda: limited, functools.partial(int, router_count), virtual_clock
             )
             permitted += sum(budget.try_consume(SERVICE) for _ in range(10))
         assert 0 < permitted <= 60
--- a/tests/test_edge_overload.py
+++ b/tests/test_edge_overload.py
@@ -2,8 +2,9 @@
 
 import sys
 
+from bench.virtual_time import run_virtual
+
 from .fixtures.overload import SLOTS, WORK_MS, overload
-from .fixtures.virtual_time import run_virtual
 
 SERVERS = 3
 SECONDS = 60.0
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
+from bench.virtual_time import run_virtual
 from mulberryrelay_edge.grants import GrantManager
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_edge.unreachableservers import Incarnation, UnreachableServers
 from mulberryrelay_kernel.states import ServerState
 
 from .fixtures.edgefleet import MAX_GRANT_TTL_MS, Fleet, FleetRouter, backend
-from .fixtures.virtual_time import run_virtual
 
 SEEDS = range(12)
 FAULT_SEEDS = range(30)
--- a/tests/test_edge_removals.py
+++ b/tests/test_edge_removals.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.tablefollower import Role
 from mulberryrelay_edge.tablestore import TableRead, TableRow
 
@@ -18,7 +19,6 @@
     start_settled_fleet,
 )
 from .fixtures.followingcatalog import FollowingCatalog
-from .fixtures.virtual_time import now_ms, run_virtual
 
 LEAVING_S = 2.0
 """Time after which a server whose registration was deleted gets no more requests."""
@@ -114,9 +114,9 @@
             for (table, _), row in following.tables.rows.items()
             if table == SERVERS_TABLE
         ]
-        old_read = TableRead(old_rows, following.tables.version, now_ms())
+        old_read = TableRead(old_rows, following.tables.version, virtual_clock())
         deletion = TableRow(backend(1).server, None, old_read.version + 1)
-        newer = TableRead([deletion], deletion.version, now_ms())
+        newer = TableRead([deletion], deletion.version, virtual_clock())
         following.store_sync.apply_rows(SERVERS_TABLE, newer, False)
         following.store_sync.apply_rows(SERVERS_TABLE, old_read, True)
         servers = [s.server for s in following.catalog.servers(SERVICE)]
@@ -176,7 +176,7 @@
         outage_ended_s = 0.0
         while following.catalog.store_unreachable_ms or not outage_ended_s:
             await asyncio.sleep(SHORT_S)
-            outage_ended_s = now_ms() / 1000
+            outage_ended_s = virtual_clock() / 1000
         catalog = following.catalog
         assert len(catalog.serving(SERVICE)) == 2, "no other server of the service"
         following.put_server(2)
--- a/tests/test_edge_status.py
+++ b/tests/test_edge_status.py
@@ -4,6 +4,7 @@
 
 from click.testing import CliRunner, Result
 
+from bench.virtual_time import run_virtual, virtual_clock
 from mulberryctl.main import main
 from mulberryrelay_edge.monitoring import MonitoringServer
 from mulberryrelay_edge.status import StatusSource
@@ -14,7 +15,6 @@
 from .fixtures import async_test
 from .fixtures.edgefleet import SERVICE, Fleet, FleetRouter
 from .fixtures.rawserver import HOST
-from .fixtures.virtual_time import now_ms, run_virtual
 
 
 def status_of(router: FleetRouter) -> EdgeStatus:
@@ -27,7 +27,7 @@
         router.lease,
         router.coordinator,
         router.link,
-        now_ms,
+        virtual_clock,
     )
     return source.snapshot(in_flight=3, waiting=1)
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -3,6 +3,7 @@
 ``LeaseRouters.run`` checks during each test that at most one router holds the lease.
 """
 
+from bench.virtual_time import virtual_clock
 from mulberryrelay_control.lease import LEASE_ROW, TERM_ROW
 from mulberryrelay_control.successors import choose_successors
 from mulberryrelay_kernel.ids import BootId, DataCentre, InstanceId
@@ -11,7 +12,6 @@
 
 from .fixtures.faulty_platform import once, writes_row
 from .fixtures.lease_routers import LeaseRouter, LeaseRouters, with_routers
-from .fixtures.virtual_time import now_ms
 
 LEASE_MS, MARGIN_MS, PROMISE_MS, OUTAGE_CAP_MS = 500, 50, 1000, 300_000
 
@@ -182,10 +182,10 @@
         assert router.lease.handle_promise_request(
             first.address.instance, first.lease.term, 5000
         )
-    promised_ms = now_ms()
+    promised_ms = virtual_clock()
     first.kill()
     await routers.run_until_term(2, 6000)
-    assert now_ms() - promised_ms >= 5000 + MARGIN_MS
+    assert virtual_clock() - promised_ms >= 5000 + MARGIN_MS
 
 
 @with_routers(3)
@@ -212,12 +212,12 @@
     the promise of its previous process."""
     for router in list(routers.members):
         router.kill()
-    killed_ms = now_ms()
+    killed_ms = virtual_clock()
     restarted = [routers.add(index) for index in (1, 2, 3)]
     await routers.run(OUTAGE_CAP_MS)
     assert not routers.holders()
     await routers.run_until_term(2, 2000)
-    waited_ms = now_ms() - killed_ms
+    waited_ms = virtual_clock() - killed_ms
     assert waited_ms >= OUTAGE_CAP_MS + LEASE_MS + MARGIN_MS + PROMISE_MS
     assert routers.holder() in restarted
 
@@ -227,11 +227,11 @@
     """Guards against extending the lease beyond the time after which routers that are
     not successors may take over."""
     first = routers.holder()
-    started_ms = now_ms()
+    started_ms = virtual_clock()
     first.platform.unreachable = True
     first.platform.readable = True
     await routers.run_until_term(2, 6000)
-    assert LEASE_MS < now_ms() - started_ms <= 3000 + 2 * PROMISE_MS
+    assert LEASE_MS < virtual_clock() - started_ms <= 3000 + 2 * PROMISE_MS
 
 
 @with_routers(3)
@@ -240,7 +240,7 @@
     before the routing leases of the released term have expired."""
     first = routers.holder()
     first.platform.lose_reply = once(writes_row(LEASE_ROW))
-    released_ms = now_ms()
+    released_ms = virtual_clock()
     await first.lease.release()
     assert first.transitions[-1] is LeaseTransition.LOST
     second = await routers.run_until_term(2, 150)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -10,7 +10,7 @@
 from mulberryrelay_kernel.options import PlatformOptions
 from standins.platform import PlatformStandin
 
-from .fixtures.loop import async_test
+from .fixtures import async_test
 
 NAME = RowName("rules/current")
 VALUE = b'{"version":1}'
--- a/tests/test_rulestore.py
+++ b/tests/test_rulestore.py
@@ -9,7 +9,7 @@
 from mulberryrelay_kernel.ids import OperatorName, RulesVersion
 from mulberryrelay_kernel.states import StoreFailure
 
-from .fixtures.loop import async_test
+from .fixtures import async_test
 from .fixtures.rules import LIMIT_200, LIMIT_300, FaultyPlatform, rule_options
 
 AMA = OperatorName("Ama Mensah")
