--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -69,6 +69,7 @@
             lambda: lease.is_store_unresponsive,
             clock,
         )
+        lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(lambda _: report_handler.notify_waiters())
         self._link_server = LinkServer(report_handler)
         self._link_client = LinkClient()
@@ -82,6 +83,7 @@
             lease.check_soon,
             has_queued_requests,
             self._link_client.send,
+            clock,
         )
         self._status = StatusSource(
             options.instance,
@@ -125,9 +127,9 @@
         return self._status
 
     @property
-    def routers(self) -> int:
-        """Last known number of routers."""
-        return self._link.routers
+    def counted_routers(self) -> int | None:
+        """Number of routers as the leader counted them lately, or None."""
+        return self._link.counted_routers
 
     async def start(self) -> None:
         """Start to listen for reports of other routers."""
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -60,7 +60,7 @@
         pool: Pool,
         key_load: KeyLoad,
         metrics: Metrics,
-        routers: Callable[[], int],
+        routers: Callable[[], int | None],
         clock: Clock,
     ) -> None:
         self._adapter = adapter
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -111,7 +111,7 @@
         pool,
         control.key_load,
         metrics,
-        lambda: control.routers,
+        lambda: control.counted_routers,
         clock,
     )
     callers = CallerServer(adapter, control.catalog, forwarder, clock)
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -39,6 +39,10 @@
 """Maximum time that the leader waits for newer data before it replies."""
 ROUTER_TTL_MS = 30_000.0
 """Time after its last report for which a router is counted."""
+COUNT_SETTLE_MS = 3000.0
+"""Time from the start of a term until all routers that reach the leader reported."""
+COUNT_TTL_MS = 10_000.0
+"""Time for which a follower relies on the number of routers that the leader sent."""
 CHECK_PERIOD_S = 0.1
 """Period in which a leader checks its role and the store.
 
@@ -80,6 +84,7 @@
         self._is_store_unresponsive = is_store_unresponsive
         self._clock = clock
         self._is_store_reachable = True
+        self._leading_since_ms: float | None = None
         self._reported_ms: dict[str, float] = {}
         """Time of each router's last report, by boot id."""
         self._update_event = asyncio.Event()
@@ -95,6 +100,18 @@
                 del self._reported_ms[boot_id]
         return 1 + len(self._reported_ms)
 
+    @property
+    def counted_routers(self) -> int:
+        """Number of routers once all of them can have reported; 0 before."""
+        if self._leading_since_ms is None:
+            return 0
+        is_settled = self._clock() - self._leading_since_ms >= COUNT_SETTLE_MS
+        return self.routers if is_settled else 0
+
+    def set_leading(self, is_leader: bool) -> None:
+        """Record that a term of this router begins or ends."""
+        self._leading_since_ms = self._clock() if is_leader else None
+
     def notify_waiters(self) -> None:
         """Make waiting reports check whether there is newer data for them."""
         self._update_event.set()
@@ -124,7 +141,7 @@
                 self._store_sync.updates_since(report.table_versions),
                 self._ownership.changes_since(report.range_versions),
                 self._is_store_reachable,
-                self.routers,
+                self.counted_routers,
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -159,6 +176,7 @@
         on_leader_lost: Callable[[], None],
         has_queued_requests: Callable[[], bool],
         send: SendReport,
+        clock: Clock,
     ) -> None:
         self._load = load
         self._ownership = ownership
@@ -169,16 +187,24 @@
         self._on_leader_lost = on_leader_lost
         self._has_queued_requests = has_queued_requests
         self._send = send
+        self._clock = clock
         self._is_store_reachable = True
         """Whether the store answers the leader, according to its last reply."""
-        self._routers = 1
+        self._routers = 0
+        self._counted_ms = float("-inf")
         self._is_leader_unreachable = False
 
     @property
     def routers(self) -> int:
-        """Last known number of routers."""
+        """Last known number of routers; 0 if the leader has not counted them yet."""
         return self._routers
 
+    @property
+    def counted_routers(self) -> int | None:
+        """Number of routers as the leader counted them lately, or None."""
+        is_recent = self._clock() - self._counted_ms < COUNT_TTL_MS
+        return self._routers if is_recent else None
+
     async def run(self) -> None:
         """Report to the leader until cancelled."""
         while True:
@@ -186,7 +212,7 @@
                 self._load.pop_report()
                 self._store_sync.set_role(Role.LEADER)
                 self._report_handler.check_store()
-                self._routers = self._report_handler.routers
+                self._set_count(self._report_handler.counted_routers)
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
             notice = self._ownership.leader_notice
@@ -217,7 +243,7 @@
             self._apply_reply(leader_reply)
 
     def _apply_reply(self, leader_reply: LeaderReply) -> None:
-        self._routers = leader_reply.routers
+        self._set_count(leader_reply.routers)
         has_store_state_changed = (
             leader_reply.is_store_reachable is not self._is_store_reachable
         )
@@ -239,6 +265,12 @@
             Role.FOLLOWER if leader_reply.is_store_reachable else Role.STANDALONE
         )
 
+    def _set_count(self, routers: int) -> None:
+        """Store the number of routers, unless the leader has not counted them yet."""
+        if routers:
+            self._routers = routers
+            self._counted_ms = self._clock()
+
     def _log_reachability(self, is_reached: bool, notice: LeaderNoticeRow) -> None:
         if self._is_leader_unreachable is not is_reached:
             return
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -265,4 +265,4 @@
     is_store_reachable: bool = msgspec.field(name="store_answers")
     """Whether the store answers the leader, so that the leader observes changes."""
     routers: int
-    """Number of routers, the leader included."""
+    """Number of routers, the leader included; 0 while some may not have reported."""
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import functools
 import random
 
 import msgspec
@@ -50,6 +49,7 @@
     ROUTES_TABLE,
     SERVICE,
     Fleet,
+    FleetRouter,
     backend,
     followers_of,
     route_table,
@@ -63,6 +63,8 @@
 """Time in which the leader detects that the store responds again."""
 IN_FORCE_S = 2.0
 """Time in which a new version of the routes is in force at every router."""
+RETRY_SLACK = 600.0
+"""Retries that all routers together may do in a window."""
 EDITS = 200
 """Number of random edits in each randomised test."""
 
@@ -207,28 +209,59 @@
 
 
 def test_shared_budgets_are_divided_among_all_routers() -> None:
-    """Guards against budgets sized for a fixed number of routers.
+    """Guards against more retries than all routers together may do in any window.
 
-    All routers together may do 60 retries in a window.
+    Each of 200 routers retries as much as its budget allows: from the start, while
+    another router takes over, and after all of them were killed and started again.
     """
+    window_s, step_s = 10.0, 0.25
+    window_steps = int(window_s / step_s)
 
     async def scenario() -> None:
-        fleet = await start_settled_fleet(routers=20)
-        assert all(router.link.routers == 20 for router in fleet.routers)
-        options = EdgeAdapter(fleet.tables).options
+        fleet = Fleet(1, routers=200)
         limited = msgspec.structs.replace(
-            options, retry_ratio=0.0, retry_slack=60.0, min_routers=4
+            EdgeAdapter(fleet.tables).options,
+            retry_ratio=0.0,
+            retry_slack=RETRY_SLACK,
+            retry_window_ms=window_s * 1000,
+            min_routers=12,
         )
-        permitted = 0
-        for router in fleet.routers:
-            router_count = router.link.routers
-            budget = RetryBudget(
-                lambda: limited, functools.partial(int, router_count), virtual_clock
+
+        def budget_of(router: FleetRouter) -> RetryBudget:
+            return RetryBudget(
+                lambda: limited, lambda: router.link.counted_routers, virtual_clock
             )
-            permitted += sum(budget.try_consume(SERVICE) for _ in range(10))
-        assert 0 < permitted <= 60
+
+        permitted: list[int] = []
+        by_boot_id: dict[str, RetryBudget] = {}
+        for phase in (start, kill_leader, kill_all):
+            phase(fleet)
+            for router in fleet.routers:
+                if router.boot_id not in by_boot_id:
+                    by_boot_id[router.boot_id] = budget_of(router)
+            budgets = [by_boot_id[router.boot_id] for router in fleet.routers]
+            for _ in range(2 * window_steps):
+                await asyncio.sleep(step_s)
+                permitted.append(
+                    sum(budget.try_consume(SERVICE) for budget in budgets for _ in "ab")
+                )
+        for first in range(len(permitted)):
+            window = permitted[first : first + window_steps]
+            assert sum(window) <= RETRY_SLACK, first
+        assert sum(permitted) > RETRY_SLACK, "no budget at all"
         fleet.stop()
 
+    def start(fleet: Fleet) -> None:
+        pass
+
+    def kill_leader(fleet: Fleet) -> None:
+        assert fleet.leader is not None
+        fleet.restart(fleet.leader)
+
+    def kill_all(fleet: Fleet) -> None:
+        for router in list(fleet.routers):
+            fleet.restart(router)
+
     run_virtual(scenario())
 
 
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -232,6 +232,9 @@
     """
     requests = 100
     async with raw_server(refuse) as server, edge_router(is_keyed=True) as router:
+        router.adapter.options = msgspec.structs.replace(
+            router.adapter.options, retry_slack=60.0
+        )
         router.assign_all_keys(router.register_server(server))
         for _ in range(requests):
             await router.send(router.request(key=7, timeout_ms=200.0))
