Send the current count of routers in cached replies of the leader

Cause: the leader caches encoded replies by the versions that a follower has, but not by the number of routers. A reply that was cached in the first 3 s of a term, when the number is not known yet, or before routers joined, was sent for as long as no version changed: its followers lost their part of the retry budget, or took too large a one. Ruled out: other fields of the reply, which the key has. Change: the number is part of the key. Before: test_reports_are_sent_over_http_and_only_the_leader_replies fails in its new check (2 routers, 0 in the reply). After: it passes.

--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -319,6 +319,7 @@
             tuple((update.table, update.version) for update in leader_reply.tables),
             tuple((change.service, change.version) for change in leader_reply.ranges),
             leader_reply.is_store_reachable,
+            leader_reply.routers,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import random
+from unittest.mock import patch
 
 import msgspec
 
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge import leaderlink
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import (
     LINK_PATH,
@@ -391,6 +393,11 @@
         current = RouterReport("a", KeyReport({}, {}), {SERVICE: 3}, {}, True, 50.0)
         reply = await client.send(url, current)
         assert reply is not None and reply.ranges == []
+        assert reply.routers == 0, "not counted yet"
+        report_handler.set_leading(True)
+        with patch.object(leaderlink, "COUNT_SETTLE_MS", 0.0):
+            reply = await client.send(url, current)
+        assert reply is not None and reply.routers == 2, "a count of an earlier reply"
         is_leader = False
         assert await client.send(url, current) is None
         await server.close()
