--- a/tests/test_edge_endless.py
+++ b/tests/test_edge_endless.py
@@ -86,7 +86,7 @@
 
 @async_test
 async def test_an_endless_response_is_rejected_at_once() -> None:
-    """Guards against a process that runs out of memory, and against a false "not run"."""
+    """Guards against a process that runs out of memory, and a false "not run"."""
     for name, make in ENDLESS.items():
         endless = EndlessServer(make)
         async with raw_server(endless.respond) as server, edge_router() as router:
