Bound the wait of a test for a routing lease that is long enough

Cause: an assertion on the first routing lease had become a loop that repeats the heartbeat, without a bound: a coordinator that never issues a long enough lease would have made the test wait for ever instead of failing. Change: the loop has a time limit of 5 s, after which the test fails.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -195,6 +195,10 @@
     asyncio.run(check())
 
 
+LEASE_TIMEOUT_S = 5.0
+"""Time in which a coordinator must issue a routing lease beyond the bridge time."""
+
+
 def test_move_waits_for_a_router_that_does_not_confirm() -> None:
     """Guards against a new owner while a router with a lease may send to the old one.
 
@@ -214,11 +218,12 @@
             full = await anext(replies)
             assert (full.full, full.rules_text) == (True, "# rules")
             first = await anext(replies)
-            while first.routing_lease_ms <= TIMING.bridge_ms:
-                # The coordinator lease was about to be renewed.
-                begin_ms = monotonic_ms()
-                router.send()
-                first = await anext(replies)
+            async with asyncio.timeout(LEASE_TIMEOUT_S):
+                while first.routing_lease_ms <= TIMING.bridge_ms:
+                    # The coordinator lease was about to be renewed.
+                    begin_ms = monotonic_ms()
+                    router.send()
+                    first = await anext(replies)
             router.send()
             await asyncio.sleep(0.05)
             await running.set_state("s1", DRAINING)
