--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from multidict import CIMultiDict
 
 from mulberryrelay_kernel.clock import Clock
@@ -15,6 +16,7 @@
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.states import Outcome
+from mulberryrelay_kernel.unreadheaders import UnreadHeaders
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.serverconnection import ResponseBuffer
 
@@ -73,6 +75,9 @@
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
+        self._unread_headers = UnreadHeaders(
+            "server", msgspec.structs.astuple(adapter.headers)
+        )
 
     @property
     def response_buffer(self) -> ResponseBuffer:
@@ -205,6 +210,8 @@
             load = result.load if result is not None else None
             latency_ms = loads.end_request(server, send_id, load)
         if result.outcome is AttemptOutcome.COMPLETED:
+            assert result.headers is not None
+            self._unread_headers.log_new(result.headers, server.server)
             is_failure = result.status >= 500
             has_queued = result.load is not None and result.load.waiting > 0
             if not is_failure and not has_queued:
--- a/tests/test_edge_explain.py
+++ b/tests/test_edge_explain.py
@@ -19,7 +19,7 @@
 
 from .fixtures import async_test
 from .fixtures.edgerouter import edge_refusal, edge_response, edge_router
-from .fixtures.rawserver import close, raw_server, respond_with
+from .fixtures.rawserver import RawRequest, close, raw_server, respond_with
 
 
 @contextmanager
@@ -169,3 +169,20 @@
     )
     assert f'latency_seconds{{quantile="0.99",{labels}}}' in exposition
     assert "mulberryrelay_waiting 2.0" in exposition
+
+
+@async_test
+async def test_a_response_header_that_is_not_read_is_logged_once() -> None:
+    """Guards against a statement of a server that the router ignores unnoticed."""
+
+    def respond(request: RawRequest) -> bytes:
+        return edge_response(request, more="Quota-Hint: 7.5\r\nDate: today\r\n")
+
+    with recorded_lines() as lines:
+        async with raw_server(respond_with(respond)) as server, edge_router() as router:
+            router.register_server(server)
+            for _ in range(3):
+                assert (await router.send(router.request())).status == 200
+    unread = [line for line in lines if "event=response_header_unread" in line]
+    assert len(unread) == 1
+    assert "name=Quota-Hint value=7.5" in unread[0]
