Move keys away from servers whose stated limit is below their requests

Cause: placement knew slots and speed only, so a server that states 4 requests a second kept the keys of 20, and callers of these keys were refused for as long as the limit was stated. Change: the capacity of a server (capacity.py, out of leaderterm.py) is bounded by its limit, which the leader knows from its own responses and from the reservations of all routers.

--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/capacity.py
@@ -0,0 +1,69 @@
+"""Capacity of the servers of a keyed service, for deciding which keys each one owns."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from .keyload import KeySample
+from .messages import BackendServer
+
+MIN_SLOWDOWN = 0.4
+"""Lower bound of a server's relative service time."""
+MAX_SLOWDOWN = 2.5
+"""Upper bound of a server's relative service time."""
+USED_LIMIT_SHARE = 0.7
+"""Part of its stated limit for which a server gets keys.
+
+The rest is for requests that arrive unevenly.
+"""
+
+
+class ServerCondition(msgspec.Struct, frozen=True):
+    """What is observed of a server beside its load."""
+
+    slowdown: float = 1.0
+    """Service time relative to what is usual."""
+    limit_per_s: float | None = None
+    """Requests per second that it takes from all routers, if it states a limit."""
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """A server that may own keys, and its capacity."""
+
+    server: BackendServer
+    share: float
+    """Load that it is to get, relative to other servers."""
+    slots: float
+    """Its capacity, as a number of slots of a server of average speed."""
+
+
+def capacities(
+    servers: Sequence[tuple[BackendServer, ServerCondition]], sample: KeySample
+) -> list[Capacity]:
+    """Return the capacities of the servers of a service.
+
+    While slots are free, fast servers get more than their proportional share of the
+    load, because requests finish sooner there. A server that states a limit gets no
+    more than its limit permits.
+    """
+    speeds = [_speed(condition) for _, condition in servers]
+    slots = sum(
+        server.slots * speed for (server, _), speed in zip(servers, speeds, strict=True)
+    )
+    utilisation = len(sample.keys) * sample.slots_per_key / max(1.0, slots)
+    exponent = 1.0 + max(0.0, 1.0 - utilisation)
+    result = []
+    for (server, condition), speed in zip(servers, speeds, strict=True):
+        share = server.slots * speed**exponent
+        max_slots = server.slots * speed
+        if condition.limit_per_s is not None:
+            limited_slots = condition.limit_per_s * sample.service_ms / 1000
+            max_slots = min(max_slots, limited_slots)
+            share = min(share, USED_LIMIT_SHARE * limited_slots)
+        result.append(Capacity(server, share, max_slots))
+    return result
+
+
+def _speed(condition: ServerCondition) -> float:
+    """Return the speed of a server; 1 is usual."""
+    return 1.0 / max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, condition.slowdown))
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -6,10 +6,13 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
+import msgspec
+
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.supervision import run_supervised
 
 from .adapter import Adapter
+from .capacity import ServerCondition
 from .catalog import Catalog
 from .coordinator import Coordinator
 from .keyload import KeyLoad
@@ -29,12 +32,14 @@
         self,
         adapter: Adapter,
         boot_id: str,
-        slowdown: Callable[[BackendServer], float],
+        condition: Callable[[BackendServer], ServerCondition],
         has_queued_requests: Callable[[], bool],
         clock: Clock,
     ) -> None:
+        """``condition`` returns what this router observes of a server."""
         options = adapter.options
         self._adapter = adapter
+        self._condition = condition
         self._store_sync = StoreSync()
         self._catalog = Catalog(
             adapter.store,
@@ -57,7 +62,7 @@
             self._catalog,
             self._ownership,
             self._key_load,
-            slowdown,
+            self._condition_of,
             options.max_grant_ttl_ms,
             boot_id,
             clock,
@@ -142,6 +147,15 @@
         """Number of routers as the leader counted them lately, or None."""
         return self._link.counted_routers
 
+    def _condition_of(self, server: BackendServer) -> ServerCondition:
+        """Return the condition of a server, with a limit that any router was told."""
+        condition = self._condition(server)
+        if condition.limit_per_s is not None:
+            return condition
+        incarnation = (server.server, server.started_ms)
+        limit_per_s = self._reservations.schedule.limit_per_s(incarnation)
+        return msgspec.structs.replace(condition, limit_per_s=limit_per_s)
+
     async def reserve(
         self, requests: Sequence[ReservationRequest]
     ) -> Sequence[Reservations]:
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -8,6 +8,7 @@
 from mulberryrelay_kernel.supervision import log_failure
 
 from .adapter import ServerCommands
+from .capacity import ServerCondition
 from .catalog import Catalog
 from .grants import GrantManager
 from .keyload import KeyLoad
@@ -31,7 +32,7 @@
         catalog: Catalog,
         ownership: Ownership,
         load: KeyLoad,
-        slowdown: Callable[[BackendServer], float],
+        condition: Callable[[BackendServer], ServerCondition],
         max_grant_ttl_ms: float,
         boot_id: str,
         clock: Clock,
@@ -42,7 +43,7 @@
         self._catalog = catalog
         self._ownership = ownership
         self._load = load
-        self._slowdown = slowdown
+        self._condition = condition
         self._max_grant_ttl_ms = max_grant_ttl_ms
         self._boot_id = boot_id
         self._clock = clock
@@ -107,7 +108,7 @@
             self._grants,
             self._catalog,
             self._load,
-            self._slowdown,
+            self._condition,
             self._max_grant_ttl_ms,
             self._clock,
         )
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -15,6 +15,7 @@
 from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 
+from .capacity import ServerCondition
 from .messages import BackendServer, EdgeRequest
 from .queuewait import expected_wait_ms, max_wait_ms, retry_after_s
 from .serverlimits import Reserve, ServerLimits
@@ -193,6 +194,12 @@
             queued.queue_deadline_ms - self._clock(),
         )
 
+    def condition(self, server: BackendServer) -> ServerCondition:
+        """Return what this router observes of a server beside its load."""
+        return ServerCondition(
+            self._loads.stats(server).slowdown, self._limits.limit_per_s(server)
+        )
+
     def _is_congested(self, server: BackendServer) -> bool:
         return self._loads.is_congested(server) or not self._limits.is_open(server)
 
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -88,7 +88,7 @@
     control = ControlPlane(
         adapter,
         boot_id,
-        lambda server: dispatcher.loads.stats(server).slowdown,
+        dispatcher.condition,
         lambda: dispatcher.queue_length > 0,
         clock,
     )
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -35,6 +35,8 @@
     """Requested keys in ascending order, one for each request."""
     slots_per_key: float
     """Mean number of slots that each sampled request occupies on an average server."""
+    service_ms: float
+    """Mean service time of a request on an average server."""
 
 
 class KeyLoad:
@@ -85,10 +87,9 @@
         if keys:
             # A new leader has not observed requests for the whole window yet.
             window_ms = min(window_ms, max(MIN_WINDOW_MS, now_ms - keys[0][0]))
-        slots_per_key = (
-            self._service_times.get(service, ServiceTimeSum(0, 0.0)).mean_ms / window_ms
-        )
-        return KeySample(sorted(recent), slots_per_key)
+        service_times = self._service_times.get(service, ServiceTimeSum(0, 0.0))
+        service_ms = service_times.mean_ms
+        return KeySample(sorted(recent), service_ms / window_ms, service_ms)
 
     def record_service_time(self, service: ServiceName, latency_ms: float) -> None:
         """Record the service time of a request at this router."""
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -17,6 +17,7 @@
 from mulberryrelay_kernel.supervision import log_failure
 
 from .adapter import CommandRefused
+from .capacity import Capacity, ServerCondition, capacities
 from .catalog import Catalog
 from .grants import GrantManager, normal_grant_ttl_ms, renewal_period_ms
 from .keyload import KeyLoad
@@ -36,7 +37,6 @@
 from .rebalance import (
     BUSY_UTILISATION,
     CALM_UTILISATION,
-    Capacity,
     max_ranges,
     place_unowned_ranges,
     plan_moves,
@@ -67,10 +67,6 @@
 """Pause before a renewal that got no reply is retried."""
 MAX_GRANT_ATTEMPTS = 3
 """Maximum number of attempts to grant a range to its next owner."""
-MIN_SLOWDOWN = 0.4
-"""Lower bound of a server's relative service time."""
-MAX_SLOWDOWN = 2.5
-"""Upper bound of a server's relative service time."""
 MERGE_THRESHOLD = 0.5
 """Fraction of a service's maximum number of ranges above which ranges are merged."""
 MAX_MERGES_PER_EDIT = 8
@@ -87,7 +83,7 @@
         grants: GrantManager,
         catalog: Catalog,
         load: KeyLoad,
-        slowdown: Callable[[BackendServer], float],
+        condition: Callable[[BackendServer], ServerCondition],
         max_grant_ttl_ms: float,
         clock: Clock,
     ) -> None:
@@ -96,7 +92,7 @@
         self._grants = grants
         self._catalog = catalog
         self._load = load
-        self._slowdown = slowdown
+        self._condition = condition
         self._max_grant_ttl_ms = max_grant_ttl_ms
         self._clock = clock
         self._started_ms = clock()
@@ -305,25 +301,13 @@
         return self._grants.is_lost((key_range.owner, key_range.owner_started_ms))
 
     def _targets(self, service: ServiceName) -> list[Capacity]:
-        """Return the servers that may get keys, with their capacities.
-
-        While slots are free, fast servers get more than their proportional share of
-        the load, because requests finish sooner there.
-        """
+        """Return the servers that may get keys, with their capacities."""
         servers = [
-            (server, 1.0 / max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, slowdown)))
+            (server, self._condition(server))
             for server in self._catalog.serving(service)
             if not self._grants.is_unreachable((server.server, server.started_ms))
-            for slowdown in [self._slowdown(server)]
-        ]
-        sample = self._load.sample(service)
-        slots = sum(server.slots * speed for server, speed in servers)
-        utilisation = len(sample.keys) * sample.slots_per_key / max(1.0, slots)
-        exponent = 1.0 + max(0.0, 1.0 - utilisation)
-        return [
-            Capacity(server, server.slots * speed**exponent, server.slots * speed)
-            for server, speed in servers
         ]
+        return capacities(servers, self._load.sample(service))
 
     async def _begin_moves(
         self, service: ServiceName, moves: list[PlannedMove]
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -12,7 +12,8 @@
 
 from mulberryrelay_kernel.ids import ServerId
 
-from .messages import BackendServer, KeyRange
+from .capacity import Capacity
+from .messages import KeyRange
 from .rangeedits import MAX_RANGES, PlannedMove, Ranges
 
 TOLERATED_EXCESS = 0.25
@@ -37,16 +38,6 @@
 """Minimum gain in capacity for which a single hot key is moved."""
 
 
-class Capacity(msgspec.Struct, frozen=True):
-    """A server that may own keys, and its capacity."""
-
-    server: BackendServer
-    share: float
-    """Load that it is to get, relative to other servers."""
-    slots: float
-    """Its capacity, as a number of slots of a server of average speed."""
-
-
 class _ServerLoad:
     """Ranges and sampled load of one server while a plan is made."""
 
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bench.virtual_time import run_virtual
+from mulberryrelay_edge.capacity import Capacity
 from mulberryrelay_edge.grants import normal_grant_ttl_ms, renewal_period_ms
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.messages import (
@@ -20,7 +21,7 @@
     covers_all_keys,
     initial_assignment,
 )
-from mulberryrelay_edge.rebalance import Capacity, plan_moves
+from mulberryrelay_edge.rebalance import plan_moves
 from mulberryrelay_edge.routematcher import RouteMatcher
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.states import ServerState
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -7,11 +7,16 @@
 from contextlib import AsyncExitStack
 
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge.capacity import ServerCondition
 from mulberryrelay_edge.leaderlink import RESERVE_TIMEOUT_S
 from mulberryrelay_edge.messages import (
+    LAST_KEY,
+    BackendServer,
+    KeyReport,
     LeaderNoticeRow,
     ReservationRequest,
     Reservations,
+    ServiceTimeSum,
 )
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.sendschedule import SendSchedule
@@ -21,7 +26,13 @@
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
-from .fixtures.edgefleet import LINK_DELAY_S, backend
+from .fixtures.edgefleet import (
+    LINK_DELAY_S,
+    SERVICE,
+    Fleet,
+    backend,
+    start_settled_fleet,
+)
 from .fixtures.edgerouter import edge_response, edge_router, reserve_in
 from .fixtures.overload import overload
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
@@ -38,6 +49,8 @@
 MAX_WAIT_MS = 150.0
 """Time that a request may wait for a limited server in the simulations."""
 OVERLOAD_SECONDS = 40.0
+REPORTED_KEYS = 12
+"""Requested keys that routers report in a tenth of a second."""
 
 
 def most_in_window(times_s: list[float]) -> int:
@@ -212,3 +225,39 @@
             assert most_in_window(server.arrivals_s) <= allowed
 
     run_virtual(scenario())
+
+
+def owned_share(fleet: Fleet, server: BackendServer) -> float:
+    """Return the share of all keys that a server owns or is about to own."""
+    assert fleet.leader is not None
+    ranges = fleet.leader.ownership.ranges(SERVICE)
+    owned = sum(
+        key_range.last - key_range.first + 1
+        for key_range in ranges
+        if (key_range.next_owner or key_range.owner) == server.server
+    )
+    return owned / (LAST_KEY + 1)
+
+
+def test_keys_leave_an_owner_whose_limit_is_below_their_requests() -> None:
+    """Guards against keys that stay where most of their requests are refused."""
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet(routers=3)
+        limited = fleet.servers.incarnations[0].entry
+        before = owned_share(fleet, limited)
+        fleet.conditions[limited.server] = ServerCondition(limit_per_s=LIMIT_PER_S)
+        end_ms = virtual_clock() + 10_000
+        while virtual_clock() < end_ms:
+            assert fleet.leader is not None
+            keys = [fleet.rng.randrange(LAST_KEY + 1) for _ in range(REPORTED_KEYS)]
+            times = ServiceTimeSum(REPORTED_KEYS, REPORTED_KEYS * 90.0)
+            fleet.leader.load.add_report(KeyReport({SERVICE: keys}, {SERVICE: times}))
+            await asyncio.sleep(0.1)
+        rate_per_s = REPORTED_KEYS * 10 * owned_share(fleet, limited)
+        fleet.stop()
+        assert before > 0.2
+        assert 0 < rate_per_s <= LIMIT_PER_S, rate_per_s
+        assert not fleet.overlaps
+
+    run_virtual(scenario())
