--- a/standins/tables.py
+++ b/standins/tables.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+import msgspec
 from returns.result import Failure, Result, Success
 
 from mulberryrelay_edge.tablestore import (
@@ -23,6 +24,13 @@
 """Time after which a call without a reply fails."""
 
 
+class TablesCopy(msgspec.Struct, frozen=True):
+    """Copy of all rows, and the version of the store when it was made."""
+
+    rows: dict[tuple[str, str], TableRow]
+    version: int
+
+
 class Tables:
     """The rows of all tables, shared by all clients.
 
@@ -35,6 +43,8 @@
         self.compacted_version = 0
         """Changes up to this version are no longer available."""
         self.version = 0
+        self.restores = 0
+        """How often the tables were restored from a copy."""
         self.calls = 0
         self._changed = asyncio.Event()
 
@@ -43,6 +53,17 @@
         self.version += 1
         self._put(table, key, value)
 
+    def copy(self) -> TablesCopy:
+        """Return a copy of all rows."""
+        return TablesCopy(dict(self.rows), self.version)
+
+    def restore(self, copy: TablesCopy) -> None:
+        """Go back to a copy; later changes are lost and their versions used again."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.history = [row for row in self.history if row[1].version <= copy.version]
+        self.restores += 1
+
     def compact(self) -> None:
         """Drop the history of changes."""
         self.compacted_version = self.version
--- /dev/null
+++ b/tests/test_edge_restored_store.py
@@ -0,0 +1,118 @@
+"""A store that comes back from an older copy: it lost what it had acknowledged.
+
+All tests run in virtual time.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge.messages import LAST_KEY, KeyReport, ServiceTimeSum
+from standins.tables import TablesCopy
+
+from .fixtures.edgefleet import SERVICE, Fleet, backend, start_settled_fleet
+from .fixtures.followingcatalog import FollowingCatalog
+
+IN_FORCE_S = 2.0
+"""Time after its acknowledgement in which a change is in force."""
+OUTAGE_S = 2.0
+LOST_S = 9.0
+"""Seconds before the outage whose writes are lost."""
+HOT_KEYS = 3000
+"""Keys from 0 that get all requests, so that their ranges keep moving."""
+REPORTED_KEYS = 40
+SETTLE_S = 25.0
+"""Time in which every key has one owner again, also without the earlier leader."""
+
+
+def test_a_change_after_a_restore_is_in_force_in_time() -> None:
+    """Guards against changes that are ignored since the store counts anew."""
+
+    async def scenario() -> None:
+        following = FollowingCatalog()
+        following.put_routes(1)
+        following.put_server(1)
+        await asyncio.sleep(1.0)
+        copy = following.tables.copy()
+        for version in (2, 3, 4):
+            following.put_routes(version)
+        for number in range(2, 9):
+            following.put_server(number)
+        await asyncio.sleep(1.0)
+        assert following.version == 4
+        following.store.is_refusing = True
+        await asyncio.sleep(OUTAGE_S)
+        following.tables.restore(copy)
+        following.store.is_refusing = False
+        await asyncio.sleep(1.0)
+        assert following.version == 4, "routes in force never go back"
+        following.put_routes(4)
+        following.put_server(9)
+        following.put_routes(5)
+        await asyncio.sleep(IN_FORCE_S)
+        assert following.version == 5
+        assert following.catalog.server(backend(9).server) is not None
+        following.stop()
+
+    run_virtual(scenario())
+
+
+async def report_load(fleet: Fleet, seconds: float) -> None:
+    """Let the leader see requests for a few hot keys, which change all the time."""
+    end_ms = virtual_clock() + seconds * 1000
+    while virtual_clock() < end_ms:
+        start = int(virtual_clock()) * 7 % (LAST_KEY - HOT_KEYS)
+        keys = [start + fleet.rng.randrange(HOT_KEYS) for _ in range(REPORTED_KEYS)]
+        times = ServiceTimeSum(REPORTED_KEYS, REPORTED_KEYS * 90.0)
+        if fleet.leader is not None:
+            fleet.leader.load.add_report(KeyReport({SERVICE: keys}, {SERVICE: times}))
+        await asyncio.sleep(0.2)
+
+
+async def play_restore(
+    seed: int, during_outage: Callable[[Fleet], None], outage_s: float = OUTAGE_S
+) -> None:
+    """Move keys, restore the store as it was ``LOST_S`` before, and go on."""
+    fleet = await start_settled_fleet(seed)
+    await report_load(fleet, 3.0)
+    copy: TablesCopy = fleet.tables.copy()
+    await report_load(fleet, LOST_S)
+    for router in fleet.routers:
+        router.store.is_refusing = True
+    await report_load(fleet, outage_s / 2)
+    during_outage(fleet)
+    await report_load(fleet, outage_s / 2)
+    fleet.tables.restore(copy)
+    for router in fleet.routers:
+        router.store.is_refusing = False
+    await report_load(fleet, SETTLE_S)
+    assert fleet.leader is not None, seed
+    assert not fleet.servers.ungranted_share(), seed
+    fleet.stop()
+
+
+def kill_leader(fleet: Fleet) -> None:
+    """Restart the leader without any state."""
+    leader = fleet.leader
+    if leader is not None:
+        fleet.restart(leader).store.is_refusing = True
+
+
+def restart_all(fleet: Fleet) -> None:
+    """Restart every router without any state."""
+    for router in list(fleet.routers):
+        fleet.restart(router).store.is_refusing = True
+
+
+def test_no_key_has_two_owners_after_a_restore_that_the_leader_outlives() -> None:
+    """Guards against a leader that takes old ranges for the newest ones."""
+    for seed in range(1, 9):
+        run_virtual(play_restore(seed, lambda fleet: None))
+
+
+def test_no_key_has_two_owners_after_a_restore_without_the_leader() -> None:
+    """Guards against a new leader that grants keys by ranges of an older copy."""
+    for seed in range(1, 5):
+        for during_outage in (kill_leader, restart_all):
+            run_virtual(play_restore(seed, during_outage))
+        run_virtual(play_restore(seed, lambda fleet: None, outage_s=5.0))
