Give no key two owners when the store is restored from a copy

What was seen: after the restore two servers held the same keys, for up to 10 s. Cause: a new leader took the lease by an old row and granted keys by ranges that lacked the moves of the lost seconds. Its class is that of the ignored changes: what was acknowledged was taken as still stored. Ruled out: fencing tokens alone (a server with an old grant is not told of a higher token elsewhere). Change: lease and range maps name the number of restores under which they were written. A leader with a valid lease writes both again from memory; other routers wait for the end of any lost lease, and a new leader that reads outdated ranges sends no grants until the lost ones have expired, and raises the tokens above them.

--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -94,6 +94,11 @@
             return entry
         return self._known_servers.get(incarnation)
 
+    @property
+    def default_expires_ms(self) -> float:
+        """Latest expiry of any grant of an earlier leader that is not listed."""
+        return self._default_expires_ms
+
     def grant_expires_ms(self, incarnation: Incarnation) -> float:
         """Return the latest time at which a grant of a server may expire."""
         return self._grant_expires_ms.get(incarnation, self._default_expires_ms)
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -27,10 +27,12 @@
     PlannedMove,
     begin_moves,
     complete_move,
+    first_fence,
     initial_assignment,
     merge_adjacent_ranges,
     raise_all_fences,
     raise_fence,
+    raise_fences_after_restore,
     raise_fences_of_incarnation,
 )
 from .rangestore import RangeStore
@@ -121,9 +123,19 @@
             TermEndedError: the lease was lost.
         """
         await self._ranges.load()
+        restored = self._lease.restored.subscribe(
+            lambda _: self._start_task(self._ranges.write_again())
+        )
+        try:
+            await self._run_started()
+        finally:
+            restored.dispose()
+
+    async def _run_started(self) -> None:
         for service in self._ranges.services:
-            # Owners may have restarted unnoticed under an earlier leader.
-            await self._ranges.update(service, raise_all_fences)
+            if not self._ranges.is_outdated(service):
+                # Owners may have restarted unnoticed under an earlier leader.
+                await self._ranges.update(service, raise_all_fences)
         while True:
             await self._lease.wait_valid()
             services = self._keyed_services()
@@ -148,6 +160,9 @@
         return [s.name for s in routes.services.values() if s.is_keyed]
 
     def _manage_service(self, service: ServiceName) -> None:
+        if self._ranges.is_outdated(service):
+            self._wait_for_lost_grants(service)
+            return
         ranges = self._ranges.ranges(service)
         if not ranges:
             self._start_initial_assignment(service)
@@ -166,6 +181,27 @@
             self._planning.add(service)
             self._start_task(self._begin_moves(service, moves))
 
+    def _wait_for_lost_grants(self, service: ServiceName) -> None:
+        """Send no grants until those by lost ranges of a service have expired.
+
+        Which servers have such grants is not known, since the store was restored.
+        """
+        if service in self._planning:
+            return
+        if self._clock() < self._grants.default_expires_ms:
+            return
+        self._planning.add(service)
+        self._start_task(self._end_lost_grants(service))
+
+    async def _end_lost_grants(self, service: ServiceName) -> None:
+        restores = self._lease.restores
+        try:
+            await self._ranges.update(service, raise_fences_after_restore(restores))
+            self._ranges.mark_current(service)
+            log_event("lost_grants_expired", service=service, restores=restores)
+        finally:
+            self._planning.discard(service)
+
     def _start_initial_assignment(self, service: ServiceName) -> None:
         servers = self._catalog.serving(service)
         now_ms = self._clock()
@@ -187,7 +223,11 @@
     ) -> None:
         try:
             await self._ranges.update(
-                service, lambda ranges: ranges or initial_assignment(servers)
+                service,
+                lambda ranges: (
+                    ranges
+                    or initial_assignment(servers, first_fence(self._lease.restores))
+                ),
             )
         finally:
             self._planning.discard(service)
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -4,6 +4,9 @@
 compares the expiry with an upper bound of that clock, derived from the time at which it
 started a call to the store. So it stops before any other router can observe that the
 lease has expired.
+
+A store that was restored from an older copy may have lost the last lease. Whoever holds
+it writes it again; any other router first waits until it must have expired.
 """
 
 import asyncio
@@ -20,6 +23,7 @@
 
 from .messages import LeaderNoticeRow, LeaderRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
+from .storeversion import restores_of
 from .tablestore import (
     Committed,
     RowCondition,
@@ -95,10 +99,15 @@
         self._renewal_started_ms = float("inf")
         """Start time of the renewal in progress; infinity if there is none."""
         self._is_leaving = False
+        self._restores = 0
+        """How often the store was restored, as last observed."""
+        self._restored_ms = float("-inf")
+        """Time at which that number was first observed; infinitely long ago if 0."""
         self._write_count = 0
         self._check_event = asyncio.Event()
         """Set when a follower has to read the lease."""
         self._changes: Subject[bool] = Subject()
+        self._restored: Subject[None] = Subject()
         ownership.changes.subscribe(lambda _: self._on_ownership_change())
 
     @property
@@ -106,6 +115,16 @@
         """Emits True when a term begins and False when it ends."""
         return self._changes
 
+    @property
+    def restores(self) -> int:
+        """How often the store was restored, as last observed."""
+        return self._restores
+
+    @property
+    def restored(self) -> Subject[None]:
+        """Emits when the lease is stored again after a restore of the store."""
+        return self._restored
+
     @property
     def unreachable_servers(self) -> UnreachableServers:
         """The servers that the lease lists as unreachable."""
@@ -218,6 +237,7 @@
         result = await self._store.read(LEADER_TABLE)
         if isinstance(result, Success):
             read = result.unwrap()
+            self._record_restores(read.version)
             self._clock_offset_ms = read.store_ms - started_ms
             if await self._acquire_if_free(read):
                 return
@@ -241,10 +261,18 @@
                     log_event("bad_row", table=LEADER_TABLE, error=str(error))
                     return False
                 version = row.version
-        if previous.expires_ms + MARGIN_MS > read.store_ms:
+        now_ms = self._clock()
+        is_outdated = previous.restores < self._restores
+        if is_outdated:
+            # The store lost later leases. The last one was stored before the restore.
+            if now_ms < self._restored_ms + LEASE_MS + MARGIN_MS:
+                return False
+            previous = msgspec.structs.replace(
+                previous, expires_ms=RELEASED_EXPIRES_MS, unreachable=()
+            )
+        elif previous.expires_ms + MARGIN_MS > read.store_ms:
             return False
         self._version = version
-        now_ms = self._clock()
         expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
         self._unreachable_servers.load(previous.unreachable, read.store_ms)
         acquired = LeaderRow(
@@ -254,9 +282,10 @@
             expires_ms,
             self._next_write_id(),
             previous.unreachable,
+            self._restores,
         )
         notice = LeaderNoticeRow(acquired.term, self._boot_id, self._link_url)
-        if previous.term:
+        if previous.term or is_outdated:
             self._previous_leader_end_ms = now_ms
             if previous.expires_ms != RELEASED_EXPIRES_MS:
                 # The earlier leader sent no commands after its lease expired.
@@ -264,6 +293,9 @@
         result = await self._write_lease(acquired, notice)
         if not isinstance(result, Success):
             return False
+        if self._record_restores(result.unwrap().version):
+            # Others take the lease for an outdated one, and do not wait for its end.
+            return False
         self._begin_term(acquired, result.unwrap())
         return True
 
@@ -292,14 +324,25 @@
             expires_ms=expires_ms,
             write_id=self._next_write_id(),
             unreachable=self._unreachable_servers.rows(self._clock_offset_ms),
+            restores=self._restores,
         )
+        is_restored = renewed.restores != row.restores
+        notice = LeaderNoticeRow(row.term, self._boot_id, self._link_url)
         self._renewal_started_ms = started_ms
-        result = await self._write_lease(renewed, None)
+        result = await self._write_lease(renewed, notice if is_restored else None)
         self._renewal_started_ms = float("inf")
         self._renewal_duration_ms = self._clock() - started_ms
         if self._row is not row:
             # The term ended while the renewal was on its way.
             return
+        if isinstance(result, Success) and self._record_restores(
+            result.unwrap().version
+        ):
+            # The lease names an earlier number of restores, so others do not heed it.
+            self._version = result.unwrap().version
+            self._has_renewal_failed = True
+            self._renew_event.set()
+            return
         if isinstance(result, Success):
             self._row = renewed
             self._unreachable_servers.mark_stored(renewed.unreachable)
@@ -311,6 +354,9 @@
             if self._has_renewal_failed:
                 log_event("lease_renewal_recovered", term=row.term)
             self._has_renewal_failed = False
+            if is_restored:
+                log_event("lease_restored", term=row.term, restores=renewed.restores)
+                self._restored.on_next(None)
             return
         if result.failure() is TableFailure.CONFLICT:
             self._end_term("taken")
@@ -348,7 +394,13 @@
             return result
         read = await self._store.read(LEADER_TABLE)
         if not isinstance(read, Success):
-            return result
+            # A conflict may only show that the store was restored.
+            return Failure(TableFailure.UNKNOWN)
+        if self._record_restores(read.unwrap().version) and self.is_valid:
+            self._version = _unclaimed_version(read.unwrap(), self._restores)
+            if self._version >= 0:
+                self._renew_event.set()
+                return Failure(TableFailure.UNKNOWN)
         for stored in read.unwrap().rows:
             if stored.key != LEASE_KEY or stored.value is None:
                 continue
@@ -365,11 +417,37 @@
                 return Failure(TableFailure.UNKNOWN)
         return result
 
+    def _record_restores(self, version: int) -> bool:
+        """Record a restore of the store; return whether it is a new one."""
+        restores = restores_of(version)
+        if restores <= self._restores:
+            return False
+        self._restores = restores
+        self._restored_ms = self._clock()
+        return True
+
     def _next_write_id(self) -> str:
         self._write_count += 1
         return f"{self._boot_id}-{self._write_count}"
 
 
+def _unclaimed_version(read: TableRead, restores: int) -> int:
+    """Return the version of a lease row that nobody has written since a restore.
+
+    Returns 0 if there is no row, and -1 if the lease was taken after the restore.
+    """
+    for row in read.rows:
+        if row.key != LEASE_KEY or row.value is None:
+            continue
+        try:
+            stored = decode_json(row.value, LeaderRow)
+        except msgspec.MsgspecError as error:
+            log_event("bad_row", table=LEADER_TABLE, error=str(error))
+            return -1
+        return row.version if stored.restores < restores else -1
+    return 0
+
+
 async def _wait(event: asyncio.Event, timeout_ms: float) -> None:
     """Wait for an event, at most the given time; clear it if it was set."""
     try:
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -171,6 +171,11 @@
     After a lost reply, the writer recognises its own write by this id.
     """
     ranges: tuple[KeyRange, ...]
+    restores: int = 0
+    """How often the store had been restored when the map was written.
+
+    A map that a restored store has from before the restore may lack later moves.
+    """
 
 
 class UnreachableServer(msgspec.Struct, frozen=True, array_like=True):
@@ -193,6 +198,11 @@
     unreachable: tuple[UnreachableServer, ...] = msgspec.field(
         name="silent", default=()
     )
+    restores: int = 0
+    """How often the store had been restored when the lease was written.
+
+    A lease that a restored store has from before the restore is not the last one.
+    """
 
 
 class LeaderNoticeRow(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -16,6 +16,7 @@
 
 from .messages import KeyRange, LeaderNoticeRow, RangeChange, RangeMapRow
 from .rangeedits import Ranges, changed_ranges, covers_all_keys, patch_ranges
+from .storeversion import restores_of
 from .tablestore import TableRead
 
 RANGES_TABLE = "ranges"
@@ -110,14 +111,20 @@
         for row in read.rows:
             if row.value is None or row.version <= self._versions.get(row.key, 0):
                 continue
-            self._versions[row.key] = row.version
             try:
                 if row.key == LEADER_NOTICE_KEY:
+                    self._versions[row.key] = row.version
                     self._leader_notice = decode_json(row.value, LeaderNoticeRow)
                     continue
                 ranges = decode_json(row.value, RangeMapRow)
             except msgspec.MsgspecError as error:
                 log_event("bad_row", table=RANGES_TABLE, key=row.key, error=str(error))
+                self._versions[row.key] = row.version
+                continue
+            is_outdated = ranges.restores < restores_of(row.version)
+            if is_outdated and row.key in self._range_maps:
+                # A restored store lost later moves, which are known here.
+                log_event("outdated_ranges_ignored", service=row.key)
                 continue
             self._set_ranges(ServiceName(row.key), row.version, ranges.ranges)
         self._changes.on_next(None)
--- a/packages/edge/mulberryrelay_edge/rangeedits.py
+++ b/packages/edge/mulberryrelay_edge/rangeedits.py
@@ -24,6 +24,8 @@
 """Added to a range's fencing token for the grant to its next owner."""
 FENCE_RAISE_STEP = 10
 """Raises a fencing token above those of commands that may have got no reply."""
+FENCES_PER_RESTORE = 1_000_000
+"""Fencing tokens that a range may use up between two restores of the store."""
 NO_SERVER = ServerId("")
 """Id in place of a server that is unknown or does not exist."""
 MAX_RANGES = 700
@@ -41,7 +43,9 @@
     destination: BackendServer
 
 
-def initial_assignment(servers: Sequence[BackendServer]) -> Ranges:
+def initial_assignment(
+    servers: Sequence[BackendServer], fence: int = FIRST_FENCE
+) -> Ranges:
     """Return the key space split into equal ranges, one for each server.
 
     Servers beyond ``MAX_RANGES`` get no range here; they get keys by rebalancing as
@@ -53,12 +57,30 @@
     for index, server in enumerate(servers):
         first = index * (LAST_KEY + 1) // count
         last = (index + 1) * (LAST_KEY + 1) // count - 1
-        ranges.append(
-            KeyRange(first, last, server.server, server.started_ms, FIRST_FENCE)
-        )
+        ranges.append(KeyRange(first, last, server.server, server.started_ms, fence))
     return tuple(ranges)
 
 
+def first_fence(restores: int) -> int:
+    """Return a fencing token above all that were used before the last restore."""
+    return restores * FENCES_PER_RESTORE + FIRST_FENCE
+
+
+def raise_fences_after_restore(restores: int) -> Edit:
+    """Return an edit that raises all fencing tokens above those of lost ranges."""
+
+    def edit(ranges: Ranges) -> Ranges:
+        return tuple(
+            msgspec.structs.replace(
+                key_range,
+                fence=max(key_range.fence + FENCE_RAISE_STEP, first_fence(restores)),
+            )
+            for key_range in ranges
+        )
+
+    return edit
+
+
 def begin_moves(moves: Sequence[PlannedMove]) -> Edit:
     """Return an edit that marks keys as moving, and splits ranges where needed.
 
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -18,6 +18,7 @@
 from .messages import RangeMapRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
 from .rangeedits import Edit, Ranges
+from .storeversion import restores_of
 from .tablestore import (
     RowCondition,
     RowWrite,
@@ -55,6 +56,14 @@
         self._pending: dict[ServiceName, list[tuple[Edit, asyncio.Future[None]]]] = {}
         self._writers: dict[ServiceName, asyncio.Task[None]] = {}
         self._write_count = 0
+        self._rewritten: set[ServiceName] = set()
+        """Services whose ranges have to be stored again after a restore."""
+        self._restores = 0
+        """How often the store had been restored at the last read or write."""
+        self._outdated: set[ServiceName] = set()
+        """Services whose ranges are from before a restore."""
+        self._current: set[ServiceName] = set()
+        """Services of which no server has a grant by lost ranges any more."""
 
     @property
     def services(self) -> list[ServiceName]:
@@ -66,6 +75,34 @@
         row = self._rows.get(service)
         return row.ranges if row is not None else ()
 
+    def is_outdated(self, service: ServiceName) -> bool:
+        """Return whether later moves of a service may have been lost.
+
+        This is so if its ranges were read from a restored store and nobody has written
+        them since the restore.
+        """
+        if service in self._current:
+            return False
+        if service in self._rows:
+            return service in self._outdated
+        return self._lease.restores > 0
+
+    def mark_current(self, service: ServiceName) -> None:
+        """Record that no server has a grant by lost ranges of a service any more."""
+        self._current.add(service)
+
+    async def write_again(self) -> None:
+        """Store all ranges again after the store was restored from an older copy.
+
+        Raises:
+            TermEndedError: the term ended first.
+        """
+        await self.load()
+        services = list(self._rows)
+        self._rewritten.update(services)
+        for service in services:
+            await self.update(service, lambda ranges: ranges)
+
     async def load(self) -> None:
         """Read all ranges.
 
@@ -103,8 +140,20 @@
             service = ServiceName(row.key)
             if row.version < self._versions.get(service, 0):
                 continue
-            self._rows[service] = decode_json(row.value, RangeMapRow)
+            stored = decode_json(row.value, RangeMapRow)
             self._versions[service] = row.version
+            is_outdated = stored.restores < restores_of(row.version)
+            if service in self._rows and is_outdated:
+                # The ranges in memory are newer than what a restored store has.
+                continue
+            self._rows[service] = stored
+            if is_outdated:
+                self._outdated.add(service)
+        self._restores = restores_of(read.version)
+        for service, version in self._versions.items():
+            if restores_of(version) < self._restores:
+                # The restored store has no row of the service.
+                self._versions[service] = 0
         self._ownership.apply_rows(read, False)
 
     async def _write_all(self, service: ServiceName) -> None:
@@ -138,11 +187,13 @@
             ranges = old
             for edit in edits:
                 ranges = edit(ranges)
-            if ranges == old:
+            if ranges == old and service not in self._rewritten:
                 return
             self._write_count += 1
-            row = RangeMapRow(f"{self._boot_id}-{self._write_count}", ranges)
+            restores = max(self._restores, self._lease.restores)
+            row = RangeMapRow(f"{self._boot_id}-{self._write_count}", ranges, restores)
             if await self._store_row(service, row):
+                self._rewritten.discard(service)
                 return
 
     async def _store_row(self, service: ServiceName, row: RangeMapRow) -> bool:
@@ -161,6 +212,10 @@
                 version = result.unwrap().version
                 self._versions[service] = version
                 self._rows[service] = row
+                self._restores = restores_of(version)
+                if self._restores != row.restores:
+                    # The row names too few restores; a new leader would not trust it.
+                    return False
                 written = TableRow(service, value, version)
                 self._ownership.apply_rows(TableRead([written], version, 0.0), False)
                 log_event(
