Leave outdated ranges outdated when a leader stores its state again

Cause: a leader that still waits for the grants of lost ranges, and whose store is restored once more, wrote these ranges again as current ones; the next leader then granted keys by them at once. Change: only ranges that are not outdated are written again.

--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -94,11 +94,13 @@
     async def write_again(self) -> None:
         """Store all ranges again after the store was restored from an older copy.
 
+        Outdated ranges stay as they are, so that the next leader does not trust them.
+
         Raises:
             TermEndedError: the term ended first.
         """
         await self.load()
-        services = list(self._rows)
+        services = [name for name in self._rows if not self.is_outdated(name)]
         self._rewritten.update(services)
         for service in services:
             await self.update(service, lambda ranges: ranges)
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -91,6 +91,25 @@
     fleet.stop()
 
 
+async def play_restore_while_waiting(seed: int) -> None:
+    """Restore the store while a leader waits for lost grants, then kill the leader."""
+    fleet = await start_settled_fleet(seed)
+    await report_load(fleet, 3.0)
+    copy = fleet.tables.copy()
+    await report_load(fleet, LOST_S)
+    kill_leader(fleet)
+    fleet.tables.restore(copy)
+    for router in fleet.routers:
+        router.store.is_refusing = False
+    await report_load(fleet, 4.5)
+    fleet.tables.restore(fleet.tables.copy())
+    await report_load(fleet, 1.0)
+    fleet.restart(fleet.leader or fleet.routers[0])
+    await report_load(fleet, SETTLE_S)
+    assert not fleet.servers.ungranted_share(), seed
+    fleet.stop()
+
+
 def kill_leader(fleet: Fleet) -> None:
     """Restart the leader without any state."""
     leader = fleet.leader
@@ -116,3 +135,11 @@
         for during_outage in (kill_leader, restart_all):
             run_virtual(play_restore(seed, during_outage))
         run_virtual(play_restore(seed, lambda fleet: None, outage_s=5.0))
+
+
+def test_no_key_has_two_owners_after_a_restore_during_the_wait_for_lost_grants() -> (
+    None
+):
+    """Guards against outdated ranges that a leader writes again as current ones."""
+    for seed in range(1, 5):
+        run_virtual(play_restore_while_waiting(seed))
