--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -16,8 +16,9 @@
 from .catalog import Catalog
 from .coordinator import Coordinator
 from .keyload import KeyLoad
-from .leaderlink import LINK_PATH, LeaderLink, LinkClient, LinkServer, ReportHandler
+from .leaderlink import LeaderLink, ReportHandler
 from .lease import LeaderLease
+from .linkhttp import LINK_PATH, LinkClient, LinkServer
 from .messages import BackendServer, ReservationRequest, Reservations
 from .ownership import RANGES_TABLE, Ownership
 from .reservations import ReservationSource
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -17,10 +17,10 @@
 from returns.result import Failure, Result, Success
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.decoding import decode_json
 from mulberryrelay_kernel.ids import InstanceId
 from mulberryrelay_kernel.logs import log_event
 
+from .leaserow import LEADER_TABLE, LEASE_KEY, find_lease
 from .messages import LeaderNoticeRow, LeaderRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
 from .storeversion import restores_of
@@ -34,8 +34,6 @@
 )
 from .unreachableservers import UnreachableServers
 
-LEADER_TABLE = "leader"
-LEASE_KEY = "lease"
 LEASE_MS = 3000.0
 """TTL of the lease."""
 RENEW_MS = 900.0
@@ -250,17 +248,10 @@
         await _wait(self._check_event, wait_ms)
 
     async def _acquire_if_free(self, read: TableRead) -> bool:
-        previous = LeaderRow(0, InstanceId(""), "", 0.0)
-        version = 0
-        for row in read.rows:
-            if row.key == LEASE_KEY and row.value is not None:
-                try:
-                    previous = decode_json(row.value, LeaderRow)
-                except msgspec.MsgspecError as error:
-                    # Its holder is unknown, so that the lease must not be taken.
-                    log_event("bad_row", table=LEADER_TABLE, error=str(error))
-                    return False
-                version = row.version
+        stored = find_lease(read)
+        if stored is None:
+            return False
+        previous = stored.row
         now_ms = self._clock()
         is_outdated = previous.restores < self._restores
         if is_outdated:
@@ -272,7 +263,7 @@
             )
         elif previous.expires_ms + MARGIN_MS > read.store_ms:
             return False
-        self._version = version
+        self._version = stored.version
         expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
         self._unreachable_servers.load(previous.unreachable, read.store_ms)
         acquired = LeaderRow(
@@ -396,25 +387,21 @@
         if not isinstance(read, Success):
             # A conflict may only show that the store was restored.
             return Failure(TableFailure.UNKNOWN)
-        if self._record_restores(read.unwrap().version) and self.is_valid:
-            self._version = _unclaimed_version(read.unwrap(), self._restores)
-            if self._version >= 0:
-                self._renew_event.set()
-                return Failure(TableFailure.UNKNOWN)
-        for stored in read.unwrap().rows:
-            if stored.key != LEASE_KEY or stored.value is None:
-                continue
-            try:
-                current = decode_json(stored.value, LeaderRow)
-            except msgspec.MsgspecError as error:
-                log_event("bad_row", table=LEADER_TABLE, error=str(error))
-                return result
-            if current.write_id == row.write_id:
-                return Success(Committed(stored.version, read.unwrap().store_ms))
-            if current.boot_id == self._boot_id and current.term == self.term:
-                # An earlier renewal was stored although its reply was lost.
-                self._version = stored.version
-                return Failure(TableFailure.UNKNOWN)
+        is_restored = self._record_restores(read.unwrap().version)
+        stored = find_lease(read.unwrap())
+        if stored is None:
+            return result
+        if is_restored and self.is_valid and stored.row.restores < self._restores:
+            # Nobody has taken the lease since the restore, so it can be written again.
+            self._version = stored.version
+            self._renew_event.set()
+            return Failure(TableFailure.UNKNOWN)
+        if stored.row.write_id == row.write_id:
+            return Success(Committed(stored.version, read.unwrap().store_ms))
+        if stored.row.boot_id == self._boot_id and stored.row.term == self.term:
+            # An earlier renewal was stored although its reply was lost.
+            self._version = stored.version
+            return Failure(TableFailure.UNKNOWN)
         return result
 
     def _record_restores(self, version: int) -> bool:
@@ -431,23 +418,6 @@
         return f"{self._boot_id}-{self._write_count}"
 
 
-def _unclaimed_version(read: TableRead, restores: int) -> int:
-    """Return the version of a lease row that nobody has written since a restore.
-
-    Returns 0 if there is no row, and -1 if the lease was taken after the restore.
-    """
-    for row in read.rows:
-        if row.key != LEASE_KEY or row.value is None:
-            continue
-        try:
-            stored = decode_json(row.value, LeaderRow)
-        except msgspec.MsgspecError as error:
-            log_event("bad_row", table=LEADER_TABLE, error=str(error))
-            return -1
-        return row.version if stored.restores < restores else -1
-    return 0
-
-
 async def _wait(event: asyncio.Event, timeout_ms: float) -> None:
     """Wait for an event, at most the given time; clear it if it was set."""
     try:
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -0,0 +1,184 @@
+"""HTTP between leader and followers: reports, and reservations of send times."""
+
+import zlib
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from yarl import URL
+
+from mulberryrelay_kernel.decoding import decode_msgpack
+from mulberryrelay_kernel.httpclient import create_client_session, read_body
+from mulberryrelay_kernel.logs import log_event
+
+from .leaderlink import ReportHandler
+from .messages import LeaderReply, ReservationRequest, Reservations, RouterReport
+
+LINK_PATH = "/link"
+RESERVE_PATH = "/reservations"
+RESERVE_TIMEOUT_S = 0.2
+"""Time that the leader may take to reserve times at servers."""
+REPLY_TIMEOUT_S = 0.5
+"""Time that a reply may take beyond the wait time of the report."""
+MIN_COMPRESSED_BYTES = 2000
+"""Size from which on a reply is compressed."""
+COMPRESSION_LEVEL = 1
+"""Level of zlib compression: the fastest."""
+MAX_CACHED_BODIES = 8
+"""Number of encoded replies that are cached."""
+MAX_REPLY_BYTES = 33_554_432
+"""Maximum length of a reply, before and after decompression."""
+UNCOMPRESSED = b"\0"
+"""First byte of a reply that is not compressed."""
+COMPRESSED = b"\1"
+"""First byte of a compressed reply."""
+ReserveForAll = Callable[[Sequence[ReservationRequest]], list[Reservations] | None]
+"""Reserves times at servers for a router; returns None if this is not the leader."""
+
+
+class LinkServer:
+    """HTTP endpoint for the reports of followers."""
+
+    def __init__(
+        self, report_handler: ReportHandler, reserve_for_all: ReserveForAll
+    ) -> None:
+        self._report_handler = report_handler
+        self._reserve_for_all = reserve_for_all
+        self._runner: web.AppRunner | None = None
+        self._cached_bodies: OrderedDict[object, bytes] = OrderedDict()
+        """Cache of encoded replies, since many routers have the same versions."""
+
+    async def start(self, host: str, port: int) -> int:
+        """Start to listen for reports of other routers; return the port."""
+        app = web.Application()
+        app.router.add_post(LINK_PATH, self._handle_report)
+        app.router.add_post(RESERVE_PATH, self._handle_reservations)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        return int(self._runner.addresses[0][1])
+
+    async def close(self) -> None:
+        """Close the listening port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle_report(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        try:
+            report = decode_msgpack(body, RouterReport)
+        except msgspec.MsgspecError as error:
+            log_event("bad_report", error=str(error))
+            return web.Response(status=400)
+        leader_reply = await self._report_handler.handle_report(report)
+        if leader_reply is None:
+            return web.Response(status=409)
+        return web.Response(body=self._encode_reply(report, leader_reply))
+
+    async def _handle_reservations(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        try:
+            requests = decode_msgpack(body, list[ReservationRequest])
+        except msgspec.MsgspecError as error:
+            log_event("bad_reservation_request", error=str(error))
+            return web.Response(status=400)
+        reservations = self._reserve_for_all(requests)
+        if reservations is None:
+            return web.Response(status=409)
+        return web.Response(body=msgspec.msgpack.encode(reservations))
+
+    def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
+        sent = (
+            tuple((update.table, update.version) for update in leader_reply.tables),
+            tuple((change.service, change.version) for change in leader_reply.ranges),
+            leader_reply.is_store_reachable,
+            leader_reply.routers,
+        )
+        reported_versions = (
+            tuple(sorted(report.table_versions.items())),
+            tuple(sorted(report.range_versions.items())),
+        )
+        body = self._cached_bodies.get((reported_versions, sent))
+        if body is None:
+            body = self._cached_bodies[reported_versions, sent] = _compress_body(
+                msgspec.msgpack.encode(leader_reply)
+            )
+        if len(self._cached_bodies) > MAX_CACHED_BODIES:
+            self._cached_bodies.popitem(last=False)
+        return body
+
+
+class LinkClient:
+    """HTTP client that sends reports to the leader."""
+
+    def __init__(self) -> None:
+        self._session = create_client_session()
+
+    async def send(self, url: str, report: RouterReport) -> LeaderReply | None:
+        """Send a report to a leader's URL; implements ``SendReport``."""
+        body = msgspec.msgpack.encode(report)
+        timeout_s = report.wait_ms / 1000 + REPLY_TIMEOUT_S
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=REPLY_TIMEOUT_S)
+        try:
+            async with self._session.post(url, data=body, timeout=timeout) as reply:
+                if reply.status != 200:
+                    return None
+                content = await read_body(reply, MAX_REPLY_BYTES)
+                return decode_msgpack(_decompress_body(content), LeaderReply)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log_event("report_failed", url=url, error=repr(error))
+        except (msgspec.MsgspecError, zlib.error) as error:
+            log_event("bad_leader_reply", url=url, error=str(error))
+        return None
+
+    async def reserve(
+        self, url: str, requests: Sequence[ReservationRequest]
+    ) -> list[Reservations] | None:
+        """Reserve times at a leader; ``url`` is the one for reports.
+
+        Implements ``AskLeader``.
+        """
+        body = msgspec.msgpack.encode(requests)
+        timeout = aiohttp.ClientTimeout(total=RESERVE_TIMEOUT_S)
+        reserve_url = URL(url).with_path(RESERVE_PATH)
+        try:
+            async with self._session.post(
+                reserve_url, data=body, timeout=timeout
+            ) as reply:
+                if reply.status != 200:
+                    return None
+                content = await read_body(reply, MAX_REPLY_BYTES)
+                return decode_msgpack(content, list[Reservations])
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log_event("reservation_failed", url=url, error=repr(error))
+        except msgspec.MsgspecError as error:
+            log_event("bad_reservations", url=url, error=str(error))
+        return None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+def _compress_body(body: bytes) -> bytes:
+    """Return a body, compressed if large, after a byte that tells whether it is."""
+    if len(body) < MIN_COMPRESSED_BYTES:
+        return UNCOMPRESSED + body
+    return COMPRESSED + zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def _decompress_body(body: bytes) -> bytes:
+    """Return a body without the compression.
+
+    Raises:
+        zlib.error: the body is malformed or exceeds ``MAX_REPLY_BYTES``.
+    """
+    if body[:1] != COMPRESSED:
+        return body[1:]
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(body[1:], MAX_REPLY_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("incomplete or too long")
+    return decompressed
--- a/tests/test_edge_errors.py
+++ b/tests/test_edge_errors.py
@@ -5,7 +5,7 @@
 
 from bench.virtual_time import run_virtual
 from mulberryrelay_edge.leaderterm import Term
-from mulberryrelay_edge.lease import LEADER_TABLE, LEASE_KEY
+from mulberryrelay_edge.leaserow import LEADER_TABLE, LEASE_KEY
 from mulberryrelay_edge.tablestore import TableRead
 from mulberryrelay_kernel.supervision import run_supervised
 
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -12,12 +12,8 @@
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge import leaderlink
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import (
-    LINK_PATH,
-    LinkClient,
-    LinkServer,
-    ReportHandler,
-)
+from mulberryrelay_edge.leaderlink import ReportHandler
+from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
 from mulberryrelay_edge.messages import (
     KeyReport,
     RangeChange,
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -9,7 +9,7 @@
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.capacity import ServerCondition
-from mulberryrelay_edge.leaderlink import RESERVE_TIMEOUT_S
+from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
 from mulberryrelay_edge.messages import (
     LAST_KEY,
     BackendServer,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -19,12 +19,8 @@
 from returns.result import Failure, Success
 
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import (
-    LINK_PATH,
-    LinkClient,
-    LinkServer,
-    ReportHandler,
-)
+from mulberryrelay_edge.leaderlink import ReportHandler
+from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.tablefollower import StoreSync
