--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -4,11 +4,30 @@
 """
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+from returns.result import Result
 
 from bench.virtual_time import run_virtual, virtual_clock
-from mulberryrelay_edge.messages import LAST_KEY, KeyReport, ServiceTimeSum
-from standins.tables import TablesCopy
+from mulberryrelay_edge.lease import LeaderLease
+from mulberryrelay_edge.leaserow import LEADER_TABLE, LEASE_KEY
+from mulberryrelay_edge.messages import (
+    LAST_KEY,
+    KeyReport,
+    LeaderRow,
+    ServiceTimeSum,
+)
+from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.tablestore import (
+    Committed,
+    RowCondition,
+    RowWrite,
+    TableFailure,
+)
+from mulberryrelay_kernel.ids import InstanceId
+from standins.tables import TableClient, Tables, TablesCopy
 
 from .fixtures.edgefleet import SERVICE, Fleet, backend, start_settled_fleet
 from .fixtures.followingcatalog import FollowingCatalog
@@ -143,3 +162,43 @@
     """Guards against outdated ranges that a leader writes again as current ones."""
     for seed in range(1, 5):
         run_virtual(play_restore_while_waiting(seed))
+
+
+def test_a_lease_names_the_last_restore_when_it_is_held() -> None:
+    """Guards against a leader whose lease others take for an outdated one.
+
+    The store is restored between the read of the lease and its write, whose reply is
+    lost.
+    """
+
+    async def scenario() -> None:
+        tables = Tables()
+        store = TableClient(tables, virtual_clock, random.Random(1))
+        commit = store.commit
+
+        async def restore_first(
+            conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
+        ) -> Result[Committed, TableFailure]:
+            store.commit = commit  # type: ignore[method-assign]
+            tables.restore(tables.copy())
+            store.lost_share = 1.0
+            result = await commit(conditions, writes)
+            store.lost_share = 0.0
+            return result
+
+        store.commit = restore_first  # type: ignore[method-assign]
+        lease = LeaderLease(
+            store, Ownership(), InstanceId("router-1"), "boot-1", "url", virtual_clock
+        )
+        running = asyncio.ensure_future(lease.run())
+        end_ms = virtual_clock() + 6000
+        while virtual_clock() < end_ms:
+            await asyncio.sleep(0.02)
+            row = tables.rows.get((LEADER_TABLE, LEASE_KEY))
+            if lease.is_valid and row is not None and row.value is not None:
+                stored = msgspec.json.decode(row.value, type=LeaderRow)
+                assert stored.restores == tables.restores, virtual_clock()
+        assert lease.is_valid
+        running.cancel()
+
+    run_virtual(scenario())
