Show that a full key owner's requests are held until their time is used up

Suspected so far: reserved times that newer requests took. Keys that leave limited servers make the others such owners.

--- a/tests/test_edge_overload.py
+++ b/tests/test_edge_overload.py
@@ -16,6 +16,8 @@
 """Share of what the slots can do that has to be answered on time."""
 RARE_SHARE = 0.01
 """Maximum share of requests that are cut off while they run, or refused too late."""
+KEY_OWNER_CAPACITY_PER_S = SLOTS * 1000.0 / WORK_MS
+KEY_OWNER_LOADS = (1.0, 1.5, 3.0)
 
 
 def test_a_service_at_its_capacity_answers_on_time() -> None:
@@ -41,3 +43,37 @@
         assert on_time_share >= ON_TIME_SHARE, load
         assert results["failed"] <= RARE_SHARE * results.total(), load
         assert running.refused_late <= RARE_SHARE * results.total(), load
+
+
+def test_a_full_key_owner_gets_no_requests_that_it_will_not_run() -> None:
+    """Guards against requests that are held until their end at a full key owner."""
+    for load in KEY_OWNER_LOADS:
+        run_virtual(_check_key_owner(load))
+
+
+async def _check_key_owner(load: float) -> None:
+    async with overload(1, is_keyed=True) as running:
+        await running.run(load * KEY_OWNER_CAPACITY_PER_S, SECONDS)
+        results = running.results
+        served = results["on time"] + results["late"]
+        print(
+            f"key owner, load {load}: {dict(results)}, "
+            f"late refusals {running.refused_late}",
+            file=sys.stderr,
+        )
+        assert served >= ON_TIME_SHARE * KEY_OWNER_CAPACITY_PER_S * SECONDS, load
+        assert results["failed"] <= RARE_SHARE * results.total(), load
+        assert running.refused_late <= RARE_SHARE * results.total(), load
+
+
+def test_a_full_key_owner_answers_on_time() -> None:
+    """Guards against a full key owner whose slots run what comes too late."""
+    for load in KEY_OWNER_LOADS:
+        run_virtual(_check_key_owner_on_time(load))
+
+
+async def _check_key_owner_on_time(load: float) -> None:
+    async with overload(1, is_keyed=True) as running:
+        await running.run(load * KEY_OWNER_CAPACITY_PER_S, SECONDS)
+        possible = KEY_OWNER_CAPACITY_PER_S * SECONDS
+        assert running.results["on time"] >= ON_TIME_SHARE * possible, load
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -1,7 +1,6 @@
 """Limits on requests that servers state in their responses."""
 
 import asyncio
-import random
 import sys
 import time
 from collections.abc import Sequence
@@ -50,7 +49,6 @@
 MAX_WAIT_MS = 150.0
 """Time that a request may wait for a limited server in the simulations."""
 OVERLOAD_SECONDS = 40.0
-SEED = 20261204
 REPORTED_KEYS = 12
 """Requested keys that routers report in a tenth of a second."""
 
@@ -220,7 +218,6 @@
 
 async def _check_limited_owner(target_ms: float) -> None:
     limit_per_s = 8.0
-    random.seed(SEED)
     async with overload(1, True, limit_per_s, target_ms) as running:
         # The first responses tell the routers of the limit.
         await running.run(3 * limit_per_s, 2.0)
