Hold a lease only if it names the last restore when the store has stored it

Callers saw nothing; found by reading. Cause: a lease whose write met a restored store, and whose reply was lost, was read back and taken as held, although it named the earlier number of restores. Others take such a lease for an outdated one and do not wait for its end. Ruled out: a write with a reply, which was checked. Change: one check of the row's number of restores for both ways, for acquired and renewed leases. The same cause elsewhere: the rows of ranges were compared in this way already.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -284,8 +284,7 @@
         result = await self._write_lease(acquired, notice)
         if not isinstance(result, Success):
             return False
-        if self._record_restores(result.unwrap().version):
-            # Others take the lease for an outdated one, and do not wait for its end.
+        if self._is_outdated_on_arrival(acquired, result.unwrap()):
             return False
         self._begin_term(acquired, result.unwrap())
         return True
@@ -326,10 +325,9 @@
         if self._row is not row:
             # The term ended while the renewal was on its way.
             return
-        if isinstance(result, Success) and self._record_restores(
-            result.unwrap().version
+        if isinstance(result, Success) and self._is_outdated_on_arrival(
+            renewed, result.unwrap()
         ):
-            # The lease names an earlier number of restores, so others do not heed it.
             self._version = result.unwrap().version
             self._has_renewal_failed = True
             self._renew_event.set()
@@ -404,6 +402,14 @@
             return Failure(TableFailure.UNKNOWN)
         return result
 
+    def _is_outdated_on_arrival(self, row: LeaderRow, committed: Committed) -> bool:
+        """Return whether the store was restored before it stored this lease.
+
+        Others take such a lease for an outdated one and do not wait for its end.
+        """
+        self._record_restores(committed.version)
+        return row.restores < self._restores
+
     def _record_restores(self, version: int) -> bool:
         """Record a restore of the store; return whether it is a new one."""
         restores = restores_of(version)
