Read the lease of a lost leader when it expires, not again and again before

Ruled out: failing polls (3 routers lost the store), the leader's own calls (about 250). Change: a router that misses the leader reads the lease once, then when it may be free, at spread times. A leader that releases its lease still wakes the others by its notice.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -39,8 +39,8 @@
 RENEW_MS = 900.0
 """Period in which the leader renews its lease."""
 RETRY_MS = 150.0
-"""Pause before a failed renewal is retried; followers wait one to three times this
-before they read the lease again while there is no leader."""
+"""Pause before a failed renewal is retried; while there is no leader, followers read
+the lease again up to three times this after it may be free."""
 CHECK_PERIOD_MS = 60_000.0
 """Mean period in which a follower reads the lease although nothing indicates that the
 leader is gone; a leader that does not reply to reports is such an indication."""
@@ -104,6 +104,10 @@
         self._write_count = 0
         self._check_event = asyncio.Event()
         """Set when a follower has to read the lease."""
+        self._free_from_ms = float("-inf")
+        """Time at which the lease last read may be taken, if it is not renewed."""
+        self._is_leader_suspected = False
+        """Whether the leader may be gone, so that the lease is read once it expires."""
         self._changes: Subject[bool] = Subject()
         self._restored: Subject[None] = Subject()
         ownership.changes.subscribe(lambda _: self._on_ownership_change())
@@ -221,8 +225,13 @@
         self._renew_event.set()
 
     def check_soon(self) -> None:
-        """Read the lease now, because the leader may be gone."""
-        self._check_event.set()
+        """Read the lease as soon as it may be free, because the leader may be gone.
+
+        A leader that releases its lease before it expires says so in its notice.
+        """
+        self._is_leader_suspected = True
+        if self._clock() >= self._free_from_ms:
+            self._check_event.set()
 
     def _on_ownership_change(self) -> None:
         notice = self._ownership.leader_notice
@@ -239,14 +248,26 @@
             self._clock_offset_ms = read.store_ms - started_ms
             if await self._acquire_if_free(read):
                 return
-        notice = self._ownership.leader_notice
-        if notice is None or not notice.boot_id or self._check_event.is_set():
-            wait_ms = RETRY_MS * random.uniform(1.0, 3.0)
-        else:
-            wait_ms = CHECK_PERIOD_MS * random.uniform(0.5, 1.5)
+        wait_ms = self._wait_before_check_ms()
+        self._is_leader_suspected = False
         self._check_event.clear()
         await _wait(self._check_event, wait_ms)
 
+    def _wait_before_check_ms(self) -> float:
+        """Return how long to wait before the lease is read again.
+
+        The times are spread, so that few routers read it at once.
+        """
+        notice = self._ownership.leader_notice
+        is_leader_known = notice is not None and notice.boot_id
+        is_check_due = self._check_event.is_set()
+        if is_leader_known and not self._is_leader_suspected and not is_check_due:
+            return CHECK_PERIOD_MS * random.uniform(0.5, 1.5)
+        left_ms = self._free_from_ms - self._clock()
+        if left_ms <= 0 or is_check_due:
+            return RETRY_MS * random.uniform(1.0, 3.0)
+        return left_ms + RETRY_MS * random.uniform(0.0, 3.0)
+
     async def _acquire_if_free(self, read: TableRead) -> bool:
         stored = find_lease(read)
         if stored is None:
@@ -256,12 +277,16 @@
         is_outdated = previous.restores < self._restores
         if is_outdated:
             # The store lost later leases. The last one was stored before the restore.
-            if now_ms < self._restored_ms + LEASE_MS + MARGIN_MS:
+            self._free_from_ms = self._restored_ms + LEASE_MS + MARGIN_MS
+            if now_ms < self._free_from_ms:
                 return False
             previous = msgspec.structs.replace(
                 previous, expires_ms=RELEASED_EXPIRES_MS, unreachable=()
             )
         elif previous.expires_ms + MARGIN_MS > read.store_ms:
+            self._free_from_ms = now_ms + (
+                previous.expires_ms + MARGIN_MS - read.store_ms
+            )
             return False
         self._version = stored.version
         expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -8,11 +8,13 @@
 from unittest.mock import patch
 
 import msgspec
+from returns.result import Result
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge import leaderlink
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
+from mulberryrelay_edge.leaserow import LEADER_TABLE
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
 from mulberryrelay_edge.messages import (
     KeyReport,
@@ -37,9 +39,10 @@
 from mulberryrelay_edge.retrybudget import RetryBudget
 from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_edge.tablemirror import TableMirror
-from mulberryrelay_edge.tablestore import TableRead, TableRow
+from mulberryrelay_edge.tablestore import TableFailure, TableRead, TableRow
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.states import ServerState
+from standins.tables import TableClient
 
 from .fixtures import async_test
 from .fixtures.edgefleet import (
@@ -61,6 +64,8 @@
 """Time in which the leader detects that the store responds again."""
 IN_FORCE_S = 2.0
 """Time in which a new version of the routes is in force at every router."""
+TAKEOVER_S = 4.0
+"""Time from the loss of a leader until another router leads."""
 RETRY_SLACK = 600.0
 """Retries that all routers together may do in a window."""
 EDITS = 200
@@ -206,6 +211,35 @@
     run_virtual(scenario())
 
 
+def test_few_routers_read_the_lease_of_a_lost_leader_before_it_expires() -> None:
+    """Guards against many routers that read the lease again and again in vain."""
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet(routers=30)
+        reads = 0
+        read = TableClient.read
+
+        async def count_read(
+            client: TableClient, table: str
+        ) -> Result[TableRead, TableFailure]:
+            nonlocal reads
+            reads += table == LEADER_TABLE
+            return await read(client, table)
+
+        leader = fleet.leader
+        assert leader is not None
+        with patch.object(TableClient, "read", count_read):
+            fleet.restart(leader)
+            await asyncio.sleep(TAKEOVER_S)
+            assert fleet.leader is not None
+            await asyncio.sleep(1.0)
+        fleet.stop()
+        # When the leader is missed, when its lease has expired, and one to spare.
+        assert reads <= 3 * len(fleet.routers), reads
+
+    run_virtual(scenario())
+
+
 def test_shared_budgets_are_divided_among_all_routers() -> None:
     """Guards against more retries than all routers together may do in any window.
 
