--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import random
 
 import msgspec
 from reactivex.subject import Subject
@@ -21,6 +20,7 @@
 from mulberryrelay_kernel.logs import log_event
 
 from .leaserow import LEADER_TABLE, LEASE_KEY, find_lease
+from .leasewatch import LeaseWatch, wait_for_event
 from .messages import LeaderNoticeRow, LeaderRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
 from .storeversion import restores_of
@@ -39,11 +39,7 @@
 RENEW_MS = 900.0
 """Period in which the leader renews its lease."""
 RETRY_MS = 150.0
-"""Pause before a failed renewal is retried; while there is no leader, followers read
-the lease again up to three times this after it may be free."""
-CHECK_PERIOD_MS = 60_000.0
-"""Mean period in which a follower reads the lease although nothing indicates that the
-leader is gone; a leader that does not reply to reports is such an indication."""
+"""Pause before a failed renewal is retried."""
 VALID_POLL_S = 0.03
 """Period in which ``wait_valid`` checks the lease."""
 RELEASED_EXPIRES_MS = 0.0
@@ -75,7 +71,6 @@
         clock: Clock,
     ) -> None:
         self._store = store
-        self._ownership = ownership
         self._instance = instance
         self._boot_id = boot_id
         self._link_url = link_url
@@ -102,15 +97,9 @@
         self._restored_ms = float("-inf")
         """Time at which that number was first observed; infinitely long ago if 0."""
         self._write_count = 0
-        self._check_event = asyncio.Event()
-        """Set when a follower has to read the lease."""
-        self._free_from_ms = float("-inf")
-        """Time at which the lease last read may be taken, if it is not renewed."""
-        self._is_leader_suspected = False
-        """Whether the leader may be gone, so that the lease is read once it expires."""
+        self._watch = LeaseWatch(ownership, clock)
         self._changes: Subject[bool] = Subject()
         self._restored: Subject[None] = Subject()
-        ownership.changes.subscribe(lambda _: self._on_ownership_change())
 
     @property
     def changes(self) -> Subject[bool]:
@@ -225,18 +214,8 @@
         self._renew_event.set()
 
     def check_soon(self) -> None:
-        """Read the lease as soon as it may be free, because the leader may be gone.
-
-        A leader that releases its lease before it expires says so in its notice.
-        """
-        self._is_leader_suspected = True
-        if self._clock() >= self._free_from_ms:
-            self._check_event.set()
-
-    def _on_ownership_change(self) -> None:
-        notice = self._ownership.leader_notice
-        if notice is not None and not notice.boot_id:
-            self._check_event.set()
+        """Read the lease as soon as it may be free, because the leader may be gone."""
+        self._watch.check_soon()
 
     async def _check_lease(self) -> None:
         """Read the lease, acquire it if it is free, otherwise wait."""
@@ -248,25 +227,7 @@
             self._clock_offset_ms = read.store_ms - started_ms
             if await self._acquire_if_free(read):
                 return
-        wait_ms = self._wait_before_check_ms()
-        self._is_leader_suspected = False
-        self._check_event.clear()
-        await _wait(self._check_event, wait_ms)
-
-    def _wait_before_check_ms(self) -> float:
-        """Return how long to wait before the lease is read again.
-
-        The times are spread, so that few routers read it at once.
-        """
-        notice = self._ownership.leader_notice
-        is_leader_known = notice is not None and notice.boot_id
-        is_check_due = self._check_event.is_set()
-        if is_leader_known and not self._is_leader_suspected and not is_check_due:
-            return CHECK_PERIOD_MS * random.uniform(0.5, 1.5)
-        left_ms = self._free_from_ms - self._clock()
-        if left_ms <= 0 or is_check_due:
-            return RETRY_MS * random.uniform(1.0, 3.0)
-        return left_ms + RETRY_MS * random.uniform(0.0, 3.0)
+        await self._watch.wait()
 
     async def _acquire_if_free(self, read: TableRead) -> bool:
         stored = find_lease(read)
@@ -277,16 +238,16 @@
         is_outdated = previous.restores < self._restores
         if is_outdated:
             # The store lost later leases. The last one was stored before the restore.
-            self._free_from_ms = self._restored_ms + LEASE_MS + MARGIN_MS
-            if now_ms < self._free_from_ms:
+            free_from_ms = self._restored_ms + LEASE_MS + MARGIN_MS
+            self._watch.set_free_from(free_from_ms)
+            if now_ms < free_from_ms:
                 return False
             previous = msgspec.structs.replace(
                 previous, expires_ms=RELEASED_EXPIRES_MS, unreachable=()
             )
         elif previous.expires_ms + MARGIN_MS > read.store_ms:
-            self._free_from_ms = now_ms + (
-                previous.expires_ms + MARGIN_MS - read.store_ms
-            )
+            left_ms = previous.expires_ms + MARGIN_MS - read.store_ms
+            self._watch.set_free_from(now_ms + left_ms)
             return False
         self._version = stored.version
         expires_ms = now_ms + self._clock_offset_ms + LEASE_MS
@@ -326,7 +287,7 @@
         row = self._row
         assert row is not None
         pause_ms = RETRY_MS if self._has_renewal_failed else RENEW_MS
-        await _wait(self._renew_event, pause_ms)
+        await wait_for_event(self._renew_event, pause_ms)
         if self._is_leaving:
             return
         if not self.is_valid:
@@ -447,13 +408,3 @@
     def _next_write_id(self) -> str:
         self._write_count += 1
         return f"{self._boot_id}-{self._write_count}"
-
-
-async def _wait(event: asyncio.Event, timeout_ms: float) -> None:
-    """Wait for an event, at most the given time; clear it if it was set."""
-    try:
-        async with asyncio.timeout(timeout_ms / 1000):
-            await event.wait()
-    except TimeoutError:
-        return
-    event.clear()
