Leave the parts of a limit to routers that do not report to the leader

Callers saw nothing; found by asking when two schedules of one limit are in use at the same time. Cause: routers that do not reach the leader send at an equal part of a limit each, while the leader goes on with all of it, so a server gets up to twice what it states. Class: a share is handed out while another holder may still use it. Ruled out: changes of leader (tested, the lease keeps two schedules apart). Change: the leader uses the share of routers that reported within 1.5 s. Evidence: the new test (9 and 200 routers that lose a leader which goes on) fails on the code before at 9 routers and passes now.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -84,6 +84,7 @@
             lambda: lease.is_valid,
             lambda: self._ownership.leader_notice,
             lambda: max(adapter.options.min_routers, self._link.routers),
+            lambda: report_handler.reporting_share,
             self._link_client.reserve,
             clock,
         )
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -32,6 +32,8 @@
 """Maximum time that the leader waits for newer data before it replies."""
 ROUTER_TTL_MS = 30_000.0
 """Time after its last report for which a router is counted."""
+SILENT_MS = 1500.0
+"""Time after its last report from which a router may not reach the leader."""
 COUNT_SETTLE_MS = 3000.0
 """Time from the start of a term until all routers that reach the leader reported."""
 COUNT_TTL_MS = 10_000.0
@@ -89,6 +91,16 @@
         is_settled = self._clock() - self._leading_since_ms >= COUNT_SETTLE_MS
         return self.routers if is_settled else 0
 
+    @property
+    def reporting_share(self) -> float:
+        """Share of the routers, this one included, that report to this one."""
+        latest_ms = self._clock() - SILENT_MS
+        routers = self.routers
+        reporting = 1
+        for reported_ms in self._reported_ms.values():
+            reporting += reported_ms >= latest_ms
+        return reporting / routers
+
     def set_leading(self, is_leader: bool) -> None:
         """Record that a term of this router begins or ends."""
         self._leading_since_ms = self._clock() if is_leader else None
--- a/packages/edge/mulberryrelay_edge/reservations.py
+++ b/packages/edge/mulberryrelay_edge/reservations.py
@@ -1,8 +1,9 @@
 """Reserves times to send to servers with a limit, from the leader where there is one.
 
 Without a leader that replies, a router uses its own schedule for an equal part of each
-limit. The schedule starts anew each time, with its first time one interval later, so
-that routers that lose the leader together do not all send at once.
+limit, and the leader leaves the parts of routers that do not report to it. A router's
+own schedule starts anew each time, with its first time one interval later, so that
+routers that lose the leader together do not all send at once.
 """
 
 from collections.abc import Awaitable, Callable, Sequence
@@ -31,14 +32,19 @@
         is_leader: Callable[[], bool],
         leader_notice: Callable[[], LeaderNoticeRow | None],
         routers: Callable[[], int],
+        reporting_share: Callable[[], float],
         ask_leader: AskLeader,
         clock: Clock,
     ) -> None:
-        """``routers`` returns among how many routers a limit is divided."""
+        """``routers`` returns among how many routers a limit is divided.
+
+        ``reporting_share`` returns the share of them that report to this router.
+        """
         self._boot_id = boot_id
         self._is_leader = is_leader
         self._leader_notice = leader_notice
         self._routers = routers
+        self._reporting_share = reporting_share
         self._ask_leader = ask_leader
         self._clock = clock
         self._schedule = SendSchedule(clock)
@@ -58,7 +64,8 @@
         """Reserve times as the leader; returns None if this router does not lead."""
         if not self._is_leader():
             return None
-        return [self._schedule.reserve(request) for request in requests]
+        share = self._reporting_share()
+        return [self._schedule.reserve(request, share) for request in requests]
 
     async def reserve(
         self, requests: Sequence[ReservationRequest]
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -8,6 +8,8 @@
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.capacity import ServerCondition
+from mulberryrelay_edge.keyload import KeyLoad
+from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
 from mulberryrelay_edge.messages import (
     LAST_KEY,
@@ -16,11 +18,14 @@
     LeaderNoticeRow,
     ReservationRequest,
     Reservations,
+    RouterReport,
     ServiceTimeSum,
 )
+from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.sendschedule import SendSchedule
 from mulberryrelay_edge.serverlimits import Reserve, ServerLimits
+from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_platform.adapter import parse_limit
 from mulberryrelay_platform.names import HEADERS
@@ -49,6 +54,8 @@
 MAX_WAIT_MS = 150.0
 """Time that a request may wait for a limited server in the simulations."""
 OVERLOAD_SECONDS = 40.0
+REPORT_PERIOD_S = 0.6
+"""Period in which routers report to the leader."""
 REPORTED_KEYS = 12
 """Requested keys that routers report in a tenth of a second."""
 
@@ -137,6 +144,7 @@
         lambda: False,
         lambda: LeaderNoticeRow(1, "leader", "http://leader"),
         lambda: routers,
+        lambda: 1.0,
         ask_leader,
         virtual_clock,
     ).reserve
@@ -183,6 +191,66 @@
         assert most_in_window(server.arrivals_s) <= server.allowed, routers
 
 
+def leader_source(handler: ReportHandler) -> ReservationSource:
+    """Return what the leader reserves times with, which never asks another router."""
+
+    async def ask_leader(
+        url: str, requests: Sequence[ReservationRequest]
+    ) -> list[Reservations] | None:
+        raise AssertionError("the leader asked for times elsewhere")
+
+    return ReservationSource(
+        "leader",
+        lambda: True,
+        lambda: None,
+        lambda: 1,
+        lambda: handler.reporting_share,
+        ask_leader,
+        virtual_clock,
+    )
+
+
+async def play_cut_off_leader(
+    server: LimitedServer, routers: int, cut_s: float, seconds: float
+) -> None:
+    """Let routers send as much as they may; after ``cut_s`` none reaches the leader."""
+    handler = ReportHandler(
+        KeyLoad(virtual_clock),
+        Ownership(),
+        StoreSync(),
+        lambda: True,
+        lambda: False,
+        virtual_clock,
+    )
+    leader = leader_source(handler)
+    leaders: list[SendSchedule | None] = [leader.schedule]
+    end_ms = virtual_clock() + seconds * 1000
+    reserves = [source(n, leaders, routers) for n in range(routers - 1)]
+    sending = []
+    for reserve in (leader.reserve, *reserves):
+        limits = ServerLimits(reserve, lambda: None, virtual_clock)
+        limits.record(server.entry, server.limit_per_s)
+        sending.append(asyncio.create_task(send_all_day(limits, server, end_ms)))
+    cut_ms = virtual_clock() + cut_s * 1000
+    while virtual_clock() < cut_ms:
+        for number in range(routers - 1):
+            report = RouterReport(
+                f"router-{number}", KeyReport({}, {}), {}, {}, True, 0
+            )
+            await handler.handle_report(report)
+        await asyncio.sleep(REPORT_PERIOD_S)
+    leaders[0] = None
+    await asyncio.gather(*sending)
+
+
+def test_a_limit_holds_while_no_router_reaches_the_leader() -> None:
+    """Guards against a leader and routers without it that send twice the limit."""
+    for routers in (9, 200):
+        server = LimitedServer(7.1)
+        run_virtual(play_cut_off_leader(server, routers, 6.0, 30.0))
+        assert most_in_window(server.arrivals_s) <= server.allowed, routers
+
+
 def test_a_limit_ends_when_a_success_states_none() -> None:
     """Guards against servers that stay held back after they have recovered."""
 
