Log when a new leader begins to wait for grants that a restore lost

Cause: between leader_acquired and lost_grants_expired no line said that a service's keys wait, until when and why. Change: lost_grants_wait with the service, the number of restores, the ranges read and the time left.

--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -112,6 +112,8 @@
         """Time of the last rebalancing plan of each service."""
         self._planning: set[ServiceName] = set()
         """Services for which new ranges or moves are being stored."""
+        self._waiting_for_lost_grants: set[ServiceName] = set()
+        """Services of which a restore lost ranges, so that grants have to wait."""
         self._server_counts: dict[ServiceName, int] = {}
         self._counted_ms: dict[ServiceName, float] = {}
         """Time of the last change in the number of servers of each service."""
@@ -188,11 +190,25 @@
         """
         if service in self._planning:
             return
-        if self._clock() < self._grants.default_expires_ms:
+        left_ms = self._grants.default_expires_ms - self._clock()
+        if left_ms > 0:
+            self._log_lost_grants_wait(service, left_ms)
             return
         self._planning.add(service)
         self._start_task(self._end_lost_grants(service))
 
+    def _log_lost_grants_wait(self, service: ServiceName, left_ms: float) -> None:
+        if service in self._waiting_for_lost_grants:
+            return
+        self._waiting_for_lost_grants.add(service)
+        log_event(
+            "lost_grants_wait",
+            service=service,
+            restores=self._lease.restores,
+            ranges=len(self._ranges.ranges(service)),
+            left_ms=round(left_ms),
+        )
+
     async def _end_lost_grants(self, service: ServiceName) -> None:
         restores = self._lease.restores
         try:
