Show that keys have no owner for seconds after a restore without the leader

Cause: the new leader trusts no range and lets all grants of the earlier one expire, although it knows its owners.

--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -29,6 +29,8 @@
 """Factor by which the servers' clocks run slower than real time."""
 WATCHED_KEY_STEP = 1024
 """Distance between two watched keys; the ends of ranges are watched as well."""
+WATCHED_KEYS = range(0, LAST_KEY + 1, WATCHED_KEY_STEP)
+"""Watched keys without the ends of ranges."""
 
 
 class GrantedRange(msgspec.Struct):
@@ -182,15 +184,17 @@
                 overlaps.append((key, owners))
         return overlaps
 
+    def ungranted_keys(self) -> list[int]:
+        """Return the watched keys for which no running server has a grant."""
+        return [
+            key
+            for key in WATCHED_KEYS
+            if not any(incarnation.has_grant(key) for incarnation in self.incarnations)
+        ]
+
     def ungranted_share(self) -> float:
         """Return the fraction of keys for which no running server has a grant."""
-        keys = range(0, LAST_KEY + 1, WATCHED_KEY_STEP)
-        missing = [
-            k
-            for k in keys
-            if not any(incarnation.has_grant(k) for incarnation in self.incarnations)
-        ]
-        return len(missing) / len(keys)
+        return len(self.ungranted_keys()) / len(WATCHED_KEYS)
 
 
 class CommandClient:
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -40,6 +40,8 @@
 HOT_KEYS = 3000
 """Keys from 0 that get all requests, so that their ranges keep moving."""
 REPORTED_KEYS = 40
+MAX_PAUSE_S = 2.0
+"""Maximum time for which a key has no owner after a loss."""
 SETTLE_S = 25.0
 """Time in which every key has one owner again, also without the earlier leader."""
 
@@ -90,11 +92,15 @@
 
 async def play_restore(
     seed: int, during_outage: Callable[[Fleet], None], outage_s: float = OUTAGE_S
-) -> None:
-    """Move keys, restore the store as it was ``LOST_S`` before, and go on."""
+) -> float:
+    """Move keys, restore the store as it was ``LOST_S`` before, and go on.
+
+    Returns the longest time in seconds for which a key had no owner.
+    """
     fleet = await start_settled_fleet(seed)
     await report_load(fleet, 3.0)
     copy: TablesCopy = fleet.tables.copy()
+    fleet.longest_pause_s = 0.0
     await report_load(fleet, LOST_S)
     for router in fleet.routers:
         router.store.is_refusing = True
@@ -108,6 +114,7 @@
     assert fleet.leader is not None, seed
     assert not fleet.servers.ungranted_share(), seed
     fleet.stop()
+    return fleet.longest_pause_s
 
 
 async def play_restore_while_waiting(seed: int) -> None:
@@ -156,6 +163,13 @@
         run_virtual(play_restore(seed, lambda fleet: None, outage_s=5.0))
 
 
+def test_keys_keep_an_owner_after_a_restore_without_the_leader() -> None:
+    """Guards against a new leader that lets all grants expire before it renews any."""
+    for seed in range(1, 5):
+        pause_s = run_virtual(play_restore(seed, kill_leader))
+        assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
+
+
 def test_no_key_has_two_owners_after_a_restore_during_the_wait_for_lost_grants() -> (
     None
 ):
