Let known owners keep their keys when a restore loses the leader

Cause: a new leader trusted no range and granted nothing until any lost grant had expired, 10.7 s after it took the lease; the grants that it knew of ended seconds before. Class: a pause for the worst case, taken where the case can be excluded. Ruled out: lost routes (the version never falls), the retry budget alone (all keyed routes suffer alike). Change: the new leader revokes from each server all keys that the server does not own by the ranges known before the restore, at a fence above all earlier ones, and then renews the owners' grants (lostgrants.py). Which servers may have lost grants is known if the earlier leader had told that the store was away (knownservers.py); otherwise, or while one of them is silent, the wait remains. Servers that left before the outage are not asked. Routers without such ranges leave the lease to others for 1 s; the wait is counted from the end of the lost lease. Two tests with a leader that missed servers or moves fail if the knowledge or the revoking is dropped; one fails if servers that left are asked. A leader lost within 1 s of the outage still costs up to 3 s, as its lease has to end.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -62,6 +62,7 @@
             adapter.commands,
             self._catalog,
             self._ownership,
+            self._store_sync,
             self._key_load,
             self._condition_of,
             options.max_grant_ttl_ms,
--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -12,11 +12,13 @@
 from .catalog import Catalog
 from .grants import GrantManager
 from .keyload import KeyLoad
+from .knownservers import KnownServers
 from .leaderterm import Term
 from .lease import LeaderLease, TermEndedError
 from .messages import BackendServer
 from .ownership import Ownership
 from .rangestore import RangeStore
+from .tablefollower import Role, StoreSync
 from .tablestore import TableStore
 from .unreachableservers import Incarnation
 
@@ -31,6 +33,7 @@
         commands: ServerCommands,
         catalog: Catalog,
         ownership: Ownership,
+        store_sync: StoreSync,
         load: KeyLoad,
         condition: Callable[[BackendServer], ServerCondition],
         max_grant_ttl_ms: float,
@@ -42,31 +45,31 @@
         self._commands = commands
         self._catalog = catalog
         self._ownership = ownership
+        self._store_sync = store_sync
         self._load = load
         self._condition = condition
         self._max_grant_ttl_ms = max_grant_ttl_ms
         self._boot_id = boot_id
         self._clock = clock
-        self._known_servers: dict[Incarnation, BackendServer] = {}
-        """Last entry of each incarnation, also of those no longer registered.
-
-        A leader still sends releases to them.
-        """
+        self._known_servers = KnownServers(clock)
         self._term: asyncio.Task[None] | None = None
         self._grants: GrantManager | None = None
         """The grants of the current term; None while this process does not lead."""
         lease.changes.subscribe(self._on_lease_change)
         catalog.changes.subscribe(lambda _: self._record_servers())
+        store_sync.restored.subscribe(self._known_servers.record_restore)
 
     def _record_servers(self) -> None:
         routes = self._catalog.routes
         if routes is None:
             return
+        registered: list[BackendServer] = []
         for service in routes.services.values():
             if not service.is_keyed:
                 continue
-            for server in self._catalog.servers(service.name):
-                self._known_servers[server.server, server.started_ms] = server
+            registered += self._catalog.servers(service.name)
+        is_known_to_leader = self._store_sync.role is not Role.STANDALONE
+        self._known_servers.set_registered(registered, is_known_to_leader)
 
     def grant_expires_ms(self, incarnation: Incarnation) -> float | None:
         """Return when a server's grants expire; None if this router does not lead."""
@@ -106,7 +109,9 @@
                 self._lease,
             ),
             self._grants,
+            self._known_servers,
             self._catalog,
+            self._ownership,
             self._load,
             self._condition,
             self._max_grant_ttl_ms,
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -19,6 +19,7 @@
     ServerCommands,
 )
 from .catalog import Catalog
+from .knownservers import KnownServers
 from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
 from .rangeedits import GRANT_STEP, RELEASE_STEP
@@ -63,7 +64,7 @@
         self,
         commands: ServerCommands,
         catalog: Catalog,
-        known_servers: dict[Incarnation, BackendServer],
+        known_servers: KnownServers,
         max_grant_ttl_ms: float,
         lease: LeaderLease,
         clock: Clock,
@@ -71,7 +72,6 @@
         self._commands = commands
         self._catalog = catalog
         self._known_servers = known_servers
-        """Last entry of each incarnation, also of those no longer registered."""
         self._max_grant_ttl_ms = max_grant_ttl_ms
         self._default_expires_ms = (
             lease.previous_leader_end_ms
@@ -92,7 +92,7 @@
         entry = self._catalog.server(incarnation[0])
         if entry is not None and entry.started_ms == incarnation[1]:
             return entry
-        return self._known_servers.get(incarnation)
+        return self._known_servers.entry(incarnation)
 
     @property
     def default_expires_ms(self) -> float:
@@ -236,6 +236,23 @@
             )
             await asyncio.sleep(max(0.0, min(RETRY_S, left_ms / 1000)))
 
+    async def revoke(
+        self, server: BackendServer, first: int, last: int, fence: int
+    ) -> bool:
+        """Release keys from a server that may have a lost grant of them.
+
+        Returns whether the server has no such grant any more.
+
+        Raises:
+            TermEndedError: the term ended first.
+        """
+        await self._lease.wait_valid()
+        result = await self._commands.release(server, first, last, fence)
+        if isinstance(result, Success):
+            return True
+        self._record_failure(server, result.failure())
+        return isinstance(result.failure(), CommandMisdirected)
+
     async def grant_to_next_owner(
         self,
         service: ServiceName,
@@ -269,7 +286,7 @@
             return Failure(
                 CommandUnanswered("server is listed as unreachable in the leader lease")
             )
-        self._known_servers[incarnation] = server
+        self._known_servers.record(server)
         sent_ms = self._clock()
         expires_ms = sent_ms + grant_ttl_ms * SLOW_CLOCK_FACTOR + GRANT_MARGIN_MS
         self._grant_expires_ms[incarnation] = max(
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -101,6 +101,11 @@
             reporting += reported_ms >= latest_ms
         return reporting / routers
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the store answers this router, as last checked."""
+        return self._is_store_reachable
+
     def set_leading(self, is_leader: bool) -> None:
         """Record that a term of this router begins or ends."""
         self._leading_since_ms = self._clock() if is_leader else None
@@ -205,6 +210,7 @@
                 self._load.pop_report()
                 self._store_sync.set_role(Role.LEADER)
                 self._report_handler.check_store()
+                self._record_leader_store(self._report_handler.is_store_reachable)
                 self._set_count(self._report_handler.counted_routers)
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
@@ -252,12 +258,18 @@
                 read = TableRead(update.rows, update.version, 0.0)
                 self._store_sync.apply_rows(update.table, read, update.is_complete)
         self._ownership.apply_changes(leader_reply.ranges)
+        self._record_leader_store(leader_reply.is_store_reachable)
         # While the store does not answer the leader, it cannot send changes, so this
         # router polls the store itself.
         self._store_sync.set_role(
             Role.FOLLOWER if leader_reply.is_store_reachable else Role.STANDALONE
         )
 
+    def _record_leader_store(self, is_reachable: bool) -> None:
+        """Record whether the leader reaches the store, after its data is applied."""
+        lost_ms = None if is_reachable else self._clock()
+        self._store_sync.set_leader_lost_store(lost_ms)
+
     def _set_count(self, routers: int) -> None:
         """Store the number of routers, unless the leader has not counted them yet."""
         if routers:
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -21,10 +21,14 @@
 from .catalog import Catalog
 from .grants import GrantManager, normal_grant_ttl_ms, renewal_period_ms
 from .keyload import KeyLoad
+from .knownservers import KnownServers
 from .lease import LeaderLease, TermEndedError
+from .lostgrants import LostGrants
 from .messages import BackendServer, KeyRange
+from .ownership import Ownership
 from .rangeedits import (
     PlannedMove,
+    Ranges,
     begin_moves,
     complete_move,
     first_fence,
@@ -32,8 +36,8 @@
     merge_adjacent_ranges,
     raise_all_fences,
     raise_fence,
-    raise_fences_after_restore,
     raise_fences_of_incarnation,
+    replace_after_restore,
 )
 from .rangestore import RangeStore
 from .rebalance import (
@@ -65,6 +69,8 @@
 """
 PROBE_PERIOD_MS = 500.0
 """Period in which an unreachable owner is probed."""
+REVOKE_RETRY_S = 0.3
+"""Pause before grants that a server did not confirm to have lost are revoked again."""
 RENEW_RETRY_MS = 150.0
 """Pause before a renewal that got no reply is retried."""
 MAX_GRANT_ATTEMPTS = 3
@@ -83,7 +89,9 @@
         lease: LeaderLease,
         ranges: RangeStore,
         grants: GrantManager,
+        known_servers: KnownServers,
         catalog: Catalog,
+        ownership: Ownership,
         load: KeyLoad,
         condition: Callable[[BackendServer], ServerCondition],
         max_grant_ttl_ms: float,
@@ -92,6 +100,9 @@
         self._lease = lease
         self._ranges = ranges
         self._grants = grants
+        self._known_servers = known_servers
+        self._lost_grants = LostGrants(grants)
+        self._ownership = ownership
         self._catalog = catalog
         self._load = load
         self._condition = condition
@@ -163,7 +174,7 @@
 
     def _manage_service(self, service: ServiceName) -> None:
         if self._ranges.is_outdated(service):
-            self._wait_for_lost_grants(service)
+            self._start_ending_lost_grants(service)
             return
         ranges = self._ranges.ranges(service)
         if not ranges:
@@ -183,19 +194,24 @@
             self._planning.add(service)
             self._start_task(self._begin_moves(service, moves))
 
-    def _wait_for_lost_grants(self, service: ServiceName) -> None:
-        """Send no grants until those by lost ranges of a service have expired.
-
-        Which servers have such grants is not known, since the store was restored.
-        """
+    def _start_ending_lost_grants(self, service: ServiceName) -> None:
+        """End grants by ranges that a restore lost, or wait until they have expired."""
         if service in self._planning:
             return
         left_ms = self._grants.default_expires_ms - self._clock()
-        if left_ms > 0:
+        if left_ms <= 0:
+            self._planning.add(service)
+            known = self._ownership.ranges(service)
+            self._start_task(self._replace_outdated_ranges(service, known))
+            return
+        restores = self._lease.restores
+        servers = self._known_servers.possible_owners(service, restores)
+        ranges = self._ownership.ranges(service)
+        if servers is None or not ranges:
             self._log_lost_grants_wait(service, left_ms)
             return
         self._planning.add(service)
-        self._start_task(self._end_lost_grants(service))
+        self._start_task(self._revoke_lost_grants(service, ranges, servers))
 
     def _log_lost_grants_wait(self, service: ServiceName, left_ms: float) -> None:
         if service in self._waiting_for_lost_grants:
@@ -209,12 +225,26 @@
             left_ms=round(left_ms),
         )
 
-    async def _end_lost_grants(self, service: ServiceName) -> None:
+    async def _revoke_lost_grants(
+        self, service: ServiceName, ranges: Ranges, servers: list[BackendServer]
+    ) -> None:
+        restores = self._lease.restores
+        try:
+            if not await self._lost_grants.revoke(service, ranges, servers, restores):
+                await asyncio.sleep(REVOKE_RETRY_S)
+                return
+            await self._replace_outdated_ranges(service, ranges)
+        finally:
+            self._planning.discard(service)
+
+    async def _replace_outdated_ranges(
+        self, service: ServiceName, known: Ranges
+    ) -> None:
         restores = self._lease.restores
         try:
-            await self._ranges.update(service, raise_fences_after_restore(restores))
+            await self._ranges.update(service, replace_after_restore(known, restores))
             self._ranges.mark_current(service)
-            log_event("lost_grants_expired", service=service, restores=restores)
+            log_event("lost_grants_ended", service=service, restores=restores)
         finally:
             self._planning.discard(service)
 
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -50,6 +50,11 @@
 """Time without a reply after which a renewal is treated as failing."""
 LOST_RENEWAL_MS = 700.0
 """Time without a reply after which the store is treated as unreachable."""
+UNINFORMED_DELAY_MS = 1000.0
+"""Time that a router without ranges of before a restore leaves the lease to others.
+
+Those serve keys sooner, as they know the owners.
+"""
 MARGIN_MS = 100.0
 """Added to a lease's expiry before takeover, as clocks may run at different speeds."""
 
@@ -71,6 +76,7 @@
         clock: Clock,
     ) -> None:
         self._store = store
+        self._ownership = ownership
         self._instance = instance
         self._boot_id = boot_id
         self._link_url = link_url
@@ -238,7 +244,10 @@
         is_outdated = previous.restores < self._restores
         if is_outdated:
             # The store lost later leases. The last one was stored before the restore.
-            free_from_ms = self._restored_ms + LEASE_MS + MARGIN_MS
+            lost_lease_end_ms = self._restored_ms + LEASE_MS
+            free_from_ms = lost_lease_end_ms + MARGIN_MS
+            if not self._ownership.has_ranges_before(self._restores):
+                free_from_ms += UNINFORMED_DELAY_MS
             self._watch.set_free_from(free_from_ms)
             if now_ms < free_from_ms:
                 return False
@@ -262,7 +271,9 @@
             self._restores,
         )
         notice = LeaderNoticeRow(acquired.term, self._boot_id, self._link_url)
-        if previous.term or is_outdated:
+        if is_outdated:
+            self._previous_leader_end_ms = lost_lease_end_ms
+        elif previous.term:
             self._previous_leader_end_ms = now_ms
             if previous.expires_ms != RELEASED_EXPIRES_MS:
                 # The earlier leader sent no commands after its lease expired.
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -69,6 +69,12 @@
         """Row version of the ranges of each service."""
         return {service: self._versions[service] for service in self._range_maps}
 
+    def has_ranges_before(self, restores: int) -> bool:
+        """Return whether ranges are known that were read before the given restore."""
+        return any(
+            restores_of(version) < restores for version in self.range_versions.values()
+        )
+
     def changes_since(
         self, known_versions: Mapping[ServiceName, int]
     ) -> list[RangeChange]:
--- a/packages/edge/mulberryrelay_edge/rangeedits.py
+++ b/packages/edge/mulberryrelay_edge/rangeedits.py
@@ -66,8 +66,12 @@
     return restores * FENCES_PER_RESTORE + FIRST_FENCE
 
 
-def raise_fences_after_restore(restores: int) -> Edit:
-    """Return an edit that raises all fencing tokens above those of lost ranges."""
+def replace_after_restore(known: Ranges, restores: int) -> Edit:
+    """Return an edit that replaces outdated ranges by the last ones that are known.
+
+    Fencing tokens are raised above those of lost ranges. If no ranges are known, the
+    outdated ones stay.
+    """
 
     def edit(ranges: Ranges) -> Ranges:
         return tuple(
@@ -75,7 +79,7 @@
                 key_range,
                 fence=max(key_range.fence + FENCE_RAISE_STEP, first_fence(restores)),
             )
-            for key_range in ranges
+            for key_range in known or ranges
         )
 
     return edit
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -17,6 +17,7 @@
 
 from mulberryrelay_kernel.logs import log_event
 
+from .storeversion import restores_of
 from .tablemirror import TableMirror, TableUpdate
 from .tablestore import TableFailure, TableRead, TableStore
 
@@ -41,6 +42,18 @@
     """It is the leader: it polls the store and writes the ranges table itself."""
 
 
+class StoreRestored(msgspec.Struct, frozen=True):
+    """The store came back from an older copy."""
+
+    restores: int
+    """How often it has been restored."""
+    informed_until_ms: float | None
+    """Time before the restore until which this router knew all that the leader knew.
+
+    None if that is not certain.
+    """
+
+
 class FollowedTable(msgspec.Struct, frozen=True):
     """A table to follow, and how to follow it."""
 
@@ -77,13 +90,26 @@
 
         The leader's calls may fail while the store answers all other routers.
         """
+        self._restores: int | None = None
+        """How often the store had been restored when rows were last read."""
+        self._leader_lost_store_ms: float | None = None
+        """Time at which the leader reported that it does not reach the store.
+
+        None if it did not, or if rows were read since.
+        """
         self._changes: Subject[bool] = Subject()
+        self._restored: Subject[StoreRestored] = Subject()
 
     @property
     def changes(self) -> Subject[bool]:
         """Emits whether the store answers, after a change of that or of a table."""
         return self._changes
 
+    @property
+    def restored(self) -> Subject[StoreRestored]:
+        """Emits after a restore of the store, before its rows are applied."""
+        return self._restored
+
     @property
     def is_reachable(self) -> bool:
         """Whether the store answers, as last recorded."""
@@ -130,6 +156,14 @@
         """Record that a call of this router to the store failed."""
         self._has_own_call_failed = True
 
+    def set_leader_lost_store(self, lost_ms: float | None) -> None:
+        """Record when the leader reported that it lost the store; None if it did not.
+
+        All that the leader knew then has to be applied here. Without the store the
+        leader learns of no servers and moves no keys.
+        """
+        self._leader_lost_store_ms = lost_ms
+
     def set_role(self, role: Role) -> None:
         """Set where this router gets changes from."""
         if role is self._role:
@@ -164,6 +198,7 @@
         followed = self._followed.get(table)
         if followed is None:
             return
+        self._record_restores(restores_of(read.version))
         mirror = self._mirrors.get(table)
         if mirror is not None and read.version < mirror.version:
             log_event(
@@ -188,6 +223,18 @@
                 updates.append(update)
         return updates
 
+    def _record_restores(self, restores: int) -> None:
+        former = self._restores
+        if former is not None and restores < former:
+            return
+        if former is not None and restores > former:
+            # A leader may have worked between two restores without this router.
+            is_certain = restores == former + 1
+            informed_until_ms = self._leader_lost_store_ms if is_certain else None
+            self._restored.on_next(StoreRestored(restores, informed_until_ms))
+        self._restores = restores
+        self._leader_lost_store_ms = None
+
     def _is_polled(self, followed: FollowedTable) -> bool:
         if self._role is Role.LEADER:
             return not followed.is_written_by_leader
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -20,6 +20,7 @@
     ServiceTimeSum,
 )
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.tablefollower import LONG_WAIT_MS
 from mulberryrelay_edge.tablestore import (
     Committed,
     RowCondition,
@@ -27,9 +28,17 @@
     TableFailure,
 )
 from mulberryrelay_kernel.ids import InstanceId
+from mulberryrelay_kernel.states import ServerState
 from standins.tables import TableClient, Tables, TablesCopy
 
-from .fixtures.edgefleet import SERVICE, Fleet, backend, start_settled_fleet
+from .fixtures.edgefleet import (
+    SERVICE,
+    Fleet,
+    FleetRouter,
+    backend,
+    followers_of,
+    start_settled_fleet,
+)
 from .fixtures.followingcatalog import FollowingCatalog
 
 IN_FORCE_S = 2.0
@@ -42,6 +51,8 @@
 REPORTED_KEYS = 40
 MAX_PAUSE_S = 2.0
 """Maximum time for which a key has no owner after a loss."""
+REMOVAL_S = 2.0
+"""Time after which a server that drains, or whose entry came back, is removed."""
 SETTLE_S = 25.0
 """Time in which every key has one owner again, also without the earlier leader."""
 
@@ -90,6 +101,23 @@
         await asyncio.sleep(0.2)
 
 
+async def play_outage(
+    fleet: Fleet,
+    copy: TablesCopy,
+    during_outage: Callable[[Fleet], None],
+    outage_s: float,
+) -> None:
+    """Let the store be away for a time and come back as the copy."""
+    for router in fleet.routers:
+        router.store.is_refusing = True
+    await report_load(fleet, outage_s / 2)
+    during_outage(fleet)
+    await report_load(fleet, outage_s / 2)
+    fleet.tables.restore(copy)
+    for router in fleet.routers:
+        router.store.is_refusing = False
+
+
 async def play_restore(
     seed: int, during_outage: Callable[[Fleet], None], outage_s: float = OUTAGE_S
 ) -> float:
@@ -102,14 +130,7 @@
     copy: TablesCopy = fleet.tables.copy()
     fleet.longest_pause_s = 0.0
     await report_load(fleet, LOST_S)
-    for router in fleet.routers:
-        router.store.is_refusing = True
-    await report_load(fleet, outage_s / 2)
-    during_outage(fleet)
-    await report_load(fleet, outage_s / 2)
-    fleet.tables.restore(copy)
-    for router in fleet.routers:
-        router.store.is_refusing = False
+    await play_outage(fleet, copy, during_outage, outage_s)
     await report_load(fleet, SETTLE_S)
     assert fleet.leader is not None, seed
     assert not fleet.servers.ungranted_share(), seed
@@ -117,6 +138,29 @@
     return fleet.longest_pause_s
 
 
+async def play_restore_after_a_removal(seed: int) -> float:
+    """Restore the store without the leader, seconds after a server was removed.
+
+    Returns the longest time in seconds for which a key had no owner.
+    """
+    fleet = await start_settled_fleet(seed)
+    await report_load(fleet, 3.0)
+    copy = fleet.tables.copy()
+    leaving = msgspec.structs.replace(backend(1), state=ServerState.DRAINING)
+    fleet.register(leaving)
+    await report_load(fleet, REMOVAL_S)
+    fleet.unregister(leaving)
+    fleet.servers.incarnations[1].is_up = False
+    await report_load(fleet, REMOVAL_S)
+    await play_outage(fleet, copy, kill_leader, OUTAGE_S)
+    await report_load(fleet, REMOVAL_S)
+    fleet.unregister(leaving)
+    fleet.longest_pause_s = 0.0
+    await report_load(fleet, SETTLE_S)
+    fleet.stop()
+    return fleet.longest_pause_s
+
+
 async def play_restore_while_waiting(seed: int) -> None:
     """Restore the store while a leader waits for lost grants, then kill the leader."""
     fleet = await start_settled_fleet(seed)
@@ -136,6 +180,58 @@
     fleet.stop()
 
 
+async def lead_alone_after_restore(
+    fleet: Fleet, copy: TablesCopy, router: FleetRouter
+) -> None:
+    """Restore the store while only one router reaches it, which then leads."""
+    for other in [r for r in fleet.routers if r is not router]:
+        fleet.restart(other).store.is_refusing = True
+    fleet.tables.restore(copy)
+    router.is_unreachable = False
+    router.store.is_refusing = False
+    end_ms = virtual_clock() + SETTLE_S * 1000
+    while fleet.leader is not router:
+        assert virtual_clock() < end_ms
+        await asyncio.sleep(0.1)
+    await report_load(fleet, SETTLE_S)
+    assert not fleet.servers.ungranted_share()
+
+
+async def play_unseen_server(seed: int) -> None:
+    """Let a router lead that was cut off while another server got keys."""
+    fleet = await start_settled_fleet(seed)
+    copy = fleet.tables.copy()
+    router = followers_of(fleet)[0]
+    router.is_unreachable = router.store.is_refusing = True
+    # A poll that is already on its way still gets its reply.
+    await report_load(fleet, LONG_WAIT_MS / 1000)
+    unseen = fleet.start_server(backend(9))
+    await report_load(fleet, LOST_S)
+    assert unseen.grants, seed
+    for other in fleet.routers:
+        other.store.is_refusing = True
+    # The leader grants keys for the maximum time while the store is away.
+    await report_load(fleet, OUTAGE_S)
+    await lead_alone_after_restore(fleet, copy, router)
+    fleet.stop()
+
+
+async def play_unseen_moves(seed: int) -> None:
+    """Let a router lead that was cut off during an outage, after which keys moved."""
+    fleet = await start_settled_fleet(seed)
+    copy = fleet.tables.copy()
+    for router in fleet.routers:
+        router.store.is_refusing = True
+    await report_load(fleet, OUTAGE_S / 2)
+    cut_router = followers_of(fleet)[0]
+    cut_router.is_unreachable = True
+    for router in fleet.routers:
+        router.store.is_refusing = router is cut_router
+    await report_load(fleet, LOST_S)
+    await lead_alone_after_restore(fleet, copy, cut_router)
+    fleet.stop()
+
+
 def kill_leader(fleet: Fleet) -> None:
     """Restart the leader without any state."""
     leader = fleet.leader
@@ -170,6 +266,25 @@
         assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
 
 
+def test_a_server_that_left_before_a_restore_delays_no_key() -> None:
+    """Guards against a new leader that waits for the grants of servers that left."""
+    for seed in range(1, 4):
+        pause_s = run_virtual(play_restore_after_a_removal(seed))
+        assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
+
+
+def test_keys_of_a_server_unknown_to_the_new_leader_are_not_granted_twice() -> None:
+    """Guards against a leader that revokes lost grants without knowing all servers."""
+    for seed in range(1, 4):
+        run_virtual(play_unseen_server(seed))
+
+
+def test_keys_that_moved_unseen_by_the_new_leader_are_not_granted_twice() -> None:
+    """Guards against a leader that renews grants of owners it knows from before."""
+    for seed in range(1, 4):
+        run_virtual(play_unseen_moves(seed))
+
+
 def test_no_key_has_two_owners_after_a_restore_during_the_wait_for_lost_grants() -> (
     None
 ):
