Ask owners whether their keys were moved when a restore leaves doubt

Cause: one silent server, or a leader that told nothing, made all keys wait for lost grants. Ruled out: granting without asking; in a test with a cut-off leader and a silent server it gives keys two owners. Change: if one of the two holds, each owner's grant is renewed at the fence that is known. An owner whose keys were moved has seen a higher fence and refuses; then all keys wait as before. If both hold, they wait too.

--- a/packages/edge/mulberryrelay_edge/knownservers.py
+++ b/packages/edge/mulberryrelay_edge/knownservers.py
@@ -31,12 +31,10 @@
 
         It moves no more keys to such a server.
         """
-        self._restores = 0
-        """Number of the last restore before which this router knew all servers."""
-        self._before_restore: frozenset[Incarnation] = frozenset()
-        """Incarnations that were registered or removed before this restore."""
+        self._informed_restores = 0
+        """Number of the last restore before which the leader had told all it knew."""
         self._left_before_restore: frozenset[Incarnation] = frozenset()
-        """Those of them that were leaving when the leader lost the store."""
+        """Incarnations that were leaving when the leader lost the store before it."""
 
     def entry(self, incarnation: Incarnation) -> BackendServer | None:
         """Return the last known entry of an incarnation."""
@@ -78,30 +76,33 @@
         informed_until_ms = restored.informed_until_ms
         if informed_until_ms is None:
             return
-        self._restores = restored.restores
-        self._before_restore = frozenset(self._registered | self._leaving_ms.keys())
+        self._informed_restores = restored.restores
         self._left_before_restore = frozenset(
             incarnation
             for incarnation, leaving_ms in self._leaving_ms.items()
             if leaving_ms <= informed_until_ms
         )
 
+    def knew_all_before(self, restores: int) -> bool:
+        """Return whether the leader had told all it knew before a restore."""
+        return restores == self._informed_restores
+
     def possible_owners(
         self, service: ServiceName, restores: int
-    ) -> list[BackendServer] | None:
-        """Return the servers that may own keys by ranges that the last restore lost.
+    ) -> list[BackendServer]:
+        """Return the servers that may own keys by ranges that a restore lost.
 
-        Returns None if this router did not know all servers before the restore with
-        the given number.
+        A server that this router has never seen may be missing, unless
+        ``knew_all_before``.
         """
-        if restores != self._restores:
-            return None
-        incarnations = self._before_restore | self._registered
         owners = []
-        for incarnation in incarnations - self._left_before_restore:
-            server = self._entries.get(incarnation)
-            if server is not None and server.service == service:
-                owners.append(server)
+        for incarnation, server in self._entries.items():
+            if server.service != service:
+                continue
+            has_left = incarnation in self._left_before_restore
+            if has_left and self.knew_all_before(restores):
+                continue
+            owners.append(server)
         return owners
 
     def _forget_removed(self) -> None:
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -204,14 +204,13 @@
             known = self._ownership.ranges(service)
             self._start_task(self._replace_outdated_ranges(service, known))
             return
-        restores = self._lease.restores
-        servers = self._known_servers.possible_owners(service, restores)
         ranges = self._ownership.ranges(service)
-        if servers is None or not ranges:
+        is_known = self._ownership.is_from_before(service, self._lease.restores)
+        if not ranges or not is_known:
             self._log_lost_grants_wait(service, left_ms)
             return
         self._planning.add(service)
-        self._start_task(self._revoke_lost_grants(service, ranges, servers))
+        self._start_task(self._revoke_lost_grants(service, ranges))
 
     def _log_lost_grants_wait(self, service: ServiceName, left_ms: float) -> None:
         if service in self._waiting_for_lost_grants:
@@ -225,18 +224,36 @@
             left_ms=round(left_ms),
         )
 
-    async def _revoke_lost_grants(
-        self, service: ServiceName, ranges: Ranges, servers: list[BackendServer]
-    ) -> None:
-        restores = self._lease.restores
+    async def _revoke_lost_grants(self, service: ServiceName, ranges: Ranges) -> None:
         try:
-            if not await self._lost_grants.revoke(service, ranges, servers, restores):
-                await asyncio.sleep(REVOKE_RETRY_S)
+            if await self._are_lost_grants_revoked(service, ranges):
+                await self._replace_outdated_ranges(service, ranges)
                 return
-            await self._replace_outdated_ranges(service, ranges)
+            await asyncio.sleep(REVOKE_RETRY_S)
         finally:
             self._planning.discard(service)
 
+    async def _are_lost_grants_revoked(
+        self, service: ServiceName, ranges: Ranges
+    ) -> bool:
+        """Return whether no server has a grant of a key that another one owns.
+
+        The owners are asked as well unless all other servers have confirmed it, since a
+        key is moved only after its owner has released it. They may have missed the
+        release if they were silent, so one kind of doubt remains allowed, not two.
+        """
+        restores = self._lease.restores
+        servers = self._known_servers.possible_owners(service, restores)
+        knew_all = self._known_servers.knew_all_before(restores)
+        silent = await self._lost_grants.revoke(service, ranges, servers, restores)
+        if knew_all and not silent:
+            return True
+        if silent and not knew_all:
+            return False
+        return await self._lost_grants.confirm_owners(
+            service, ranges, silent, self._grant_ttl_ms
+        )
+
     async def _replace_outdated_ranges(
         self, service: ServiceName, known: Ranges
     ) -> None:
--- a/packages/edge/mulberryrelay_edge/ownership.py
+++ b/packages/edge/mulberryrelay_edge/ownership.py
@@ -72,9 +72,13 @@
     def has_ranges_before(self, restores: int) -> bool:
         """Return whether ranges are known that were read before the given restore."""
         return any(
-            restores_of(version) < restores for version in self.range_versions.values()
+            self.is_from_before(service, restores) for service in self._range_maps
         )
 
+    def is_from_before(self, service: ServiceName, restores: int) -> bool:
+        """Return whether a service's ranges were read before the given restore."""
+        return restores_of(self.version(service)) < restores
+
     def changes_since(
         self, known_versions: Mapping[ServiceName, int]
     ) -> list[RangeChange]:
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -29,6 +29,7 @@
 )
 from mulberryrelay_kernel.ids import InstanceId
 from mulberryrelay_kernel.states import ServerState
+from standins.keyedservers import WATCHED_KEYS
 from standins.tables import TableClient, Tables, TablesCopy
 
 from .fixtures.edgefleet import (
@@ -53,6 +54,7 @@
 """Maximum time for which a key has no owner after a loss."""
 REMOVAL_S = 2.0
 """Time after which a server that drains, or whose entry came back, is removed."""
+CUT_S = 0.5
 SETTLE_S = 25.0
 """Time in which every key has one owner again, also without the earlier leader."""
 
@@ -128,7 +130,7 @@
     fleet = await start_settled_fleet(seed)
     await report_load(fleet, 3.0)
     copy: TablesCopy = fleet.tables.copy()
-    fleet.longest_pause_s = 0.0
+    fleet.pauses_s.clear()
     await report_load(fleet, LOST_S)
     await play_outage(fleet, copy, during_outage, outage_s)
     await report_load(fleet, SETTLE_S)
@@ -155,7 +157,7 @@
     await play_outage(fleet, copy, kill_leader, OUTAGE_S)
     await report_load(fleet, REMOVAL_S)
     fleet.unregister(leaving)
-    fleet.longest_pause_s = 0.0
+    fleet.pauses_s.clear()
     await report_load(fleet, SETTLE_S)
     fleet.stop()
     return fleet.longest_pause_s
@@ -216,7 +218,9 @@
     fleet.stop()
 
 
-async def play_unseen_moves(seed: int) -> None:
+async def play_unseen_moves(
+    seed: int, after_moves: Callable[[Fleet], None] = lambda fleet: None
+) -> None:
     """Let a router lead that was cut off during an outage, after which keys moved."""
     fleet = await start_settled_fleet(seed)
     copy = fleet.tables.copy()
@@ -228,10 +232,59 @@
     for router in fleet.routers:
         router.store.is_refusing = router is cut_router
     await report_load(fleet, LOST_S)
+    after_moves(fleet)
     await lead_alone_after_restore(fleet, copy, cut_router)
     fleet.stop()
 
 
+def cut_off_a_server(fleet: Fleet) -> None:
+    """Let a server receive and answer no commands, although it runs requests."""
+    fleet.servers.incarnations[1].is_unreachable = True
+
+
+async def play_restore_after_a_cut(seed: int) -> float:
+    """Cut the leader off from routers and store just before the store goes away.
+
+    Returns the longest time in seconds for which a key had no owner.
+    """
+    fleet = await start_settled_fleet(seed)
+    copy = fleet.tables.copy()
+    await report_load(fleet, 3.0)
+    assert fleet.leader is not None
+    fleet.leader.is_unreachable = fleet.leader.store.is_refusing = True
+    await report_load(fleet, CUT_S)
+    fleet.pauses_s.clear()
+    await play_outage(fleet, copy, kill_leader, OUTAGE_S)
+    await report_load(fleet, SETTLE_S)
+    fleet.stop()
+    return fleet.longest_pause_s
+
+
+async def play_restore_with_a_silent_server(seed: int) -> float:
+    """Let a server fall silent and lose the leader while the store is away.
+
+    Returns the longest time in seconds for which a key of another server had no owner.
+    """
+    fleet = await start_settled_fleet(seed)
+    copy = fleet.tables.copy()
+    await report_load(fleet, 3.0)
+    silent = fleet.servers.incarnations[1]
+
+    def lose_server_and_leader(fleet: Fleet) -> None:
+        cut_off_a_server(fleet)
+        kill_leader(fleet)
+
+    fleet.pauses_s.clear()
+    await play_outage(fleet, copy, lose_server_and_leader, OUTAGE_S)
+    own_keys = {key for key in WATCHED_KEYS if silent.has_grant(key)}
+    await report_load(fleet, SETTLE_S)
+    fleet.stop()
+    return max(
+        (pause_s for key, pause_s in fleet.pauses_s.items() if key not in own_keys),
+        default=0.0,
+    )
+
+
 def kill_leader(fleet: Fleet) -> None:
     """Restart the leader without any state."""
     leader = fleet.leader
@@ -273,6 +326,20 @@
         assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
 
 
+def test_keys_keep_an_owner_if_the_leader_was_cut_off_before_the_outage() -> None:
+    """Guards against a wait for lost grants where the known owners can be asked."""
+    for seed in range(1, 4):
+        pause_s = run_virtual(play_restore_after_a_cut(seed))
+        assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
+
+
+def test_a_silent_server_delays_only_its_own_keys_after_a_restore() -> None:
+    """Guards against a new leader that lets all keys wait for a server that is gone."""
+    for seed in range(1, 4):
+        pause_s = run_virtual(play_restore_with_a_silent_server(seed))
+        assert pause_s <= MAX_PAUSE_S, (seed, pause_s)
+
+
 def test_keys_of_a_server_unknown_to_the_new_leader_are_not_granted_twice() -> None:
     """Guards against a leader that revokes lost grants without knowing all servers."""
     for seed in range(1, 4):
@@ -283,6 +350,7 @@
     """Guards against a leader that renews grants of owners it knows from before."""
     for seed in range(1, 4):
         run_virtual(play_unseen_moves(seed))
+        run_virtual(play_unseen_moves(seed, cut_off_a_server))
 
 
 def test_no_key_has_two_owners_after_a_restore_during_the_wait_for_lost_grants() -> (
