Give up times that were reserved under a higher limit when a server lowers it

Callers saw nothing yet; found by asking when a share is used that was handed out before the limit changed. Cause: times are reserved up to the end of a request's wait, seconds ahead where its target latency has passed. A server that lowers its limit still got all requests reserved under the higher one: in virtual time, nine routers, 40 requests/s lowered to 4, it got 71 within 4 s, from half a second after all routers knew (29 allowed). Class: a permission is used although its basis has changed. The same cause elsewhere: the parts without a leader are not reserved further ahead; the retry budget's parts expire. Change: each router gives up so many of its reserved times that the rest is within the lowered limit, also those that were asked for before. Evidence: the new test failed on the code before (71) and passes for 1 and 9 routers; the other tests of limits pass.

--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from bisect import insort
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
@@ -43,6 +44,8 @@
         self.logged_per_s = limit_per_s
         self.reserved_ms: deque[float] = deque()
         """Times at which a request may be sent, in ascending order."""
+        self.reserved_per_s = limit_per_s
+        """Limit under which these times were reserved."""
         self.wanted = 0
         """Requests that wait for a reserved time and have not asked for one yet."""
         self.asked = 0
@@ -88,6 +91,8 @@
                 "server_limit_stated", server=server.server, limit_per_s=limit_per_s
             )
         limit.limit_per_s = limit_per_s
+        if limit_per_s < limit.reserved_per_s:
+            _give_up_times(limit)
         change = abs(limit_per_s - limit.logged_per_s)
         if change > LOGGED_CHANGE * limit.logged_per_s:
             limit.logged_per_s = limit_per_s
@@ -214,8 +219,11 @@
         finally:
             for limit in asking:
                 limit.asked = 0
-        for limit, reservations in zip(asking, results, strict=True):
+        for limit, request, reservations in zip(asking, requests, results, strict=True):
             self._apply(limit, reservations)
+            limit.reserved_per_s = max(limit.reserved_per_s, request.limit_per_s)
+            if limit.limit_per_s < limit.reserved_per_s:
+                _give_up_times(limit)
 
     def _apply(self, limit: _Limit, reservations: Reservations) -> None:
         now_ms = self._clock()
@@ -229,3 +237,21 @@
         limit.free_ms = now_ms + reservations.free_in_ms
         if reservations.return_in_ms:
             limit.return_ms = now_ms + reservations.return_in_ms
+
+
+def _give_up_times(limit: _Limit) -> None:
+    """Give up so many reserved times that the others are within a lowered limit.
+
+    The random start lets routers with one time each give up their part together.
+    """
+    share = limit.limit_per_s / limit.reserved_per_s
+    kept: deque[float] = deque()
+    credit = random.random()
+    for time_ms in limit.reserved_ms:
+        credit += share
+        if credit < 1:
+            continue
+        credit -= 1
+        kept.append(time_ms)
+    limit.reserved_ms = kept
+    limit.reserved_per_s = limit.limit_per_s
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -1,6 +1,7 @@
 """Limits on requests that servers state in their responses."""
 
 import asyncio
+import random
 import sys
 import time
 from collections.abc import Sequence
@@ -53,6 +54,12 @@
 
 MAX_WAIT_MS = 150.0
 """Time that a request may wait for a limited server in the simulations."""
+LONG_WAIT_MS = 2000.0
+"""Time that requests may wait whose target latency has passed."""
+WAITING = 20
+"""Requests that wait at each router, where they may wait that long."""
+TOLD_S = 0.5
+"""Time from a response that states a limit until its router has to keep to it."""
 OVERLOAD_SECONDS = 40.0
 REPORT_PERIOD_S = 0.6
 """Period in which routers report to the leader."""
@@ -112,11 +119,15 @@
 
 
 async def send_all_day(
-    limits: ServerLimits, server: LimitedServer, end_ms: float
+    limits: ServerLimits,
+    server: LimitedServer,
+    end_ms: float,
+    waiting: int = 1,
+    max_wait_ms: float = MAX_WAIT_MS,
 ) -> None:
     """Keep requests waiting at one router and send each as soon as it may be sent."""
     while virtual_clock() < end_ms:
-        limits.want(server.entry, 1, MAX_WAIT_MS)
+        limits.want(server.entry, waiting, max_wait_ms)
         if limits.is_open(server.entry):
             limits.consume(server.entry)
             server.arrivals_s.append(virtual_clock() / 1000)
@@ -191,6 +202,43 @@
         assert most_in_window(server.arrivals_s) <= server.allowed, routers
 
 
+async def play_lowered_limit(
+    server: LimitedServer, routers: int, lowered_per_s: float
+) -> list[float]:
+    """Let a server lower its limit; return the later times at which requests arrive."""
+    leaders: list[SendSchedule | None] = [SendSchedule(virtual_clock)]
+    end_ms = virtual_clock() + SECONDS * 4000
+    sending = []
+    known_limits = []
+    for number in range(routers):
+        limits = ServerLimits(
+            source(number, leaders, routers), lambda: None, virtual_clock
+        )
+        limits.record(server.entry, server.limit_per_s)
+        known_limits.append(limits)
+        sending.append(
+            asyncio.create_task(
+                send_all_day(limits, server, end_ms, WAITING, LONG_WAIT_MS)
+            )
+        )
+    await asyncio.sleep(SECONDS)
+    server.limit_per_s = lowered_per_s
+    for limits in known_limits:
+        limits.record(server.entry, lowered_per_s)
+    lowered_s = virtual_clock() / 1000
+    await asyncio.gather(*sending)
+    return [time_s for time_s in server.arrivals_s if time_s > lowered_s + TOLD_S]
+
+
+def test_a_lowered_limit_holds_for_times_reserved_before() -> None:
+    """Guards against requests sent at times that were reserved under a higher limit."""
+    for routers in (1, 9):
+        random.seed(routers)
+        server = LimitedServer(40.0)
+        later_s = run_virtual(play_lowered_limit(server, routers, 4.0))
+        assert most_in_window(later_s) <= server.allowed, routers
+
+
 def leader_source(handler: ReportHandler) -> ReservationSource:
     """Return what the leader reserves times with, which never asks another router."""
 
