Move the end of lost grants out of the leader's term

LostGrants now decides when the lost grants of a service have ended, replaces its outdated ranges and logs the wait; the term only calls it. It asks servers that did not confirm again after 0.1 s and a tick, instead of 0.3 s.

--- a/packages/edge/mulberryrelay_edge/coordinator.py
+++ b/packages/edge/mulberryrelay_edge/coordinator.py
@@ -15,6 +15,7 @@
 from .knownservers import KnownServers
 from .leaderterm import Term
 from .lease import LeaderLease, TermEndedError
+from .lostgrants import LostGrants
 from .messages import BackendServer
 from .ownership import Ownership
 from .rangestore import RangeStore
@@ -92,7 +93,7 @@
             self._term = asyncio.create_task(self._run_term())
 
     async def _run_term(self) -> None:
-        self._grants = GrantManager(
+        grants = self._grants = GrantManager(
             self._commands,
             self._catalog,
             self._known_servers,
@@ -100,18 +101,21 @@
             self._lease,
             self._clock,
         )
-        term = Term(
+        ranges = RangeStore(self._store, self._ownership, self._boot_id, self._lease)
+        lost_grants = LostGrants(
             self._lease,
-            RangeStore(
-                self._store,
-                self._ownership,
-                self._boot_id,
-                self._lease,
-            ),
-            self._grants,
+            ranges,
+            grants,
             self._known_servers,
-            self._catalog,
             self._ownership,
+            self._clock,
+        )
+        term = Term(
+            self._lease,
+            ranges,
+            grants,
+            lost_grants,
+            self._catalog,
             self._load,
             self._condition,
             self._max_grant_ttl_ms,
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -21,14 +21,11 @@
 from .catalog import Catalog
 from .grants import GrantManager, normal_grant_ttl_ms, renewal_period_ms
 from .keyload import KeyLoad
-from .knownservers import KnownServers
 from .lease import LeaderLease, TermEndedError
 from .lostgrants import LostGrants
 from .messages import BackendServer, KeyRange
-from .ownership import Ownership
 from .rangeedits import (
     PlannedMove,
-    Ranges,
     begin_moves,
     complete_move,
     first_fence,
@@ -37,7 +34,6 @@
     raise_all_fences,
     raise_fence,
     raise_fences_of_incarnation,
-    replace_after_restore,
 )
 from .rangestore import RangeStore
 from .rebalance import (
@@ -69,8 +65,6 @@
 """
 PROBE_PERIOD_MS = 500.0
 """Period in which an unreachable owner is probed."""
-REVOKE_RETRY_S = 0.3
-"""Pause before grants that a server did not confirm to have lost are revoked again."""
 RENEW_RETRY_MS = 150.0
 """Pause before a renewal that got no reply is retried."""
 MAX_GRANT_ATTEMPTS = 3
@@ -89,9 +83,8 @@
         lease: LeaderLease,
         ranges: RangeStore,
         grants: GrantManager,
-        known_servers: KnownServers,
+        lost_grants: LostGrants,
         catalog: Catalog,
-        ownership: Ownership,
         load: KeyLoad,
         condition: Callable[[BackendServer], ServerCondition],
         max_grant_ttl_ms: float,
@@ -100,9 +93,7 @@
         self._lease = lease
         self._ranges = ranges
         self._grants = grants
-        self._known_servers = known_servers
-        self._lost_grants = LostGrants(grants)
-        self._ownership = ownership
+        self._lost_grants = lost_grants
         self._catalog = catalog
         self._load = load
         self._condition = condition
@@ -123,8 +114,6 @@
         """Time of the last rebalancing plan of each service."""
         self._planning: set[ServiceName] = set()
         """Services for which new ranges or moves are being stored."""
-        self._waiting_for_lost_grants: set[ServiceName] = set()
-        """Services of which a restore lost ranges, so that grants have to wait."""
         self._server_counts: dict[ServiceName, int] = {}
         self._counted_ms: dict[ServiceName, float] = {}
         """Time of the last change in the number of servers of each service."""
@@ -195,73 +184,14 @@
             self._start_task(self._begin_moves(service, moves))
 
     def _start_ending_lost_grants(self, service: ServiceName) -> None:
-        """End grants by ranges that a restore lost, or wait until they have expired."""
         if service in self._planning:
             return
-        left_ms = self._grants.default_expires_ms - self._clock()
-        if left_ms <= 0:
-            self._planning.add(service)
-            known = self._ownership.ranges(service)
-            self._start_task(self._replace_outdated_ranges(service, known))
-            return
-        ranges = self._ownership.ranges(service)
-        is_known = self._ownership.is_from_before(service, self._lease.restores)
-        if not ranges or not is_known:
-            self._log_lost_grants_wait(service, left_ms)
-            return
         self._planning.add(service)
-        self._start_task(self._revoke_lost_grants(service, ranges))
-
-    def _log_lost_grants_wait(self, service: ServiceName, left_ms: float) -> None:
-        if service in self._waiting_for_lost_grants:
-            return
-        self._waiting_for_lost_grants.add(service)
-        log_event(
-            "lost_grants_wait",
-            service=service,
-            restores=self._lease.restores,
-            ranges=len(self._ranges.ranges(service)),
-            left_ms=round(left_ms),
-        )
+        self._start_task(self._end_lost_grants(service))
 
-    async def _revoke_lost_grants(self, service: ServiceName, ranges: Ranges) -> None:
-        try:
-            if await self._are_lost_grants_revoked(service, ranges):
-                await self._replace_outdated_ranges(service, ranges)
-                return
-            await asyncio.sleep(REVOKE_RETRY_S)
-        finally:
-            self._planning.discard(service)
-
-    async def _are_lost_grants_revoked(
-        self, service: ServiceName, ranges: Ranges
-    ) -> bool:
-        """Return whether no server has a grant of a key that another one owns.
-
-        The owners are asked as well unless all other servers have confirmed it, since a
-        key is moved only after its owner has released it. They may have missed the
-        release if they were silent, so one kind of doubt remains allowed, not two.
-        """
-        restores = self._lease.restores
-        servers = self._known_servers.possible_owners(service, restores)
-        knew_all = self._known_servers.knew_all_before(restores)
-        silent = await self._lost_grants.revoke(service, ranges, servers, restores)
-        if knew_all and not silent:
-            return True
-        if silent and not knew_all:
-            return False
-        return await self._lost_grants.confirm_owners(
-            service, ranges, silent, self._grant_ttl_ms
-        )
-
-    async def _replace_outdated_ranges(
-        self, service: ServiceName, known: Ranges
-    ) -> None:
-        restores = self._lease.restores
+    async def _end_lost_grants(self, service: ServiceName) -> None:
         try:
-            await self._ranges.update(service, replace_after_restore(known, restores))
-            self._ranges.mark_current(service)
-            log_event("lost_grants_ended", service=service, restores=restores)
+            await self._lost_grants.end(service, self._grant_ttl_ms)
         finally:
             self._planning.discard(service)
 
--- a/packages/edge/mulberryrelay_edge/lostgrants.py
+++ b/packages/edge/mulberryrelay_edge/lostgrants.py
@@ -16,15 +16,23 @@
 import msgspec
 from returns.result import Failure
 
+from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 
 from .adapter import CommandRefused
 from .grants import GrantManager
+from .knownservers import KnownServers
+from .lease import LeaderLease
 from .messages import LAST_KEY, BackendServer, KeyRange
-from .rangeedits import Ranges, first_fence
+from .ownership import Ownership
+from .rangeedits import Ranges, first_fence, replace_after_restore
+from .rangestore import RangeStore
 from .unreachableservers import Incarnation
 
+RETRY_S = 0.1
+"""Pause before servers that did not confirm to have no lost grant are asked again."""
+
 
 class KeyInterval(msgspec.Struct, frozen=True):
     """Keys from ``first`` to ``last``, both included."""
@@ -49,16 +57,81 @@
 
 
 class LostGrants:
-    """Revokes lost grants of the services during one term."""
+    """Ends the lost grants of each service during one term."""
 
-    def __init__(self, grants: GrantManager) -> None:
+    def __init__(
+        self,
+        lease: LeaderLease,
+        ranges: RangeStore,
+        grants: GrantManager,
+        known_servers: KnownServers,
+        ownership: Ownership,
+        clock: Clock,
+    ) -> None:
+        """``ownership`` has the ranges that were known before the restore."""
+        self._lease = lease
+        self._ranges = ranges
         self._grants = grants
+        self._known_servers = known_servers
+        self._ownership = ownership
+        self._clock = clock
+        self._waiting: set[ServiceName] = set()
+        """Services whose lost grants have to expire."""
         self._revoked: set[tuple[ServiceName, Incarnation]] = set()
-        """Servers that have no grant by lost ranges any more."""
+        """Servers that have no lost grant any more."""
         self._moved: set[ServiceName] = set()
-        """Services of which a server refused a renewal, as keys were moved from it."""
+        """Services of which an owner refused a renewal, as keys were moved from it."""
+
+    async def end(self, service: ServiceName, grant_ttl_ms: float) -> None:
+        """Try to end the lost grants of a service; has to be called until they ended.
+
+        The service's ranges are up to date then.
 
-    async def revoke(
+        Raises:
+            TermEndedError: the term ended first.
+        """
+        # They stay the same during the term, since the store has only older ones.
+        ranges = self._ownership.ranges(service)
+        if await self._have_ended(service, ranges, grant_ttl_ms):
+            await self._replace_outdated_ranges(service, ranges)
+            return
+        await asyncio.sleep(RETRY_S)
+
+    async def _have_ended(
+        self, service: ServiceName, ranges: Ranges, grant_ttl_ms: float
+    ) -> bool:
+        left_ms = self._grants.default_expires_ms - self._clock()
+        if left_ms <= 0:
+            return True
+        is_known = self._ownership.is_from_before(service, self._lease.restores)
+        if not ranges or not is_known:
+            self._log_wait(service, left_ms)
+            return False
+        if await self._have_only_owners_grants(service, ranges, grant_ttl_ms):
+            return True
+        self._log_wait(service, left_ms)
+        return False
+
+    async def _have_only_owners_grants(
+        self, service: ServiceName, ranges: Ranges, grant_ttl_ms: float
+    ) -> bool:
+        """Return whether no server has a grant of a key that another one owns.
+
+        The owners are asked as well unless all other servers have confirmed it, since a
+        key is moved only after its owner has released it. They may have missed the
+        release if they were silent, so one kind of doubt remains allowed, not two.
+        """
+        restores = self._lease.restores
+        servers = self._known_servers.possible_owners(service, restores)
+        knew_all = self._known_servers.knew_all_before(restores)
+        silent = await self._revoke(service, ranges, servers, restores)
+        if knew_all and not silent:
+            return True
+        if silent and not knew_all:
+            return False
+        return await self._confirm_owners(service, ranges, silent, grant_ttl_ms)
+
+    async def _revoke(
         self,
         service: ServiceName,
         ranges: Ranges,
@@ -67,11 +140,8 @@
     ) -> list[BackendServer]:
         """Revoke from each server the keys that it does not own.
 
-        Returns the servers that did not confirm it. ``ranges`` must stay the same in a
-        term, as servers that have confirmed are not asked again.
-
-        Raises:
-            TermEndedError: the term ended first.
+        Returns the servers that did not confirm it. Those that have confirmed are not
+        asked again.
         """
         left = [server for server in servers if not self._is_revoked(service, server)]
         tasks = [
@@ -80,16 +150,17 @@
         ]
         await asyncio.gather(*tasks)
         silent = [server for server in left if not self._is_revoked(service, server)]
-        log_event(
-            "lost_grants_revoked",
-            service=service,
-            restores=restores,
-            servers=len(servers),
-            silent=len(silent),
-        )
+        if len(silent) < len(left):
+            log_event(
+                "lost_grants_revoked",
+                service=service,
+                restores=restores,
+                servers=len(servers),
+                silent=len(silent),
+            )
         return silent
 
-    async def confirm_owners(
+    async def _confirm_owners(
         self,
         service: ServiceName,
         ranges: Ranges,
@@ -98,8 +169,7 @@
     ) -> bool:
         """Renew all grants of servers that are not silent; return if none was refused.
 
-        Raises:
-            TermEndedError: the term ended first.
+        A refusal is final: the service is not asked again in this term.
         """
         if service in self._moved:
             return False
@@ -113,6 +183,26 @@
         self._moved.add(service)
         return False
 
+    async def _replace_outdated_ranges(
+        self, service: ServiceName, known: Ranges
+    ) -> None:
+        restores = self._lease.restores
+        await self._ranges.update(service, replace_after_restore(known, restores))
+        self._ranges.mark_current(service)
+        log_event("lost_grants_ended", service=service, restores=restores)
+
+    def _log_wait(self, service: ServiceName, left_ms: float) -> None:
+        if service in self._waiting:
+            return
+        self._waiting.add(service)
+        log_event(
+            "lost_grants_wait",
+            service=service,
+            restores=self._lease.restores,
+            ranges=len(self._ranges.ranges(service)),
+            left_ms=round(left_ms),
+        )
+
     def _is_revoked(self, service: ServiceName, server: BackendServer) -> bool:
         return (service, (server.server, server.started_ms)) in self._revoked
 
