Show that reserved times outlive the leader that reserved them

Seen by callers of a server in need: while a leader is replaced, the server gets up to twice the limit that it states, as long as requests that wait for it have times reserved at the leader that is gone.

--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -56,6 +56,8 @@
 """Time that a request may wait for a limited server in the simulations."""
 LONG_WAIT_MS = 2000.0
 """Time that requests may wait whose target latency has passed."""
+VERY_LONG_WAIT_MS = 8000.0
+"""Time that requests with deadlines of many seconds may wait."""
 WAITING = 20
 """Requests that wait at each router, where they may wait that long."""
 TOLD_S = 0.5
@@ -162,7 +164,12 @@
 
 
 async def play_limits(
-    server: LimitedServer, routers: int, seconds: float, changes: Sequence[float] = ()
+    server: LimitedServer,
+    routers: int,
+    seconds: float,
+    changes: Sequence[float] = (),
+    waiting: int = 1,
+    max_wait_ms: float = MAX_WAIT_MS,
 ) -> None:
     """Let routers send as much as they may; each time in ``changes`` has a new leader.
 
@@ -175,7 +182,11 @@
         reserve = source(number, leaders, routers)
         limits = ServerLimits(reserve, lambda: None, virtual_clock)
         limits.record(server.entry, server.limit_per_s)
-        sending.append(asyncio.create_task(send_all_day(limits, server, end_ms)))
+        sending.append(
+            asyncio.create_task(
+                send_all_day(limits, server, end_ms, waiting, max_wait_ms)
+            )
+        )
     for change_s in changes:
         await asyncio.sleep(change_s - virtual_clock() / 1000)
         leaders[0] = None
@@ -202,6 +213,27 @@
         assert most_in_window(server.arrivals_s) <= server.allowed, routers
 
 
+def test_a_limit_holds_for_times_reserved_at_a_leader_that_is_gone() -> None:
+    """Guards against times of an earlier leader that the next one does not know."""
+    for routers, limit_per_s in ((9, 7.1), (9, 30.0), (200, 30.0)):
+        for wait_ms in (LONG_WAIT_MS, VERY_LONG_WAIT_MS):
+            server = LimitedServer(limit_per_s)
+            changes = (6.0, 14.0)
+            playing = play_limits(server, routers, 30.0, changes, WAITING, wait_ms)
+            run_virtual(playing)
+            most = most_in_window(server.arrivals_s)
+            assert most <= server.allowed, (routers, limit_per_s, wait_ms, most)
+
+
+def test_times_reserved_far_ahead_are_used() -> None:
+    """Guards against reserved times that are given up although their leader lives."""
+    for routers, limit_per_s in ((1, 7.1), (9, 7.1), (9, 0.5), (200, 30.0)):
+        server = LimitedServer(limit_per_s)
+        run_virtual(play_limits(server, routers, 20.0, (), WAITING, VERY_LONG_WAIT_MS))
+        used = len(server.arrivals_s) / (limit_per_s * 20.0)
+        assert used >= 0.8, (routers, limit_per_s, used)
+
+
 async def play_lowered_limit(
     server: LimitedServer, routers: int, lowered_per_s: float
 ) -> list[float]:
