Drop times reserved in a schedule that may no longer be in use

Callers saw nothing; a server in need got up to twice its limit while a leader was replaced and requests waited for seconds. Cause: a reserved time was good until its request was sent, also when the leader that gave it out was gone, and the next schedule starts without it.

Replies now name their schedule. Times of another schedule are dropped, and times whose schedule has not replied for 0.75 s too; a router with reserved times asks every 0.3 s.

--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -12,6 +12,7 @@
     DataCentre,
     InstanceId,
     RequestId,
+    ScheduleId,
     ServerId,
     ServiceName,
 )
@@ -287,6 +288,8 @@
     """Time until the first one that is not reserved."""
     return_in_ms: float
     """Time until callers that are refused should return; 0 if none are refused."""
+    schedule: ScheduleId = ScheduleId("")
+    """Schedule in which the times are reserved; empty in replies of older builds."""
 
 
 class LeaderReply(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/sendschedule.py
+++ b/packages/edge/mulberryrelay_edge/sendschedule.py
@@ -7,7 +7,10 @@
 above the limit of a server, from any number of routers.
 """
 
+import uuid
+
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import ScheduleId
 
 from .messages import ReservationRequest, Reservations
 from .unreachableservers import Incarnation
@@ -39,6 +42,7 @@
     def __init__(self, clock: Clock, starts_full: bool = True) -> None:
         """Without ``starts_full``, the first time is one interval after the start."""
         self._clock = clock
+        self._id = ScheduleId(uuid.uuid4().hex[:12])
         self._starts_full = starts_full
         self._servers: dict[Incarnation, _ServerTimes] = {}
 
@@ -52,6 +56,7 @@
     def reserve(self, request: ReservationRequest, share: float = 1.0) -> Reservations:
         """Reserve times for some requests to a server, as many as it takes.
 
+        A request for no times confirms those that were reserved before.
         ``share`` is the part of the server's limit that this schedule may use.
         """
         now_ms = self._clock()
@@ -83,7 +88,7 @@
             )
             return_in_ms = times.return_ms - now_ms
         free_in_ms = max(0.0, times.free_ms - now_ms)
-        return Reservations(tuple(waits_ms), free_in_ms, return_in_ms)
+        return Reservations(tuple(waits_ms), free_in_ms, return_in_ms, self._id)
 
     def _forget_old(self, now_ms: float) -> None:
         for incarnation, times in list(self._servers.items()):
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -12,7 +12,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.ids import ScheduleId, ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.supervision import log_failure
 
@@ -26,6 +26,14 @@
 """
 RESERVATION_TTL_MS = 300.0
 """Time after the reserved time in which the request may still be sent."""
+CONFIRM_PERIOD_MS = 300.0
+"""Time after a reply in which its schedule is asked again, while times are reserved."""
+UNCONFIRMED_TTL_MS = 750.0
+"""Time after the last reply of a schedule for which the times reserved in it hold.
+
+The next schedule does not know them, so that a server may get up to twice its limit for
+as long.
+"""
 MAX_WANTED = 20
 """Times that one router reserves at most in one request for them."""
 LOGGED_CHANGE = 0.1
@@ -50,6 +58,12 @@
         """Requests that wait for a reserved time and have not asked for one yet."""
         self.asked = 0
         """Requests for which a time is being reserved."""
+        self.schedule = ScheduleId("")
+        """Schedule in which the times are reserved."""
+        self.confirmed_ms = float("-inf")
+        """Time of the last request to which this schedule replied."""
+        self.is_ask_due = False
+        """Whether the schedule has to be asked for times, or to confirm them."""
         self.max_wait_ms = 0.0
         self.free_ms = float("-inf")
         """No time before this one can be reserved, as far as is known."""
@@ -160,11 +174,13 @@
             return
         self._drop_expired(limit)
         missing = waiting - len(limit.reserved_ms) - limit.asked
-        if missing <= 0 or limit.free_ms - self._clock() > max_wait_ms:
-            return
-        limit.wanted = min(MAX_WANTED, missing)
-        limit.max_wait_ms = max_wait_ms
-        if self._reserving is None:
+        if missing > 0 and limit.free_ms - self._clock() <= max_wait_ms:
+            limit.wanted = min(MAX_WANTED, missing)
+            limit.max_wait_ms = max_wait_ms
+            limit.is_ask_due = True
+        elif self._needs_confirmation(limit):
+            limit.is_ask_due = True
+        if limit.is_ask_due and self._reserving is None:
             self._reserving = asyncio.create_task(self._run_reserving())
 
     def describe(self, server: BackendServer) -> str:
@@ -185,7 +201,14 @@
             return None
         return limit
 
+    def _needs_confirmation(self, limit: _Limit) -> bool:
+        if not limit.reserved_ms:
+            return False
+        return self._clock() - limit.confirmed_ms >= CONFIRM_PERIOD_MS
+
     def _drop_expired(self, limit: _Limit) -> None:
+        if self._clock() - limit.confirmed_ms > UNCONFIRMED_TTL_MS:
+            _drop_times(limit, "unconfirmed")
         oldest_ms = self._clock() - RESERVATION_TTL_MS
         while limit.reserved_ms and limit.reserved_ms[0] < oldest_ms:
             limit.reserved_ms.popleft()
@@ -193,7 +216,9 @@
     async def _run_reserving(self) -> None:
         """Reserve times until no request waits for one."""
         try:
-            while asking := [limit for limit in self._limits.values() if limit.wanted]:
+            while asking := [
+                limit for limit in self._limits.values() if limit.is_ask_due
+            ]:
                 await self._reserve_for(asking)
                 self._on_change()
         except Exception as error:
@@ -203,8 +228,10 @@
 
     async def _reserve_for(self, asking: list[_Limit]) -> None:
         requests = []
+        asked_ms = self._clock()
         for limit in asking:
             limit.asked, limit.wanted = limit.wanted, 0
+            limit.is_ask_due = False
             requests.append(
                 ReservationRequest(
                     limit.server.server,
@@ -220,13 +247,19 @@
             for limit in asking:
                 limit.asked = 0
         for limit, request, reservations in zip(asking, requests, results, strict=True):
-            self._apply(limit, reservations)
+            self._apply(limit, reservations, asked_ms)
             limit.reserved_per_s = max(limit.reserved_per_s, request.limit_per_s)
             if limit.limit_per_s < limit.reserved_per_s:
                 _give_up_times(limit)
 
-    def _apply(self, limit: _Limit, reservations: Reservations) -> None:
+    def _apply(
+        self, limit: _Limit, reservations: Reservations, asked_ms: float
+    ) -> None:
         now_ms = self._clock()
+        if reservations.schedule != limit.schedule:
+            _drop_times(limit, "schedule-changed")
+            limit.schedule = reservations.schedule
+        limit.confirmed_ms = asked_ms
         loop = asyncio.get_running_loop()
         for wait_ms in reservations.waits_ms:
             # Not always the last: times of the leader's schedule may follow later ones
@@ -239,6 +272,20 @@
             limit.return_ms = now_ms + reservations.return_in_ms
 
 
+def _drop_times(limit: _Limit, reason: str) -> None:
+    """Drop all reserved times, since their schedule may no longer be in use."""
+    if not limit.reserved_ms:
+        return
+    log_event(
+        "reserved_times_dropped",
+        server=limit.server.server,
+        times=len(limit.reserved_ms),
+        schedule=limit.schedule,
+        reason=reason,
+    )
+    limit.reserved_ms.clear()
+
+
 def _give_up_times(limit: _Limit) -> None:
     """Give up so many reserved times that the others are within a lowered limit.
 
--- a/packages/kernel/mulberryrelay_kernel/ids.py
+++ b/packages/kernel/mulberryrelay_kernel/ids.py
@@ -22,6 +22,7 @@
 WriteId = NewType("WriteId", str)
 OperatorName = NewType("OperatorName", str)
 RowName = NewType("RowName", str)
+ScheduleId = NewType("ScheduleId", str)
 
 Epoch = NewType("Epoch", int)
 Term = NewType("Term", int)
