Bound what routers send to a full key owner by their send windows

Cause: requests with a key were left out of the send windows. Each of ten routers had a limit of its own that only refusals lower, so that the owner's queue was always full of requests that would be late, and requests waited in the router until their deadline.

Requests with a key now pass the same window as others, and are refused on arrival when they would miss their target at a congested owner. The limit, the unknown-load limit and the age of a report are gone.

The Retry-After test reads the window where it read the limit.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -187,9 +187,6 @@
         windows = [self._loads.window_size(server) for server in candidates]
         wait_ms = expected_wait_ms(first_wait_ms, ahead, windows, latency_ms)
         left_ms = queued.queue_deadline_ms - self._clock()
-        if queued.is_keyed:
-            # A burst for a few keys ends, or its keys move to servers with free slots.
-            return wait_ms - left_ms
         return wait_ms - max_wait_ms(route.target_latency_ms, latency_ms, left_ms)
 
     def _are_congested(
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -19,12 +19,6 @@
 """Half-life of the estimated load of other routers."""
 SLOWDOWN_WEIGHT = 0.15
 """Weight of the newest response in the moving average of a server's slowdown."""
-STALE_REPORT_MS = 600.0
-"""Age after which a load report is too old to limit the requests in flight."""
-UNKNOWN_LOAD_LIMIT = 2
-"""Requests with keys in flight at a server without a recent load report."""
-INITIAL_LIMIT = 3.0
-"""Requests with keys in flight at a server before its first response."""
 MAX_QUEUED_AT_KEY_OWNER = 4.0
 """Requests with keys that may wait at a server beyond its slots."""
 MAX_QUEUED_AT_SERVER = 2.0
@@ -66,13 +60,8 @@
         """Moving average of the time from send to response, of all routes."""
         self.slowdown = 1.0
         """Latency relative to what is usual for the request's route."""
-        self.limit = INITIAL_LIMIT
-        """Maximum number of requests with keys in flight.
-
-        Halved by failures and refusals.
-        """
         self.window = window
-        """Limits the requests without keys in flight."""
+        """Limits the requests in flight."""
         self.failures = 0
         """Consecutive failures."""
         self.ejections = 0
@@ -147,12 +136,11 @@
     def describe(self, server: BackendServer) -> str:
         """Return a server's state for a log line.
 
-        The parts are the requests in flight and their limit, the expected load, the
+        The parts are the requests in flight and the window, the expected load, the
         slowdown, and whether the server is ejected or unresponsive ("silent").
         """
         stats = self.stats(server)
-        state = f"{server.server}/{stats.in_flight}of{stats.limit:.1f}"
-        state += f"/window{self.window_size(server):.2f}"
+        state = f"{server.server}/{stats.in_flight}of{self.window_size(server):.2f}"
         state += f"/load{self.expected_load(server):.1f}/x{stats.slowdown:.1f}"
         if self.is_ejected(server):
             state += "/ejected"
@@ -162,25 +150,20 @@
 
     def has_capacity(self, server: BackendServer) -> bool:
         """Return whether one more request without a key may be sent to a server."""
-        stats = self.stats(server)
-        if not stats.window.is_open(stats.in_flight, stats.usual_ms):
-            return False
-        return self.expected_load(server) < server.slots + MAX_QUEUED_AT_SERVER
+        return self._has_room(server, MAX_QUEUED_AT_SERVER)
 
     def has_capacity_for_key(self, server: BackendServer) -> bool:
         """Return whether one more request may be sent to the owner of its key.
 
-        No other server can run it, so that more requests may wait there, and the window
-        does not apply.
+        No other server can run it, so that more requests may wait there.
         """
+        return self._has_room(server, MAX_QUEUED_AT_KEY_OWNER)
+
+    def _has_room(self, server: BackendServer, max_queued: float) -> bool:
         stats = self.stats(server)
-        if stats.in_flight >= stats.limit:
+        if not stats.window.is_open(stats.in_flight, stats.usual_ms):
             return False
-        if self._clock() - stats.load_reported_ms > STALE_REPORT_MS:
-            # All routers may start sending to a server at the same time, for example
-            # to the new owner of a key.
-            return stats.in_flight < UNKNOWN_LOAD_LIMIT
-        return self.expected_load(server) < server.slots + MAX_QUEUED_AT_KEY_OWNER
+        return self.expected_load(server) < server.slots + max_queued
 
     def window_size(self, server: BackendServer) -> float:
         """Return how many requests this router may have in flight at a server."""
@@ -261,7 +244,6 @@
         stats.failures = 0
         stats.ejections = 0
         usual_ms = self.latency_ms(route)
-        stats.limit = min(stats.limit + 0.5, server.slots + MAX_QUEUED_AT_SERVER + 2.0)
         stats.window.record_response(load, usual_ms)
         stats.usual_ms += SLOWDOWN_WEIGHT * (latency_ms - stats.usual_ms)
         if load is None or not load.waiting:
@@ -274,14 +256,12 @@
         """Record that a server refused a request because it had no free slot."""
         stats = self.stats(server)
         stats.last_response_ms = self._clock()
-        stats.limit = max(1.0, stats.limit / 2)
         stats.window.record_refusal(stats.usual_ms)
 
     def record_failure(self, server: BackendServer, detail: str) -> None:
         """Record a failure; several in a row eject the server for some time."""
         stats = self.stats(server)
         stats.failures += 1
-        stats.limit = max(1.0, stats.limit / 2)
         stats.window.record_refusal(stats.usual_ms)
         if stats.failures < FAILURES_TO_EJECT:
             return
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -228,10 +228,15 @@
 async def test_retries_stay_within_the_budget() -> None:
     """Guards against retry storms.
 
-    A single router may retry a fifth of its requests and 60 more in 10 s.
+    A single router may retry a fifth of its requests and 60 more in 10 s. The server
+    refuses although it has a free slot, so that only the budget holds retries back.
     """
     requests = 100
-    async with raw_server(refuse) as server, edge_router(is_keyed=True) as router:
+    refuse = functools.partial(edge_refusal, more=f"{HEADERS.load}: 1,0,4\r\n")
+    async with (
+        raw_server(respond_with(refuse)) as server,
+        edge_router(is_keyed=True) as router,
+    ):
         router.adapter.options = msgspec.structs.replace(
             router.adapter.options, retry_slack=60.0
         )
@@ -239,6 +244,9 @@
         for _ in range(requests):
             await router.send(router.request(key=7, timeout_ms=200.0))
         retries = len(server.received) - requests
+        assert {request.path for request in server.received} == {
+            f"/listing/{number}" for number in range(1, requests + 1)
+        }
         assert 0 < retries <= 60 + 0.2 * requests
 
 
@@ -397,7 +405,7 @@
     """Guards against callers that miss the target latency although a slot is free.
 
     The route's target latency is 300 ms. If all slots of the server are in use,
-    ``Retry-After`` is longer and the limit of requests in flight is reduced.
+    ``Retry-After`` is longer and the window of requests in flight is reduced.
     """
     cases = {"1,0,4": True, "4,2,4": False, "4,0,4": False}
     for load, has_slot in cases.items():
@@ -412,9 +420,9 @@
             router.adapter.options = msgspec.structs.replace(
                 options, retry_ratio=0.0, retry_slack=0.0
             )
-            limit = router.dispatcher.loads.stats(entry).limit
+            window = router.dispatcher.loads.window_size(entry)
             response = await router.send(router.request(key=7, timeout_ms=200.0))
             assert response.status == 503
             assert (float(response.headers["Retry-After"]) <= 0.1) is has_slot, load
-            is_limit_kept = router.dispatcher.loads.stats(entry).limit == limit
-            assert is_limit_kept is has_slot, load
+            is_window_kept = router.dispatcher.loads.window_size(entry) == window
+            assert is_window_kept is has_slot, load
