Compute how long a request may wait in one place; note a shorter Retry-After that lost

Two places computed the wait that still meets a route's target; one function does now, and a deadline that has passed allows a wait of 0 rather than less.

Tried and reverted: refusals for overload that tell callers to return no later than they can still be served on time.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -143,7 +143,8 @@
                 return permit
         if len(queue) >= MAX_QUEUE_LENGTH:
             return QueueRefusal(RefusalReason.QUEUE_FULL, RETRY_AFTER_S)
-        excess_ms = self._excess_wait_ms(queue, queued)
+        allowed_ms = self._allowed_wait_ms(queued)
+        excess_ms = self._expected_wait_ms(queue, queued) - allowed_ms
         if excess_ms > 0:
             return QueueRefusal(RefusalReason.OVERLOAD, retry_after_s(excess_ms))
         queue.append(queued)
@@ -167,27 +168,33 @@
             if queued in queue:
                 queue.remove(queued)
 
-    def _excess_wait_ms(
+    def _allowed_wait_ms(self, queued: _QueuedRequest) -> float:
+        """Return how long a request may wait and still be of full value."""
+        route = queued.request.route
+        return max_wait_ms(
+            route.target_latency_ms,
+            self._loads.latency_ms(route.name),
+            queued.queue_deadline_ms - self._clock(),
+        )
+
+    def _expected_wait_ms(
         self, queue: list[_QueuedRequest], queued: _QueuedRequest
     ) -> float:
-        """Return by how much a new request would wait too long.
+        """Return how long a new request would wait.
 
-        Not positive unless all servers that may run it are congested: a burst that they
-        can serve late is queued. Not positive either while its key moves.
+        0 unless all servers that may run it are congested: a burst that they can serve
+        late is queued. 0 as well while its key moves.
         """
         candidates = queued.candidates()
         if not candidates or not self._are_congested(candidates, queued.is_keyed):
             return 0.0
-        route = queued.request.route
-        latency_ms = self._loads.latency_ms(route.name)
+        latency_ms = self._loads.latency_ms(queued.request.route.name)
         ahead = _count_ahead(queue, queued)
         first_wait_ms = min(
             self._first_wait_ms(server, queued.is_keyed) for server in candidates
         )
         windows = [self._loads.window_size(server) for server in candidates]
-        wait_ms = expected_wait_ms(first_wait_ms, ahead, windows, latency_ms)
-        left_ms = queued.queue_deadline_ms - self._clock()
-        return wait_ms - max_wait_ms(route.target_latency_ms, latency_ms, left_ms)
+        return expected_wait_ms(first_wait_ms, ahead, windows, latency_ms)
 
     def _are_congested(
         self, candidates: Sequence[BackendServer], is_keyed: bool
@@ -291,12 +298,7 @@
         ``held_back`` counts the requests that wait for a time at each server.
         """
         position = held_back[owner.server]
-        route = queued.request.route
-        allowed_ms = max_wait_ms(
-            route.target_latency_ms,
-            self._loads.latency_ms(route.name),
-            queued.queue_deadline_ms - self._clock(),
-        )
+        allowed_ms = self._allowed_wait_ms(queued)
         wait_ms = self._limits.wait_ms(owner, position)
         if wait_ms is not None and wait_ms > allowed_ms:
             refusal = QueueRefusal(
--- a/packages/edge/mulberryrelay_edge/queuewait.py
+++ b/packages/edge/mulberryrelay_edge/queuewait.py
@@ -37,7 +37,7 @@
     If it cannot meet its target even without a wait, it may wait until its deadline.
     """
     if latency_ms >= target_ms:
-        return queue_deadline_left_ms
+        return max(0.0, queue_deadline_left_ms)
     return max(0.0, USED_TARGET_SHARE * target_ms - latency_ms)
 
 
