Add a soak that injects faults into real edge routers and checks their promises

Routers run as separate processes with a loopback proxy on their links to callers, servers and the store; store, servers and callers are stand-ins in the soak's process, which records what they observe. A seed gives a plan of faults in series and overlapping: signals (TERM, KILL, STOP, HUP, all routers at once), cuts and resets of links, servers that crash, restart under their id, fall silent, turn deaf, slow, leave, state a limit or lose responses, a store that is silent, busy, late, loses replies or history, or is restored from a copy, and changes of routes. Checked while it runs: one owner of a key, a single run, true refusals, whole and own responses, changes in force and never back, no work for servers that left, planned stops, limits, processes that go on, service at the end. The routers' logs are not read.

Not covered yet: links between routers (suspended routers stand in), mulberryrelay's own router, plots, seeded defects.

--- /dev/null
+++ b/soak/options.py
@@ -0,0 +1,30 @@
+"""Settings of a soak run."""
+
+import msgspec
+
+ZONES = ("a", "b", "c")
+
+
+class SoakOptions(msgspec.Struct, frozen=True):
+    """How large a run is and how long it takes; times in seconds."""
+
+    network: int = 1
+    """First of the numbers n of the addresses 127.0.n.x that routers listen on.
+
+    Runs at the same time need numbers of their own, one for each 200 routers.
+    """
+    routers: int = 5
+    keyed_servers: int = 5
+    plain_servers: int = 4
+    callers: int = 24
+    warm_up_s: float = 8.0
+    """Time before the first fault."""
+    faults_s: float = 24.0
+    """Time in which faults happen."""
+    recovery_s: float = 18.0
+    """Time after the last fault has ended."""
+
+    @property
+    def seconds(self) -> float:
+        """Length of a run."""
+        return self.warm_up_s + self.faults_s + self.recovery_s
