Revoke lost grants from the latest life of a server only

After a restore without the leader, callers were refused on all keys of a service for 10 s if a server had restarted under its id before. Cause: the new leader asked each life of a server that it had ever seen to release what that life does not own; the earlier life owns nothing, so that the present one, which has the same id and address, released all its keys at a high fencing token and then refused the renewal. Ruled out by the logs: keys that moved in the lost seconds, another restart.

possible_owners leaves out a life that another one followed.

--- a/packages/edge/mulberryrelay_edge/knownservers.py
+++ b/packages/edge/mulberryrelay_edge/knownservers.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ServiceName
+from mulberryrelay_kernel.ids import ServerId, ServiceName
 from mulberryrelay_kernel.states import ServerState
 
 from .lease import LEASE_MS
@@ -93,12 +93,18 @@
         """Return the servers that may own keys by ranges that a restore lost.
 
         A server that this router has never seen may be missing, unless
-        ``knew_all_before``.
+        ``knew_all_before``. An incarnation that was followed by another one has ended,
+        and a command to it would reach the other one.
         """
+        latest_start_ms: dict[ServerId, int] = {}
+        for name, started_ms in self._entries:
+            latest_start_ms[name] = max(started_ms, latest_start_ms.get(name, 0))
         owners = []
         for incarnation, server in self._entries.items():
             if server.service != service:
                 continue
+            if server.started_ms < latest_start_ms[server.server]:
+                continue
             has_left = incarnation in self._left_before_restore
             if has_left and self.knew_all_before(restores):
                 continue
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
 @click.command()
 @click.option("--seed", "seeds", multiple=True, type=int, help="Seed; may be repeated.")
 @click.option("--fresh", default=0, help="Number of runs with seeds drawn now.")
+@click.option("--defect", default="", help="Defect of all routers (defects.py).")
 @click.option("--network", default=DEFAULTS.network, show_default=True)
 @click.option("--routers", default=DEFAULTS.routers, show_default=True)
 @click.option("--keyed-servers", default=DEFAULTS.keyed_servers, show_default=True)
@@ -33,6 +34,7 @@
 def main(
     seeds: tuple[int, ...],
     fresh: int,
+    defect: str,
     network: int,
     routers: int,
     keyed_servers: int,
@@ -43,6 +45,7 @@
 ) -> None:
     """Play runs one after the other; the status is 1 if one broke a promise."""
     options = SoakOptions(
+        defect=defect,
         network=network,
         routers=routers,
         keyed_servers=keyed_servers,
--- /dev/null
+++ b/soak/defects.py
@@ -0,0 +1,90 @@
+"""Starts an edge router with a defect, to show that a soak finds such defects.
+
+``python -m soak --defect NAME`` runs all routers by this program.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+
+from mulberryrelay_edge.callers import CallerServer
+from mulberryrelay_edge.catalog import Catalog
+from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
+from mulberryrelay_edge.grants import GrantManager
+from mulberryrelay_edge.lease import LeaderLease
+from mulberryrelay_edge.messages import BackendServer, EdgeResponse
+from mulberryrelay_edge.serverlimits import ServerLimits
+from mulberryrelay_edge.tablestore import TableRead
+from mulberryrelay_kernel.ids import ServiceName
+from mulberryrelay_platform.main import main
+
+_run_exchange = Exchange.run
+_apply_routes = Catalog.apply_routes
+_process = CallerServer._process
+
+
+async def _report_broken_as_not_run(exchange: Exchange, pool: Any) -> AttemptResult:
+    result = await _run_exchange(exchange, pool)
+    if result.outcome in (AttemptOutcome.BROKEN, AttemptOutcome.TIMED_OUT):
+        return AttemptResult(AttemptOutcome.NOT_RUN, 503)
+    return result
+
+
+def _apply_first_routes(catalog: Catalog, read: TableRead, is_complete: bool) -> None:
+    if catalog.routes is None:
+        _apply_routes(catalog, read, is_complete)
+
+
+async def _stop_at_once(callers: CallerServer) -> None:
+    runner = callers._runner
+    assert runner is not None and runner.server is not None
+    for connection in runner.server.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
+async def _cut_body(callers: CallerServer, request: Any) -> EdgeResponse:
+    response = await _process(callers, request)
+    return msgspec.structs.replace(response, body=response.body[:2000])
+
+
+def _serving_and_draining(
+    catalog: Catalog, service: ServiceName
+) -> list[BackendServer]:
+    return catalog.servers(service)
+
+
+DEFECTS: dict[str, Callable[[], Any]] = {
+    "grants-expire-at-once": lambda: patch.object(
+        GrantManager, "grant_expires_ms", lambda self, incarnation: 0.0
+    ),
+    "lease-never-expires": lambda: patch.object(
+        LeaderLease, "is_valid", property(lambda self: self.is_held)
+    ),
+    "earlier-grants-ignored": lambda: patch.object(
+        LeaderLease, "previous_leader_end_ms", property(lambda self: float("-inf"))
+    ),
+    "sent-requests-retried": lambda: patch.object(
+        Exchange, "run", _report_broken_as_not_run
+    ),
+    "first-routes-kept": lambda: patch.object(
+        Catalog, "apply_routes", _apply_first_routes
+    ),
+    "stops-at-once": lambda: patch.object(CallerServer, "stop", _stop_at_once),
+    "responses-cut": lambda: patch.object(CallerServer, "_process", _cut_body),
+    "drained-servers-used": lambda: patch.multiple(
+        Catalog,
+        serving=_serving_and_draining,
+        is_drain_grace_over=lambda self, server: False,
+    ),
+    "limits-ignored": lambda: patch.object(
+        ServerLimits, "record", lambda self, server, limit_per_s: None
+    ),
+}
+
+if __name__ == "__main__":
+    with DEFECTS[sys.argv[1]]():
+        main()
--- a/soak/options.py
+++ b/soak/options.py
@@ -8,6 +8,8 @@
 class SoakOptions(msgspec.Struct, frozen=True):
     """How large a run is and how long it takes; times in seconds."""
 
+    defect: str = ""
+    """Name of a defect that all routers have (``defects.py``); empty for none."""
     network: int = 1
     """First of the numbers n of the addresses 127.0.n.x that routers listen on.
 
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -9,7 +9,11 @@
 
 from mulberryrelay_platform.names import SETTINGS_VARIABLE
 
-START = Path(__file__).parent.parent / "platform" / "start.py"
+from .options import SoakOptions
+
+ROOT = Path(__file__).parent.parent
+PROGRAM = ("platform/start.py",)
+DEFECTIVE_PROGRAM = ("-m", "soak.defects")
 CALLER_PORT = 8381
 READY_PORT = 8388
 INTERNAL_PORT = 7200
@@ -25,7 +29,13 @@
 class RouterProcess:
     """One router; it is started again after each end."""
 
-    def __init__(self, number: int, zone: str, network: int, directory: Path) -> None:
+    def __init__(
+        self, number: int, zone: str, options: SoakOptions, directory: Path
+    ) -> None:
+        network = options.network
+        self._program = (
+            (*DEFECTIVE_PROGRAM, options.defect) if options.defect else PROGRAM
+        )
         self.name = f"router-{number}"
         self.zone = zone
         self.host = f"127.0.{network + number // 200}.{1 + number % 200}"
@@ -72,7 +82,8 @@
         self._is_end_expected = False
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(START)],
+                [sys.executable, *self._program],
+                cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,7 +49,7 @@
     def __init__(self, seed: int, options: SoakOptions, directory: Path) -> None:
         self._seed = seed
         self._options = options
-        self._directory = directory
+        self._directory = directory.resolve()
         self._rng = random.Random(seed)
         self._tables = Tables()
         self._store = TableServer(self._tables, self._rng)
@@ -57,9 +57,7 @@
         self._keyed = KeyedServers(lambda: time.monotonic() * 1000)
         self._checks = Checks(self._keyed)
         self._routers = [
-            RouterProcess(
-                number, ZONES[number % len(ZONES)], options.network, directory
-            )
+            RouterProcess(number, ZONES[number % len(ZONES)], options, self._directory)
             for number in range(options.routers)
         ]
         self._servers = [
