Release the lease after a renewal that is on its way

When a leader is stopped while it renews its lease, the release is written with the version of before the renewal, so that the store refuses it: the next leader waits up to 3 s for a lease whose holder has gone, and the renewal's reply makes the lease valid again in a process that is leaving. If that reply is lost, logging the time left of the released lease fails on infinity and ends the task.

The release waits for a renewal on its way, a renewal no longer makes a lease valid that is being released, and a release that fails is logged as such, with the reason, not as released. test_a_lease_is_released_while_its_renewal_is_on_its_way failed before for a slow and for a lost reply.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -98,6 +98,8 @@
         self._renewal_started_ms = float("inf")
         """Start time of the renewal in progress; infinity if there is none."""
         self._is_leaving = False
+        self._writing = asyncio.Lock()
+        """Held while the lease is written by its holder."""
         self._restores = 0
         """How often the store was restored, as last observed."""
         self._restored_ms = float("-inf")
@@ -189,11 +191,17 @@
     async def release(self) -> None:
         """Release the lease, so that another router can take over at once."""
         self._is_leaving = True
-        row = self._row
-        if row is None or not self.is_valid:
+        if self._row is None or not self.is_valid:
             return
         self._valid_until_ms = float("-inf")
         self._changes.on_next(False)
+        # A renewal that is on its way changes the version of the row.
+        async with self._writing:
+            row = self._row
+            if row is not None:
+                await self._write_released(row)
+
+    async def _write_released(self, row: LeaderRow) -> None:
         released = LeaderRow(
             row.term,
             row.holder,
@@ -203,8 +211,12 @@
             self._unreachable_servers.rows(self._clock_offset_ms),
         )
         notice = LeaderNoticeRow(row.term, "")
-        await self._write_lease(released, notice)
-        log_event("leader_released", term=row.term)
+        result = await self._write_lease(released, notice)
+        if isinstance(result, Success):
+            log_event("leader_released", term=row.term)
+            return
+        reason = result.failure().value
+        log_event("leader_release_failed", term=row.term, reason=reason)
 
     def step_down(self, reason: str) -> None:
         """End the term without writing to the store.
@@ -304,6 +316,10 @@
         if not self.is_valid:
             self._end_term("expired")
             return
+        async with self._writing:
+            await self._write_renewal(row)
+
+    async def _write_renewal(self, row: LeaderRow) -> None:
         started_ms = self._clock()
         expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
         renewed = msgspec.structs.replace(
@@ -333,6 +349,8 @@
             self._row = renewed
             self._unreachable_servers.mark_stored(renewed.unreachable)
             self._version = result.unwrap().version
+            if self._is_leaving:
+                return
             self._valid_until_ms = expires_ms - self._clock_offset_ms
             self._clock_offset_ms = min(
                 self._clock_offset_ms, result.unwrap().store_ms - started_ms
@@ -347,7 +365,7 @@
         if result.failure() is TableFailure.CONFLICT:
             self._end_term("taken")
             return
-        if not self._has_renewal_failed:
+        if not self._has_renewal_failed and not self._is_leaving:
             log_event(
                 "lease_troubled",
                 term=row.term,
