Stop reusing a connection before its server closes it as idle

Callers of a non-idempotent request get 502 if the request crosses the close of an idle connection: nobody can tell then whether it ran. Cause: the idle time that a server states in Keep-Alive was passed over, and connections were reused for 5 s after each response.

A connection is no longer reused from 0.3 s before the stated time.

--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -239,9 +239,11 @@
 
 
 def _is_usable(connection: Connection) -> bool:
-    """Return whether a connection is open and has received no unexpected bytes."""
+    """Return whether a connection is open, stays so and got no unexpected bytes."""
     protocol = connection.protocol
     transport = connection.transport
     if protocol is None or transport is None:
         return False
+    if isinstance(protocol, ServerConnection) and protocol.is_closing_soon:
+        return False
     return not transport.is_closing() and not protocol.should_close
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -14,6 +14,7 @@
 from aiohttp.streams import StreamReader
 from multidict import istr
 
+from mulberryrelay_kernel.clock import boottime_ms
 from mulberryrelay_kernel.httpclient import ResponseTooLongError
 from mulberryrelay_kernel.logs import log_event
 
@@ -24,6 +25,13 @@
 
 A connection carries one request at a time, so more than one of them is unrequested.
 """
+KEEP_ALIVE_HEADER = istr("Keep-Alive")
+IDLE_MARGIN_MS = 300.0
+"""Time before its server closes an idle connection in which it is not reused."""
+MAX_IDLE_DIGITS = 6
+"""Digits of an idle time; larger numbers are not plausible."""
+MAX_LOGGED_LENGTH = 32
+"""Characters of an invalid header value in a log line."""
 MAX_HEAD_BYTES = 65_536
 """Bytes that all heads of the responses to one request may have together."""
 
@@ -44,6 +52,17 @@
         self._has_carried_request = False
         self._interim_responses = 0
         self._bytes_left = float(MAX_HEAD_BYTES)
+        self._idle_limit_s: float | None = None
+        """Idle time after which the server closes the connection, if it states one."""
+        self._received_ms = boottime_ms()
+
+    @property
+    def is_closing_soon(self) -> bool:
+        """Whether the server may close the connection now, because it is idle."""
+        if self._idle_limit_s is None:
+            return False
+        idle_ms = boottime_ms() - self._received_ms
+        return idle_ms > self._idle_limit_s * 1000 - IDLE_MARGIN_MS
 
     @property
     def has_carried_request(self) -> bool:
@@ -61,6 +80,7 @@
         if self._bytes_left < 0:
             self.reject("a response exceeds its limit")
             return
+        self._received_ms = boottime_ms()
         super().data_received(data)
 
     def feed_data(
@@ -77,6 +97,8 @@
             return
         if self._last_response_header in message.headers:
             self.force_close()
+        if KEEP_ALIVE_HEADER in message.headers:
+            self._idle_limit_s = parse_idle_limit_s(message.headers[KEEP_ALIVE_HEADER])
         super().feed_data(data, size)
 
     def reject(self, reason: str) -> None:
@@ -93,6 +115,18 @@
         transport.abort()
 
 
+def parse_idle_limit_s(value: str) -> float | None:
+    """Return the idle time that a ``Keep-Alive`` header states, or None."""
+    for parameter in value.split(","):
+        name, _, text = parameter.strip().partition("=")
+        if name.lower() != "timeout":
+            continue
+        if text.isdecimal() and len(text) <= MAX_IDLE_DIGITS:
+            return float(text)
+        log_event("invalid_keep_alive", value=value[:MAX_LOGGED_LENGTH])
+    return None
+
+
 class ResponseHold:
     """The bytes that one response holds in memory."""
 
