Keep callers' connections open for as long as operators permit them to stay idle

Callers may reuse a connection that was idle for nearly the idle time in the operators' limits. The router closed connections after 60 s whatever the limit was, so that with a longer one a request crosses the close and is lost.

A connection has the longer of 60 s and the limit that is in force when it is opened. The new test, with 0.2 s in place of 60 s, failed while the limit was not applied to the connection (aiohttp reads its timeout only when a connection starts) and passes now.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from math import isnan, nan
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -34,7 +36,7 @@
 )
 """Request headers that are not passed on to a server."""
 IDLE_TIMEOUT_S = 60.0
-"""Time after which an idle connection of a caller is closed."""
+"""Time after which an idle connection is closed, unless operators permit more."""
 LISTEN_BACKLOG = 1024
 MAX_HEADER_BYTES = 65_536
 """Limit of aiohttp for one line and one header field.
@@ -68,6 +70,22 @@
 """
 
 
+class _ConnectionServer(web.Server):
+    """Gives each connection the idle timeout that is in force when it is opened."""
+
+    def __init__(
+        self, idle_timeout_s: Callable[[], float], handler: Any, **options: Any
+    ) -> None:
+        super().__init__(handler, **options)
+        self._idle_timeout_s = idle_timeout_s
+
+    def __call__(self) -> web.RequestHandler:
+        connection = super().__call__()
+        # aiohttp has no public way to set it for a connection.
+        connection._keepalive_timeout = self._idle_timeout_s()
+        return connection
+
+
 class CallerServer:
     """Serves requests of callers until it is stopped."""
 
@@ -105,12 +123,12 @@
 
     async def start(self) -> None:
         """Listen for callers and for readiness checks."""
-        server = web.Server(
+        server = _ConnectionServer(
+            self._idle_timeout_s,
             self._handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=IDLE_TIMEOUT_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -155,6 +173,11 @@
         if self._ready_runner is not None:
             await self._ready_runner.cleanup()
 
+    def _idle_timeout_s(self) -> float:
+        routes = self._catalog.routes
+        permitted_ms = routes.limits.idle_ms if routes is not None else 0.0
+        return max(IDLE_TIMEOUT_S, permitted_ms / 1000)
+
     async def _stop_listening(self) -> None:
         """Stop accepting, and close the listener once pending accepts are done."""
         assert self._site is not None and self._listener is not None
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -61,10 +61,12 @@
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
-    """Maximum sizes of a caller's request headers and body."""
+    """Maximum sizes of a caller's request headers and body, and its idle time."""
 
     header_bytes: int
     body_bytes: int
+    idle_ms: float = 0.0
+    """Time for which a caller may leave its connection idle."""
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/tests/test_edge_idle.py
+++ b/tests/test_edge_idle.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import time
+from unittest.mock import patch
 
+import aiohttp
+
+from mulberryrelay_edge import callers
+from mulberryrelay_platform.names import HEADERS
 from mulberryrelay_router.serverconnection import parse_idle_limit_s
 
 from .fixtures import async_test
 from .fixtures.edgerouter import edge_response, edge_router
-from .fixtures.rawserver import RawRequest, raw_server
+from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 IDLE_LIMIT_S = 1
 """Idle time after which the server closes a connection."""
+SHORT_IDLE_S = 0.2
+"""Idle time after which the router closes a connection, in place of a minute."""
 
 
 @async_test
@@ -37,6 +44,42 @@
         assert server.connections == 2, "a connection is reused until then"
 
 
+@async_test
+async def test_callers_may_stay_idle_as_long_as_operators_permit() -> None:
+    """Guards against connections closed while a caller may still use them."""
+    for permitted_ms, is_kept in ((100.0, False), (5000.0, True)):
+        async with (
+            raw_server(respond_with(edge_response)) as server,
+            edge_router() as router,
+        ):
+            router.register_server(server)
+            router.permit_idle(permitted_ms)
+            with patch.object(callers, "IDLE_TIMEOUT_S", SHORT_IDLE_S):
+                await router.callers.start()
+                is_reused = await _reuse_connection(router.url)
+                await router.callers.stop()
+        assert is_reused is is_kept, permitted_ms
+
+
+async def _reuse_connection(url: str) -> bool:
+    """Return whether a connection can be used again after a pause."""
+    connections: list[object] = []
+    trace = aiohttp.TraceConfig()
+
+    async def record(*args: object) -> None:
+        connections.append(args)
+
+    trace.on_connection_create_end.append(record)
+    async with aiohttp.ClientSession(trace_configs=[trace]) as session:
+        for _ in range(2):
+            headers = {"Host": "app.example", HEADERS.request_id: "a"}
+            async with session.get(url + "/listing/1", headers=headers) as response:
+                assert response.status == 200
+                await response.read()
+            await asyncio.sleep(3 * SHORT_IDLE_S)
+    return len(connections) == 1
+
+
 def test_an_idle_limit_that_cannot_be_read_is_ignored() -> None:
     """Guards against connections that are never or always reused."""
     cases = {
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -127,6 +127,7 @@
     table = decode_routes(row(CONFIGURATION))
     assert table is not None
     assert table.version == 12
+    assert table.limits.idle_ms == 15_000
     first, second, third = table.routes
     assert [(s.service, s.weight) for s in first.shares] == [("s", 9), ("t", 1)]
     assert first.is_idempotent and not second.is_idempotent
