--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -244,6 +244,13 @@
     fleet.stop()
 
 
+async def cut_leader_off(fleet: Fleet) -> None:
+    """Cut the leader off from the other routers and the store, and wait a moment."""
+    assert fleet.leader is not None
+    fleet.leader.is_unreachable = fleet.leader.store.is_refusing = True
+    await report_load(fleet, CUT_S)
+
+
 async def play_restore_after_a_cut(seed: int) -> float:
     """Cut the leader off from routers and store just before the store goes away.
 
@@ -252,9 +259,7 @@
     fleet = await start_settled_fleet(seed)
     copy = fleet.tables.copy()
     await report_load(fleet, 3.0)
-    assert fleet.leader is not None
-    fleet.leader.is_unreachable = fleet.leader.store.is_refusing = True
-    await report_load(fleet, CUT_S)
+    await cut_leader_off(fleet)
     fleet.pauses_s.clear()
     await play_outage(fleet, copy, kill_leader, OUTAGE_S)
     await report_load(fleet, SETTLE_S)
@@ -274,9 +279,7 @@
     restarted = fleet.start_server(backend(1, started_ms=9))
     await report_load(fleet, LOST_S)
     assert restarted.grants, seed
-    assert fleet.leader is not None
-    fleet.leader.is_unreachable = fleet.leader.store.is_refusing = True
-    await report_load(fleet, CUT_S)
+    await cut_leader_off(fleet)
     fleet.pauses_s.clear()
     await play_outage(fleet, copy, kill_leader, OUTAGE_S)
     await report_load(fleet, SETTLE_S)
