--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,12 @@
     help="Kind of faults that may happen; may be repeated, default all.",
 )
 @click.option("--defect", default="", help="Defect of all routers (defects.py).")
-@click.option("--network", default=DEFAULTS.network, show_default=True)
+@click.option(
+    "--network",
+    default=DEFAULTS.network,
+    show_default=True,
+    help="Number n of the routers' addresses 127.0.n.x; one for each run at a time.",
+)
 @click.option("--routers", default=DEFAULTS.routers, show_default=True)
 @click.option("--keyed-servers", default=DEFAULTS.keyed_servers, show_default=True)
 @click.option("--plain-servers", default=DEFAULTS.plain_servers, show_default=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,8 +20,6 @@
 """Time after the end of a disturbance from which on time bounds hold again."""
 CHANGE_APPLIES_S = 2.0
 """Time after its acknowledgement in which a change of routes is in force."""
-REVERT_SLACK_S = 2.0
-"""Time for which requests may still see the state before a change that others saw."""
 DRAIN_S = 2.0
 """Time after a server has reported that it leaves in which it may get requests."""
 OVERLAP_S = 0.5
@@ -60,7 +58,7 @@
 
     rule: Rule
     at_s: float
-    """Seconds from the start of the callers."""
+    """Seconds from the start of the run."""
     detail: str
 
 
