Log whether a server died under a request, and which request it was

Cause: attempt_failed names the id of a send. The same request has another id each time it comes, and a crash looked like any other end of a connection.

Change: server_connection_broken has the request's fingerprint and whether the server refuses new connections; two counters. The fingerprint is computed by one function for both routers, in the kernel.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -261,6 +261,7 @@
                 arrived_ms + min(caller_timeout_ms, route.timeout_ms),
                 self._stop_deadline_ms - RESPONSE_RESERVE_MS,
             ),
+            caller_address=request.remote or "",
         )
         return await self._forwarder.forward(edge_request)
 
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -17,6 +17,7 @@
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.states import Outcome
 from mulberryrelay_kernel.unreadheaders import UnreadHeaders
+from mulberryrelay_router.deaths import has_died
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.serverconnection import ResponseBuffer
 
@@ -134,6 +135,8 @@
                 return _server_response(result)
             tried.add(server.server)
             self._log_failed_attempt(request, server, result)
+            if result.outcome is AttemptOutcome.BROKEN:
+                await self._check_broken_connection(request, server)
             if result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT):
                 possibly_ran.add(server.server)
                 failures += 1
@@ -279,6 +282,21 @@
             return router_response(status, RETRY_AFTER_FREE_SLOT_S)
         return router_response(status, retry_after_s)
 
+    async def _check_broken_connection(
+        self, request: EdgeRequest, server: BackendServer
+    ) -> None:
+        """Log whether a server has crashed, after a connection to it broke."""
+        is_dead = await has_died(server.entry)
+        log_event(
+            "server_connection_broken",
+            request_id=request.request_id,
+            fingerprint=request.fingerprint(),
+            server=server.server,
+            born_ms=server.started_ms,
+            is_dead=is_dead,
+        )
+        self._metrics.count("server_dead" if is_dead else "connection_broken")
+
     def _log_failed_attempt(
         self, request: EdgeRequest, server: BackendServer, result: AttemptResult
     ) -> None:
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -6,22 +6,27 @@
 """
 
 import msgspec
-from multidict import CIMultiDict
+from multidict import CIMultiDict, istr
 
+from mulberryrelay_kernel.hashing import request_fingerprint
 from mulberryrelay_kernel.ids import (
+    BootId,
     DataCentre,
+    Fingerprint,
     InstanceId,
     RequestId,
     ScheduleId,
     ServerId,
     ServiceName,
 )
+from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import ServerState
 
 from .tablemirror import TableUpdate
 
 LAST_KEY = 65535
 """Highest key of a keyed service; the lowest is 0."""
+AUTHORIZATION_HEADER = istr("Authorization")
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
@@ -95,6 +100,19 @@
     state: ServerState
     slow_start_left_ms: float
 
+    @property
+    def entry(self) -> ServerEntry:
+        """The server as the shared modules know it; the boot id is its start time."""
+        return ServerEntry(
+            self.server,
+            self.service,
+            self.data_centre,
+            self.host,
+            self.port,
+            self.state,
+            BootId(str(self.started_ms)),
+        )
+
     def is_same_incarnation(self, other: "BackendServer") -> bool:
         """Return whether both registrations belong to the same server process."""
         return self.server == other.server and self.started_ms == other.started_ms
@@ -125,6 +143,24 @@
     arrived_ms: float
     deadline_ms: float
     """Earlier of the caller's deadline and the route's timeout."""
+    caller_address: str = ""
+    """Network address of the caller, without the port."""
+
+    def fingerprint(self) -> Fingerprint:
+        """Return a digest that a request has in common with its repetitions.
+
+        Repetitions have the caller, target, key and body of the request, but another id
+        and deadline. Cookies are left out, since they change from one to the next.
+        """
+        parts = (
+            self.caller_address,
+            self.headers.get(AUTHORIZATION_HEADER, ""),
+            self.host,
+            self.method,
+            self.target,
+            "" if self.key is None else str(self.key),
+        )
+        return request_fingerprint(parts, self.body)
 
 
 class EdgeResponse(msgspec.Struct, frozen=True):
--- a/packages/kernel/mulberryrelay_kernel/hashing.py
+++ b/packages/kernel/mulberryrelay_kernel/hashing.py
@@ -1,16 +1,16 @@
-"""Maps keys to ranges, builds unit ids and computes digests of grants.
+"""Maps keys to ranges, builds unit ids and computes digests.
 
 A service's keys are hashed into a fixed number of ranges. A *unit* is what a backend
 server owns: one range, or one key that is assigned separately from its range (an
 override). Unit ids are ``r<index>`` and ``k:<key>``.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 import xxhash
 
-from .ids import Epoch, Key, UnitId
+from .ids import Epoch, Fingerprint, Key, UnitId
 
 RANGE_PREFIX = "r"
 OVERRIDE_PREFIX = "k:"
@@ -42,3 +42,17 @@
     The coordinator and a server compare digests to detect that their lists differ.
     """
     return xxhash.xxh3_128_hexdigest(msgspec.json.encode(sorted(granted.items())))
+
+
+def request_fingerprint(parts: Sequence[str], body: bytes) -> Fingerprint:
+    """Return the digest by which equal requests are recognised.
+
+    ``parts`` are the texts that equal requests have in common, in a fixed order.
+    """
+    digest = xxhash.xxh3_128()
+    for part in parts:
+        encoded = part.encode(errors="surrogateescape")
+        digest.update(b"%d:" % len(encoded))
+        digest.update(encoded)
+    digest.update(body)
+    return Fingerprint(digest.hexdigest())
--- a/packages/router/mulberryrelay_router/attempts.py
+++ b/packages/router/mulberryrelay_router/attempts.py
@@ -13,8 +13,10 @@
 from multidict import CIMultiDict, istr
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.hashing import request_fingerprint
 from mulberryrelay_kernel.ids import (
     Epoch,
+    Fingerprint,
     IdempotencyKey,
     Key,
     RequestClass,
@@ -86,6 +88,11 @@
         """Whether the method is idempotent, so that a retry is safe."""
         return self.method in IDEMPOTENT_METHODS
 
+    def fingerprint(self) -> Fingerprint:
+        """Return the digest of service, method, path, key and body."""
+        parts = (self.service, self.method, self.path, self.key or "")
+        return request_fingerprint(parts, self.body)
+
 
 class Target(msgspec.Struct, frozen=True):
     """Server of an attempt, and the unit and epoch under which it owns the key."""
--- a/packages/router/mulberryrelay_router/claims.py
+++ b/packages/router/mulberryrelay_router/claims.py
@@ -30,7 +30,6 @@
 from mulberryrelay_kernel.states import ClaimState, Outcome, StoreFailure
 
 from .attempts import CallerRequest, RoutedResponse, local_response
-from .suspects import fingerprint_of
 
 # Maximum claims per transaction. The store sustains several hundred writes per second.
 BATCH_SIZE = 32
@@ -218,7 +217,7 @@
         """Return the claim of this request, or the response if it must not be sent."""
         row = ClaimRow(
             state=ClaimState.CLAIMED,
-            fingerprint=fingerprint_of(request),
+            fingerprint=request.fingerprint(),
             router=self._router_name,
             request_id=request.request_id,
             idempotency_key=idempotency_key,
--- a/packages/router/mulberryrelay_router/suspects.py
+++ b/packages/router/mulberryrelay_router/suspects.py
@@ -12,7 +12,6 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-import xxhash
 from reactivex import Observable
 from reactivex.subject import Subject
 
@@ -143,13 +142,13 @@
         """Return the suspect with the fingerprint of this request, if any."""
         if not self._suspects:
             return None
-        return self._suspects.get(fingerprint_of(request))
+        return self._suspects.get(request.fingerprint())
 
     def build_suspect(
         self, request: CallerRequest, deaths: Sequence[ServerDeath] = ()
     ) -> Suspect:
         """Return the suspect for a request that may have caused these crashes."""
-        fingerprint = fingerprint_of(request)
+        fingerprint = request.fingerprint()
         return Suspect(
             fingerprint=fingerprint,
             service=request.service,
@@ -183,7 +182,7 @@
         """
         if len(request.body) > MAX_DIGESTED_BYTES and not self._suspects:
             return
-        fingerprint = fingerprint_of(request)
+        fingerprint = request.fingerprint()
         self._completed.pop(fingerprint, None)
         self._completed[fingerprint] = None
         if len(self._completed) > MAX_COMPLETED:
@@ -215,14 +214,14 @@
         reply = await self._link.send_probation_request(
             self._build_message(request, permit_ms)
         )
-        fingerprint = fingerprint_of(request)
+        fingerprint = request.fingerprint()
         self._unconfirmed_permits.discard(fingerprint)
         if reply is None:
             self._unconfirmed_permits.add(fingerprint)
         if reply is not None and (reply.cleared or reply.blocked):
             self._apply_update(
                 Suspect(
-                    fingerprint=fingerprint_of(request),
+                    fingerprint=request.fingerprint(),
                     service=request.service,
                     blocked=reply.blocked,
                     cleared=reply.cleared,
@@ -235,14 +234,14 @@
 
         Otherwise the coordinator would assume that the run had crashed a server.
         """
-        if fingerprint_of(request) not in self._unconfirmed_permits:
+        if request.fingerprint() not in self._unconfirmed_permits:
             return
         async with self.lock(request.service):
-            if fingerprint_of(request) in self._unconfirmed_permits:
+            if request.fingerprint() in self._unconfirmed_permits:
                 await self.record_result(
                     request, PROBATION_RESULT_NOT_SENT, None, PERMIT_RETURN_TIMEOUT_MS
                 )
-            self._unconfirmed_permits.discard(fingerprint_of(request))
+            self._unconfirmed_permits.discard(request.fingerprint())
 
     async def record_result(
         self,
@@ -270,7 +269,7 @@
         self, request: CallerRequest, permit_ms: float
     ) -> ProbationRequest:
         return ProbationRequest(
-            fingerprint=fingerprint_of(request),
+            fingerprint=request.fingerprint(),
             service=request.service,
             instance=self._instance,
             boot_id=self._boot_id,
@@ -289,15 +288,3 @@
         self._suspects[fingerprint] = suspect
         if len(self._suspects) > MAX_SUSPECTS:
             del self._suspects[next(iter(self._suspects))]
-
-
-def fingerprint_of(request: CallerRequest) -> Fingerprint:
-    """Return the digest of service, method, path, key and body of a request."""
-    digest = xxhash.xxh3_128()
-    key = request.key or ""
-    for part in (request.service, request.method, request.path, key):
-        encoded = part.encode(errors="surrogateescape")
-        digest.update(b"%d:" % len(encoded))
-        digest.update(encoded)
-    digest.update(request.body)
-    return Fingerprint(digest.hexdigest())
