--- a/tests/test_edge_explain.py
+++ b/tests/test_edge_explain.py
@@ -71,10 +71,12 @@
             response = await router.send(router.request(is_idempotent=False))
     assert response.status == 502
     timeline = find_timeline(lines, "request-1")
-    attempt, given_up = timeline[-2:]
+    attempt, broken, given_up = timeline[-3:]
     assert (attempt.event, attempt.fields["verdict"]) == ("attempt_failed", "broken")
     assert attempt.fields["server"] == "server-0"
     assert "Disconnected" in attempt.fields["detail"]
+    assert broken.event == "server_connection_broken"
+    assert broken.fields["is_dead"] == "false"
     assert given_up.fields["reason"] == "unknown"
 
 
