Make the recognition of poison requests usable by the edge router

Cause of the incident's class: only mulberryrelay's own router recognises requests that crash servers, with code that knows its types.

Change, without a new rule: runs under probation move from routing.py to probation.py, SuspectList merges reports as the registry does and is the one list of suspects, and SuspicionPolicy says from how many losses a request needs a permit and is blocked (0 and 2, as before).

--- a/packages/control/mulberryrelay_control/suspectregistry.py
+++ b/packages/control/mulberryrelay_control/suspectregistry.py
@@ -1,14 +1,15 @@
 """The coordinator's registry of suspected poison requests.
 
 A poison request crashes the server that runs it. A request becomes a suspect when the
-connection to a server breaks while the request is in flight there. A suspect may only
-be run under a permit, one at a time per service, until a run ends with a response (the
-suspect is cleared) or with the loss of another server (the suspect is blocked).
-
-If equal requests ran on two servers before the first loss was reported, both servers
-are already lost, and a third run must be prevented. Such a suspect is blocked without a
-further run unless it may only have been in flight beside the poison request: an equal
-request got a response before, or another suspect explains the same losses.
+connection to a server breaks while the request is in flight there, or after a number of
+such losses (``SuspicionPolicy``). A suspect may only be run under a permit, one at a
+time per service, until a run ends with a response (the suspect is cleared) or with the
+loss of another server (the suspect is blocked).
+
+If equal requests ran on several servers before the first loss was reported, these
+servers are already lost, and another run must be prevented. Such a suspect is blocked
+without a further run unless it may only have been in flight beside the poison request:
+an equal request got a response before, or another suspect explains the same losses.
 """
 
 from collections.abc import Sequence
@@ -30,7 +31,7 @@
 # Limits the memory of the registry. If many servers fail at once, each request in
 # flight becomes a suspect; these are at most a few thousand.
 MAX_SUSPECTS = 4096
-# Limits the losses recorded for one suspect; two are enough to block it.
+# Limits the losses recorded for one suspect; fewer are enough to block it.
 MAX_DEATHS = 8
 # Time after the deadline of a run within which its result must arrive.
 RESULT_GRACE_MS = 1000.0
@@ -39,6 +40,23 @@
 REPORT_WAIT_MS = 200.0
 
 
+class SuspicionPolicy(NamedTuple):
+    """From how many losses of servers on a request is treated as a suspect."""
+
+    losses_to_permit: int = 0
+    """Losses from which it runs only under a permit; 0: a broken connection is enough.
+    """
+    losses_to_block: int = 2
+    """Losses that block it without another run, if no other suspect explains them."""
+
+    def needs_permit(self, suspect: Suspect) -> bool:
+        """Return whether a request may only be run under a permit, or not at all."""
+        return suspect.blocked or len(suspect.seen) >= self.losses_to_permit
+
+
+FROM_FIRST_BREAK = SuspicionPolicy()
+
+
 class PermitHolder(NamedTuple):
     """Identifies the router process that holds a permit."""
 
@@ -77,15 +95,24 @@
     under permits of a previous coordinator that they have not reported yet.
     """
 
-    def __init__(self, permits_start_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        permits_start_ms: float = 0.0,
+        policy: SuspicionPolicy = FROM_FIRST_BREAK,
+    ) -> None:
         self._permits_start_ms = permits_start_ms
+        self._policy = policy
         self._entries: dict[Fingerprint, _Entry] = {}
         self._permits: dict[ServiceName, _Permit] = {}
         self._changes: list[Suspect] = []
 
     def all_suspects(self) -> list[Suspect]:
-        """Return all suspects, including blocked ones."""
-        return [entry.suspect for entry in self._entries.values()]
+        """Return all requests that need a permit, including blocked ones."""
+        return [
+            entry.suspect
+            for entry in self._entries.values()
+            if self._policy.needs_permit(entry.suspect)
+        ]
 
     def pop_changes(self) -> list[Suspect]:
         """Return and clear the changes since the last call, to be sent to routers."""
@@ -143,12 +170,12 @@
         permit = self._permits.get(service)
         if permit is not None and not permit.is_held_by(request):
             return ProbationReply()
-        if len(entry.suspect.seen) > 1:
+        if len(entry.suspect.seen) >= self._policy.losses_to_block:
             if entry.decidable_ms is None:
                 entry.decidable_ms = now_ms + REPORT_WAIT_MS
             if now_ms < entry.decidable_ms:
                 return ProbationReply()
-            if self._is_only_cause_of_two(entry.suspect):
+            if self._is_only_cause(entry.suspect):
                 self._block(entry)
                 return ProbationReply(blocked=True)
         self._permits[service] = _Permit(
@@ -186,8 +213,8 @@
         del self._permits[service]
         self._confirm_poison(permit.fingerprint, service, [])
 
-    def _is_only_cause_of_two(self, suspect: Suspect) -> bool:
-        """Return whether the suspect is the only possible cause of two losses."""
+    def _is_only_cause(self, suspect: Suspect) -> bool:
+        """Return whether only this suspect can have caused enough losses to block."""
         if suspect.answered:
             return False
         others = [
@@ -200,27 +227,19 @@
         deaths = [
             death for death in suspect.seen if not _contains_death(death, attributed)
         ]
-        if len(deaths) < 2:
+        needed = self._policy.losses_to_block
+        if len(deaths) < needed:
             return False
         return not any(
             not other.answered
-            and sum(_contains_death(death, other.seen) for death in deaths) > 1
+            and sum(_contains_death(death, other.seen) for death in deaths) >= needed
             for other in others
         )
 
     def _merge(self, entry: _Entry, reported: Suspect) -> None:
         """Merge a report into an entry; a blocked suspect stays blocked."""
         before = entry.suspect
-        merged = Suspect()
-        merged.CopyFrom(before)
-        for death in reported.seen:
-            if len(merged.seen) < MAX_DEATHS and not _contains_death(
-                death, merged.seen
-            ):
-                merged.seen.append(death)
-        merged.deaths = max(1, reported.deaths, before.deaths, len(merged.seen))
-        merged.answered = before.answered or reported.answered
-        merged.blocked = before.blocked or reported.blocked
+        merged = merged_suspect(before, reported)
         if reported.blocked:
             entry.is_confirmed_poison = True
         if len(merged.seen) != len(before.seen):
@@ -245,7 +264,9 @@
         self._replace_suspect(entry, blocked)
 
     def _clear(self, fingerprint: str, service: str) -> None:
-        self._entries.pop(Fingerprint(fingerprint), None)
+        entry = self._entries.pop(Fingerprint(fingerprint), None)
+        if entry is not None and not self._policy.needs_permit(entry.suspect):
+            return
         self._changes.append(
             Suspect(fingerprint=fingerprint, service=service, cleared=True)
         )
@@ -254,14 +275,18 @@
         suspect = Suspect(fingerprint=fingerprint, service=service, deaths=1)
         entry = _Entry(suspect)
         self._entries[Fingerprint(fingerprint)] = entry
-        self._changes.append(suspect)
+        self._note_change(suspect)
         if len(self._entries) > MAX_SUSPECTS:
             self._evict()
         return entry
 
     def _replace_suspect(self, entry: _Entry, suspect: Suspect) -> None:
         entry.suspect = suspect
-        self._changes.append(suspect)
+        self._note_change(suspect)
+
+    def _note_change(self, suspect: Suspect) -> None:
+        if self._policy.needs_permit(suspect):
+            self._changes.append(suspect)
 
     def _evict(self) -> None:
         """Remove the oldest suspect that is not blocked, or else the oldest one."""
@@ -272,6 +297,20 @@
         del self._entries[next(iter(self._entries))]
 
 
+def merged_suspect(known: Suspect, reported: Suspect) -> Suspect:
+    """Return what is known of a request after a report; a block is not undone."""
+    merged = Suspect()
+    merged.CopyFrom(known)
+    for death in reported.seen:
+        if len(merged.seen) >= MAX_DEATHS or _contains_death(death, merged.seen):
+            continue
+        merged.seen.append(death)
+    merged.deaths = max(1, reported.deaths, known.deaths, len(merged.seen))
+    merged.answered = known.answered or reported.answered
+    merged.blocked = known.blocked or reported.blocked
+    return merged
+
+
 def _contains_death(death: ServerDeath, deaths: Sequence[ServerDeath]) -> bool:
     """Return whether a loss is recorded; an empty boot id matches any."""
     return any(
--- a/packages/router/mulberryrelay_router/coordinatorclient.py
+++ b/packages/router/mulberryrelay_router/coordinatorclient.py
@@ -47,7 +47,7 @@
 from .inflight import InFlight
 from .peerchannels import PeerChannels, open_channel, open_stub
 from .routingview import RoutingView
-from .suspects import SuspectList
+from .suspects import PermitExpiries, SuspectList
 from .viewmessages import decode_assignment, decode_server, decode_units
 
 # Pause before the next attempt to reach the coordinator. The routing lease stays valid
@@ -114,7 +114,7 @@
         self._unreported_drained: list[peer_pb2.UnitRef] = []
         self._unreported_suspects: list[Suspect] = []
         self._suspects = SuspectList()
-        self._permit_expires_ms: dict[str, float] = {}
+        self._permits = PermitExpiries()
         self._counts_reported_ms = clock()
         self._apply_rules_document = apply_rules
         self._request_due = asyncio.Event()
@@ -163,7 +163,7 @@
             )
         except grpc.aio.AioRpcError:
             return None
-        self._track_permit(request, reply, started_ms)
+        self._permits.track(request, reply, started_ms)
         return reply
 
     async def notify_rules(self, version: RulesVersion) -> None:
@@ -452,25 +452,9 @@
 
     def _known_suspects(self) -> list[Suspect]:
         """Return all suspects, with the remaining time of their probation runs."""
-        now_ms = self._clock()
-        suspects = []
-        for known in self._suspects.all_suspects():
-            suspect = Suspect()
-            suspect.CopyFrom(known)
-            expires_ms = self._permit_expires_ms.get(suspect.fingerprint, now_ms)
-            suspect.probation_ms = max(0, int(expires_ms - now_ms))
-            suspects.append(suspect)
-        return suspects
-
-    def _track_permit(
-        self, request: ProbationRequest, reply: ProbationReply, started_ms: float
-    ) -> None:
-        """Store a permit's expiry; delete it once the result was reported."""
-        if reply.permitted:
-            expires_ms = started_ms + request.deadline_ms
-            self._permit_expires_ms[request.fingerprint] = expires_ms
-        elif request.result != peer_pb2.PROBATION_RESULT_UNSPECIFIED:
-            self._permit_expires_ms.pop(request.fingerprint, None)
+        return self._permits.with_time_left(
+            self._suspects.all_suspects(), self._clock()
+        )
 
     def _track_moving_units(self, updates: Sequence[UnitUpdate], is_full: bool) -> None:
         """Track moving units, and report those without requests in flight."""
--- a/packages/router/mulberryrelay_router/responses.py
+++ b/packages/router/mulberryrelay_router/responses.py
@@ -4,7 +4,6 @@
 attempt, and which response the caller receives.
 """
 
-import asyncio
 
 import msgspec
 
@@ -100,10 +99,7 @@
     return response.stream is not None or (response.is_timed_out and response.is_sent)
 
 
-def close_stream(early_response: "asyncio.Future[RoutedResponse]") -> None:
+def close_stream(response: RoutedResponse) -> None:
     """Close the stream of a response whose caller has disconnected."""
-    if early_response.cancelled() or early_response.exception() is not None:
-        return
-    stream = early_response.result().stream
-    if stream is not None:
-        stream.close()
+    if response.stream is not None:
+        response.stream.close()
--- a/packages/router/mulberryrelay_router/routing.py
+++ b/packages/router/mulberryrelay_router/routing.py
@@ -6,11 +6,9 @@
 under probation, one at a time per service.
 """
 
-import asyncio
 from collections import Counter
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection
 from math import inf
-from typing import Any
 
 import msgspec
 from returns.pipeline import is_successful
@@ -26,7 +24,6 @@
     PROBATION_RESULT_NOT_SENT,
     PROBATION_RESULT_SERVER_DIED,
     ProbationResult,
-    Suspect,
 )
 from mulberryrelay_kernel.states import (
     Outcome,
@@ -52,6 +49,7 @@
 from .inflight import InFlight
 from .loadcounters import LoadCounters
 from .pool import Pools
+from .probation import ProbationEnd, ProbationRun, Probations
 from .responses import (
     blocked_response,
     close_stream,
@@ -65,7 +63,7 @@
     with_final_outcome,
 )
 from .routingview import RoutingView
-from .suspects import PERMIT_RETRY_PAUSE_S, Suspects
+from .suspects import Suspects
 
 # Attempts per request, without those that add almost no load.
 MAX_ATTEMPTS = 3
@@ -114,28 +112,17 @@
         self._load = load
         self._view_waiters: Counter[ServiceName] = Counter()
         self._draining_until_ms: dict[ServerId, float] = {}
-        self._probations: set[asyncio.Task[Any]] = set()
-        self._background: set[asyncio.Task[Any]] = set()
+        self._probations: Probations[RoutedResponse] = Probations(suspects, clock)
         self._death_watch = DeathWatch(clock, view.server, suspects.report)
 
     async def drain_probations(self, timeout_s: float) -> None:
-        """Wait until the results of all runs under probation are reported.
-
-        The coordinator blocks a suspect whose result never arrives.
-        """
-        tasks = self._probations | self._background
-        if tasks:
-            await asyncio.wait(tasks, timeout=timeout_s)
+        """Wait until the results of all runs under probation are reported."""
+        await self._probations.drain(timeout_s)
 
     async def close(self) -> None:
         """Stop watching servers for crashes caused by abandoned requests."""
         await self._death_watch.close()
 
-    def _start_background(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
     def remove_servers(self, servers: Collection[ServerId]) -> None:
         """Forget servers that left."""
         for server in servers:
@@ -179,9 +166,8 @@
         may_have_run = False
         last_response: RoutedResponse | None = None
         while True:
-            suspect = self._suspects.find(request)
-            if suspect is not None:
-                response = await self._forward_suspect(request, suspect)
+            if self._suspects.find(request) is not None:
+                response = await self._forward_suspect(request)
                 return with_final_outcome(response, may_have_run)
             target = await self._wait_for_target(request, excluded, last_response)
             if isinstance(target, RoutedResponse):
@@ -467,107 +453,50 @@
             and unit.state is UnitState.ACTIVE
         )
 
-    async def _forward_suspect(
-        self, request: CallerRequest, suspect: Suspect
-    ) -> RoutedResponse:
-        """Run a suspect under probation.
-
-        The run continues if its caller disconnects: the coordinator needs the result.
-        """
-        if suspect.blocked:
-            return blocked_response()
-        early_response = asyncio.get_running_loop().create_future()
-
-        def on_done(task: asyncio.Task[RoutedResponse]) -> None:
-            self._probations.discard(task)
-            if early_response.done() or task.cancelled():
-                return
-            error = task.exception()
-            if error is None:
-                early_response.set_result(task.result())
-            else:
-                early_response.set_exception(error)
-
-        task = asyncio.create_task(self._run_probation(request, early_response))
-        self._probations.add(task)
-        task.add_done_callback(on_done)
-        try:
-            return await asyncio.shield(early_response)
-        except asyncio.CancelledError:
-            early_response.add_done_callback(close_stream)
-            raise
+    async def _forward_suspect(self, request: CallerRequest) -> RoutedResponse:
+        """Run a suspect under probation."""
+        excluded: set[ServerId] = set()
 
-    async def _run_probation(
-        self, request: CallerRequest, early_response: "asyncio.Future[RoutedResponse]"
-    ) -> RoutedResponse:
-        """Run a suspect once the coordinator permits it.
+        async def run_once(
+            respond_early: Callable[[RoutedResponse], None],
+        ) -> ProbationRun[RoutedResponse]:
+            return await self._run_permitted(request, excluded, respond_early)
 
-        ``early_response`` is set if the caller may have its response before the run
-        has ended.
-        """
-        lock = self._suspects.lock(request.service)
-        attempts = 0
-        excluded: set[ServerId] = set()
-        last_response = not_run_response(
-            503,
-            "quarantined",
-            "the request may have crashed a server; no permit to run it in time",
-        )
-        while (left_ms := request.deadline_ms - self._clock()) > 0:
-            suspect = self._suspects.find(request)
-            if suspect is None:
-                return await self._forward(request)
-            if suspect.blocked:
-                return blocked_response()
-            if not await _acquire_within(lock, left_ms):
-                break
-            try:
-                if self._suspects.find(request) is not suspect:
-                    continue
-                response = await self._try_probation(request, excluded, early_response)
-            finally:
-                lock.release()
-            if response is not None:
-                attempts += 1
-                last_response = response
-                if response.outcome is not Outcome.NOT_RUN or is_final(response):
-                    return response
-                if attempts >= MAX_ATTEMPTS:
-                    return response
-                excluded.add(ServerId(response.headers.get(OWNER_HEADER, "")))
-            await asyncio.sleep(PERMIT_RETRY_PAUSE_S)
-        self._start_background(self._suspects.return_permit(request))
-        return last_response
+        response = await self._probations.run(request, run_once, close_stream)
+        if response is ProbationEnd.CLEARED:
+            return await self._forward(request)
+        if response is ProbationEnd.BLOCKED:
+            return blocked_response()
+        if isinstance(response, ProbationEnd):
+            return not_run_response(
+                503,
+                "quarantined",
+                "the request may have crashed a server; no permit to run it in time",
+            )
+        return response
 
-    async def _try_probation(
+    async def _run_permitted(
         self,
         request: CallerRequest,
         excluded: set[ServerId],
-        early_response: "asyncio.Future[RoutedResponse]",
-    ) -> RoutedResponse | None:
-        """Run the request if the coordinator permits it; return None if it does not."""
-        # The run may crash the server after the deadline.
-        permit_ms = max(request.deadline_ms - self._clock(), 0) + WATCH_MS
-        reply = await self._suspects.request_permit(request, permit_ms)
-        if reply is None or not reply.permitted:
-            return None
-        response = None
-        result = PROBATION_RESULT_NOT_SENT
+        respond_early: Callable[[RoutedResponse], None],
+    ) -> ProbationRun[RoutedResponse]:
+        """Send a suspect once, under a permit; return what came of it."""
+        target = self._find_target(request, excluded)
+        if target is None or not self._view.has_lease():
+            return ProbationRun()
+        response = await self._attempt(request, target, excluded, True)
+        owner = ServerId(response.headers.get(OWNER_HEADER, ""))
+        excluded.add(owner)
+        server = self._view.server(owner)
+        if may_still_run(response):
+            respond_early(response)
+        result = await self._probation_result(response, server)
         death = None
-        try:
-            target = self._find_target(request, excluded)
-            if target is not None and self._view.has_lease():
-                response = await self._attempt(request, target, excluded, True)
-                owner = ServerId(response.headers.get(OWNER_HEADER, ""))
-                server = self._view.server(owner)
-                if may_still_run(response):
-                    early_response.set_result(response)
-                result = await self._probation_result(response, server)
-                if result == PROBATION_RESULT_SERVER_DIED and server is not None:
-                    death = server_death(server)
-        finally:
-            await self._suspects.record_result(request, result, death, permit_ms)
-        return response
+        if result == PROBATION_RESULT_SERVER_DIED and server is not None:
+            death = server_death(server)
+        is_last = response.outcome is not Outcome.NOT_RUN or is_final(response)
+        return ProbationRun(response, result, death, is_last)
 
     async def _probation_result(
         self, response: RoutedResponse, server: ServerEntry | None
@@ -586,12 +515,3 @@
         if response.outcome is Outcome.RAN and not is_abandoned:
             return PROBATION_RESULT_ANSWERED
         return PROBATION_RESULT_NOT_SENT
-
-
-async def _acquire_within(lock: asyncio.Lock, timeout_ms: float) -> bool:
-    """Acquire a lock; return False if the timeout passes first."""
-    try:
-        async with asyncio.timeout(timeout_ms / 1000):
-            return await lock.acquire()
-    except TimeoutError:
-        return False
--- a/packages/router/mulberryrelay_router/suspects.py
+++ b/packages/router/mulberryrelay_router/suspects.py
@@ -15,12 +15,18 @@
 from reactivex import Observable
 from reactivex.subject import Subject
 
-from mulberryrelay_control.suspectregistry import SuspectRegistry
+from mulberryrelay_control.suspectregistry import (
+    FROM_FIRST_BREAK,
+    SuspectRegistry,
+    SuspicionPolicy,
+    merged_suspect,
+)
 from mulberryrelay_kernel.clock import Clock, monotonic_ms
 from mulberryrelay_kernel.ids import BootId, Fingerprint, InstanceId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.peerproto.peer_pb2 import (
     PROBATION_RESULT_NOT_SENT,
+    PROBATION_RESULT_UNSPECIFIED,
     ProbationReply,
     ProbationRequest,
     ProbationResult,
@@ -28,8 +34,6 @@
     Suspect,
 )
 
-from .attempts import CallerRequest
-
 # The response to a suspect's caller waits until the coordinator has confirmed the
 # suspect, or for this long.
 REPORT_TIMEOUT_MS = 200.0
@@ -67,9 +71,11 @@
 class LocalLink:
     """Link of a router without peers, which has its own registry of suspects."""
 
-    def __init__(self, clock: Clock = monotonic_ms) -> None:
+    def __init__(
+        self, clock: Clock = monotonic_ms, policy: SuspicionPolicy = FROM_FIRST_BREAK
+    ) -> None:
         self._clock = clock
-        self._registry = SuspectRegistry()
+        self._registry = SuspectRegistry(policy=policy)
         self._updates: Subject[Suspect] = Subject()
 
     @property
@@ -95,57 +101,111 @@
             self._updates.on_next(suspect)
 
 
+class SuspectRequest(Protocol):
+    """What is needed of a request to recognise it when it comes again."""
+
+    @property
+    def service(self) -> ServiceName: ...
+    @property
+    def body(self) -> bytes: ...
+    def fingerprint(self) -> Fingerprint: ...
+
+
 class SuspectList:
-    """Suspects that the coordinator client reports to the next coordinator."""
+    """Suspects by fingerprint: reports and the coordinator's updates, merged."""
 
     def __init__(self) -> None:
         self._suspects: dict[str, Suspect] = {}
 
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def find(self, fingerprint: Fingerprint) -> Suspect | None:
+        """Return the suspect with this fingerprint, if any."""
+        return self._suspects.get(fingerprint)
+
     def all_suspects(self) -> list[Suspect]:
         """Return all suspects."""
         return list(self._suspects.values())
 
     def apply_update(self, suspect: Suspect) -> None:
-        """Apply a report or an update; only a clearance ends a block."""
+        """Apply a report or an update; only a clearance ends a block.
+
+        A coordinator that has just taken over may not have a block yet.
+        """
         if suspect.cleared:
             self._suspects.pop(suspect.fingerprint, None)
             return
-        existing = self._suspects.get(suspect.fingerprint)
-        if (
-            existing is not None
-            and not suspect.blocked
-            and (existing.blocked or len(existing.seen) > len(suspect.seen))
-        ):
+        known = self._suspects.get(suspect.fingerprint)
+        merged = suspect if known is None else merged_suspect(known, suspect)
+        if merged == known:
             return
-        self._suspects[suspect.fingerprint] = suspect
+        self._suspects[suspect.fingerprint] = merged
         if len(self._suspects) > MAX_SUSPECTS:
             del self._suspects[next(iter(self._suspects))]
 
 
+class PermitExpiries:
+    """Until when this router may run suspects under permits that it holds."""
+
+    def __init__(self) -> None:
+        self._expires_ms: dict[str, float] = {}
+
+    def track(
+        self, request: ProbationRequest, reply: ProbationReply, started_ms: float
+    ) -> None:
+        """Store a permit's expiry; delete it once the result was reported."""
+        if reply.permitted:
+            self._expires_ms[request.fingerprint] = started_ms + request.deadline_ms
+        elif request.result != PROBATION_RESULT_UNSPECIFIED:
+            self._expires_ms.pop(request.fingerprint, None)
+
+    def with_time_left(
+        self, suspects: Sequence[Suspect], now_ms: float
+    ) -> list[Suspect]:
+        """Return suspects to report, with the time left of their permitted runs."""
+        reports = []
+        for known in suspects:
+            suspect = Suspect()
+            suspect.CopyFrom(known)
+            expires_ms = self._expires_ms.get(suspect.fingerprint, now_ms)
+            suspect.probation_ms = max(0, int(expires_ms - now_ms))
+            reports.append(suspect)
+        return reports
+
+
 class Suspects:
     """Suspects in this router's local view, and its side of runs under probation."""
 
     def __init__(
-        self, link: CoordinatorLink, instance: InstanceId, boot_id: BootId
+        self,
+        link: CoordinatorLink,
+        instance: InstanceId,
+        boot_id: BootId,
+        policy: SuspicionPolicy = FROM_FIRST_BREAK,
     ) -> None:
         self._link = link
+        self._policy = policy
         self._instance = instance
         self._boot_id = boot_id
-        self._suspects: dict[Fingerprint, Suspect] = {}
+        self._known = SuspectList()
         self._completed: dict[Fingerprint, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._unconfirmed_permits: set[Fingerprint] = set()
         self._locks: dict[ServiceName, asyncio.Lock] = {}
-        link.suspect_updates.subscribe(self._apply_update)
+        link.suspect_updates.subscribe(self._known.apply_update)
 
-    def find(self, request: CallerRequest) -> Suspect | None:
+    def find(self, request: SuspectRequest) -> Suspect | None:
         """Return the suspect with the fingerprint of this request, if any."""
-        if not self._suspects:
+        if not len(self._known):
+            return None
+        suspect = self._known.find(request.fingerprint())
+        if suspect is None or not self._policy.needs_permit(suspect):
             return None
-        return self._suspects.get(request.fingerprint())
+        return suspect
 
     def build_suspect(
-        self, request: CallerRequest, deaths: Sequence[ServerDeath] = ()
+        self, request: SuspectRequest, deaths: Sequence[ServerDeath] = ()
     ) -> Suspect:
         """Return the suspect for a request that may have caused these crashes."""
         fingerprint = request.fingerprint()
@@ -160,8 +220,7 @@
     async def report(self, suspects: Sequence[Suspect]) -> None:
         """Report requests that may have crashed their server."""
         for suspect in suspects:
-            if Fingerprint(suspect.fingerprint) not in self._suspects:
-                self._apply_update(suspect)
+            self._known.apply_update(suspect)
             log_event(
                 "suspect_reported",
                 fingerprint=suspect.fingerprint,
@@ -174,20 +233,20 @@
         except TimeoutError:
             log_event("suspect_report_unconfirmed", count=len(suspects))
 
-    def record_response(self, request: CallerRequest) -> None:
+    def record_response(self, request: SuspectRequest) -> None:
         """Record that a request was answered, so that equal requests are less suspect.
 
         If an equal request became a suspect while this one was in flight, report it as
         cleared.
         """
-        if len(request.body) > MAX_DIGESTED_BYTES and not self._suspects:
+        if len(request.body) > MAX_DIGESTED_BYTES and not len(self._known):
             return
         fingerprint = request.fingerprint()
         self._completed.pop(fingerprint, None)
         self._completed[fingerprint] = None
         if len(self._completed) > MAX_COMPLETED:
             del self._completed[next(iter(self._completed))]
-        if fingerprint not in self._suspects:
+        if self._known.find(fingerprint) is None:
             return
         cleared = Suspect(
             fingerprint=fingerprint, service=request.service, cleared=True
@@ -208,7 +267,7 @@
         return self._locks.setdefault(service, asyncio.Lock())
 
     async def request_permit(
-        self, request: CallerRequest, permit_ms: float
+        self, request: SuspectRequest, permit_ms: float
     ) -> ProbationReply | None:
         """Ask the coordinator once for a permit to run a suspect for ``permit_ms``."""
         reply = await self._link.send_probation_request(
@@ -219,7 +278,7 @@
         if reply is None:
             self._unconfirmed_permits.add(fingerprint)
         if reply is not None and (reply.cleared or reply.blocked):
-            self._apply_update(
+            self._known.apply_update(
                 Suspect(
                     fingerprint=request.fingerprint(),
                     service=request.service,
@@ -229,7 +288,7 @@
             )
         return reply
 
-    async def return_permit(self, request: CallerRequest) -> None:
+    async def return_permit(self, request: SuspectRequest) -> None:
         """Return a permit that may have been granted although no reply arrived.
 
         Otherwise the coordinator would assume that the run had crashed a server.
@@ -245,7 +304,7 @@
 
     async def record_result(
         self,
-        request: CallerRequest,
+        request: SuspectRequest,
         result: ProbationResult,
         death: ServerDeath | None,
         permit_ms: float,
@@ -266,7 +325,7 @@
             log_event("probation_result_lost", fingerprint=message.fingerprint)
 
     def _build_message(
-        self, request: CallerRequest, permit_ms: float
+        self, request: SuspectRequest, permit_ms: float
     ) -> ProbationRequest:
         return ProbationRequest(
             fingerprint=request.fingerprint(),
@@ -275,16 +334,3 @@
             boot_id=self._boot_id,
             deadline_ms=max(0, int(permit_ms)),
         )
-
-    def _apply_update(self, suspect: Suspect) -> None:
-        fingerprint = Fingerprint(suspect.fingerprint)
-        if suspect.cleared:
-            self._suspects.pop(fingerprint, None)
-            return
-        existing = self._suspects.get(fingerprint)
-        if existing is not None and existing.blocked and not suspect.blocked:
-            # A coordinator that has just taken over may not have the block yet.
-            return
-        self._suspects[fingerprint] = suspect
-        if len(self._suspects) > MAX_SUSPECTS:
-            del self._suspects[next(iter(self._suspects))]
