Block requests that crash servers, for all edge routers together

Callers: a request under which its server crashed came again under new ids and crashed one server after the other; everyone else's requests on these servers failed with it.

Cause: attempts were bounded for each send, and no router knew what a request had done elsewhere. Ruled out by the logs: one id sent on without bound, and the retry budget.

Change: the edge router uses the recognition of mulberryrelay's router, with the leader as coordinator. Requests need a permit from the second loss on and are blocked with the third. A follower's report counts only if the leader does not reach the server either.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath
 from mulberryrelay_kernel.supervision import run_supervised
+from mulberryrelay_router.deaths import is_unreachable
 
 from .adapter import Adapter
 from .capacity import ServerCondition
@@ -23,6 +26,7 @@
 from .ownership import RANGES_TABLE, Ownership
 from .reservations import ReservationSource
 from .status import StatusSource
+from .suspectlink import SuspectLink
 from .tablefollower import FollowedTable, StoreSync, follow_table
 
 
@@ -69,17 +73,29 @@
             boot_id,
             clock,
         )
+        self._link_client = LinkClient()
+        self._suspects = SuspectLink(
+            options.instance,
+            boot_id,
+            lambda: lease.is_valid,
+            lambda: self._ownership.leader_notice,
+            self._link_client,
+            self._is_lost,
+            lambda: report_handler.notify_waiters(),
+            clock,
+        )
         report_handler = ReportHandler(
             self._key_load,
             self._ownership,
             self._store_sync,
+            self._suspects,
             lambda: lease.is_valid,
             lambda: lease.is_store_unresponsive,
             clock,
         )
         lease.changes.subscribe(report_handler.set_leading)
+        lease.changes.subscribe(self._suspects.set_leading)
         lease.changes.subscribe(lambda _: report_handler.notify_waiters())
-        self._link_client = LinkClient()
         self._reservations = ReservationSource(
             boot_id,
             lambda: lease.is_valid,
@@ -90,13 +106,14 @@
             clock,
         )
         self._link_server = LinkServer(
-            report_handler, self._reservations.reserve_for_all
+            report_handler, self._reservations.reserve_for_all, self._suspects
         )
         self._link = LeaderLink(
             self._key_load,
             self._ownership,
             self._store_sync,
             report_handler,
+            self._suspects,
             boot_id,
             lambda: lease.is_valid,
             lease.check_soon,
@@ -140,6 +157,11 @@
         """Whether the store answers, and where this router gets changes from."""
         return self._store_sync
 
+    @property
+    def suspects(self) -> SuspectLink:
+        """The requests suspected of crashing servers, of all routers."""
+        return self._suspects
+
     @property
     def status(self) -> StatusSource:
         """Source of the status that operators read."""
@@ -159,6 +181,13 @@
         limit_per_s = self._reservations.schedule.limit_per_s(incarnation)
         return msgspec.structs.replace(condition, limit_per_s=limit_per_s)
 
+    async def _is_lost(self, death: ServerDeath) -> bool:
+        """Return whether a server process that was reported lost is not up."""
+        server = self._catalog.server(ServerId(death.server))
+        if server is None or server.entry.boot_id != death.boot_id:
+            return True
+        return await is_unreachable(server.entry)
+
     async def reserve(
         self, requests: Sequence[ReservationRequest]
     ) -> Sequence[Reservations]:
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from multidict import CIMultiDict
@@ -17,18 +17,26 @@
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.states import Outcome
 from mulberryrelay_kernel.unreadheaders import UnreadHeaders
-from mulberryrelay_router.deaths import has_died
 from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.probation import ProbationEnd
 from mulberryrelay_router.serverconnection import ResponseBuffer
+from mulberryrelay_router.suspects import Suspects
 
 from .adapter import Adapter
 from .catalog import Catalog
-from .dispatch import RETRY_AFTER_S, Candidates, Dispatcher, QueueRefusal
+from .dispatch import (
+    RETRY_AFTER_S,
+    Candidates,
+    Dispatcher,
+    QueueRefusal,
+    SendPermit,
+)
 from .exchange import AttemptOutcome, AttemptResult, Exchange
 from .keyload import KeyLoad
 from .messages import BackendServer, EdgeRequest, EdgeResponse
 from .ownership import Ownership
 from .retrybudget import RetryBudget
+from .suspectruns import SuspectRuns
 
 RETRY_AFTER_FREE_SLOT_S = 0.04
 """Value of ``Retry-After`` if the server that refused had a free slot.
@@ -39,6 +47,8 @@
 """Multiple of the route's usual latency that must be left when a request is sent."""
 MIN_QUEUE_SHARE = 0.5
 """Minimum share of a request's total time for which it may wait in the queue."""
+SUSPECT_RETRY_AFTER_S = 30.0
+"""Time after which a request may come again that is not run for crashing servers."""
 MAX_ATTEMPTS = 8
 """Attempts of one request that were written to a server, refused ones included."""
 RETRY_BACKOFF_S = 0.05
@@ -64,6 +74,7 @@
         key_load: KeyLoad,
         metrics: Metrics,
         routers: Callable[[], int | None],
+        suspects: Suspects,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -75,6 +86,7 @@
         self._metrics = metrics
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
+        self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
         self._unread_headers = UnreadHeaders(
             "server", msgspec.structs.astuple(adapter.headers)
@@ -85,6 +97,10 @@
         """The bytes of the responses that are being received."""
         return self._response_buffer
 
+    async def drain_probations(self, timeout_s: float) -> None:
+        """Wait until the results of all runs of suspects are reported."""
+        await self._suspect_runs.drain(timeout_s)
+
     async def forward(self, request: EdgeRequest) -> EdgeResponse:
         """Return the response to a request, at its deadline at the latest."""
         response = await self._forward(request)
@@ -109,35 +125,29 @@
         retries = 0
         result: AttemptResult | None = None
         while True:
-            usual_ms = self._dispatcher.loads.latency_ms(request.route.name)
-            queue_deadline_ms = request.deadline_ms - min(
-                LATENCY_RESERVE * usual_ms,
-                (1 - MIN_QUEUE_SHARE) * (request.deadline_ms - request.arrived_ms),
-            )
-            permit = await self._dispatcher.acquire(
-                request, candidates, is_keyed, queue_deadline_ms, frozenset(tried)
-            )
-            if isinstance(permit, QueueRefusal):
-                return self._give_up(
-                    request,
-                    result,
-                    permit.reason.value,
-                    possibly_ran,
-                    permit.retry_after_s,
+            if self._suspect_runs.is_suspect(request):
+                response = await self._forward_suspect(
+                    request, candidates, is_keyed, possibly_ran
                 )
+                if response is not None:
+                    return response
+            permit = await self._acquire(request, candidates, is_keyed, tried)
+            if isinstance(permit, QueueRefusal):
+                return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
             result = await self._attempt(request, server, permit.send_id)
             if result.outcome is AttemptOutcome.COMPLETED and not (
                 result.status >= 500 and request.route.is_idempotent
             ):
+                self._suspect_runs.record_response(request)
                 return _server_response(result)
             if result.status == 400:
                 return _server_response(result)
             tried.add(server.server)
             self._log_failed_attempt(request, server, result)
             if result.outcome is AttemptOutcome.BROKEN:
-                await self._check_broken_connection(request, server)
-            if result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT):
+                await self._suspect_runs.record_broken(request, server)
+            if _may_have_run(result):
                 possibly_ran.add(server.server)
                 failures += 1
                 if not request.route.is_idempotent:
@@ -165,6 +175,68 @@
                 tried.clear()
                 await asyncio.sleep(RETRY_BACKOFF_S)
 
+    async def _acquire(
+        self,
+        request: EdgeRequest,
+        candidates: Candidates,
+        is_keyed: bool,
+        tried: Collection[ServerId],
+    ) -> SendPermit | QueueRefusal:
+        """Wait for a server that may be sent the request; avoid those in ``tried``."""
+        usual_ms = self._dispatcher.loads.latency_ms(request.route.name)
+        queue_deadline_ms = request.deadline_ms - min(
+            LATENCY_RESERVE * usual_ms,
+            (1 - MIN_QUEUE_SHARE) * (request.deadline_ms - request.arrived_ms),
+        )
+        return await self._dispatcher.acquire(
+            request, candidates, is_keyed, queue_deadline_ms, frozenset(tried)
+        )
+
+    async def _forward_suspect(
+        self,
+        request: EdgeRequest,
+        candidates: Candidates,
+        is_keyed: bool,
+        possibly_ran: set[ServerId],
+    ) -> EdgeResponse | None:
+        """Run a suspect under probation; return None if it is no suspect any more."""
+        possibly_ran = set(possibly_ran)
+
+        async def send(request: EdgeRequest, permit: SendPermit) -> AttemptResult:
+            result = await self._exchange(request, permit.server, permit.send_id)
+            if result.outcome is not AttemptOutcome.COMPLETED:
+                self._log_failed_attempt(request, permit.server, result)
+            if _may_have_run(result):
+                possibly_ran.add(permit.server.server)
+            return result
+
+        result = await self._suspect_runs.run(
+            request,
+            lambda tried: self._acquire(request, candidates, is_keyed, tried),
+            send,
+        )
+        if result is ProbationEnd.CLEARED:
+            return None
+        if isinstance(result, ProbationEnd):
+            return self._give_up(
+                request, None, result.value, possibly_ran, SUSPECT_RETRY_AFTER_S
+            )
+        if isinstance(result, QueueRefusal):
+            return self._refuse(request, None, result, possibly_ran)
+        return self._give_up(request, result, "probation", possibly_ran)
+
+    def _refuse(
+        self,
+        request: EdgeRequest,
+        result: AttemptResult | None,
+        refusal: QueueRefusal,
+        possibly_ran: set[ServerId],
+    ) -> EdgeResponse:
+        """Return the response to a request that got no permit to be sent."""
+        return self._give_up(
+            request, result, refusal.reason.value, possibly_ran, refusal.retry_after_s
+        )
+
     def _is_keyed(self, request: EdgeRequest) -> bool:
         routes = self._catalog.routes
         service = routes.services.get(request.service) if routes else None
@@ -282,21 +354,6 @@
             return router_response(status, RETRY_AFTER_FREE_SLOT_S)
         return router_response(status, retry_after_s)
 
-    async def _check_broken_connection(
-        self, request: EdgeRequest, server: BackendServer
-    ) -> None:
-        """Log whether a server has crashed, after a connection to it broke."""
-        is_dead = await has_died(server.entry)
-        log_event(
-            "server_connection_broken",
-            request_id=request.request_id,
-            fingerprint=request.fingerprint(),
-            server=server.server,
-            born_ms=server.started_ms,
-            is_dead=is_dead,
-        )
-        self._metrics.count("server_dead" if is_dead else "connection_broken")
-
     def _log_failed_attempt(
         self, request: EdgeRequest, server: BackendServer, result: AttemptResult
     ) -> None:
@@ -313,6 +370,10 @@
         self._metrics.count(f"attempt_{result.outcome.value}")
 
 
+def _may_have_run(result: AttemptResult) -> bool:
+    return result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT)
+
+
 def _had_free_slot(result: AttemptResult) -> bool:
     """Return whether a server refused a request although it had a free slot."""
     if result.outcome is not AttemptOutcome.NOT_RUN or result.load is None:
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -6,11 +6,12 @@
 
 from mulberryrelay_kernel.clock import Clock, boottime_ms
 from mulberryrelay_kernel.errors import FindingsError
-from mulberryrelay_kernel.ids import Tenant
+from mulberryrelay_kernel.ids import BootId, Tenant
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.supervision import run_supervised
 from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.suspects import Suspects
 
 from .adapter import Adapter
 from .callers import CallerServer
@@ -18,6 +19,7 @@
 from .dispatch import Dispatcher
 from .forwarder import RequestForwarder
 from .monitoring import MonitoringServer
+from .suspectlink import EDGE_POLICY
 from .tablefollower import Role
 
 CONNECTIONS_PER_SERVER = 12
@@ -32,6 +34,8 @@
 """
 RELEASE_TIMEOUT_S = 1.0
 """Maximum time to release the leader lease after the callers' requests have ended."""
+PROBATIONS_DRAIN_S = 0.2
+"""Maximum time to report the results of suspects' runs after the callers' requests."""
 SUMMARY_PERIOD_S = 10.0
 """Period in which request counts and latencies are logged."""
 RELOAD_PERIOD_S = 2.0
@@ -115,6 +119,7 @@
         control.key_load,
         metrics,
         lambda: control.counted_routers,
+        Suspects(control.suspects, options.instance, BootId(boot_id), EDGE_POLICY),
         clock,
     )
     callers = CallerServer(adapter, control.catalog, forwarder, clock)
@@ -128,6 +133,7 @@
             "limited_servers": dispatcher.limits.limited_servers,
             "leader": float(control.lease.is_valid),
             "linked": float(control.store_sync.role is Role.FOLLOWER),
+            "blocked_requests": control.suspects.blocked,
             "routes_version": control.catalog.version,
             "store_silent_ms": control.catalog.store_unreachable_ms,
         },
@@ -148,6 +154,7 @@
     log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
     releasing = asyncio.create_task(control.lease.release())
     await callers.stop()
+    await forwarder.drain_probations(PROBATIONS_DRAIN_S)
     await asyncio.wait({releasing}, timeout=RELEASE_TIMEOUT_S)
     for task in tasks:
         task.cancel()
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -19,6 +19,7 @@
     RouterReport,
 )
 from .ownership import Ownership
+from .suspectlink import SuspectLink
 from .tablefollower import Role, StoreSync
 from .tablestore import TableRead
 
@@ -56,6 +57,7 @@
         load: KeyLoad,
         ownership: Ownership,
         store_sync: StoreSync,
+        suspects: SuspectLink,
         is_leader: Callable[[], bool],
         is_store_unresponsive: Callable[[], bool],
         clock: Clock,
@@ -63,6 +65,7 @@
         self._load = load
         self._ownership = ownership
         self._store_sync = store_sync
+        self._suspects = suspects
         self._is_leader = is_leader
         self._is_store_unresponsive = is_store_unresponsive
         self._clock = clock
@@ -140,6 +143,7 @@
                 self._ownership.changes_since(report.range_versions),
                 self._is_store_reachable,
                 self.counted_routers,
+                self._suspects.changes_since(report.suspects_version),
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -148,6 +152,7 @@
             if (
                 leader_reply.tables
                 or leader_reply.ranges
+                or leader_reply.suspects.suspects
                 or is_store_state_new
                 or left_ms <= 0
             ):
@@ -169,6 +174,7 @@
         ownership: Ownership,
         store_sync: StoreSync,
         report_handler: ReportHandler,
+        suspects: SuspectLink,
         boot_id: str,
         is_leader: Callable[[], bool],
         on_leader_lost: Callable[[], None],
@@ -180,6 +186,7 @@
         self._ownership = ownership
         self._store_sync = store_sync
         self._report_handler = report_handler
+        self._suspects = suspects
         self._boot_id = boot_id
         self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
@@ -220,6 +227,7 @@
                 self._store_sync.set_role(Role.STANDALONE)
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
+            await self._suspects.report_due()
             report = RouterReport(
                 self._boot_id,
                 self._load.pop_report(),
@@ -229,6 +237,7 @@
                 MAX_BUSY_REPORT_PERIOD_MS
                 if self._has_queued_requests()
                 else MAX_REPORT_PERIOD_MS,
+                self._suspects.applied_version,
             )
             leader_reply = await self._send(notice.link_url, report)
             self._log_reachability(leader_reply is not None, notice)
@@ -258,6 +267,7 @@
                 read = TableRead(update.rows, update.version, 0.0)
                 self._store_sync.apply_rows(update.table, read, update.is_complete)
         self._ownership.apply_changes(leader_reply.ranges)
+        self._suspects.apply_changes(leader_reply.suspects)
         self._record_leader_store(leader_reply.is_store_reachable)
         # While the store does not answer the leader, it cannot send changes, so this
         # router polls the store itself.
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -1,4 +1,7 @@
-"""HTTP between leader and followers: reports, and reservations of send times."""
+"""HTTP between leader and followers.
+
+Reports of followers, reservations of send times, and suspected poison requests.
+"""
 
 import zlib
 from collections import OrderedDict
@@ -14,14 +17,25 @@
 from mulberryrelay_kernel.logs import log_event
 
 from .leaderlink import ReportHandler
-from .messages import LeaderReply, ReservationRequest, Reservations, RouterReport
+from .messages import (
+    LeaderReply,
+    ReservationRequest,
+    Reservations,
+    RouterReport,
+    SuspectReport,
+)
+from .suspectlink import SuspectLink
 
 LINK_PATH = "/link"
 RESERVE_PATH = "/reservations"
+SUSPECTS_PATH = "/suspects"
+PROBATION_PATH = "/probation"
 RESERVE_TIMEOUT_S = 0.2
 """Time that the leader may take to reserve times at servers."""
 REPLY_TIMEOUT_S = 0.5
 """Time that a reply may take beyond the wait time of the report."""
+SUSPECTS_TIMEOUT_S = 0.5
+"""Time that the leader may take to record suspects, or for a permit."""
 MIN_COMPRESSED_BYTES = 2000
 """Size from which on a reply is compressed."""
 COMPRESSION_LEVEL = 1
@@ -42,10 +56,14 @@
     """HTTP endpoint for the reports of followers."""
 
     def __init__(
-        self, report_handler: ReportHandler, reserve_for_all: ReserveForAll
+        self,
+        report_handler: ReportHandler,
+        reserve_for_all: ReserveForAll,
+        suspects: SuspectLink,
     ) -> None:
         self._report_handler = report_handler
         self._reserve_for_all = reserve_for_all
+        self._suspects = suspects
         self._runner: web.AppRunner | None = None
         self._cached_bodies: OrderedDict[object, bytes] = OrderedDict()
         """Cache of encoded replies, since many routers have the same versions."""
@@ -55,6 +73,8 @@
         app = web.Application()
         app.router.add_post(LINK_PATH, self._handle_report)
         app.router.add_post(RESERVE_PATH, self._handle_reservations)
+        app.router.add_post(SUSPECTS_PATH, self._handle_suspects)
+        app.router.add_post(PROBATION_PATH, self._handle_probation)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -89,16 +109,34 @@
             return web.Response(status=409)
         return web.Response(body=msgspec.msgpack.encode(reservations))
 
+    async def _handle_suspects(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        try:
+            report = decode_msgpack(body, SuspectReport)
+        except msgspec.MsgspecError as error:
+            log_event("bad_suspect_report", error=str(error))
+            return web.Response(status=400)
+        is_recorded = await self._suspects.handle_report(report)
+        return web.Response(status=200 if is_recorded else 409)
+
+    async def _handle_probation(self, request: web.Request) -> web.Response:
+        reply = await self._suspects.handle_probation(await request.read())
+        if reply is None:
+            return web.Response(status=409)
+        return web.Response(body=reply)
+
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
         sent = (
             tuple((update.table, update.version) for update in leader_reply.tables),
             tuple((change.service, change.version) for change in leader_reply.ranges),
             leader_reply.is_store_reachable,
             leader_reply.routers,
+            leader_reply.suspects.version,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
             tuple(sorted(report.range_versions.items())),
+            report.suspects_version,
         )
         body = self._cached_bodies.get((reported_versions, sent))
         if body is None:
@@ -157,6 +195,28 @@
             log_event("bad_reservations", url=url, error=str(error))
         return None
 
+    async def report_suspects(self, url: str, report: SuspectReport) -> bool:
+        """Report suspects to a leader; ``url`` is the one for reports."""
+        body = msgspec.msgpack.encode(report)
+        return await self._post(url, SUSPECTS_PATH, body) is not None
+
+    async def request_probation(self, url: str, body: bytes) -> bytes | None:
+        """Send a request for a permit, or a result; return the leader's reply."""
+        return await self._post(url, PROBATION_PATH, body)
+
+    async def _post(self, url: str, path: str, body: bytes) -> bytes | None:
+        """Return the leader's reply about suspects, or None without one."""
+        timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
+        target = URL(url).with_path(path)
+        try:
+            async with self._session.post(target, data=body, timeout=timeout) as reply:
+                if reply.status != 200:
+                    return None
+                return await read_body(reply, MAX_REPLY_BYTES)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log_event("suspect_call_failed", url=str(target), error=repr(error))
+        return None
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -289,6 +289,23 @@
     service_times: dict[ServiceName, ServiceTimeSum] = msgspec.field(name="work")
 
 
+class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
+    """Reports a follower's suspects to the leader."""
+
+    instance: InstanceId
+    boot_id: str
+    suspects: list[bytes]
+    """Encoded messages ``Suspect``."""
+
+
+class SuspectChanges(msgspec.Struct, frozen=True, array_like=True):
+    """Suspects that changed at the leader, up to a version that counts its changes."""
+
+    version: int
+    suspects: list[bytes]
+    """Encoded messages ``Suspect``."""
+
+
 class RouterReport(msgspec.Struct, frozen=True):
     """Report of a follower to the leader.
 
@@ -304,6 +321,8 @@
     """Value of ``is_store_reachable`` in the leader's last reply."""
     wait_ms: float
     """Maximum time that the leader waits for newer data before it replies."""
+    suspects_version: int = 0
+    """Version of the leader's suspects that the follower has applied."""
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -339,3 +358,4 @@
     """Whether the store answers the leader, so that the leader observes changes."""
     routers: int
     """Number of routers, the leader included; 0 while some may not have reported."""
+    suspects: SuspectChanges = SuspectChanges(0, [])
--- a/packages/router/mulberryrelay_router/deaths.py
+++ b/packages/router/mulberryrelay_router/deaths.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import msgspec
 
@@ -110,18 +111,36 @@
         return await refuses_connections(server)
 
 
-async def refuses_connections(server: ServerEntry) -> bool:
-    """Return whether a server's address refuses connections."""
+class ProbeResult(Enum):
+    """How a server's address took a new connection."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+    """Neither: the server is frozen, or the network fails."""
+
+
+async def probe_address(server: ServerEntry) -> ProbeResult:
+    """Open a connection to a server's address and close it."""
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             _, writer = await asyncio.open_connection(server.host, server.port)
     except ConnectionError:
-        return True
+        return ProbeResult.REFUSED
     except (OSError, TimeoutError):
-        # A frozen server or a network failure does not refuse connections.
-        return False
+        return ProbeResult.SILENT
     writer.close()
-    return False
+    return ProbeResult.ACCEPTED
+
+
+async def refuses_connections(server: ServerEntry) -> bool:
+    """Return whether a server's address refuses connections."""
+    return await probe_address(server) is ProbeResult.REFUSED
+
+
+async def is_unreachable(server: ServerEntry) -> bool:
+    """Return whether no connection to a server can be opened."""
+    return await probe_address(server) is not ProbeResult.ACCEPTED
 
 
 async def has_died(server: ServerEntry) -> bool:
--- a/packages/router/mulberryrelay_router/responses.py
+++ b/packages/router/mulberryrelay_router/responses.py
@@ -4,7 +4,6 @@
 attempt, and which response the caller receives.
 """
 
-
 import msgspec
 
 from mulberryrelay_kernel.states import (
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -58,6 +58,7 @@
 )
 from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
+from .fixtures.suspects import leaders_suspects
 
 SEED = 20261204
 RECONNECT_S = 3.0
@@ -399,15 +400,17 @@
     row = TableRow(SERVICE, msgspec.json.encode(RangeMapRow("a", ranges)), 3)
     ownership.apply_rows(TableRead([row], 3, 0.0), False)
     is_leader = True
+    suspects = leaders_suspects(monotonic_ms)
     report_handler = ReportHandler(
         load,
         ownership,
         StoreSync(),
+        suspects,
         lambda: is_leader,
         lambda: False,
         monotonic_ms,
     )
-    server = LinkServer(report_handler, lambda requests: None)
+    server = LinkServer(report_handler, lambda requests: None, suspects)
     key_report = KeyReport({SERVICE: [7, 7]}, {SERVICE: ServiceTimeSum(2, 240.0)})
     client = LinkClient()
     try:
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -42,6 +42,7 @@
 from .fixtures.edgerouter import edge_response, edge_router, reserve_in
 from .fixtures.overload import overload
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
+from .fixtures.suspects import leaders_suspects
 
 LIMIT_HEADER = "Server-Limit"
 LIMIT_PER_S = 8.0
@@ -298,6 +299,7 @@
         KeyLoad(virtual_clock),
         Ownership(),
         StoreSync(),
+        leaders_suspects(virtual_clock),
         lambda: True,
         lambda: False,
         virtual_clock,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -34,6 +34,7 @@
 from .fixtures.edgefleet import backend
 from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router, get
 from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
+from .fixtures.suspects import leaders_suspects
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
 """Examples of each test; the suite runs few, a run by hand takes thousands."""
@@ -230,15 +231,17 @@
         return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
 
     async def check() -> None:
+        suspects = leaders_suspects(monotonic_ms)
         handler = ReportHandler(
             KeyLoad(monotonic_ms),
             Ownership(),
             StoreSync(),
+            suspects,
             lambda: True,
             lambda: False,
             monotonic_ms,
         )
-        link_server = LinkServer(handler, lambda requests: None)
+        link_server = LinkServer(handler, lambda requests: None, suspects)
         client = LinkClient()
         port = await link_server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
