Let routers find out that they reach no server at all

Cause: that a router has lost its links to all servers could only be put together from the lines of each server, and looked like servers that are down.

Change: after a failed connection, or while nothing responds, a router connects to four servers; if none takes the connection in two rounds, it logs servers_unreachable and sets a gauge, until most of them do again. Nothing follows from it yet.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -137,6 +137,10 @@
         matching = [s for s in self._servers.values() if s.service == service]
         return sorted(matching, key=lambda s: s.server)
 
+    def all_servers(self) -> list[BackendServer]:
+        """Return the registered servers of all services."""
+        return list(self._servers.values())
+
     def serving(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers of a service that are not draining.
 
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -12,7 +12,7 @@
 from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath
 from mulberryrelay_kernel.supervision import run_supervised
-from mulberryrelay_router.deaths import is_unreachable
+from mulberryrelay_router.deaths import ProbeResult, is_unreachable, probe_address
 
 from .adapter import Adapter
 from .capacity import ServerCondition
@@ -25,6 +25,7 @@
 from .messages import BackendServer, ReservationRequest, Reservations
 from .ownership import RANGES_TABLE, Ownership
 from .reservations import ReservationSource
+from .serverreach import PROBE_TIMEOUT_S, ServerReach
 from .status import StatusSource
 from .suspectlink import SuspectLink
 from .tablefollower import FollowedTable, StoreSync, follow_table
@@ -96,6 +97,9 @@
         lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(self._suspects.set_leading)
         lease.changes.subscribe(lambda _: report_handler.notify_waiters())
+        self._reach = ServerReach(
+            self._catalog.all_servers, _accepts_connections, clock
+        )
         self._reservations = ReservationSource(
             boot_id,
             lambda: lease.is_valid,
@@ -157,6 +161,11 @@
         """Whether the store answers, and where this router gets changes from."""
         return self._store_sync
 
+    @property
+    def reach(self) -> ServerReach:
+        """Whether this router reaches servers."""
+        return self._reach
+
     @property
     def suspects(self) -> SuspectLink:
         """The requests suspected of crashing servers, of all routers."""
@@ -212,9 +221,15 @@
             ),
             run_supervised("lease", self._lease.run),
             run_supervised("link", self._link.run),
+            run_supervised("reach", self._reach.run),
         ]
 
     async def close(self) -> None:
         """Close all connections and the listening port."""
         await self._link_client.close()
         await self._link_server.close()
+
+
+async def _accepts_connections(server: BackendServer) -> bool:
+    result = await probe_address(server.entry, PROBE_TIMEOUT_S)
+    return result is ProbeResult.ACCEPTED
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -36,6 +36,7 @@
 from .messages import BackendServer, EdgeRequest, EdgeResponse
 from .ownership import Ownership
 from .retrybudget import RetryBudget
+from .serverreach import ServerReach
 from .suspectruns import SuspectRuns
 
 RETRY_AFTER_FREE_SLOT_S = 0.04
@@ -75,6 +76,7 @@
         metrics: Metrics,
         routers: Callable[[], int | None],
         suspects: Suspects,
+        reach: ServerReach,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -84,6 +86,7 @@
         self._pool = pool
         self._key_load = key_load
         self._metrics = metrics
+        self._reach = reach
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
@@ -302,6 +305,8 @@
                 loads.record_refusal(server)
         else:
             loads.record_failure(server, result.detail)
+            if result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent():
+                self._reach.suspect()
         return result
 
     def _record_limit(self, server: BackendServer, result: AttemptResult) -> None:
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -120,6 +120,7 @@
         metrics,
         lambda: control.counted_routers,
         Suspects(control.suspects, options.instance, BootId(boot_id), EDGE_POLICY),
+        control.reach,
         clock,
     )
     callers = CallerServer(adapter, control.catalog, forwarder, clock)
@@ -133,6 +134,7 @@
             "limited_servers": dispatcher.limits.limited_servers,
             "leader": float(control.lease.is_valid),
             "linked": float(control.store_sync.role is Role.FOLLOWER),
+            "servers_unreachable": float(control.reach.is_cut_off),
             "blocked_requests": control.suspects.blocked,
             "routes_version": control.catalog.version,
             "store_silent_ms": control.catalog.store_unreachable_ms,
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -133,6 +133,20 @@
             return False
         return min(stats.overdue_ms.values()) < self._clock()
 
+    def is_silent(self) -> bool:
+        """Return whether requests are overdue and no server has responded lately."""
+        now_ms = self._clock()
+        last_ms = max(
+            (s.last_response_ms for s in self._stats.values()), default=now_ms
+        )
+        if now_ms - last_ms < MIN_OVERDUE_MS:
+            return False
+        return any(
+            min(stats.overdue_ms.values()) < now_ms
+            for stats in self._stats.values()
+            if stats.overdue_ms
+        )
+
     def describe(self, server: BackendServer) -> str:
         """Return a server's state for a log line.
 
--- a/packages/router/mulberryrelay_router/deaths.py
+++ b/packages/router/mulberryrelay_router/deaths.py
@@ -120,10 +120,12 @@
     """Neither: the server is frozen, or the network fails."""
 
 
-async def probe_address(server: ServerEntry) -> ProbeResult:
+async def probe_address(
+    server: ServerEntry, timeout_s: float = PROBE_TIMEOUT_S
+) -> ProbeResult:
     """Open a connection to a server's address and close it."""
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(server.host, server.port)
     except ConnectionError:
         return ProbeResult.REFUSED
