Pass requests on to other routers while a router reaches no server

Callers: routers that had lost their links to the servers let them wait for connections, half a second for each server, and refused nearly all of them, while other routers had free servers.

Cause: a router had one way to a server. Not being ready does not help: with fewer than half of a zone's routers ready, callers are sent to all of them.

Change: a router that is cut off asks the leader which others reach servers and sends each request to one of them. That one handles it as its caller's; it is not passed on again. Requests refused while the links are only suspected to be lost wait for the verdict. A request that runs once at most is sent to another router only if the one before did not get it.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -22,8 +22,15 @@
 from .leaderlink import LeaderLink, ReportHandler
 from .lease import LeaderLease
 from .linkhttp import LINK_PATH, LinkClient, LinkServer
-from .messages import BackendServer, ReservationRequest, Reservations
+from .messages import (
+    BackendServer,
+    EdgeRequest,
+    EdgeResponse,
+    ReservationRequest,
+    Reservations,
+)
 from .ownership import RANGES_TABLE, Ownership
+from .relay import Relay, RelayReceiver
 from .reservations import ReservationSource
 from .serverreach import PROBE_TIMEOUT_S, ServerReach
 from .status import StatusSource
@@ -40,9 +47,15 @@
         boot_id: str,
         condition: Callable[[BackendServer], ServerCondition],
         has_queued_requests: Callable[[], bool],
+        forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
+        on_relay_ready: Callable[[], None],
         clock: Clock,
     ) -> None:
-        """``condition`` returns what this router observes of a server."""
+        """``condition`` returns what this router observes of a server.
+
+        ``forward`` handles a request that another router relays to this one, and
+        ``on_relay_ready`` is called when this one can relay requests itself.
+        """
         options = adapter.options
         self._adapter = adapter
         self._condition = condition
@@ -57,7 +70,9 @@
         )
         self._ownership = Ownership()
         self._key_load = KeyLoad(clock)
-        link_url = f"http://{options.host}:{options.internal_port}{LINK_PATH}"
+        link_url = self._link_url = (
+            f"http://{options.host}:{options.internal_port}{LINK_PATH}"
+        )
         self._lease = lease = LeaderLease(
             adapter.store, self._ownership, options.instance, boot_id, link_url, clock
         )
@@ -100,6 +115,9 @@
         self._reach = ServerReach(
             self._catalog.all_servers, _accepts_connections, clock
         )
+        self._relay_receiver = RelayReceiver(
+            lambda: self._catalog.routes, self._reach, forward, clock
+        )
         self._reservations = ReservationSource(
             boot_id,
             lambda: lease.is_valid,
@@ -110,7 +128,20 @@
             clock,
         )
         self._link_server = LinkServer(
-            report_handler, self._reservations.reserve_for_all, self._suspects
+            report_handler,
+            self._reservations.reserve_for_all,
+            self._suspects,
+            self._relay_receiver,
+            lambda: self._peer_urls(report_handler),
+        )
+        self._relay = Relay(
+            self._reach,
+            lambda: lease.is_valid,
+            lambda: self._ownership.leader_notice,
+            lambda: report_handler.peer_urls,
+            self._link_client,
+            on_relay_ready,
+            clock,
         )
         self._link = LeaderLink(
             self._key_load,
@@ -118,6 +149,8 @@
             self._store_sync,
             report_handler,
             self._suspects,
+            self._reach,
+            link_url,
             boot_id,
             lambda: lease.is_valid,
             lease.check_soon,
@@ -166,6 +199,16 @@
         """Whether this router reaches servers."""
         return self._reach
 
+    @property
+    def relay(self) -> Relay:
+        """Passes requests on to other routers while this one reaches no server."""
+        return self._relay
+
+    @property
+    def relay_receiver(self) -> RelayReceiver:
+        """Handles the requests that other routers relay to this one."""
+        return self._relay_receiver
+
     @property
     def suspects(self) -> SuspectLink:
         """The requests suspected of crashing servers, of all routers."""
@@ -190,6 +233,13 @@
         limit_per_s = self._reservations.schedule.limit_per_s(incarnation)
         return msgspec.structs.replace(condition, limit_per_s=limit_per_s)
 
+    def _peer_urls(self, report_handler: ReportHandler) -> list[str] | None:
+        """Return the routers that reach servers, or None if this one does not lead."""
+        if not self._lease.is_valid:
+            return None
+        own = [] if self._reach.is_cut_off else [self._link_url]
+        return own + report_handler.peer_urls
+
     async def _is_lost(self, death: ServerDeath) -> bool:
         """Return whether a server process that was reported lost is not up."""
         server = self._catalog.server(ServerId(death.server))
@@ -222,6 +272,7 @@
             run_supervised("lease", self._lease.run),
             run_supervised("link", self._link.run),
             run_supervised("reach", self._reach.run),
+            run_supervised("relay", self._relay.run),
         ]
 
     async def close(self) -> None:
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -60,6 +60,8 @@
     """It would have waited too long for its target latency."""
     SERVER_LIMIT = "server-limit"
     """The owner of its key takes no more requests in the time that it may wait."""
+    CUT_OFF = "cut-off"
+    """The router has lost its links to all servers."""
     NO_ROOM = "no-room"
     """It waited as long as its deadline permits."""
 
@@ -228,6 +230,14 @@
         """Return the load and the limit of a server for a log line."""
         return self._loads.describe(server) + self._limits.describe(server)
 
+    def release_queued(self) -> None:
+        """Refuse all queued requests, since no server is reached any more."""
+        for queue in self._queues.values():
+            for queued in queue:
+                if not queued.permit.done():
+                    refusal = QueueRefusal(RefusalReason.CUT_OFF, RETRY_AFTER_S)
+                    queued.permit.set_result(refusal)
+
     def schedule_dispatch(self) -> None:
         """Dispatch queued requests soon, since a server may have free capacity."""
         if self._is_dispatch_scheduled or not any(self._queues.values()):
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -29,12 +29,15 @@
     Candidates,
     Dispatcher,
     QueueRefusal,
+    RefusalReason,
     SendPermit,
 )
 from .exchange import AttemptOutcome, AttemptResult, Exchange
 from .keyload import KeyLoad
 from .messages import BackendServer, EdgeRequest, EdgeResponse
 from .ownership import Ownership
+from .rangeedits import NO_SERVER
+from .relay import Relay, RelayFailure
 from .retrybudget import RetryBudget
 from .serverreach import ServerReach
 from .suspectruns import SuspectRuns
@@ -77,6 +80,7 @@
         routers: Callable[[], int | None],
         suspects: Suspects,
         reach: ServerReach,
+        relay: Relay,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -87,6 +91,7 @@
         self._key_load = key_load
         self._metrics = metrics
         self._reach = reach
+        self._relay = relay
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
@@ -116,6 +121,8 @@
         return response
 
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
+        if self._relay.is_needed and not request.is_relayed:
+            return await self._relay_request(request, set())
         is_keyed = self._is_keyed(request)
         if is_keyed:
             self._key_load.record_request(request)
@@ -134,8 +141,12 @@
                 )
                 if response is not None:
                     return response
+            if self._relay.is_needed and not request.is_relayed:
+                return await self._relay_request(request, possibly_ran)
             permit = await self._acquire(request, candidates, is_keyed, tried)
             if isinstance(permit, QueueRefusal):
+                if await self._must_relay(request):
+                    continue
                 return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
             result = await self._attempt(request, server, permit.send_id)
@@ -178,6 +189,36 @@
                 tried.clear()
                 await asyncio.sleep(RETRY_BACKOFF_S)
 
+    async def _must_relay(self, request: EdgeRequest) -> bool:
+        """Return whether a refused request has to be relayed instead.
+
+        Servers look congested when the links to them are lost.
+        """
+        if request.is_relayed:
+            return False
+        if not self._reach.is_suspected and not self._reach.is_cut_off:
+            return False
+        return await self._relay.wait_needed(request.deadline_ms)
+
+    async def _relay_request(
+        self, request: EdgeRequest, possibly_ran: set[ServerId]
+    ) -> EdgeResponse:
+        """Pass a request on to another router, as this one reaches no server."""
+        relaying = self._relay.forward(request)
+        if not request.route.is_idempotent:
+            # As with a server: it is not cancelled if its caller disconnects.
+            response = await asyncio.shield(asyncio.ensure_future(relaying))
+        else:
+            response = await relaying
+        self._metrics.count("relayed")
+        if isinstance(response, EdgeResponse):
+            if response.is_from_router and response.status == 503 and possibly_ran:
+                return router_response(502)
+            return response
+        if response is RelayFailure.UNKNOWN:
+            possibly_ran = possibly_ran | {NO_SERVER}
+        return self._give_up(request, None, RefusalReason.CUT_OFF.value, possibly_ran)
+
     async def _acquire(
         self,
         request: EdgeRequest,
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -94,6 +94,8 @@
         boot_id,
         dispatcher.condition,
         lambda: dispatcher.queue_length > 0,
+        lambda request: forwarder.forward(request),
+        dispatcher.release_queued,
         clock,
     )
 
@@ -121,6 +123,7 @@
         lambda: control.counted_routers,
         Suspects(control.suspects, options.instance, BootId(boot_id), EDGE_POLICY),
         control.reach,
+        control.relay,
         clock,
     )
     callers = CallerServer(adapter, control.catalog, forwarder, clock)
@@ -155,7 +158,9 @@
     await stopping.wait()
     log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
     releasing = asyncio.create_task(control.lease.release())
-    await callers.stop()
+    await asyncio.gather(
+        callers.stop(), control.relay_receiver.stop(options.stop_grace_ms / 2000)
+    )
     await forwarder.drain_probations(PROBATIONS_DRAIN_S)
     await asyncio.wait({releasing}, timeout=RELEASE_TIMEOUT_S)
     for task in tasks:
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -19,6 +19,7 @@
     RouterReport,
 )
 from .ownership import Ownership
+from .serverreach import ServerReach
 from .suspectlink import SuspectLink
 from .tablefollower import Role, StoreSync
 from .tablestore import TableRead
@@ -73,6 +74,8 @@
         self._leading_since_ms: float | None = None
         self._reported_ms: dict[str, float] = {}
         """Time of each router's last report, by boot id."""
+        self._peer_urls: dict[str, str] = {}
+        """URLs of the routers that reach servers, by boot id."""
         self._update_event = asyncio.Event()
         ownership.changes.subscribe(lambda _: self.notify_waiters())
         store_sync.changes.subscribe(lambda _: self.notify_waiters())
@@ -84,6 +87,7 @@
         for boot_id, reported_ms in list(self._reported_ms.items()):
             if reported_ms < oldest_ms:
                 del self._reported_ms[boot_id]
+                self._peer_urls.pop(boot_id, None)
         return 1 + len(self._reported_ms)
 
     @property
@@ -104,6 +108,16 @@
             reporting += reported_ms >= latest_ms
         return reporting / routers
 
+    @property
+    def peer_urls(self) -> list[str]:
+        """URLs of the followers that report to this router and reach servers."""
+        latest_ms = self._clock() - SILENT_MS
+        return [
+            url
+            for boot_id, url in self._peer_urls.items()
+            if self._reported_ms.get(boot_id, float("-inf")) >= latest_ms
+        ]
+
     @property
     def is_store_reachable(self) -> bool:
         """Whether the store answers this router, as last checked."""
@@ -135,6 +149,9 @@
         """
         self._load.add_report(report.requested)
         self._reported_ms[report.boot_id] = self._clock()
+        self._peer_urls.pop(report.boot_id, None)
+        if report.link_url and not report.is_cut_off:
+            self._peer_urls[report.boot_id] = report.link_url
         end_ms = self._clock() + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
@@ -175,6 +192,8 @@
         store_sync: StoreSync,
         report_handler: ReportHandler,
         suspects: SuspectLink,
+        reach: ServerReach,
+        link_url: str,
         boot_id: str,
         is_leader: Callable[[], bool],
         on_leader_lost: Callable[[], None],
@@ -187,6 +206,8 @@
         self._store_sync = store_sync
         self._report_handler = report_handler
         self._suspects = suspects
+        self._reach = reach
+        self._link_url = link_url
         self._boot_id = boot_id
         self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
@@ -238,6 +259,8 @@
                 if self._has_queued_requests()
                 else MAX_REPORT_PERIOD_MS,
                 self._suspects.applied_version,
+                self._link_url,
+                self._reach.is_cut_off,
             )
             leader_reply = await self._send(notice.link_url, report)
             self._log_reachability(leader_reply is not None, notice)
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -1,6 +1,7 @@
 """HTTP between leader and followers.
 
-Reports of followers, reservations of send times, and suspected poison requests.
+Reports of followers, reservations of send times, suspected poison requests, and
+requests that are relayed to a router which reaches the servers.
 """
 
 import zlib
@@ -19,23 +20,31 @@
 from .leaderlink import ReportHandler
 from .messages import (
     LeaderReply,
+    RelayedRequest,
+    RelayedResponse,
     ReservationRequest,
     Reservations,
     RouterReport,
     SuspectReport,
 )
+from .relay import RelayFailure, RelayReceiver
 from .suspectlink import SuspectLink
 
 LINK_PATH = "/link"
 RESERVE_PATH = "/reservations"
 SUSPECTS_PATH = "/suspects"
 PROBATION_PATH = "/probation"
+RELAY_PATH = "/relay"
+PEERS_PATH = "/peers"
 RESERVE_TIMEOUT_S = 0.2
 """Time that the leader may take to reserve times at servers."""
 REPLY_TIMEOUT_S = 0.5
 """Time that a reply may take beyond the wait time of the report."""
 SUSPECTS_TIMEOUT_S = 0.5
 """Time that the leader may take to record suspects, or for a permit."""
+RELAY_TIMEOUT_S = 0.1
+"""Time that a relayed response may take beyond the time of its request."""
+RELAY_CONNECT_TIMEOUT_S = 0.3
 MIN_COMPRESSED_BYTES = 2000
 """Size from which on a reply is compressed."""
 COMPRESSION_LEVEL = 1
@@ -60,22 +69,30 @@
         report_handler: ReportHandler,
         reserve_for_all: ReserveForAll,
         suspects: SuspectLink,
+        relays: RelayReceiver,
+        peer_urls: Callable[[], Sequence[str] | None],
     ) -> None:
+        """``peer_urls`` returns None if this router does not lead."""
         self._report_handler = report_handler
         self._reserve_for_all = reserve_for_all
         self._suspects = suspects
+        self._relays = relays
+        self._peer_urls = peer_urls
         self._runner: web.AppRunner | None = None
         self._cached_bodies: OrderedDict[object, bytes] = OrderedDict()
         """Cache of encoded replies, since many routers have the same versions."""
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen for reports of other routers; return the port."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_REPLY_BYTES)
         app.router.add_post(LINK_PATH, self._handle_report)
         app.router.add_post(RESERVE_PATH, self._handle_reservations)
         app.router.add_post(SUSPECTS_PATH, self._handle_suspects)
         app.router.add_post(PROBATION_PATH, self._handle_probation)
-        self._runner = web.AppRunner(app, access_log=None)
+        app.router.add_post(RELAY_PATH, self._handle_relayed)
+        app.router.add_get(PEERS_PATH, self._list_peers)
+        # A relayed request ends when the router that has sent it gives it up.
+        self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
         return int(self._runner.addresses[0][1])
@@ -125,6 +142,24 @@
             return web.Response(status=409)
         return web.Response(body=reply)
 
+    async def _handle_relayed(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        try:
+            relayed = decode_msgpack(body, RelayedRequest)
+        except msgspec.MsgspecError as error:
+            log_event("bad_relayed_request", error=str(error))
+            return web.Response(status=400)
+        response = await self._relays.handle(relayed)
+        if response is None:
+            return web.Response(status=409)
+        return web.Response(body=msgspec.msgpack.encode(response))
+
+    async def _list_peers(self, request: web.Request) -> web.Response:
+        urls = self._peer_urls()
+        if urls is None:
+            return web.Response(status=409)
+        return web.Response(body=msgspec.msgpack.encode(urls))
+
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
         sent = (
             tuple((update.table, update.version) for update in leader_reply.tables),
@@ -204,6 +239,55 @@
         """Send a request for a permit, or a result; return the leader's reply."""
         return await self._post(url, PROBATION_PATH, body)
 
+    async def relay(
+        self, url: str, request: RelayedRequest
+    ) -> RelayedResponse | RelayFailure:
+        """Send a request to another router; ``url`` is the one for reports."""
+        body = msgspec.msgpack.encode(request)
+        timeout = aiohttp.ClientTimeout(
+            total=request.left_ms / 1000 + RELAY_TIMEOUT_S,
+            sock_connect=RELAY_CONNECT_TIMEOUT_S,
+        )
+        target = URL(url).with_path(RELAY_PATH)
+        try:
+            async with self._session.post(target, data=body, timeout=timeout) as reply:
+                if reply.status in (400, 409):
+                    return RelayFailure.NOT_SENT
+                if reply.status != 200:
+                    return RelayFailure.UNKNOWN
+                content = await read_body(reply, MAX_REPLY_BYTES)
+                return decode_msgpack(content, RelayedResponse)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            log_event("relay_failed", url=str(target), error=repr(error), is_sent=False)
+            return RelayFailure.NOT_SENT
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as error:
+            log_event("relay_failed", url=str(target), error=repr(error), is_sent=True)
+            return RelayFailure.UNKNOWN
+
+    async def find_peers(self, url: str) -> list[str] | None:
+        """Return the URLs of routers that reach servers, from the leader's URL."""
+        timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
+        target = URL(url).with_path(PEERS_PATH)
+        try:
+            async with self._session.get(target, timeout=timeout) as reply:
+                if reply.status != 200:
+                    return None
+                content = await read_body(reply, MAX_REPLY_BYTES)
+                return decode_msgpack(content, list[str])
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as error:
+            log_event("peers_unknown", url=str(target), error=repr(error))
+        return None
+
     async def _post(self, url: str, path: str, body: bytes) -> bytes | None:
         """Return the leader's reply about suspects, or None without one."""
         timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -145,6 +145,8 @@
     """Earlier of the caller's deadline and the route's timeout."""
     caller_address: str = ""
     """Network address of the caller, without the port."""
+    is_relayed: bool = False
+    """Whether another router, which reaches no server, has passed it on."""
 
     def fingerprint(self) -> Fingerprint:
         """Return a digest that a request has in common with its repetitions.
@@ -289,6 +291,31 @@
     service_times: dict[ServiceName, ServiceTimeSum] = msgspec.field(name="work")
 
 
+class RelayedRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a router without links to the servers passes on to another."""
+
+    request_id: RequestId
+    method: str
+    target: str
+    host: str
+    key: int | None
+    headers: list[tuple[str, str]]
+    body: bytes
+    left_ms: float
+    """Time until its deadline."""
+    caller_address: str
+    is_idempotent: bool
+
+
+class RelayedResponse(msgspec.Struct, frozen=True, array_like=True):
+    """The response to a request that was passed on."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    is_from_router: bool
+
+
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
     """Reports a follower's suspects to the leader."""
 
@@ -323,6 +350,10 @@
     """Maximum time that the leader waits for newer data before it replies."""
     suspects_version: int = 0
     """Version of the leader's suspects that the follower has applied."""
+    link_url: str = ""
+    """URL at which other routers reach the follower."""
+    is_cut_off: bool = False
+    """Whether the follower reaches no server."""
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/edge/mulberryrelay_edge/serverreach.py
+++ b/packages/edge/mulberryrelay_edge/serverreach.py
@@ -23,8 +23,8 @@
 """Rounds of probes without a reached server after which the router is cut off."""
 ROUND_PERIOD_S = 0.2
 """Pause between two rounds of probes while no server is reached."""
-HINT_PERIOD_S = 1.0
-"""Time after a round that reached a server in which hints are ignored."""
+HINT_PERIOD_MS = 1000.0
+"""Time after a server was reached in which hints are ignored."""
 PROBE_TIMEOUT_S = 0.3
 
 Probe = Callable[[BackendServer], Awaitable[bool]]
@@ -42,6 +42,11 @@
         self._probe = probe
         self._clock = clock
         self._hint = asyncio.Event()
+        """Set while the links are suspected to be lost, and while they are."""
+        self._verdict = asyncio.Event()
+        """Set unless the links are only suspected to be lost."""
+        self._verdict.set()
+        self._ignores_hints_until_ms = float("-inf")
         self._cut_off_ms: float | None = None
         """Since when the router is cut off, or None."""
         self._changes: Subject[bool] = Subject()
@@ -56,24 +61,45 @@
         """Whether the router reaches no server."""
         return self._cut_off_ms is not None
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether servers are being probed to find out whether links are lost."""
+        return self._hint.is_set() and not self.is_cut_off
+
     def suspect(self) -> None:
-        """Probe servers soon, because one of them could not be reached."""
+        """Probe servers now, because one of them could not be reached."""
+        if self.is_cut_off or self._clock() < self._ignores_hints_until_ms:
+            return
+        self._verdict.clear()
         self._hint.set()
 
+    async def wait_for_verdict(self) -> None:
+        """Wait while the links are suspected to be lost."""
+        await self._verdict.wait()
+
     async def run(self) -> None:
         """Probe servers whenever there is a reason to; never returns."""
         while True:
             await self._hint.wait()
             if await self._reaches_none():
                 await self._wait_for_links()
+            self._ignores_hints_until_ms = self._clock() + HINT_PERIOD_MS
             self._hint.clear()
-            await asyncio.sleep(HINT_PERIOD_S)
+            self._verdict.set()
 
     async def _reaches_none(self) -> bool:
         """Return whether several rounds of probes reach no server."""
         for _ in range(ROUNDS_TO_CUT_OFF):
-            probed, reached = await self._probe_round()
-            if not probed or reached:
+            chosen = self._choose()
+            probes = [asyncio.ensure_future(self._probe(server)) for server in chosen]
+            try:
+                for probe in asyncio.as_completed(probes):
+                    if await probe:
+                        return False
+            finally:
+                for started in probes:
+                    started.cancel()
+            if not chosen:
                 return False
             await asyncio.sleep(ROUND_PERIOD_S)
         return True
@@ -82,19 +108,19 @@
         """Return once most of the probed servers are reached again."""
         self._cut_off_ms = self._clock()
         log_event("servers_unreachable", servers=len(self._servers()))
+        self._verdict.set()
         self._changes.on_next(True)
-        probed, reached = 1, 0
-        while 2 * reached <= probed:
+        has_links = False
+        while not has_links:
             await asyncio.sleep(ROUND_PERIOD_S)
-            probed, reached = await self._probe_round()
+            chosen = self._choose()
+            reached = await asyncio.gather(*(self._probe(server) for server in chosen))
+            has_links = 2 * sum(reached) > len(chosen)
         lost_ms = round(self._clock() - self._cut_off_ms)
         self._cut_off_ms = None
         log_event("servers_reachable", lost_ms=lost_ms)
         self._changes.on_next(False)
 
-    async def _probe_round(self) -> tuple[int, int]:
-        """Probe some servers; return how many, and how many of them are reached."""
+    def _choose(self) -> list[BackendServer]:
         servers = list(self._servers())
-        chosen = random.sample(servers, min(PROBED_SERVERS, len(servers)))
-        results = await asyncio.gather(*(self._probe(server) for server in chosen))
-        return len(chosen), sum(results)
+        return random.sample(servers, min(PROBED_SERVERS, len(servers)))
--- a/tests/test_edge_cut_off.py
+++ b/tests/test_edge_cut_off.py
@@ -1,14 +1,15 @@
 """Routers that have lost their links to all servers, and are reached by callers."""
 
 import asyncio
+import time
 from contextlib import ExitStack
 
 import aiohttp
 
-from .fixtures import async_test
+from .fixtures import async_test, wait_until
 from .fixtures.cutlinks import refusing_address, silent_address
-from .fixtures.edgerouter import edge_response, get, linked_routers
-from .fixtures.rawserver import raw_server, respond_with
+from .fixtures.edgerouter import edge_refusal, edge_response, get, linked_routers
+from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 SERVERS = 4
 NOTICED_S = 3.0
@@ -17,6 +18,8 @@
 MAX_FAILED = 11
 """Requests that may fail of ``REQUESTS``: 10 and one in 50."""
 MIN_SERVED_SHARE = 2 / 3
+REFUSED_AT_ONCE_S = 0.25
+"""Time in which a request is refused that nobody can serve."""
 
 
 @async_test
@@ -53,3 +56,77 @@
             await get(session, f"{url}/listing/{number}") for number in range(REQUESTS)
         ]
     return sum(status == 200 for status, _ in results)
+
+
+@async_test
+async def test_a_relayed_request_runs_once_and_is_reported_truly() -> None:
+    """Guards against a charge that is sent again, or said not to have run, on its way.
+
+    Each case: what the other router's only server does, the caller's status, and how
+    often the request ran.
+    """
+
+    async def serve(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        runs.append(request.path)
+        writer.write(edge_response(request))
+
+    async def run_and_close(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        runs.append(request.path)
+        writer.close()
+
+    async def refuse(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(edge_refusal(request))
+
+    for respond, status, expected_runs in (
+        (serve, 200, 1),
+        (run_and_close, 502, 1),
+        (refuse, 503, 0),
+    ):
+        runs: list[str] = []
+        async with raw_server(respond) as server, linked_routers(2) as routers:
+            cut_off, other = routers
+            other.register_server(server)
+            with refusing_address() as port:
+                cut_off.register_address(port)
+                cut_off.reach.suspect()
+                await wait_until(lambda: cut_off.relay.is_needed)  # noqa: B023
+                request = cut_off.request(is_idempotent=False)
+                response = await cut_off.send(request)
+        assert (response.status, len(runs)) == (status, expected_runs), respond
+
+
+@async_test
+async def test_a_request_is_relayed_once_and_refused_if_nobody_takes_it() -> None:
+    """Guards against requests that go in circles between routers without links."""
+    with refusing_address() as port:
+        async with linked_routers(3) as routers:
+            for router in routers:
+                router.register_address(port)
+                router.reach.suspect()
+            for router in routers:
+                await wait_until(lambda: router.relay.is_needed)  # noqa: B023
+            started_s = time.monotonic()
+            response = await routers[0].send(routers[0].request())
+            assert response.status == 503
+            assert time.monotonic() - started_s < REFUSED_AT_ONCE_S
+
+
+@async_test
+async def test_queued_requests_are_relayed_and_links_that_return_are_used() -> None:
+    """Guards against requests that wait for links, and relays that outlast the cut."""
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        linked_routers(2) as (cut_off, other),
+    ):
+        other.register_server(server)
+        waiting = asyncio.create_task(cut_off.send(cut_off.request()))
+        with refusing_address() as port:
+            cut_off.register_address(port)
+            cut_off.reach.suspect()
+            assert (await waiting).status == 200
+        cut_off.register_server(server)
+        await wait_until(lambda: not cut_off.reach.is_cut_off)
+        arrived = len(server.received)
+        assert (await cut_off.send(cut_off.request())).status == 200
+        assert len(server.received) == arrived + 1
+        assert server.received[-1].connection != server.received[arrived - 1].connection
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -15,7 +15,7 @@
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.leaserow import LEADER_TABLE
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
+from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
 from mulberryrelay_edge.messages import (
     KeyReport,
     RangeChange,
@@ -58,6 +58,7 @@
 )
 from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
+from .fixtures.relays import link_server_to
 from .fixtures.suspects import leaders_suspects
 
 SEED = 20261204
@@ -410,7 +411,7 @@
         lambda: False,
         monotonic_ms,
     )
-    server = LinkServer(report_handler, lambda requests: None, suspects)
+    server = link_server_to(report_handler, suspects, monotonic_ms)
     key_report = KeyReport({SERVICE: [7, 7]}, {SERVICE: ServiceTimeSum(2, 240.0)})
     client = LinkClient()
     try:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,7 +20,7 @@
 
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
+from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.tablefollower import StoreSync
@@ -34,6 +34,7 @@
 from .fixtures.edgefleet import backend
 from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router, get
 from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
+from .fixtures.relays import link_server_to
 from .fixtures.suspects import leaders_suspects
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
@@ -241,7 +242,7 @@
             lambda: False,
             monotonic_ms,
         )
-        link_server = LinkServer(handler, lambda requests: None, suspects)
+        link_server = link_server_to(handler, suspects, monotonic_ms)
         client = LinkClient()
         port = await link_server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
