Hand the leader's lease over when its router reaches no server

Cause: the lease depends on the store alone, while the leader's work, renewing grants, depends on the servers. Ruled out: that callers of other routers were refused for lack of capacity; they were given up after a 421.

Change: a leader that finds out that it reaches no server releases its lease, and no router takes it while it reaches none. The next leader renews the grants before they run out.

Before: with the handover taken out, the test fails (the cut-off router still leads after 3 s). After: keys of five routers never lose their owner, with the leader cut off alone and with three others.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -69,12 +69,21 @@
             clock,
         )
         self._ownership = Ownership()
+        self._reach = ServerReach(
+            self._catalog.all_servers, _accepts_connections, clock
+        )
         self._key_load = KeyLoad(clock)
         link_url = self._link_url = (
             f"http://{options.host}:{options.internal_port}{LINK_PATH}"
         )
         self._lease = lease = LeaderLease(
-            adapter.store, self._ownership, options.instance, boot_id, link_url, clock
+            adapter.store,
+            self._ownership,
+            options.instance,
+            boot_id,
+            link_url,
+            self._reach,
+            clock,
         )
         coordinator = Coordinator(
             lease,
@@ -112,9 +121,6 @@
         lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(self._suspects.set_leading)
         lease.changes.subscribe(lambda _: report_handler.notify_waiters())
-        self._reach = ServerReach(
-            self._catalog.all_servers, _accepts_connections, clock
-        )
         self._relay_receiver = RelayReceiver(
             lambda: self._catalog.routes, self._reach, forward, clock
         )
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -23,6 +23,7 @@
 from .leasewatch import LeaseWatch, wait_for_event
 from .messages import LeaderNoticeRow, LeaderRow
 from .ownership import LEADER_NOTICE_KEY, RANGES_TABLE, Ownership
+from .serverreach import ServerReach
 from .storeversion import restores_of
 from .tablestore import (
     Committed,
@@ -73,8 +74,10 @@
         instance: InstanceId,
         boot_id: str,
         link_url: str,
+        reach: ServerReach,
         clock: Clock,
     ) -> None:
+        """The lease is neither kept nor taken while ``reach`` reaches no server."""
         self._store = store
         self._ownership = ownership
         self._instance = instance
@@ -98,6 +101,8 @@
         self._renewal_started_ms = float("inf")
         """Start time of the renewal in progress; infinity if there is none."""
         self._is_leaving = False
+        self._reach = reach
+        self._handover: asyncio.Task[None] | None = None
         self._writing = asyncio.Lock()
         """Held while the lease is written by its holder."""
         self._restores = 0
@@ -108,6 +113,7 @@
         self._watch = LeaseWatch(ownership, clock)
         self._changes: Subject[bool] = Subject()
         self._restored: Subject[None] = Subject()
+        reach.changes.subscribe(self._on_reach_change)
 
     @property
     def changes(self) -> Subject[bool]:
@@ -189,17 +195,29 @@
             await self._renew()
 
     async def release(self) -> None:
-        """Release the lease, so that another router can take over at once."""
+        """Release the lease for good, so that another router takes over at once."""
         self._is_leaving = True
-        if self._row is None or not self.is_valid:
+        await self._release()
+
+    def _on_reach_change(self, is_cut_off: bool) -> None:
+        if is_cut_off and self.is_valid:
+            log_event("leader_cut_off", term=self.term)
+            self._handover = asyncio.create_task(self._hand_over())
+
+    async def _hand_over(self) -> None:
+        """Release the lease and watch it, as its commands reach no server any more."""
+        await self._release()
+        self._row = None
+
+    async def _release(self) -> None:
+        row = self._row
+        if row is None or not self.is_valid:
             return
         self._valid_until_ms = float("-inf")
         self._changes.on_next(False)
         # A renewal that is on its way changes the version of the row.
         async with self._writing:
-            row = self._row
-            if row is not None:
-                await self._write_released(row)
+            await self._write_released(self._row or row)
 
     async def _write_released(self, row: LeaderRow) -> None:
         released = LeaderRow(
@@ -249,7 +267,7 @@
 
     async def _acquire_if_free(self, read: TableRead) -> bool:
         stored = find_lease(read)
-        if stored is None:
+        if stored is None or self._reach.is_cut_off:
             return False
         previous = stored.row
         now_ms = self._clock()
--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -224,6 +224,8 @@
         """Fraction of the commands that are applied seconds later, without a reply."""
         self.lost_share = 0.0
         """Fraction of the commands that are applied but whose reply is lost."""
+        self.is_cut_off = False
+        """Whether no command reaches a server."""
 
     async def grant(
         self,
@@ -265,6 +267,9 @@
         self, server: BackendServer, apply: Callable[[KeyedServer], int]
     ) -> Result[str | None, CommandFailure]:
         await asyncio.sleep(REPLY_DELAY_S / 2)
+        if self.is_cut_off:
+            await asyncio.sleep(COMMAND_TIMEOUT_S)
+            return Failure(CommandUnanswered("timeout"))
         incarnation = self._servers.find_running(server)
         if incarnation is None:
             return Failure(CommandUnanswered("refused"))
--- a/tests/test_edge_cut_off.py
+++ b/tests/test_edge_cut_off.py
@@ -6,8 +6,11 @@
 
 import aiohttp
 
+from bench.virtual_time import run_virtual
+
 from .fixtures import async_test, wait_until
 from .fixtures.cutlinks import refusing_address, silent_address
+from .fixtures.edgefleet import MAX_GRANT_TTL_MS, followers_of, start_settled_fleet
 from .fixtures.edgerouter import edge_refusal, edge_response, get, linked_routers
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
@@ -130,3 +133,32 @@
         assert (await cut_off.send(cut_off.request())).status == 200
         assert len(server.received) == arrived + 1
         assert server.received[-1].connection != server.received[arrived - 1].connection
+
+
+def test_keys_keep_their_owners_when_the_leader_loses_its_links_to_servers() -> None:
+    """Guards against keys that nobody serves while a leader cannot renew their grants.
+
+    All other routers reach the servers. The time is that from the loss of the links.
+    """
+
+    async def scenario(cut_off: int) -> None:
+        fleet = await start_settled_fleet(routers=5)
+        leader = fleet.leader
+        assert leader is not None
+        others = followers_of(fleet)
+        fleet.pauses_s.clear()
+        for router in [leader, *others[: cut_off - 1]]:
+            router.commands.is_cut_off = True
+            router.reach.suspect()
+        await asyncio.sleep(NOTICED_S)
+        assert fleet.leader in others[cut_off - 1 :]
+        await asyncio.sleep(2 * MAX_GRANT_TTL_MS / 1000)
+        assert fleet.longest_pause_s == 0.0, fleet.longest_pause_s
+        for router in fleet.routers:
+            router.commands.is_cut_off = False
+        await asyncio.sleep(NOTICED_S)
+        assert not any(router.reach.is_cut_off for router in fleet.routers)
+        fleet.stop()
+
+    for cut_off in (1, 4):
+        run_virtual(scenario(cut_off))
--- a/tests/test_edge_lease.py
+++ b/tests/test_edge_lease.py
@@ -13,6 +13,8 @@
 from mulberryrelay_kernel.ids import InstanceId
 from standins.tables import TableClient, Tables
 
+from .fixtures.relays import unused_reach
+
 SLOW_REPLY_S = 0.2
 """Delay of the replies of a slow store."""
 STEP_S = 0.01
@@ -30,7 +32,13 @@
     tables = Tables()
     store = TableClient(tables, virtual_clock, random.Random(1))
     lease = LeaderLease(
-        store, Ownership(), InstanceId("router-1"), "boot-1", "url", virtual_clock
+        store,
+        Ownership(),
+        InstanceId("router-1"),
+        "boot-1",
+        "url",
+        unused_reach(virtual_clock),
+        virtual_clock,
     )
     running = asyncio.ensure_future(lease.run())
     while not lease.is_valid:
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -41,6 +41,7 @@
     start_settled_fleet,
 )
 from .fixtures.followingcatalog import FollowingCatalog
+from .fixtures.relays import unused_reach
 
 IN_FORCE_S = 2.0
 """Time after its acknowledgement in which a change is in force."""
@@ -420,7 +421,13 @@
 
         store.commit = restore_first  # type: ignore[method-assign]
         lease = LeaderLease(
-            store, Ownership(), InstanceId("router-1"), "boot-1", "url", virtual_clock
+            store,
+            Ownership(),
+            InstanceId("router-1"),
+            "boot-1",
+            "url",
+            unused_reach(virtual_clock),
+            virtual_clock,
         )
         running = asyncio.ensure_future(lease.run())
         end_ms = virtual_clock() + 6000
