Heed servers that state in their responses that they leave

Cause: the header is new on the platform and was read by nobody.

Change: a server that states it counts as draining from then on, whatever its entry says, until it starts again. Followers tell the leader, which moves its keys. What a follower tells the leader of itself is one structure now.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -33,6 +33,8 @@
     """Load of the server that sent the response."""
     limit: istr
     """Requests per second that the server takes from all routers together."""
+    leaving: istr
+    """Set by a server that drains, in all its responses."""
     not_run: istr
     """Set by a server that did not run the request."""
     key: istr
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -10,6 +10,7 @@
 import functools
 from collections.abc import Awaitable
 
+import msgspec
 from reactivex.subject import Subject
 
 from mulberryrelay_kernel.clock import Clock
@@ -22,6 +23,7 @@
 from .storeversion import restores_of
 from .tablefollower import FollowedTable, StoreSync, follow_table
 from .tablestore import Source, TableRead, TableStore, decode_row
+from .unreachableservers import Incarnation
 
 SERVERS_BATCH_DELAY_S = 0.2
 """Pause after a change of the servers table, to fetch several changes at once."""
@@ -60,6 +62,9 @@
         """Entries at whose address a server with another id answered."""
         self._draining_ms: dict[ServerId, float] = {}
         """Time at which each draining server was first observed to drain."""
+        self._leaving: set[Incarnation] = set()
+        """Servers that state in their responses, or to another router, that they drain.
+        """
         self._outage_ended_ms = float("-inf")
         """End of the last outage or restore of the store that this router observed."""
         self._restores: int | None = None
@@ -123,6 +128,23 @@
         self._remove(server.server)
         self._changes.on_next(None)
 
+    @property
+    def leaving(self) -> tuple[Incarnation, ...]:
+        """Servers that state in their responses that they drain."""
+        return tuple(self._leaving)
+
+    def record_leaving(self, incarnation: Incarnation) -> None:
+        """Record that a server states that it drains, whatever its entry says."""
+        entry = self._servers.get(incarnation[0])
+        if entry is None or incarnation in self._leaving:
+            return
+        if entry.started_ms != incarnation[1]:
+            return
+        self._leaving.add(incarnation)
+        log_event("server_leaving", server=entry.server, state=entry.state.value)
+        self._apply_entry(entry)
+        self._changes.on_next(None)
+
     def is_drain_grace_over(self, server: BackendServer) -> bool:
         """Return whether a server has drained so long that it gets no more requests."""
         since_ms = self._draining_ms.get(server.server)
@@ -211,16 +233,21 @@
             listed.add(server)
             self._missing.pop(server, None)
             self._log_entry_change(entry, row.version)
-            if entry.state is ServerState.DRAINING:
-                self._draining_ms.setdefault(server, self._clock())
-            else:
-                self._draining_ms.pop(server, None)
-            self._servers[server] = entry
+            self._apply_entry(entry)
         if is_complete:
             for server in [s for s in self._servers if s not in listed]:
                 self._handle_deletion(server)
         self._changes.on_next(None)
 
+    def _apply_entry(self, entry: BackendServer) -> None:
+        if (entry.server, entry.started_ms) in self._leaving:
+            entry = msgspec.structs.replace(entry, state=ServerState.DRAINING)
+        if entry.state is ServerState.DRAINING:
+            self._draining_ms.setdefault(entry.server, self._clock())
+        else:
+            self._draining_ms.pop(entry.server, None)
+        self._servers[entry.server] = entry
+
     def _record_restores(self, restores: int) -> None:
         """Let servers register again if the store lost their latest entries."""
         if self._restores is not None and restores > self._restores:
@@ -251,6 +278,7 @@
         entry = self._servers.pop(server, None)
         self._draining_ms.pop(server, None)
         if entry is not None:
+            self._leaving.discard((server, entry.started_ms))
             log_event("server_gone", server=server, service=entry.service)
 
     def _log_entry_change(self, entry: BackendServer, version: int) -> None:
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -28,6 +28,7 @@
     EdgeResponse,
     ReservationRequest,
     Reservations,
+    RouterState,
 )
 from .ownership import RANGES_TABLE, Ownership
 from .relay import Relay, RelayReceiver
@@ -114,6 +115,7 @@
             self._ownership,
             self._store_sync,
             self._suspects,
+            self._catalog.record_leaving,
             lambda: lease.is_valid,
             lambda: lease.is_store_unresponsive,
             clock,
@@ -155,8 +157,9 @@
             self._store_sync,
             report_handler,
             self._suspects,
-            self._reach,
-            link_url,
+            lambda: RouterState(
+                link_url, self._reach.is_cut_off, self._catalog.leaving
+            ),
             boot_id,
             lambda: lease.is_valid,
             lease.check_soon,
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -66,6 +66,8 @@
     load: LoadReport | None = None
     limit_per_s: float | None = None
     """Requests per second that the server takes from all routers; None if unstated."""
+    is_leaving: bool = False
+    """Whether the server states that it drains."""
     detail: str = ""
     other_server: ServerId = NO_SERVER
     """Id of the server that responds at the address instead of the expected one."""
@@ -234,6 +236,7 @@
         names = self._adapter.headers
         load = self._adapter.parse_load(message.headers)
         limit_per_s = self._adapter.parse_limit(message.headers)
+        is_leaving = message.headers.get(names.leaving) == "1"
         is_refusal = names.not_run in message.headers or message.code == 421
         if is_refusal and message.code in NOT_RUN_STATUSES:
             return AttemptResult(
@@ -243,6 +246,7 @@
                 body,
                 load,
                 limit_per_s,
+                is_leaving,
                 other_server=self._other_server(message),
             )
         is_success = 200 <= message.code < 300
@@ -257,7 +261,13 @@
             headers.popall(name, None)
         headers.popall(CONTENT_LENGTH_HEADER, None)
         return AttemptResult(
-            AttemptOutcome.COMPLETED, message.code, headers, body, load, limit_per_s
+            AttemptOutcome.COMPLETED,
+            message.code,
+            headers,
+            body,
+            load,
+            limit_per_s,
+            is_leaving,
         )
 
     def _other_server(self, message: RawResponseMessage) -> ServerId:
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -17,12 +17,13 @@
     LeaderNoticeRow,
     LeaderReply,
     RouterReport,
+    RouterState,
 )
 from .ownership import Ownership
-from .serverreach import ServerReach
 from .suspectlink import SuspectLink
 from .tablefollower import Role, StoreSync
 from .tablestore import TableRead
+from .unreachableservers import Incarnation
 
 MAX_REPORT_PERIOD_MS = 600.0
 """Maximum time between two reports of a follower."""
@@ -59,14 +60,17 @@
         ownership: Ownership,
         store_sync: StoreSync,
         suspects: SuspectLink,
+        record_leaving: Callable[[Incarnation], None],
         is_leader: Callable[[], bool],
         is_store_unresponsive: Callable[[], bool],
         clock: Clock,
     ) -> None:
+        """``record_leaving`` records that a server told a follower that it drains."""
         self._load = load
         self._ownership = ownership
         self._store_sync = store_sync
         self._suspects = suspects
+        self._record_leaving = record_leaving
         self._is_leader = is_leader
         self._is_store_unresponsive = is_store_unresponsive
         self._clock = clock
@@ -149,9 +153,11 @@
         """
         self._load.add_report(report.requested)
         self._reported_ms[report.boot_id] = self._clock()
+        for incarnation in report.state.leaving:
+            self._record_leaving(incarnation)
         self._peer_urls.pop(report.boot_id, None)
-        if report.link_url and not report.is_cut_off:
-            self._peer_urls[report.boot_id] = report.link_url
+        if report.state.link_url and not report.state.is_cut_off:
+            self._peer_urls[report.boot_id] = report.state.link_url
         end_ms = self._clock() + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
@@ -192,8 +198,7 @@
         store_sync: StoreSync,
         report_handler: ReportHandler,
         suspects: SuspectLink,
-        reach: ServerReach,
-        link_url: str,
+        describe_self: Callable[[], RouterState],
         boot_id: str,
         is_leader: Callable[[], bool],
         on_leader_lost: Callable[[], None],
@@ -206,8 +211,7 @@
         self._store_sync = store_sync
         self._report_handler = report_handler
         self._suspects = suspects
-        self._reach = reach
-        self._link_url = link_url
+        self._describe_self = describe_self
         self._boot_id = boot_id
         self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
@@ -259,8 +263,7 @@
                 if self._has_queued_requests()
                 else MAX_REPORT_PERIOD_MS,
                 self._suspects.applied_version,
-                self._link_url,
-                self._reach.is_cut_off,
+                self._describe_self(),
             )
             leader_reply = await self._send(notice.link_url, report)
             self._log_reachability(leader_reply is not None, notice)
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -333,6 +333,17 @@
     """Encoded messages ``Suspect``."""
 
 
+class RouterState(msgspec.Struct, frozen=True, array_like=True):
+    """What a follower tells the leader of itself and of what servers told it."""
+
+    link_url: str = ""
+    """URL at which other routers reach the follower."""
+    is_cut_off: bool = False
+    """Whether the follower reaches no server."""
+    leaving: tuple[tuple[ServerId, int], ...] = ()
+    """Servers, by id and start time, that told the follower that they drain."""
+
+
 class RouterReport(msgspec.Struct, frozen=True):
     """Report of a follower to the leader.
 
@@ -350,10 +361,7 @@
     """Maximum time that the leader waits for newer data before it replies."""
     suspects_version: int = 0
     """Version of the leader's suspects that the follower has applied."""
-    link_url: str = ""
-    """URL at which other routers reach the follower."""
-    is_cut_off: bool = False
-    """Whether the follower reaches no server."""
+    state: RouterState = RouterState()
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -407,6 +407,7 @@
         ownership,
         StoreSync(),
         suspects,
+        lambda incarnation: None,
         lambda: is_leader,
         lambda: False,
         monotonic_ms,
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -300,6 +300,7 @@
         Ownership(),
         StoreSync(),
         leaders_suspects(virtual_clock),
+        lambda incarnation: None,
         lambda: True,
         lambda: False,
         virtual_clock,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -238,6 +238,7 @@
             Ownership(),
             StoreSync(),
             suspects,
+            lambda incarnation: None,
             lambda: True,
             lambda: False,
             monotonic_ms,
