Send servers no requests for as long as their Retry-After asks

Cause: a 503 shrank the send window, which grows back within a second or two; the header is new on the platform and was read by nobody.

Change: the router sends the server nothing for the time it states. Requests that may run elsewhere do; others are refused at once if the pause is longer than they may wait, those in the queue too, with the time that is left.

Two tests fail with the reading taken out.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable, Sequence
 from enum import Enum
@@ -60,6 +61,8 @@
     """It would have waited too long for its target latency."""
     SERVER_LIMIT = "server-limit"
     """The owner of its key takes no more requests in the time that it may wait."""
+    SERVER_PAUSED = "server-paused"
+    """All servers that may run it want no requests for longer than it may wait."""
     CUT_OFF = "cut-off"
     """The router has lost its links to all servers."""
     NO_ROOM = "no-room"
@@ -145,6 +148,9 @@
                 return permit
         if len(queue) >= MAX_QUEUE_LENGTH:
             return QueueRefusal(RefusalReason.QUEUE_FULL, RETRY_AFTER_S)
+        refusal = self._refusal_by_pause(queued)
+        if refusal is not None:
+            return refusal
         allowed_ms = self._allowed_wait_ms(queued)
         excess_ms = self._expected_wait_ms(queue, queued) - allowed_ms
         if excess_ms > 0:
@@ -179,6 +185,17 @@
             queued.queue_deadline_ms - self._clock(),
         )
 
+    def _refusal_by_pause(self, queued: _QueuedRequest) -> QueueRefusal | None:
+        """Refuse a request whose servers all want none for longer than it may wait."""
+        candidates = queued.candidates()
+        if not candidates:
+            return None
+        pause_ms = min(self._loads.pause_ms(server) for server in candidates)
+        if pause_ms <= self._allowed_wait_ms(queued):
+            return None
+        reason = RefusalReason.SERVER_PAUSED
+        return QueueRefusal(reason, pause_ms / 1000 * random.uniform(1.0, 1.2))
+
     def _expected_wait_ms(
         self, queue: list[_QueuedRequest], queued: _QueuedRequest
     ) -> float:
@@ -278,6 +295,10 @@
         for queued in sorted(queue, key=sort_key):
             if queued.permit.done():
                 continue
+            refusal = self._refusal_by_pause(queued)
+            if refusal is not None:
+                queued.permit.set_result(refusal)
+                continue
             if queued.is_keyed:
                 owners = queued.candidates()
                 if not owners:
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from enum import Enum
+from math import nan
 
 import aiohttp
 import msgspec
@@ -37,6 +38,11 @@
 
 A server may send the response to an earlier attempt late, on the same connection.
 """
+RETRY_AFTER_HEADER = istr("Retry-After")
+MAX_PAUSE_S = 3600.0
+"""Longest time for which a server may refuse requests in advance."""
+MAX_LOGGED_LENGTH = 32
+"""Characters of an invalid header value in a log line."""
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a server can state that it did not run a request."""
 
@@ -66,6 +72,8 @@
     load: LoadReport | None = None
     limit_per_s: float | None = None
     """Requests per second that the server takes from all routers; None if unstated."""
+    pause_ms: float = 0.0
+    """Time for which the server wants no requests from this router."""
     is_leaving: bool = False
     """Whether the server states that it drains."""
     detail: str = ""
@@ -236,6 +244,9 @@
         names = self._adapter.headers
         load = self._adapter.parse_load(message.headers)
         limit_per_s = self._adapter.parse_limit(message.headers)
+        pause_ms = 0.0
+        if message.code == 503:
+            pause_ms = parse_pause_ms(message.headers.get(RETRY_AFTER_HEADER, "0"))
         is_leaving = message.headers.get(names.leaving) == "1"
         is_refusal = names.not_run in message.headers or message.code == 421
         if is_refusal and message.code in NOT_RUN_STATUSES:
@@ -246,6 +257,7 @@
                 body,
                 load,
                 limit_per_s,
+                pause_ms,
                 is_leaving,
                 other_server=self._other_server(message),
             )
@@ -267,6 +279,7 @@
             body,
             load,
             limit_per_s,
+            pause_ms,
             is_leaving,
         )
 
@@ -284,6 +297,18 @@
         return AttemptResult(outcome, detail=detail)
 
 
+def parse_pause_ms(text: str) -> float:
+    """Return the time that a server states in ``Retry-After``; 0 if it is invalid."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = nan
+    if not 0 <= seconds <= MAX_PAUSE_S:
+        log_event("invalid_retry_after", value=text[:MAX_LOGGED_LENGTH])
+        return 0.0
+    return seconds * 1000
+
+
 def _retrieve_exception(closed: "asyncio.Future[None]") -> None:
     """Retrieve the exception of a closed connection, so that asyncio does not log it.
 
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -329,6 +329,8 @@
             load = result.load if result is not None else None
             latency_ms = loads.end_request(server, send_id, load)
         self._record_limit(server, result)
+        if result.pause_ms > 0:
+            loads.pause(server, result.pause_ms)
         if result.is_leaving:
             self._catalog.record_leaving((server.server, server.started_ms))
         if result.outcome is AttemptOutcome.COMPLETED:
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -67,6 +67,8 @@
         self.ejections = 0
         """Ejections since the last success."""
         self.ejected_until_ms = float("-inf")
+        self.paused_until_ms = float("-inf")
+        """Time until which the server wants no requests from this router."""
         self.last_response_ms = float("-inf")
         self.sent_ms: dict[int, float] = {}
         """When each request in flight was sent, by its number."""
@@ -175,6 +177,8 @@
 
     def _has_room(self, server: BackendServer, max_queued: float) -> bool:
         stats = self.stats(server)
+        if self.pause_ms(server) > 0:
+            return False
         if not stats.window.is_open(stats.in_flight, stats.usual_ms):
             return False
         return self.expected_load(server) < server.slots + max_queued
@@ -187,12 +191,15 @@
     def is_congested(self, server: BackendServer) -> bool:
         """Return whether the server lately had a long queue or refused a request."""
         stats = self.stats(server)
+        if self.pause_ms(server) > 0:
+            return True
         return stats.window.is_congested(stats.usual_ms)
 
     def wait_ms(self, server: BackendServer) -> float:
         """Return the expected time until a request may be sent to a server."""
         stats = self.stats(server)
-        return stats.window.wait_ms(stats.in_flight, stats.usual_ms)
+        wait_ms = stats.window.wait_ms(stats.in_flight, stats.usual_ms)
+        return max(wait_ms, self.pause_ms(server))
 
     def cost(self, server: BackendServer) -> float:
         """Return the expected queueing and service time, relative to other servers."""
@@ -266,6 +273,17 @@
             stats.slowdown = max(0.2, stats.slowdown)
         self._latencies[route] = usual_ms + 0.05 * (latency_ms - usual_ms)
 
+    def pause(self, server: BackendServer, for_ms: float) -> None:
+        """Send no requests to a server for some time, as it asks for."""
+        stats = self.stats(server)
+        until_ms = self._clock() + for_ms
+        stats.paused_until_ms = max(stats.paused_until_ms, until_ms)
+        log_event("server_paused", server=server.server, for_ms=for_ms)
+
+    def pause_ms(self, server: BackendServer) -> float:
+        """Return the time left in which a server wants no requests; 0 if none."""
+        return max(0.0, self.stats(server).paused_until_ms - self._clock())
+
     def record_refusal(self, server: BackendServer) -> None:
         """Record that a server refused a request because it had no free slot."""
         stats = self.stats(server)
--- a/tests/test_edge_server_wishes.py
+++ b/tests/test_edge_server_wishes.py
@@ -6,18 +6,24 @@
 import msgspec
 
 from bench.virtual_time import run_virtual
+from mulberryrelay_edge.exchange import parse_pause_ms
 from mulberryrelay_edge.messages import BackendServer
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
 from .fixtures.edgefleet import SERVICE, followers_of, start_settled_fleet
-from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router
+from .fixtures.edgerouter import EdgeRouter, edge_refusal, edge_response, edge_router
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 DRAIN_S = 2.0
 """Time after the first response of a leaving server in which it may get requests."""
 LEAVING = f"{HEADERS.leaving}: 1\r\n"
+PAUSE_S = 2.0
+UNTIL_PAUSED_S = 0.5
+"""Time in which requests that are on their way may reach a server in its pause."""
+MAX_IN_PAUSE = 2
+REFUSED_AT_ONCE_S = 0.1
 MOVED_S = 2.0
 """Time in which the keys of a leaving server have another owner."""
 
@@ -93,3 +99,79 @@
         fleet.stop()
 
     run_virtual(scenario())
+
+
+@async_test
+async def test_a_server_that_asks_for_a_pause_gets_no_requests_in_it() -> None:
+    """Guards against requests at a server that has refused all of them in advance.
+
+    They are served elsewhere. Without another server they are refused at once, with the
+    time at which the pause ends.
+    """
+
+    def refuse(request: RawRequest) -> bytes:
+        return edge_refusal(request, more=f"Retry-After: {PAUSE_S}\r\n")
+
+    for key in (None, 7):
+        async with (
+            raw_server(respond_with(refuse)) as paused,
+            raw_server(respond_with(edge_response)) as other,
+            edge_router(is_keyed=key is not None) as router,
+        ):
+            entry = router.register_server(paused)
+            if key is not None:
+                router.assign_all_keys(entry)
+            await router.send(router.request(key=key))
+            paused_s = time.monotonic()
+            await asyncio.sleep(UNTIL_PAUSED_S)
+            arrived = len(paused.received)
+            started_s = time.monotonic()
+            response = await router.send(router.request(key=key))
+            assert response.status == 503
+            assert time.monotonic() - started_s < REFUSED_AT_ONCE_S
+            left_s = PAUSE_S - (started_s - paused_s)
+            retry_after_s = float(response.headers["Retry-After"])
+            assert left_s - 0.1 <= retry_after_s <= 1.2 * left_s + 0.1
+            if key is None:
+                other_entry = router.register_server(other, 1)
+                await _send_for(router, 0.3)
+                assert other.received
+                draining = ServerState.DRAINING
+                router.register(msgspec.structs.replace(other_entry, state=draining))
+            assert len(paused.received) <= arrived + MAX_IN_PAUSE, key
+            await asyncio.sleep(left_s)
+            paused.respond = respond_with(edge_response)
+            await _send_for(router, 0.5, key)
+            assert len(paused.received) > arrived, "it is used after the pause"
+
+
+@async_test
+async def test_queued_requests_are_refused_when_their_server_asks_for_a_pause() -> None:
+    """Guards against requests that wait for a server until their deadline in vain."""
+
+    async def refuse_slowly(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.1)
+        writer.write(edge_refusal(request, more="Retry-After: 60\r\n"))
+
+    async with raw_server(refuse_slowly) as server, edge_router() as router:
+        router.register_server(server)
+        started_s = time.monotonic()
+        responses = await asyncio.gather(
+            *(router.send(router.request()) for _ in range(20))
+        )
+        assert {response.status for response in responses} == {503}
+        assert time.monotonic() - started_s < 0.1 + REFUSED_AT_ONCE_S
+        assert len(server.received) < 20
+
+
+def test_a_pause_that_cannot_be_read_is_ignored() -> None:
+    """Guards against a server that is left out for ever, and against an exception."""
+    for value, expected_ms in (
+        ("1.5", 1500.0),
+        ("0", 0.0),
+        ("-3", 0.0),
+        ("1e30", 0.0),
+        ("nan", 0.0),
+        ("Sat, 05 Dec 2026 08:00:00 GMT", 0.0),
+    ):
+        assert parse_pause_ms(value) == expected_ms, value
