--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -68,6 +68,10 @@
     return respond
 
 
+PAY = b"pay"
+REQUEST_ID = "mulberry-request-id"
+
+
 @async_test
 async def test_a_request_waits_for_a_routing_lease_that_has_just_ended() -> None:
     """Guards against refused requests while a coordinator takes over.
@@ -147,6 +151,60 @@
         assert (response.status, response.outcome) == (200, "ran")
 
 
+@async_test
+async def test_a_response_cut_off_in_its_head_is_never_passed_on() -> None:
+    """Guards against an empty or short response that its caller takes for complete."""
+    cut_at = 0
+
+    async def cut(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_response(request)[:cut_at])
+        writer.close()
+
+    async with (
+        raw_server(cut) as server,
+        running_router([server.entry("server-1", "roster")]) as router,
+    ):
+        router.own("server-1")
+        length = len(make_response(RawRequest("", "", {REQUEST_ID: "1" * 32}, PAY, 0)))
+        for cut_at in range(0, length, 3):
+            # Equal requests would be suspected of crashing the server.
+            body = b"%03d" % cut_at
+            response = await router.send("/roster/pay", body, Mulberry_Key="k")
+            assert response.status >= 500, cut_at
+            assert response.outcome == "unknown", cut_at
+
+
+@async_test
+async def test_a_refusal_repeated_on_a_kept_connection_answers_no_other_request() -> (
+    None
+):
+    """Guards against a payment that ran and is reported as not run.
+
+    The owner of the key answers, and writes an earlier refusal once more.
+    """
+    refusals: list[bytes] = []
+    used: set[int] = set()
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if not refusals:
+            refusals.append(refusal(request, "not-owner"))
+            writer.write(refusals[0])
+            return
+        is_kept = request.connection in used
+        used.add(request.connection)
+        writer.write((refusals[0] if is_kept else b"") + make_response(request))
+
+    async with (
+        raw_server(respond) as server,
+        running_router([server.entry("server-1", "roster")]) as router,
+    ):
+        router.own("server-1")
+        for _ in range(6):
+            response = await router.send("/roster/pay", PAY, Mulberry_Key="k")
+            assert response.outcome != "not-run"
+        assert len(used) < len(server.received) - 1, "connections are kept"
+
+
 # Each case: behaviour of the server; status and outcome of a payment that it receives
 # once.
 PAYMENT_CASES: list[tuple[Respond, int, str]] = [
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 from returns.result import Success
 
 from mulberryrelay_edge.adapter import CommandMisdirected, CommandRefused
@@ -81,10 +82,12 @@
     "Limits": {"MaxHeaderBytes": 100, "MaxBodyBytes": 200, "IdleTimeoutS": 15},
 }
 
+INFO = {"Service": "s", "Version": "v1", "Zone": "a", "Slots": 4}
+STATUS = {"State": "draining", "Seq": 4, "ColdLeftS": 1.5}
 ENTRY = {
     "Address": "127.0.0.1:8080",
-    "Info": {"Service": "s", "Version": "v1", "Zone": "a", "Slots": 4},
-    "Status": {"State": "draining", "Seq": 4, "ColdLeftS": 1.5},
+    "Info": INFO,
+    "Status": STATUS,
     "born": 1700000000000,
 }
 
@@ -161,6 +164,38 @@
     assert server.slow_start_left_ms == 1500
 
 
+UNENCODABLE = (1 << 64, 10**30, -(1 << 63) - 1)
+"""Numbers that JSON can carry and a message between routers cannot."""
+
+
+def test_entries_that_are_used_can_be_passed_on() -> None:
+    """Guards against a leader that cannot encode a reply for the numbers of an entry.
+
+    Any number of an entry that is accepted goes into messages between routers.
+    """
+    for number in (
+        0,
+        1,
+        2**31,
+        2**32,
+        2**53,
+        2**53 + 1,
+        2**63,
+        2**64 - 1,
+        *UNENCODABLE,
+    ):
+        for entry in (
+            {**ENTRY, "born": number},
+            {**ENTRY, "Info": {**INFO, "Slots": number}},
+        ):
+            server = decode_server(row(entry, "i-1"))
+            if server is None:
+                continue
+            assert msgspec.msgpack.encode(server)
+            assert server.entry.boot_id == str(server.started_ms)
+            assert 1 <= server.slots <= 2**16
+
+
 def test_invalid_server_entries_are_ignored() -> None:
     """Guards against rows of other writers that replace servers or end the process."""
     invalid = [
@@ -172,6 +207,11 @@
         {**ENTRY, "Info": {"Service": 4, "Zone": "a", "Slots": 4}},
         {**ENTRY, "Info": {"Service": "s", "Zone": "a", "Slots": 0}},
         {**ENTRY, "born": "yesterday"},
+        *({**ENTRY, "born": number} for number in UNENCODABLE),
+        *({**ENTRY, "Info": {**INFO, "Slots": number}} for number in UNENCODABLE),
+        *({**ENTRY, "Status": {**STATUS, "ColdLeftS": n}} for n in UNENCODABLE),
+        *({**ENTRY, "Address": f"127.0.0.1:{port}"} for port in (0, 65536, 10**30)),
+        b"[" * 100_000,
         {key: ENTRY[key] for key in ("Address", "Status")},
     ]
     for value in invalid:
