--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -23,9 +23,10 @@
 
 from .adapter import Adapter
 from .catalog import Catalog
-from .forwarder import RequestForwarder, router_response
+from .forwarder import RequestForwarder
 from .messages import CallerLimits, EdgeRequest, EdgeResponse
 from .options import EdgeOptions
+from .responses import router_response
 from .routematcher import RouteMatcher
 
 DROPPED_HEADERS = (
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -9,13 +9,11 @@
 from collections.abc import Callable, Collection
 
 import msgspec
-from multidict import CIMultiDict
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestClass, ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
-from mulberryrelay_kernel.states import Outcome
 from mulberryrelay_kernel.unreadheaders import UnreadHeaders
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.probation import ProbationEnd
@@ -38,6 +36,13 @@
 from .ownership import Ownership
 from .rangeedits import NO_SERVER
 from .relay import Relay, RelayFailure
+from .responses import (
+    had_free_slot,
+    may_have_run,
+    outcome_of,
+    router_response,
+    server_response,
+)
 from .retrybudget import RetryBudget
 from .serverreach import ServerReach
 from .suspectruns import SuspectRuns
@@ -115,7 +120,7 @@
         self._metrics.record(
             request.service,
             RequestClass(request.route.name),
-            _outcome_of(response),
+            outcome_of(response),
             self._clock() - request.arrived_ms,
         )
         return response
@@ -154,14 +159,14 @@
                 result.status >= 500 and request.route.is_idempotent
             ):
                 self._suspect_runs.record_response(request)
-                return _server_response(result)
+                return server_response(result)
             if result.status == 400:
-                return _server_response(result)
+                return server_response(result)
             tried.add(server.server)
             self._log_failed_attempt(request, server, result)
             if result.outcome is AttemptOutcome.BROKEN:
                 await self._suspect_runs.record_broken(request, server)
-            if _may_have_run(result):
+            if may_have_run(result):
                 possibly_ran.add(server.server)
                 failures += 1
                 if not request.route.is_idempotent:
@@ -250,7 +255,7 @@
             result = await self._exchange(request, permit.server, permit.send_id)
             if result.outcome is not AttemptOutcome.COMPLETED:
                 self._log_failed_attempt(request, permit.server, result)
-            if _may_have_run(result):
+            if may_have_run(result):
                 possibly_ran.add(permit.server.server)
             return result
 
@@ -346,7 +351,7 @@
         elif result.outcome is AttemptOutcome.NOT_RUN:
             if result.other_server:
                 self._catalog.mark_replaced(server, result.other_server)
-            elif result.status != 421 and not _had_free_slot(result):
+            elif result.status != 421 and not had_free_slot(result):
                 loads.record_refusal(server)
         else:
             loads.record_failure(server, result.detail)
@@ -377,7 +382,7 @@
         503 means that it did not run on any server; 502 and 504 that it may have run.
         """
         if result is not None and result.outcome is AttemptOutcome.COMPLETED:
-            return _server_response(result)
+            return server_response(result)
         elapsed_ms = self._clock() - request.arrived_ms
         if not possibly_ran:
             status = 503
@@ -400,7 +405,7 @@
             store_silent_ms=round(self._catalog.store_unreachable_ms),
         )
         self._metrics.count(f"given_up_{reason}")
-        if result is not None and _had_free_slot(result):
+        if result is not None and had_free_slot(result):
             return router_response(status, RETRY_AFTER_FREE_SLOT_S)
         return router_response(status, retry_after_s)
 
@@ -418,36 +423,3 @@
             born_ms=server.started_ms,
         )
         self._metrics.count(f"attempt_{result.outcome.value}")
-
-
-def _may_have_run(result: AttemptResult) -> bool:
-    return result.outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.NOT_SENT)
-
-
-def _had_free_slot(result: AttemptResult) -> bool:
-    """Return whether a server refused a request although it had a free slot."""
-    if result.outcome is not AttemptOutcome.NOT_RUN or result.load is None:
-        return False
-    return result.load.running < result.load.slots
-
-
-def _outcome_of(response: EdgeResponse) -> Outcome:
-    if response.is_from_router:
-        return Outcome.NOT_RUN if response.status == 503 else Outcome.UNKNOWN
-    return Outcome.RAN
-
-
-def router_response(status: int, retry_after_s: float = RETRY_AFTER_S) -> EdgeResponse:
-    """Return a response made by the router itself.
-
-    Status 503 states that the request did not run.
-    """
-    headers: CIMultiDict[str] = CIMultiDict()
-    if status == 503:
-        headers["Retry-After"] = f"{retry_after_s:.2f}"
-    return EdgeResponse(status, headers, b"", is_from_router=True)
-
-
-def _server_response(result: AttemptResult) -> EdgeResponse:
-    assert result.headers is not None
-    return EdgeResponse(result.status, result.headers, result.body)
