Send reports of losses again that the leader took late; let a leader notice its cut

A router waits 200 ms for the leader to take a report of a lost server. A report that took longer was forgotten when the wait ended, unless the leader changed.

A leader without callers of its own found out that it reaches no server only by its requests. It now probes when commands to a server get no reply.

Both tests fail without the change: nothing reported, and the cut-off leader still leads after 3 s.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -338,6 +338,9 @@
             await self._write_renewal(row)
 
     async def _write_renewal(self, row: LeaderRow) -> None:
+        if self._unreachable_servers.grant_expiries_ms:
+            # Commands get no replies, perhaps because this router's links are lost.
+            self._reach.suspect()
         started_ms = self._clock()
         expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
         renewed = msgspec.structs.replace(
--- a/packages/edge/mulberryrelay_edge/suspectlink.py
+++ b/packages/edge/mulberryrelay_edge/suspectlink.py
@@ -141,8 +141,14 @@
                 self._holder.boot_id,
                 [suspect.SerializeToString() for suspect in due],
             )
-            if not await self._calls.report_suspects(notice.link_url, report):
-                self._unreported = [*due, *self._unreported][-MAX_UNREPORTED:]
+            is_recorded = False
+            try:
+                is_recorded = await self._calls.report_suspects(notice.link_url, report)
+            finally:
+                # The caller may give up the wait for the leader.
+                if not is_recorded:
+                    self._unreported = [*due, *self._unreported][-MAX_UNREPORTED:]
+            if not is_recorded:
                 return False
         if is_new_leader:
             self._informed_leader = notice
--- a/tests/test_edge_cut_off.py
+++ b/tests/test_edge_cut_off.py
@@ -149,6 +149,8 @@
         fleet.pauses_s.clear()
         for router in [leader, *others[: cut_off - 1]]:
             router.commands.is_cut_off = True
+        for router in others[: cut_off - 1]:
+            # The leader finds out by its commands, these by their requests.
             router.reach.suspect()
         await asyncio.sleep(NOTICED_S)
         assert fleet.leader in others[cut_off - 1 :]
--- a/tests/test_edge_poison.py
+++ b/tests/test_edge_poison.py
@@ -29,6 +29,7 @@
     send_beside,
 )
 from .fixtures.edgefleet import (
+    LINK_TIMEOUT_S,
     SERVICE,
     Fleet,
     FleetRouter,
@@ -245,3 +246,23 @@
         fleet.stop()
 
     run_virtual(scenario())
+
+
+def test_a_report_that_the_leader_takes_late_is_sent_again() -> None:
+    """Guards against a loss that is forgotten since nobody waited for its report."""
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet()
+        leader = fleet.leader
+        assert leader is not None
+        poisoned = _PoisonedFleet(fleet)
+        leader.is_unreachable = True
+        await poisoned.play(POISON_PERIOD_S, followers_of(fleet)[:1])
+        await asyncio.sleep(LINK_TIMEOUT_S)
+        leader.is_unreachable = False
+        await asyncio.sleep(LINK_TIMEOUT_S)
+        reported = leader.suspects.changes_since(0).suspects
+        assert len(reported) == 1, "two losses of one request"
+        fleet.stop()
+
+    run_virtual(scenario())
