--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -140,10 +140,15 @@
                 else result.status,
             )
             if isinstance(result, RelayedResponse):
+                is_refused = result.is_from_router and result.status == 503
+                if is_refused and failure is RelayFailure.UNKNOWN:
+                    # The router before may have run it.
+                    return failure
                 return _response(result)
             if peer in self._peers:
                 self._peers.remove(peer)
-            failure = result
+            if failure is RelayFailure.NOT_SENT:
+                failure = result
             if result is RelayFailure.UNKNOWN and not request.route.is_idempotent:
                 break
         return failure
--- a/packages/edge/mulberryrelay_edge/serverreach.py
+++ b/packages/edge/mulberryrelay_edge/serverreach.py
@@ -109,17 +109,20 @@
         self._cut_off_ms = self._clock()
         log_event("servers_unreachable", servers=len(self._servers()))
         self._verdict.set()
-        self._changes.on_next(True)
-        has_links = False
-        while not has_links:
-            await asyncio.sleep(ROUND_PERIOD_S)
-            chosen = self._choose()
-            reached = await asyncio.gather(*(self._probe(server) for server in chosen))
-            has_links = 2 * sum(reached) > len(chosen)
-        lost_ms = round(self._clock() - self._cut_off_ms)
-        self._cut_off_ms = None
-        log_event("servers_reachable", lost_ms=lost_ms)
-        self._changes.on_next(False)
+        try:
+            self._changes.on_next(True)
+            while not await self._reaches_most():
+                await asyncio.sleep(ROUND_PERIOD_S)
+        finally:
+            lost_ms = round(self._clock() - self._cut_off_ms)
+            self._cut_off_ms = None
+            log_event("servers_reachable", lost_ms=lost_ms)
+            self._changes.on_next(False)
+
+    async def _reaches_most(self) -> bool:
+        chosen = self._choose()
+        reached = await asyncio.gather(*(self._probe(server) for server in chosen))
+        return 2 * sum(reached) > len(chosen)
 
     def _choose(self) -> list[BackendServer]:
         servers = list(self._servers())
--- a/tests/test_edge_cut_off.py
+++ b/tests/test_edge_cut_off.py
@@ -1,18 +1,29 @@
 """Routers that have lost their links to all servers, and are reached by callers."""
 
 import asyncio
+import random
 import time
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
+from unittest.mock import patch
 
 import aiohttp
 
 from bench.virtual_time import run_virtual
+from mulberryrelay_edge import relay
+from mulberryrelay_edge.messages import BackendServer
+from mulberryrelay_edge.serverreach import ServerReach
+from mulberryrelay_kernel.clock import monotonic_ms
 
 from .fixtures import async_test, wait_until
 from .fixtures.cutlinks import refusing_address, silent_address
-from .fixtures.edgefleet import MAX_GRANT_TTL_MS, followers_of, start_settled_fleet
+from .fixtures.edgefleet import (
+    MAX_GRANT_TTL_MS,
+    backend,
+    followers_of,
+    start_settled_fleet,
+)
 from .fixtures.edgerouter import edge_refusal, edge_response, get, linked_routers
-from .fixtures.rawserver import RawRequest, raw_server, respond_with
+from .fixtures.rawserver import HOST, RawRequest, close, raw_server, respond_with
 
 SERVERS = 4
 NOTICED_S = 3.0
@@ -164,3 +175,49 @@
 
     for cut_off in (1, 4):
         run_virtual(scenario(cut_off))
+
+
+@async_test
+async def test_a_refusal_after_a_relay_of_unknown_outcome_is_not_passed_on() -> None:
+    """Guards against "not run" for a request that the first router may have run."""
+    async with (
+        raw_server(close) as broken,
+        raw_server(respond_with(edge_refusal)) as full,
+        linked_routers(2) as (cut_off, other),
+    ):
+        other.register_server(full)
+        broken_url = f"http://{HOST}:{broken.port}/link"
+        refusing_url = cut_off.peers[0]
+        with refusing_address() as port:
+            cut_off.register_address(port)
+            cut_off.reach.suspect()
+            await wait_until(lambda: cut_off.relay.is_needed)
+            for urls, status in (
+                ([refusing_url], 503),
+                ([broken_url], 502),
+                ([broken_url, refusing_url], 502),
+            ):
+                cut_off.peers = urls
+                await asyncio.sleep(2 * relay.PEERS_PERIOD_S)
+                with patch.object(random, "sample", lambda peers, count: list(peers)):
+                    response = await cut_off.send(cut_off.request())
+                assert response.status == status, urls
+
+
+@async_test
+async def test_an_error_while_cut_off_does_not_leave_the_router_cut_off() -> None:
+    """Guards against requests that are relayed for ever."""
+
+    async def reaches(server: BackendServer) -> bool:
+        return False
+
+    def fail(is_cut_off: bool) -> None:
+        if is_cut_off:
+            raise RuntimeError
+
+    reach = ServerReach(lambda: [backend(1)], reaches, monotonic_ms)
+    reach.changes.subscribe(fail)
+    reach.suspect()
+    with suppress(RuntimeError):
+        await asyncio.wait_for(reach.run(), NOTICED_S)
+    assert not reach.is_cut_off
