Take the names of the platform from its adapter in the review

Cause: test_only_the_adapter_contains_names_of_the_platform failed, since the stand-ins of the review had the names of the protocols. Done: review/harness.py imports them from mulberryrelay_platform.names.

--- a/review/harness.py
+++ b/review/harness.py
@@ -1,7 +1,7 @@
 """Stand-ins for the scripts of the review: store, backends, clients, router processes.
 
-Everything runs on loopback addresses with the Python standard library; the routers are
-started with the command of the deploy file. The stand-ins follow the users' pages.
+Everything runs on loopback addresses; the routers are started with the command of the
+deploy file. The stand-ins follow the users' pages.
 """
 
 import asyncio
@@ -20,6 +20,32 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+# The names of the platform's protocols stand in the adapter only; it needs the build.
+sys.path.extend(
+    str(Path(__file__).resolve().parent.parent / directory)
+    for directory in (
+        "target/deps",
+        "platform",
+        "packages/kernel",
+        "packages/control",
+        "packages/router",
+        "packages/edge",
+    )
+)
+
+from mulberryrelay_platform.names import (
+    FOLLOW_PATH,
+    GRANT_PATH,
+    HANDOVER_HEADER,
+    HEADERS,
+    READ_PATH,
+    READY_PATH,
+    RELEASE_PATH,
+    SETTINGS_VARIABLE,
+    STORE_ERA_HEADER,
+    TRANSACTION_PATH,
+)
+
 ROOT = Path(__file__).resolve().parent.parent
 FRONT_PORT = 8381
 READY_PORT = 8388
@@ -31,10 +57,13 @@
 LAPSE_S = 3 * HEARTBEAT_S
 """Silence after which the store removes the entry of a backend."""
 
-ID = "mulberryrelay-attempt-id"
-DEADLINE = "mulberryrelay-deadline-ms"
-EXPECT = "mulberryrelay-expect-instance"
-KEY = "mulberryrelay-shard-key"
+ID = str(HEADERS.request_id).lower()
+EXPECT = str(HEADERS.expected_server).lower()
+KEY = str(HEADERS.key).lower()
+LOAD_HEADER = str(HEADERS.load)
+LIMIT_HEADER = str(HEADERS.limit)
+NOT_RUN = {str(HEADERS.not_run): "1"}
+SIGNATURE = {str(HEADERS.response_signature): "s.1"}
 
 
 class CannotRunError(Exception):
@@ -173,7 +202,7 @@
                 status, body = await self._answer(request)
                 headers = {
                     "Content-Type": "application/json",
-                    "Store-Era": str(self.era),
+                    STORE_ERA_HEADER: str(self.era),
                 }
                 writer.write(encode_response(status, headers, body))
                 await writer.drain()
@@ -188,11 +217,11 @@
             return 503, b"{}"
         path, _, text = request.path.partition("?")
         query = dict(_unquote(pair) for pair in text.split("&") if pair)
-        if path == "/mulberryrelay/rows-get":
+        if path == READ_PATH:
             return self._get(query)
-        if path == "/mulberryrelay/rows-feed":
+        if path == FOLLOW_PATH:
             return await self._feed(query)
-        if path == "/mulberryrelay/rows-tx":
+        if path == TRANSACTION_PATH:
             return self._transact(json.loads(request.body))
         return 404, b"{}"
 
@@ -405,14 +434,14 @@
                 if reply is None or life != self.id:
                     return
                 headers = {
-                    "Mulberryrelay-Instance-Id": self.id,
-                    "Mulberryrelay-Backend-Load": f"{self.running},0,4",
+                    str(HEADERS.server): self.id,
+                    LOAD_HEADER: f"{self.running},0,4",
                     **reply.headers,
                 }
                 if ID in request.headers:
-                    headers["Mulberryrelay-Attempt-Id"] = request.headers[ID]
+                    headers[str(HEADERS.request_id)] = request.headers[ID]
                 if self.is_leaving:
-                    headers["Server-Leaving"] = "1"
+                    headers[str(HEADERS.leaving)] = "1"
                 writer.write(encode_response(reply.status, headers, reply.body))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
@@ -423,7 +452,7 @@
 
     async def _reply(self, request: Message) -> Reply | None:
         if request.headers.get(EXPECT, self.id) != self.id:
-            return Reply(421, {"Mulberryrelay-Not-Executed": "1"})
+            return Reply(421, dict(NOT_RUN))
         if request.path == "/health":
             return Reply(503 if self.is_leaving else 200)
         return await self.decide(self, request)
@@ -456,15 +485,15 @@
         return any(h.overlaps(key, key) and now_s < h.until_s for h in self.held)
 
     async def _reply(self, request: Message) -> Reply | None:
-        if request.path == "/mulberryrelay/grant":
+        if request.path == GRANT_PATH:
             return self._grant(json.loads(request.body))
-        if request.path == "/mulberryrelay/release":
+        if request.path == RELEASE_PATH:
             return await self._release(json.loads(request.body))
         if KEY not in request.headers:
             return await super()._reply(request)
         key = int(request.headers[KEY])
         if not self.holds(key):
-            return Reply(421, {"Mulberryrelay-Not-Executed": "1"})
+            return Reply(421, dict(NOT_RUN))
         self._keys_at_work.append(key)
         try:
             return await super()._reply(request)
@@ -487,7 +516,7 @@
         self._see(first, last, fence)
         while any(first <= key <= last for key in self._keys_at_work):
             await asyncio.sleep(0.01)
-        return Reply(200, {"Mulberryrelay-Handover": f"h{fence}"})
+        return Reply(200, {HANDOVER_HEADER: f"h{fence}"})
 
     def _see(self, first: int, last: int, fence: int) -> None:
         self._seen = [h for h in self._seen if not first <= h.first <= h.last <= last]
@@ -514,7 +543,7 @@
     finally:
         backend.running -= 1
     body = f"done {request.headers[ID]}".encode()
-    return Reply(200, {"Mulberryrelay-Response-Signature": "s.1"}, body)
+    return Reply(200, dict(SIGNATURE), body)
 
 
 class Router:
@@ -538,7 +567,7 @@
         environment = {name: os.environ[name] for name in kept if name in os.environ}
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        environment["MULBERRYRELAY_CONFIG"] = str(self._settings)
+        environment[SETTINGS_VARIABLE] = str(self._settings)
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
                 command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
@@ -568,7 +597,7 @@
             reader, writer = await asyncio.open_connection(self.host, READY_PORT)
         except OSError:
             return False
-        writer.write(b"GET /mulberryrelay/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        writer.write(f"GET {READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
         try:
             answer = await asyncio.wait_for(read_message(reader), 1.0)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
@@ -669,11 +698,11 @@
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {host}",
-        f"Mulberryrelay-Attempt-Id: {request_id}",
-        f"Mulberryrelay-Deadline-Ms: {deadline_ms}",
+        f"{HEADERS.request_id}: {request_id}",
+        f"{HEADERS.deadline_ms}: {deadline_ms}",
     ]
     if key is not None:
-        lines.append(f"Mulberryrelay-Shard-Key: {key}")
+        lines.append(f"{HEADERS.key}: {key}")
     if body:
         lines.append(f"Content-Length: {len(body)}")
     return request_id, ("\r\n".join(lines) + "\r\n\r\n").encode() + body
