Count the drain time of a key's owner from when its entry may have been stored

Cause: an owner whose keys have not moved got requests for 1.2 s more, counted from the time at which a router saw the entry. Without the leader's link to the store, routers see it up to 1.6 s late, and the two add up.

Ruled out: late notice alone.

Change: a router keeps the time up to which it certainly knows all changes of the store, a leader states it in its replies, and a draining entry counts from it. The total comes from the platform's DrainS. A reply of an older build lacks the field, which permits no time at all; older builds ignore it.

Conclusion: the bound no longer depends on how late a router learns of it, as long as it learns within DrainS.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -19,16 +19,18 @@
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_kernel.supervision import run_supervised
 
-from .messages import BackendServer, RouteTable
+from .messages import BackendServer, KeyRange, RouteTable
 from .storeversion import restores_of
-from .tablefollower import FollowedTable, StoreSync, follow_table
+from .tablefollower import FollowedTable, Role, StoreSync, follow_table
 from .tablestore import Source, TableRead, TableStore, decode_row
 from .unreachableservers import Incarnation
 
 SERVERS_BATCH_DELAY_S = 0.2
 """Pause after a change of the servers table, to fetch several changes at once."""
-DRAIN_GRACE_MS = 1200.0
-"""Time for which a draining owner still gets requests if its keys are not moved."""
+SEND_MARGIN_MS = 400.0
+"""Time that a request may take to reach a server that must soon get none."""
+MAX_LOGGED_AGE_MS = 3_600_000.0
+"""Age of an entry in a log line if it is not known."""
 
 
 class Catalog:
@@ -41,14 +43,18 @@
         servers: Source[BackendServer],
         store_sync: StoreSync,
         reregistration_ms: float,
+        drain_ms: float,
         clock: Clock,
     ) -> None:
+        """``drain_ms`` is ``EdgeOptions.drain_ms``."""
         self._store = store
         self._store_sync = store_sync
         store_sync.changes.subscribe(self.set_store_reachable)
         self._route_source = routes
         self._server_source = servers
         self._reregistration_ms = reregistration_ms
+        self._drain_grace_ms = max(0.0, drain_ms - SEND_MARGIN_MS)
+        """Time for which a draining owner still gets requests if its keys stay."""
         self._clock = clock
         self._routes: RouteTable | None = None
         self._routes_ms = float("-inf")
@@ -61,7 +67,7 @@
         self._replaced: set[tuple[ServerId, int, str, int]] = set()
         """Entries at whose address a server with another id answered."""
         self._draining_ms: dict[ServerId, float] = {}
-        """Time at which each draining server was first observed to drain."""
+        """Earliest time at which each draining server may have reported that."""
         self._leaving: set[Incarnation] = set()
         """Servers that state in their responses, or to another router, that they drain.
         """
@@ -142,13 +148,22 @@
             return
         self._leaving.add(incarnation)
         log_event("server_leaving", server=entry.server, state=entry.state.value)
-        self._apply_entry(entry)
+        self._apply_entry(entry, self._clock())
         self._changes.on_next(None)
 
     def is_drain_grace_over(self, server: BackendServer) -> bool:
         """Return whether a server has drained so long that it gets no more requests."""
         since_ms = self._draining_ms.get(server.server)
-        return since_ms is not None and self._clock() - since_ms > DRAIN_GRACE_MS
+        if since_ms is None:
+            return False
+        return self._clock() - since_ms > self._drain_grace_ms
+
+    def serving_owner(self, key_range: KeyRange) -> BackendServer | None:
+        """Return the owner of a range if it may get requests for its keys."""
+        owner = self._servers.get(key_range.owner)
+        if owner is None or not key_range.is_owned_by(owner):
+            return None
+        return None if self.is_drain_grace_over(owner) else owner
 
     def server(self, server: ServerId) -> BackendServer | None:
         """Return the entry of a server, or None if it is not registered."""
@@ -219,6 +234,7 @@
     def apply_servers(self, read: TableRead, is_complete: bool) -> None:
         """Apply changed entries, or replace all entries if ``is_complete``."""
         self._record_restores(restores_of(read.version))
+        stored_from_ms = self._stored_from_ms(is_complete)
         listed: set[ServerId] = set()
         for row in read.rows:
             server = ServerId(row.key)
@@ -232,18 +248,32 @@
                 continue
             listed.add(server)
             self._missing.pop(server, None)
-            self._log_entry_change(entry, row.version)
-            self._apply_entry(entry)
+            self._log_entry_change(entry, row.version, stored_from_ms)
+            self._apply_entry(entry, stored_from_ms)
         if is_complete:
             for server in [s for s in self._servers if s not in listed]:
                 self._handle_deletion(server)
+        if self._store_sync.role is not Role.FOLLOWER:
+            self._store_sync.record_informed(self._clock())
         self._changes.on_next(None)
 
-    def _apply_entry(self, entry: BackendServer) -> None:
+    def _stored_from_ms(self, is_complete: bool) -> float:
+        """Return the earliest time at which rows read now may have been stored.
+
+        A waiting poll of this router returns a change at once. A leader may send it
+        late, and a complete read may find one that was missed before.
+        """
+        now_ms = self._clock()
+        if not is_complete and self._store_sync.role is not Role.FOLLOWER:
+            return now_ms
+        return min(now_ms, self._store_sync.informed_until_ms)
+
+    def _apply_entry(self, entry: BackendServer, stored_from_ms: float) -> None:
         if (entry.server, entry.started_ms) in self._leaving:
             entry = msgspec.structs.replace(entry, state=ServerState.DRAINING)
         if entry.state is ServerState.DRAINING:
-            self._draining_ms.setdefault(entry.server, self._clock())
+            known_ms = self._draining_ms.get(entry.server, stored_from_ms)
+            self._draining_ms[entry.server] = min(known_ms, stored_from_ms)
         else:
             self._draining_ms.pop(entry.server, None)
         self._servers[entry.server] = entry
@@ -281,7 +311,9 @@
             self._leaving.discard((server, entry.started_ms))
             log_event("server_gone", server=server, service=entry.service)
 
-    def _log_entry_change(self, entry: BackendServer, version: int) -> None:
+    def _log_entry_change(
+        self, entry: BackendServer, version: int, stored_from_ms: float
+    ) -> None:
         previous = self._servers.get(entry.server)
         is_known = previous is not None and previous.is_same_incarnation(entry)
         if is_known and previous is not None and previous.state is entry.state:
@@ -294,6 +326,7 @@
             born_ms=entry.started_ms,
             address=f"{entry.host}:{entry.port}",
             row_version=version,
+            max_age_ms=round(min(self._clock() - stored_from_ms, MAX_LOGGED_AGE_MS)),
         )
 
 
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -67,6 +67,7 @@
             adapter.server_source,
             self._store_sync,
             options.reregistration_ms,
+            options.drain_ms,
             clock,
         )
         self._ownership = Ownership()
@@ -118,6 +119,7 @@
             self._catalog.record_leaving,
             lambda: lease.is_valid,
             lambda: lease.is_store_unresponsive,
+            lambda: lease.stored_ms,
             clock,
         )
         lease.changes.subscribe(report_handler.set_leading)
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -301,12 +301,8 @@
             key_range = self._ownership.find(request.service, key)
             if key_range is None or key_range.is_moving:
                 return []
-            server = self._catalog.server(key_range.owner)
-            if server is None or not key_range.is_owned_by(server):
-                return []
-            if self._catalog.is_drain_grace_over(server):
-                return []
-            return [server]
+            server = self._catalog.serving_owner(key_range)
+            return [server] if server is not None else []
 
         return owner
 
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from math import floor, isinf
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.logs import log_event
@@ -41,6 +42,8 @@
 """Time from the start of a term until all routers that reach the leader reported."""
 COUNT_TTL_MS = 10_000.0
 """Time for which a follower relies on the number of routers that the leader sent."""
+INFORMED_STEP_MS = 100.0
+"""Step to which the time is rounded down that a reply states of the leader."""
 CHECK_PERIOD_S = 0.1
 """Period in which a leader checks its role and the store.
 
@@ -63,9 +66,15 @@
         record_leaving: Callable[[Incarnation], None],
         is_leader: Callable[[], bool],
         is_store_unresponsive: Callable[[], bool],
+        informed_until_ms: Callable[[], float],
         clock: Clock,
     ) -> None:
-        """``record_leaving`` records that a server told a follower that it drains."""
+        """``record_leaving`` records that a server told a follower that it drains.
+
+        ``informed_until_ms`` returns the last time at which the store certainly
+        answered this router as the leader; minus infinity if there is none. Its waiting
+        polls returned all changes up to then.
+        """
         self._load = load
         self._ownership = ownership
         self._store_sync = store_sync
@@ -73,6 +82,7 @@
         self._record_leaving = record_leaving
         self._is_leader = is_leader
         self._is_store_unresponsive = is_store_unresponsive
+        self._informed_until_ms = informed_until_ms
         self._clock = clock
         self._is_store_reachable = True
         self._leading_since_ms: float | None = None
@@ -151,14 +161,15 @@
 
         If there is no newer data, wait for it as long as the report allows.
         """
+        arrived_ms = self._clock()
         self._load.add_report(report.requested)
-        self._reported_ms[report.boot_id] = self._clock()
+        self._reported_ms[report.boot_id] = arrived_ms
         for incarnation in report.state.leaving:
             self._record_leaving(incarnation)
         self._peer_urls.pop(report.boot_id, None)
         if report.state.link_url and not report.state.is_cut_off:
             self._peer_urls[report.boot_id] = report.state.link_url
-        end_ms = self._clock() + min(report.wait_ms, MAX_WAIT_MS)
+        end_ms = arrived_ms + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
             leader_reply = LeaderReply(
@@ -167,6 +178,7 @@
                 self._is_store_reachable,
                 self.counted_routers,
                 self._suspects.changes_since(report.suspects_version),
+                self._informed_after_ms(arrived_ms),
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -187,6 +199,14 @@
                 continue
         return None
 
+    def _informed_after_ms(self, arrived_ms: float) -> float | None:
+        """Return ``LeaderReply.informed_after_report_ms``."""
+        after_ms = self._informed_until_ms() - arrived_ms
+        if isinf(after_ms) or not self._store_sync.is_current:
+            return None
+        # Rounded, so that equal replies to many followers are encoded once.
+        return floor(after_ms / INFORMED_STEP_MS) * INFORMED_STEP_MS
+
 
 class LeaderLink:
     """Reports to the leader, applies its replies and sets this router's role."""
@@ -265,6 +285,7 @@
                 self._suspects.applied_version,
                 self._describe_self(),
             )
+            sent_ms = self._clock()
             leader_reply = await self._send(notice.link_url, report)
             self._log_reachability(leader_reply is not None, notice)
             if self._is_leader():
@@ -274,9 +295,10 @@
                 self._on_leader_lost()
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._apply_reply(leader_reply)
+            self._apply_reply(leader_reply, sent_ms)
 
-    def _apply_reply(self, leader_reply: LeaderReply) -> None:
+    def _apply_reply(self, leader_reply: LeaderReply, sent_ms: float) -> None:
+        """Apply the reply to a report that was sent at ``sent_ms``."""
         self._set_count(leader_reply.routers)
         has_store_state_changed = (
             leader_reply.is_store_reachable is not self._is_store_reachable
@@ -295,6 +317,10 @@
         self._ownership.apply_changes(leader_reply.ranges)
         self._suspects.apply_changes(leader_reply.suspects)
         self._record_leader_store(leader_reply.is_store_reachable)
+        informed_after_ms = leader_reply.informed_after_report_ms
+        if informed_after_ms is not None:
+            # The report arrived at the leader after it was sent here.
+            self._store_sync.record_informed(sent_ms + informed_after_ms)
         # While the store does not answer the leader, it cannot send changes, so this
         # router polls the store itself.
         self._store_sync.set_role(
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -98,6 +98,8 @@
         self._has_renewal_failed = False
         self._renewal_duration_ms = 0.0
         """Duration of the last renewal."""
+        self._stored_ms = float("-inf")
+        """Start time of the last call that certainly stored the lease."""
         self._renewal_started_ms = float("inf")
         """Start time of the renewal in progress; infinity if there is none."""
         self._is_leaving = False
@@ -153,6 +155,11 @@
         """
         return self._row is not None and not self._is_leaving
 
+    @property
+    def stored_ms(self) -> float:
+        """Start time of the last call to the store that certainly stored the lease."""
+        return self._stored_ms
+
     @property
     def is_renewal_late(self) -> bool:
         """Whether the last renewal failed, or the current one is late."""
@@ -313,6 +320,7 @@
             return False
         if self._is_outdated_on_arrival(acquired, result.unwrap()):
             return False
+        self._stored_ms = now_ms
         self._begin_term(acquired, result.unwrap())
         return True
 
@@ -368,6 +376,7 @@
             return
         if isinstance(result, Success):
             self._row = renewed
+            self._stored_ms = started_ms
             self._unreachable_servers.mark_stored(renewed.unreachable)
             self._version = result.unwrap().version
             if self._is_leaving:
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -398,3 +398,9 @@
     routers: int
     """Number of routers, the leader included; 0 while some may not have reported."""
     suspects: SuspectChanges = SuspectChanges(0, [])
+    informed_after_report_ms: float | None = None
+    """Time from the arrival of the report until the last one up to which the leader
+    certainly knows all changes of the store; negative if that was before the report.
+
+    None in replies of older builds, and if the leader does not know it.
+    """
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -26,6 +26,8 @@
     """Maximum TTL of a grant of keys to a server."""
     reregistration_ms: float
     """Time for running servers to register again after an outage of the store."""
+    drain_ms: float
+    """Time after a server's report that it drains from which on it gets no requests."""
     retry_ratio: float
     """Allowed retries as a share of all requests."""
     retry_window_ms: float
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -97,6 +97,9 @@
 
         None if it did not, or if rows were read since.
         """
+        self._informed_until_ms = float("-inf")
+        self._unread: set[str] = set()
+        """Tables that have to be read before a poll can wait for their changes."""
         self._changes: Subject[bool] = Subject()
         self._restored: Subject[StoreRestored] = Subject()
 
@@ -134,6 +137,23 @@
         """Version of the store at the last read of each table."""
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
+    @property
+    def informed_until_ms(self) -> float:
+        """Time up to which all changes of the store are certainly known here.
+
+        Minus infinity before the first read.
+        """
+        return self._informed_until_ms
+
+    @property
+    def is_current(self) -> bool:
+        """Whether polls wait for the changes of all tables that this router copies."""
+        return not self._unread
+
+    def record_informed(self, until_ms: float) -> None:
+        """Record that all changes up to a time are known here."""
+        self._informed_until_ms = max(self._informed_until_ms, until_ms)
+
     def follow(self, followed: FollowedTable) -> None:
         """Start to keep a copy of a table, unless that was started before."""
         if followed.table in self._followed:
@@ -152,9 +172,14 @@
         for table in self._followed:
             self._request_full_read(table)
 
-    def record_failed_call(self) -> None:
-        """Record that a call of this router to the store failed."""
+    def record_failed_call(self, table: str) -> None:
+        """Record that a read of a table, or a poll, failed at this router."""
         self._has_own_call_failed = True
+        self._unread.add(table)
+
+    def record_read(self, table: str) -> None:
+        """Record that a read of a table, or a poll, succeeded at this router."""
+        self._unread.discard(table)
 
     def set_leader_lost_store(self, lost_ms: float | None) -> None:
         """Record when the leader reported that it lost the store; None if it did not.
@@ -241,6 +266,8 @@
         return self._role is Role.STANDALONE
 
     def _request_full_read(self, table: str) -> None:
+        if table in self._mirrors:
+            self._unread.add(table)
         event = self._full_read_events.get(table)
         if event is not None:
             event.set()
@@ -276,6 +303,7 @@
                 # be missing that are written again soon.
                 store_sync.set_reachable(True)
             read = result.unwrap()
+            store_sync.record_read(table)
             store_sync.apply_rows(table, read, version is None)
             version = read.version
             if followed.batch_delay_s and read.rows:
@@ -296,7 +324,7 @@
             if followed.is_probe:
                 store_sync.set_reachable(False)
         failures += 1
-        store_sync.record_failed_call()
+        store_sync.record_failed_call(table)
         delay_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** min(failures, 8))
         await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
 
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -411,6 +411,7 @@
         lambda: is_leader,
         lambda: False,
         monotonic_ms,
+        monotonic_ms,
     )
     server = link_server_to(report_handler, suspects, monotonic_ms)
     key_report = KeyReport({SERVICE: [7, 7]}, {SERVICE: ServiceTimeSum(2, 240.0)})
--- a/tests/test_edge_removals.py
+++ b/tests/test_edge_removals.py
@@ -6,14 +6,20 @@
 
 import asyncio
 
+import msgspec
+
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge.messages import BackendServer
 from mulberryrelay_edge.tablefollower import Role
 from mulberryrelay_edge.tablestore import TableRead, TableRow
+from mulberryrelay_kernel.states import ServerState
 
 from .fixtures.edgefleet import (
     REREGISTRATION_MS,
     SERVERS_TABLE,
     SERVICE,
+    Fleet,
+    FleetRouter,
     backend,
     followers_of,
     start_settled_fleet,
@@ -22,6 +28,8 @@
 
 LEAVING_S = 2.0
 """Time after which a server whose registration was deleted gets no more requests."""
+WATCHED_STEPS = 150
+"""Steps of ``SHORT_S`` for which a server is watched after that time."""
 SHORT_S = 0.01
 """Time in which a poll that is waiting ends after a change."""
 TAKEOVER_S = 15.0
@@ -54,6 +62,66 @@
     run_virtual(scenario())
 
 
+def test_an_owner_that_drains_unseen_by_the_leader_gets_no_late_requests() -> None:
+    """Guards against a grace that starts when a router learns late of the draining.
+
+    The leader loses the store, stands still or has lost its power around the time at
+    which the owner of a key reports that it drains.
+    """
+
+    def lose_store(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.is_partitioned = True
+
+    def stand_still(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.is_partitioned = True
+        leader.is_unreachable = True
+
+    def lose_power(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.kill()
+        fleet.routers.remove(leader)
+
+    async def scenario() -> None:
+        for trouble in (lose_store, stand_still, lose_power):
+            for pause_s in (-0.1, 0.0, 0.1, 0.3, 0.5, 0.7, 0.9):
+                fleet = await start_settled_fleet(seed=round(10 * pause_s) + 2)
+                leader = fleet.leader
+                assert leader is not None
+                others = followers_of(fleet)
+                key_range = leader.ownership.find(SERVICE, 0)
+                assert key_range is not None
+                owner = leader.catalog.server(key_range.owner)
+                assert owner is not None
+                draining = msgspec.structs.replace(owner, state=ServerState.DRAINING)
+                if pause_s >= 0:
+                    trouble(fleet, leader)
+                    await asyncio.sleep(pause_s)
+                    fleet.register(draining)
+                else:
+                    fleet.register(draining)
+                    trouble(fleet, leader)
+                await asyncio.sleep(LEAVING_S)
+                for _ in range(WATCHED_STEPS):
+                    for router in others:
+                        sent_to = owner_in_use(router, 0)
+                        is_late = sent_to is not None and sent_to == draining
+                        assert not is_late, (trouble.__name__, pause_s)
+                    await asyncio.sleep(SHORT_S)
+                fleet.stop()
+
+    run_virtual(scenario())
+
+
+def owner_in_use(router: FleetRouter, key: int) -> BackendServer | None:
+    """Return the server to which a router sends requests for a key now."""
+    key_range = router.ownership.find(SERVICE, key)
+    if key_range is None or key_range.is_moving:
+        return None
+    owner = router.catalog.server(key_range.owner)
+    if owner is None or not key_range.is_owned_by(owner):
+        return None
+    return None if router.catalog.is_drain_grace_over(owner) else owner
+
+
 def test_a_server_that_left_is_removed_by_every_kind_of_full_read() -> None:
     """Guards against a grace period for removals that no outage precedes.
 
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -304,6 +304,7 @@
         lambda: True,
         lambda: False,
         virtual_clock,
+        virtual_clock,
     )
     leader = leader_source(handler)
     leaders: list[SendSchedule | None] = [leader.schedule]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -242,6 +242,7 @@
             lambda: True,
             lambda: False,
             monotonic_ms,
+            monotonic_ms,
         )
         link_server = link_server_to(handler, suspects, monotonic_ms)
         client = LinkClient()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -94,7 +94,8 @@
 
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
     """Guards against a router that does not start once the platform adds a setting."""
-    settings = parse_settings(SETTINGS, "boot.conf")
+    settings = parse_settings(f"{SETTINGS}Bounds.DrainS=2.5\n", "boot.conf")
+    assert settings.options.drain_ms == 2500
     assert settings.store_address == "127.0.0.1:8384"
     assert settings.options.caller_port == 8381
     assert settings.options.stop_grace_ms == 6000
