Close only idle connections of callers when a router stops

Cause: to stop, the routers called close() and shutdown() on connections of aiohttp, which then ignore all bytes, also the rest of a body. The process waited for bodies that it no longer read.

Ruled out: an early end of the process; the connections close 5.7 s after the signal.

Change: a connection knows whether a part of a request has arrived, and only idle ones are closed. The listener of mulberryrelay had the same fault and uses the same code.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -2,7 +2,8 @@
 
 Reads and validates each request, finds its route, and passes it to the
 ``RequestForwarder``. On shutdown it first reports that the router is not ready, so that
-the load balancer takes it out, and then completes the requests in flight.
+the load balancer takes it out, and then completes the requests in flight and those
+whose bodies are still arriving.
 """
 
 import asyncio
@@ -15,6 +16,10 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict, istr
 
+from mulberryrelay_kernel.callerconnections import (
+    CallerConnectionServer,
+    drain_connections,
+)
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.logs import log_event
@@ -64,14 +69,18 @@
 """Maximum share of the shutdown time in which new connections are accepted."""
 STOP_RESERVE_MS = 300.0
 """Time kept free at the end of the grace period, before the process is killed."""
+CANCEL_S = 0.01
+"""Time to cancel each request whose body has not arrived; 0 would be no limit."""
 RESPONSE_RESERVE_MS = 200.0
 """Minimum time between a request's deadline and the end of the shutdown.
 
 In this time the last responses are written.
 """
+STOPPING_RETRY_AFTER_S = 0.05
+"""Time after which a caller should return to another router."""
 
 
-class _ConnectionServer(web.Server):
+class _ConnectionServer(CallerConnectionServer):
     """Gives each connection the idle timeout that is in force when it is opened."""
 
     def __init__(
@@ -105,6 +114,8 @@
         self._matcher = RouteMatcher()
         self._in_flight = 0
         self._is_stopping = False
+        self._is_draining = False
+        """Whether no more connections are accepted, as a shutdown goes on."""
         self._stop_deadline_ms = float("inf")
         self._runner: web.ServerRunner | None = None
         self._listener: socket.socket | None = None
@@ -164,12 +175,10 @@
         assert self._runner is not None
         server = self._runner.server
         assert server is not None
-        for connection in server.connections:
-            # Closes idle connections; a busy one stays open until its response.
-            connection.close()
-        await asyncio.sleep(0)
-        await server.shutdown(max(0.0, deadline_s - loop.time()))
+        self._is_draining = True
+        await drain_connections(server, deadline_s)
         log_event("caller_server_stopped", in_flight=self._in_flight)
+        await server.shutdown(CANCEL_S)
         await self._runner.cleanup()
         if self._ready_runner is not None:
             await self._ready_runner.cleanup()
@@ -247,6 +256,19 @@
             headers.popall(name, None)
         headers.popall(names.expected_server, None)
         key = _parse_number(request.headers.get(names.key), -1.0)
+        deadline_ms = arrived_ms + min(caller_timeout_ms, route.timeout_ms)
+        last_deadline_ms = self._stop_deadline_ms - RESPONSE_RESERVE_MS
+        if self._is_draining and deadline_ms > last_deadline_ms:
+            # The router may end before it has a response.
+            request_id = request.headers.get(names.request_id, "")
+            log_event(
+                "refused_while_stopping",
+                request_id=request_id,
+                route=route.name,
+                needed_ms=round(deadline_ms - self._clock()),
+                left_ms=round(last_deadline_ms - self._clock()),
+            )
+            return router_response(503, STOPPING_RETRY_AFTER_S)
         edge_request = EdgeRequest(
             request_id=RequestId(request.headers.get(names.request_id, "")),
             method=request.method,
@@ -258,10 +280,7 @@
             route=route,
             service=self._matcher.pick_service(route),
             arrived_ms=arrived_ms,
-            deadline_ms=min(
-                arrived_ms + min(caller_timeout_ms, route.timeout_ms),
-                self._stop_deadline_ms - RESPONSE_RESERVE_MS,
-            ),
+            deadline_ms=min(deadline_ms, last_deadline_ms),
             caller_address=request.remote or "",
         )
         return await self._forwarder.forward(edge_request)
--- a/packages/router/mulberryrelay_router/listener.py
+++ b/packages/router/mulberryrelay_router/listener.py
@@ -6,6 +6,10 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from mulberryrelay_kernel.callerconnections import (
+    CallerConnectionServer,
+    drain_connections,
+)
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.options import Options
@@ -19,7 +23,7 @@
 CONNECTION_POLL_S = 0.01
 
 
-class CallerServer(web.Server):
+class CallerServer(CallerConnectionServer):
     """Limits the number of connections and the time until their first headers arrive.
 
     aiohttp has a single time limit for idle connections and for slow headers. A limit
@@ -125,4 +129,7 @@
     deadline_ms = monotonic_ms() + options.timing.idle_ms
     while runner.server.connections and monotonic_ms() < deadline_ms:
         await asyncio.sleep(CONNECTION_POLL_S)
+    loop = asyncio.get_running_loop()
+    body_deadline_s = loop.time() + options.limits.body_timeout_ms / 1000
+    await drain_connections(runner.server, body_deadline_s)
     await runner.cleanup()
