Bound the heads of responses to commands, too

Callers saw nothing.

Cause: commands and probes used plain connections of aiohttp and bounded only the body.

Ruled out: memory.

Change: commands of both routers use connections with the bound of requests.

--- a/packages/router/mulberryrelay_router/controlplane.py
+++ b/packages/router/mulberryrelay_router/controlplane.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from mulberryrelay_control.coordinator import Coordinator
+from mulberryrelay_control.grants import MAX_REPLY_BYTES
 from mulberryrelay_control.lease import CoordinatorLease
 from mulberryrelay_control.rulestore import RuleStore
 from mulberryrelay_control.suspectregistry import SuspectRegistry
@@ -31,6 +32,7 @@
 from .peerserver import PeerServicer, open_peer_server, serve_peers
 from .routerrules import RouterRules
 from .routingview import RoutingView
+from .serverconnection import bound_responses
 
 # Time for routers to report their probation runs to a new coordinator. After it, the
 # routing lease of a router that has not connected has expired.
@@ -80,7 +82,9 @@
         self._rule_store = RuleStore(options, platform)
         self._channels = PeerChannels(me)
         # Commands to servers do not share connections with requests.
-        self._command_session = create_client_session(aiohttp.TCPConnector(limit=0))
+        connector = aiohttp.TCPConnector(limit=0)
+        bound_responses(connector, MAX_REPLY_BYTES)
+        self._command_session = create_client_session(connector)
         self._lease = CoordinatorLease(
             options,
             platform,
--- a/packages/router/mulberryrelay_router/pool.py
+++ b/packages/router/mulberryrelay_router/pool.py
@@ -19,7 +19,7 @@
 from multidict import CIMultiDict, istr
 from yarl import URL
 
-from .serverconnection import ServerConnection
+from .serverconnection import ServerConnection, set_connection_factory
 
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 30.0
@@ -75,9 +75,9 @@
             force_close=force_close,
             use_dns_cache=False,
         )
-        # aiohttp has no public way to choose the class of its connections.
-        self._connector._factory = functools.partial(
-            _create_connection, last_response_header
+        set_connection_factory(
+            self._connector,
+            functools.partial(_create_connection, last_response_header),
         )
         self._session = aiohttp.ClientSession(
             connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -7,8 +7,11 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable
+from typing import Any
 
+import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
@@ -115,6 +118,35 @@
         transport.abort()
 
 
+class _BoundedConnection(ServerConnection):
+    """A connection of a client session, which states no limit for each request."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, max_bytes: float) -> None:
+        super().__init__(loop)
+        self._max_bytes = max_bytes
+
+    def set_response_params(self, **params: Any) -> None:
+        self.expect_response(self._max_bytes)
+        super().set_response_params(**params)
+
+
+def bound_responses(connector: aiohttp.TCPConnector, max_bytes: float) -> None:
+    """Close a connection whose server sends a longer body, or a head without end."""
+
+    def create_connection() -> ResponseHandler:
+        return _BoundedConnection(asyncio.get_running_loop(), max_bytes)
+
+    set_connection_factory(connector, create_connection)
+
+
+def set_connection_factory(
+    connector: aiohttp.TCPConnector, create_connection: Callable[[], ResponseHandler]
+) -> None:
+    """Let a connector create its connections with a function."""
+    # aiohttp has no public way to choose the class of its connections.
+    connector._factory = functools.partial(create_connection)
+
+
 def parse_idle_limit_s(value: str) -> float | None:
     """Return the idle time that a ``Keep-Alive`` header states, or None."""
     for parameter in value.split(","):
--- a/tests/test_edge_endless.py
+++ b/tests/test_edge_endless.py
@@ -6,10 +6,17 @@
 
 import asyncio
 import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 from contextlib import AsyncExitStack
 
+from returns.result import Failure
+
+from mulberryrelay_edge.messages import LAST_KEY
+from mulberryrelay_platform.commands import PlatformCommands
+
 from .fixtures import async_test, wait_until
+from .fixtures.edgefleet import backend
 from .fixtures.edgerouter import (
     MAX_BUFFERED_BYTES,
     MAX_RESPONSE_BYTES,
@@ -17,13 +24,15 @@
     edge_response,
     edge_router,
 )
-from .fixtures.rawserver import RawRequest, raw_server, respond_with
+from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
 
 DEADLINE_MS = 4000.0
 AT_ONCE_S = 1.0
 """Time in which an endless response has to be rejected, a quarter of the deadline."""
 SOCKET_BYTES = 16 << 20
 """Upper bound of what the sockets' buffers may hold beyond what the router reads."""
+MAX_COMMAND_BYTES = 4 << 20
+"""Upper bound of what a response to a command may take, the socket's reads included."""
 MAX_ATTEMPTS_OF_TEST_ROUTE = 2
 """Attempts that may run, of one request on the route of the tests."""
 
@@ -121,6 +130,29 @@
                 assert len(server.received) <= MAX_ATTEMPTS_OF_TEST_ROUTE, name
 
 
+@async_test
+async def test_an_endless_response_to_a_command_is_not_kept() -> None:
+    """Guards against a leader that runs out of memory, or reads on until a timeout.
+
+    The leader sends commands and probes on connections of their own.
+    """
+    for name, make in ENDLESS.items():
+        endless = EndlessServer(make)
+        async with raw_server(endless.respond) as server:
+            entry = backend(0, host=HOST, port=server.port)
+            commands = PlatformCommands()
+            started_s = time.monotonic()
+            tracemalloc.start()
+            result = await commands.release(entry, 0, LAST_KEY, 1)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            await commands.close()
+            assert isinstance(result, Failure), name
+            assert time.monotonic() - started_s < AT_ONCE_S, name
+            assert peak_bytes < MAX_COMMAND_BYTES, (name, peak_bytes)
+            assert endless.sent_bytes < MAX_COMMAND_BYTES + SOCKET_BYTES, name
+
+
 @async_test
 async def test_a_server_that_sends_no_responses_is_ejected() -> None:
     """Guards against requests to a server that fails each of them."""
