Plan moves while no service time is known, and renew grants if planning fails

Cause: a limit was converted to slots by a service time of 0, which a router that has just started has. Plans divide by the resulting shares of 0, and the error ended the term with all its renewals, so that no response ever brought a service time.

Ruled out: servers that refuse grants. The leader logs ZeroDivisionError and sends none.

Change: a limit counts once the service time is known, shares are above 0, and a failed plan is logged and repeated after a second while renewals go on.

--- a/packages/edge/mulberryrelay_edge/capacity.py
+++ b/packages/edge/mulberryrelay_edge/capacity.py
@@ -16,6 +16,8 @@
 
 The rest is for requests that arrive unevenly.
 """
+MIN_SLOTS = 0.001
+"""Lower bound of a capacity, so that any load relative to it is finite."""
 
 
 class ServerCondition(msgspec.Struct, frozen=True):
@@ -32,9 +34,9 @@
 
     server: BackendServer
     share: float
-    """Load that it is to get, relative to other servers."""
+    """Load that it is to get, relative to other servers; above 0."""
     slots: float
-    """Its capacity, as a number of slots of a server of average speed."""
+    """Its capacity, as a number of slots of a server of average speed; above 0."""
 
 
 def capacities(
@@ -44,7 +46,7 @@
 
     While slots are free, fast servers get more than their proportional share of the
     load, because requests finish sooner there. A server that states a limit gets no
-    more than its limit permits.
+    more than its limit permits, once it is known how long a request takes.
     """
     speeds = [_speed(condition) for _, condition in servers]
     slots = sum(
@@ -56,11 +58,13 @@
     for (server, condition), speed in zip(servers, speeds, strict=True):
         share = server.slots * speed**exponent
         max_slots = server.slots * speed
-        if condition.limit_per_s is not None:
+        if condition.limit_per_s is not None and sample.service_ms > 0:
             limited_slots = condition.limit_per_s * sample.service_ms / 1000
             max_slots = min(max_slots, limited_slots)
             share = min(share, USED_LIMIT_SHARE * limited_slots)
-        result.append(Capacity(server, share, max_slots))
+        result.append(
+            Capacity(server, max(MIN_SLOTS, share), max(MIN_SLOTS, max_slots))
+        )
     return result
 
 
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -65,6 +65,8 @@
 """
 PROBE_PERIOD_MS = 500.0
 """Period in which an unreachable owner is probed."""
+PLAN_RETRY_MS = 1000.0
+"""Pause after a plan that failed with an error."""
 RENEW_RETRY_MS = 150.0
 """Pause before a renewal that got no reply is retried."""
 MAX_GRANT_ATTEMPTS = 3
@@ -112,6 +114,8 @@
         )
         self._planned_ms: dict[ServiceName, float] = {}
         """Time of the last rebalancing plan of each service."""
+        self._plan_failed_ms: dict[ServiceName, float] = {}
+        """Time of the last plan of each service that failed with an error."""
         self._planning: set[ServiceName] = set()
         """Services for which new ranges or moves are being stored."""
         self._server_counts: dict[ServiceName, int] = {}
@@ -178,7 +182,7 @@
             self._renew_if_due(service, key_range)
         if service in self._planning:
             return
-        moves = self._plan_moves(service)
+        moves = self._try_plan_moves(service)
         if moves:
             self._planning.add(service)
             self._start_task(self._begin_moves(service, moves))
@@ -287,6 +291,21 @@
         )
         await self._ranges.update(service, raise_fence(key_range))
 
+    def _try_plan_moves(self, service: ServiceName) -> list[PlannedMove]:
+        """Return the moves to begin; none if planning fails with an error.
+
+        The grants of all services have to be renewed nevertheless.
+        """
+        failed_ms = self._plan_failed_ms.get(service, float("-inf"))
+        if self._clock() - failed_ms < PLAN_RETRY_MS:
+            return []
+        try:
+            return self._plan_moves(service)
+        except Exception as error:
+            self._plan_failed_ms[service] = self._clock()
+            log_failure(f"plan {service}", error)
+            return []
+
     def _plan_moves(self, service: ServiceName) -> list[PlannedMove]:
         """Return moves of ranges that need a new owner, or else moves for balance."""
         ranges = self._ranges.ranges(service)
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -6,8 +6,10 @@
 import time
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
+from unittest.mock import patch
 
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge import leaderterm
 from mulberryrelay_edge.capacity import ServerCondition
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
@@ -23,6 +25,7 @@
     ServiceTimeSum,
 )
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.rangeedits import PlannedMove
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.sendschedule import SendSchedule
 from mulberryrelay_edge.serverlimits import Reserve, ServerLimits
@@ -53,6 +56,12 @@
 ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 """Requests that a server may get within ``WINDOW_S``, from all routers together."""
 
+RECOVERY_MS = 15_000.0
+"""Time in which requests are served again after a restart of all routers."""
+LEFT_S = 12.0
+"""Time in which the keys of a server that left get another owner."""
+GRANTS_EXPIRED_S = 12.0
+"""Time after which grants have expired that were not renewed."""
 MAX_WAIT_MS = 150.0
 """Time that a request may wait for a limited server in the simulations."""
 LONG_WAIT_MS = 2000.0
@@ -425,3 +434,63 @@
         assert not fleet.overlaps
 
     run_virtual(scenario())
+
+
+def test_keys_are_granted_when_all_their_servers_state_limits_after_a_restart() -> None:
+    """Guards against a division by zero that ends the term of each new leader.
+
+    Routers that have just started know no service time, so that a limit cannot be
+    converted to slots. A limit of 0 gives no slots at any service time.
+    """
+
+    async def scenario(limit_per_s: float, service_ms: float) -> None:
+        fleet = await start_settled_fleet(routers=3)
+        for server in fleet.servers.incarnations:
+            condition = ServerCondition(limit_per_s=limit_per_s)
+            fleet.conditions[server.entry.server] = condition
+        for router in list(fleet.routers):
+            fleet.restart(router)
+        end_ms = virtual_clock() + RECOVERY_MS
+        while virtual_clock() < end_ms:
+            keys = [fleet.rng.randrange(LAST_KEY + 1) for _ in range(REPORTED_KEYS)]
+            times = ServiceTimeSum(1, service_ms) if service_ms else None
+            report = KeyReport({SERVICE: keys}, {SERVICE: times} if times else {})
+            if fleet.leader is not None:
+                fleet.leader.load.add_report(report)
+            await asyncio.sleep(0.1)
+        assert not fleet.servers.ungranted_keys()
+        first = fleet.servers.incarnations[0].entry
+        fleet.unregister(first)
+        await asyncio.sleep(LEFT_S)
+        assert owned_share(fleet, first) == 0
+        fleet.stop()
+
+    for limit_per_s, service_ms in ((LIMIT_PER_S, 0.0), (0.0, 90.0), (0.0, 0.0)):
+        run_virtual(scenario(limit_per_s, service_ms))
+
+
+def test_an_error_in_planning_ends_no_grants() -> None:
+    """Guards against one service's load that stops the renewals of all services."""
+
+    def fail(*_: object, **__: object) -> list[PlannedMove]:
+        raise ZeroDivisionError
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet(routers=3)
+        term = fleet.leader.lease.term if fleet.leader is not None else 0
+        with (
+            patch.object(leaderterm, "plan_moves", fail),
+            patch.object(leaderterm, "place_unowned_ranges", fail),
+        ):
+            first = fleet.servers.incarnations[0].entry
+            fleet.unregister(first)
+            await asyncio.sleep(GRANTS_EXPIRED_S)
+            kept = 1 - owned_share(fleet, first)
+            assert fleet.servers.ungranted_share() <= 1 - kept
+            assert fleet.leader is not None
+            assert fleet.leader.lease.term == term
+        await asyncio.sleep(LEFT_S)
+        assert not fleet.servers.ungranted_keys()
+        fleet.stop()
+
+    run_virtual(scenario())
