Recognise requests that crash servers although their callers have left

Cause: the crash was reported by the task of the caller, which is cancelled when the caller leaves; the attempt itself goes on and nobody looks at its result. A cancelled idempotent attempt was not watched at all.

Ruled out: a crash that is not noticed; the same request of a patient caller is blocked after three.

Change: the attempt reports its broken connection itself, and the server of an attempt that was cancelled or timed out is watched for 2 s, with a probe each 0.8 s for all such requests together.

--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -155,17 +155,9 @@
                 return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
             result = await self._attempt(request, server, permit.send_id)
-            if result.outcome is AttemptOutcome.COMPLETED and not (
-                result.status >= 500 and request.route.is_idempotent
-            ):
-                self._suspect_runs.record_response(request)
-                return server_response(result)
-            if result.status == 400:
+            if _is_final(request, result):
                 return server_response(result)
             tried.add(server.server)
-            self._log_failed_attempt(request, server, result)
-            if result.outcome is AttemptOutcome.BROKEN:
-                await self._suspect_runs.record_broken(request, server)
             if may_have_run(result):
                 possibly_ran.add(server.server)
                 failures += 1
@@ -309,12 +301,34 @@
     async def _attempt(
         self, request: EdgeRequest, server: BackendServer, send_id: int
     ) -> AttemptResult:
-        exchange = self._exchange(request, server, send_id)
+        attempt = self._watched_attempt(request, server, send_id)
         if request.route.is_idempotent:
-            return await exchange
+            return await attempt
         # A non-idempotent request that was started is not cancelled if its caller
         # disconnects.
-        return await asyncio.shield(asyncio.ensure_future(exchange))
+        return await asyncio.shield(asyncio.ensure_future(attempt))
+
+    async def _watched_attempt(
+        self, request: EdgeRequest, server: BackendServer, send_id: int
+    ) -> AttemptResult:
+        """Send one attempt, and report the request if its server crashes under it.
+
+        Whether the caller still waits does not matter for that.
+        """
+        try:
+            result = await self._exchange(request, server, send_id)
+        except asyncio.CancelledError:
+            self._suspect_runs.record_abandoned(request, server)
+            raise
+        if not _is_final(request, result):
+            self._log_failed_attempt(request, server, result)
+        elif result.outcome is AttemptOutcome.COMPLETED:
+            self._suspect_runs.record_response(request)
+        if result.outcome is AttemptOutcome.BROKEN:
+            await self._suspect_runs.record_broken(request, server)
+        elif result.outcome is AttemptOutcome.TIMED_OUT:
+            self._suspect_runs.record_abandoned(request, server)
+        return result
 
     async def _exchange(
         self, request: EdgeRequest, server: BackendServer, send_id: int
@@ -419,3 +433,12 @@
             born_ms=server.started_ms,
         )
         self._metrics.count(f"attempt_{result.outcome.value}")
+
+
+def _is_final(request: EdgeRequest, result: AttemptResult) -> bool:
+    """Return whether the server's response is passed on to the caller."""
+    if result.status == 400:
+        return True
+    if result.outcome is not AttemptOutcome.COMPLETED:
+        return False
+    return result.status < 500 or not request.route.is_idempotent
--- a/packages/edge/mulberryrelay_edge/suspectruns.py
+++ b/packages/edge/mulberryrelay_edge/suspectruns.py
@@ -4,6 +4,7 @@
 it to the attempts of an edge router.
 """
 
+import asyncio
 from collections.abc import Awaitable, Callable, Collection
 
 from mulberryrelay_kernel.clock import Clock
@@ -16,6 +17,7 @@
     PROBATION_RESULT_NOT_SENT,
     PROBATION_RESULT_SERVER_DIED,
     ServerDeath,
+    Suspect,
 )
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_router.deaths import WATCH_MS, DeathWatch, has_died, server_death
@@ -27,6 +29,12 @@
 from .exchange import AttemptOutcome, AttemptResult
 from .messages import BackendServer, EdgeRequest
 
+PROBE_PERIOD_S = 0.8
+"""Pause between probes of a server at which a request was abandoned.
+
+Callers of any request may leave, so there are far more such requests than crashes.
+"""
+
 Acquire = Callable[[Collection[ServerId]], Awaitable[SendPermit | QueueRefusal]]
 """Waits for a server that may be sent the request; avoids those given, if it can."""
 Send = Callable[[EdgeRequest, SendPermit], Awaitable[AttemptResult]]
@@ -42,7 +50,10 @@
         self._suspects = suspects
         self._catalog = catalog
         self._metrics = metrics
-        self._death_watch = DeathWatch(clock, self._entry, suspects.report)
+        self._death_watch = DeathWatch(
+            clock, self._entry, self._report_abandoned, PROBE_PERIOD_S
+        )
+        self._reports: set[asyncio.Task[None]] = set()
         self._probations: Probations[AttemptResult | QueueRefusal] = Probations(
             suspects, clock
         )
@@ -56,7 +67,26 @@
         self._suspects.record_response(request)
 
     async def record_broken(self, request: EdgeRequest, server: BackendServer) -> None:
-        """Report the request if its server has crashed under it."""
+        """Report the request if its server has crashed under it.
+
+        The report goes on if the caller of this method is cancelled.
+        """
+        report = asyncio.create_task(self._report_if_dead(request, server))
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+        await asyncio.shield(report)
+
+    def record_abandoned(self, request: EdgeRequest, server: BackendServer) -> None:
+        """Report the request if its server crashes under it within ``WATCH_MS``.
+
+        Nobody waits for its response any more, but the server may still run it.
+        """
+        suspect = self._suspects.build_suspect(request)
+        self._death_watch.watch(suspect, server.entry)
+
+    async def _report_if_dead(
+        self, request: EdgeRequest, server: BackendServer
+    ) -> None:
         death = await self._find_death(request, server)
         if death is not None:
             suspect = self._suspects.build_suspect(request, [death])
@@ -108,8 +138,7 @@
         A server that was leaving has ended as planned.
         """
         is_dead = await has_died(server.entry)
-        entry = self._catalog.server(server.server)
-        is_leaving = entry is None or entry.state is ServerState.DRAINING
+        is_leaving = self._is_leaving(server.server)
         log_event(
             "server_connection_broken",
             request_id=request.request_id,
@@ -122,6 +151,20 @@
         self._metrics.count("server_dead" if is_dead else "connection_broken")
         return server_death(server.entry) if is_dead and not is_leaving else None
 
+    async def _report_abandoned(self, suspects: list[Suspect]) -> None:
+        """Report abandoned requests whose server has crashed."""
+        crashed = [
+            suspect
+            for suspect in suspects
+            if not self._is_leaving(ServerId(suspect.seen[-1].server))
+        ]
+        if crashed:
+            await self._suspects.report(crashed)
+
+    def _is_leaving(self, server: ServerId) -> bool:
+        entry = self._catalog.server(server)
+        return entry is None or entry.state is ServerState.DRAINING
+
     def _entry(self, server: ServerId) -> ServerEntry | None:
         current = self._catalog.server(server)
         return current.entry if current is not None else None
--- a/packages/router/mulberryrelay_router/deaths.py
+++ b/packages/router/mulberryrelay_router/deaths.py
@@ -18,7 +18,8 @@
 
 # A crash within this time after a request was abandoned is attributed to the request.
 WATCH_MS = 2000.0
-# Pause between probes. A probe opens a connection, which costs a server about 1 ms.
+# Default pause between probes. A probe opens a connection, which costs a server about
+# 1 ms.
 PROBE_PERIOD_S = 0.25
 PROBE_TIMEOUT_S = 0.1
 # Pauses before the probes: a dying process does not close its connections and its
@@ -48,8 +49,10 @@
         clock: Clock,
         current_entry: Callable[[ServerId], ServerEntry | None],
         report: Callable[[list[Suspect]], Awaitable[None]],
+        probe_period_s: float = PROBE_PERIOD_S,
     ) -> None:
         self._clock = clock
+        self._probe_period_s = probe_period_s
         self._current_entry = current_entry
         self._report = report
         self._abandoned: dict[ServerId, list[_AbandonedRequest]] = {}
@@ -72,7 +75,7 @@
         while not await self._is_dead(server):
             if self._clock() >= until_ms:
                 return False
-            await asyncio.sleep(PROBE_PERIOD_S)
+            await asyncio.sleep(self._probe_period_s)
         return True
 
     async def close(self) -> None:
@@ -95,7 +98,7 @@
                     self._abandoned.pop(server.server, None)
                     await self._report(suspects)
                     return
-                await asyncio.sleep(PROBE_PERIOD_S)
+                await asyncio.sleep(self._probe_period_s)
                 now_ms = self._clock()
                 abandoned[:] = [e for e in abandoned if now_ms < e.until_ms]
         finally:
--- a/tests/test_edge_poison.py
+++ b/tests/test_edge_poison.py
@@ -41,6 +41,14 @@
 
 SERVERS = 8
 FOR_S = 8.0
+PATIENCE_S = 0.1
+"""Time after which an impatient caller leaves, or its deadline passes."""
+LONG_S = 5.0
+"""Time for which a patient caller waits."""
+CRASH_AFTER_S = 0.25
+"""Time from the start of a poison request until its server crashes."""
+IMPATIENT_REQUESTS = 24
+IMPATIENT_PERIOD_S = 0.4
 POISON_PATH = "/listing/poison"
 MAX_LATE_ARRIVALS = 3
 """Arrivals of a poison request allowed later than 3 s after its third crash."""
@@ -119,6 +127,43 @@
                 assert (await router.send(_poison_of(router))).status == 200, respond
 
 
+@async_test
+async def test_a_request_whose_caller_leaves_before_the_crash_is_recognised() -> None:
+    """Guards against crashes without end by a caller less patient than they take.
+
+    The caller disconnects, or its deadline passes, before the server crashes.
+    """
+    waits_s = {"leaves": PATIENCE_S, "deadline": LONG_S}
+    cases = [(name, idempotent) for name in waits_s for idempotent in (True, False)]
+    late = await asyncio.gather(
+        *(_late_arrivals(waits_s[name], idempotent) for name, idempotent in cases)
+    )
+    for case, arrivals in zip(cases, late, strict=True):
+        assert arrivals <= MAX_LATE_ARRIVALS, (case, arrivals)
+
+
+async def _late_arrivals(wait_s: float, is_idempotent: bool) -> int:
+    """Send a poison request again and again; return how often it arrived too late."""
+    timeout_ms = 1000 * (LONG_S if wait_s < LONG_S else PATIENCE_S)
+    async with (
+        edge_router() as router,
+        crashing_servers([router], SERVERS, _is_poison, CRASH_AFTER_S) as servers,
+    ):
+
+        async def send_and_leave() -> None:
+            request = router.request(is_idempotent, None, timeout_ms)
+            request = msgspec.structs.replace(request, target=POISON_PATH)
+            sending = asyncio.create_task(router.send(request))
+            await asyncio.wait({sending}, timeout=wait_s)
+            sending.cancel()
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(IMPATIENT_REQUESTS):
+                group.create_task(send_and_leave())
+                await asyncio.sleep(IMPATIENT_PERIOD_S)
+        return servers.late_arrivals()
+
+
 class _PoisonedRouter:
     """A router of a fleet that runs a poison request whenever it comes."""
 
