Keep what a server asked for after its entry was removed

Cause: pauses and limits were removed with the entry of the server, while they hold for its incarnation.

Ruled out: a new incarnation; id and start time are the same.

Change: a pause is kept until it ends, a limit for 120 s after the removal.

--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -36,6 +36,8 @@
 """
 MAX_WANTED = 20
 """Times that one router reserves at most in one request for them."""
+REMEMBERED_MS = 120_000.0
+"""Time after the removal of its entry for which a server's limit is remembered."""
 LOGGED_CHANGE = 0.1
 """Change of a limit, as a share of it, from which on it is logged."""
 
@@ -69,6 +71,8 @@
         """No time before this one can be reserved, as far as is known."""
         self.return_ms = float("-inf")
         """Time at which refused callers should return."""
+        self.removed_ms: float | None = None
+        """Time at which the server's entry was removed; None while it has one."""
 
 
 class ServerLimits:
@@ -191,9 +195,19 @@
         return f"/limit{limit.limit_per_s:.1f}per_s/reserved{len(limit.reserved_ms)}"
 
     def remove_except(self, servers: set[ServerId]) -> None:
-        """Remove the limits of servers that are not in ``servers``."""
-        for server in [name for name in self._limits if name not in servers]:
-            del self._limits[server]
+        """Remove the limits of servers that have not been in ``servers`` for long.
+
+        The entry of a server may come back for the same incarnation.
+        """
+        now_ms = self._clock()
+        for name, limit in list(self._limits.items()):
+            if name in servers:
+                limit.removed_ms = None
+                continue
+            if limit.removed_ms is None:
+                limit.removed_ms = now_ms
+            if now_ms - limit.removed_ms > REMEMBERED_MS:
+                del self._limits[name]
 
     def _find(self, server: BackendServer) -> _Limit | None:
         limit = self._limits.get(server.server)
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -309,7 +309,13 @@
         )
 
     def remove_except(self, servers: set[ServerId]) -> None:
-        """Remove the observations of idle servers that are not in ``servers``."""
+        """Remove the observations of idle servers that are not in ``servers``.
+
+        What a server asked for holds until its time is over, since its entry may come
+        back for the same incarnation.
+        """
+        now_ms = self._clock()
         for server in [s for s in self._stats if s not in servers]:
-            if not self._stats[server].in_flight:
+            stats = self._stats[server]
+            if not stats.in_flight and stats.paused_until_ms <= now_ms:
                 del self._stats[server]
--- a/tests/test_edge_server_wishes.py
+++ b/tests/test_edge_server_wishes.py
@@ -23,6 +23,8 @@
 UNTIL_PAUSED_S = 0.5
 """Time in which requests that are on their way may reach a server in its pause."""
 MAX_IN_PAUSE = 2
+LONG_PAUSE_S = 20.0
+LIMIT_PER_S = 0.5
 REFUSED_AT_ONCE_S = 0.1
 MOVED_S = 2.0
 """Time in which the keys of a leaving server have another owner."""
@@ -145,6 +147,42 @@
             assert len(paused.received) > arrived, "it is used after the pause"
 
 
+@async_test
+async def test_what_a_server_asked_for_outlives_its_entry() -> None:
+    """Guards against requests in a pause, or beyond a limit, after an entry came back.
+
+    The entry lapses while the server is cut off from the store. A server that has
+    started again in the meantime has asked for nothing.
+    """
+    pause = f"Retry-After: {LONG_PAUSE_S}\r\n"
+    limit = f"{HEADERS.limit}: {LIMIT_PER_S}\r\n"
+    for wish in (pause, limit):
+
+        def refuse(request: RawRequest, wish: str = wish) -> bytes:
+            return edge_refusal(request, more=wish)
+
+        def respond(request: RawRequest, wish: str = wish) -> bytes:
+            return edge_response(request, more=wish)
+
+        async with (
+            raw_server(respond_with(refuse)) as server,
+            edge_router() as router,
+        ):
+            entry = router.register_server(server)
+            await router.send(router.request(timeout_ms=100.0))
+            router.unregister(entry)
+            assert router.catalog.servers(SERVICE) == []
+            router.register(entry)
+            server.respond = respond_with(respond)
+            before = len(server.received)
+            for _ in range(20):
+                await router.send(router.request(timeout_ms=50.0))
+            arrived = len(server.received) - before
+            assert arrived <= MAX_IN_PAUSE, (wish, arrived)
+            router.register(msgspec.structs.replace(entry, started_ms=1))
+            assert (await router.send(router.request())).status == 200, wish
+
+
 @async_test
 async def test_queued_requests_are_refused_when_their_server_asks_for_a_pause() -> None:
     """Guards against requests that wait for a server until their deadline in vain."""
