Remember that an incarnation leaves beyond its entry

Cause: the statement, and the start of the drain time, were removed with the entry.

Ruled out: a new incarnation; its statement is not inherited.

Change: an incarnation that leaves is remembered with the earliest time at which it may have said so, by its entry, a response or another router; an entry that shows it as serving changes nothing.

Test: test_a_server_that_left_is_not_used_again_when_its_entry_comes_back fails before, passes now.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -29,6 +29,8 @@
 """Pause after a change of the servers table, to fetch several changes at once."""
 SEND_MARGIN_MS = 400.0
 """Time that a request may take to reach a server that must soon get none."""
+MAX_LEAVING = 4096
+"""Incarnations of which it is remembered that they leave."""
 MAX_LOGGED_AGE_MS = 3_600_000.0
 """Age of an entry in a log line if it is not known."""
 
@@ -66,10 +68,11 @@
         """
         self._replaced: set[tuple[ServerId, int, str, int]] = set()
         """Entries at whose address a server with another id answered."""
-        self._draining_ms: dict[ServerId, float] = {}
-        """Earliest time at which each draining server may have reported that."""
-        self._leaving: set[Incarnation] = set()
-        """Servers that state in their responses, or to another router, that they drain.
+        self._leaving_ms: dict[Incarnation, float] = {}
+        """Earliest time at which each incarnation may have reported that it drains.
+
+        The report may be its entry or a response. It holds for good, also if the entry
+        is removed and comes back, or a restored store shows an older one.
         """
         self._outage_ended_ms = float("-inf")
         """End of the last outage or restore of the store that this router observed."""
@@ -136,24 +139,36 @@
 
     @property
     def leaving(self) -> tuple[Incarnation, ...]:
-        """Servers that state in their responses that they drain."""
-        return tuple(self._leaving)
+        """Registered servers that drain, by their entry or by their own statement."""
+        return tuple(
+            incarnation
+            for incarnation in self._leaving_ms
+            if (entry := self._servers.get(incarnation[0])) is not None
+            and entry.started_ms == incarnation[1]
+        )
 
     def record_leaving(self, incarnation: Incarnation) -> None:
         """Record that a server states that it drains, whatever its entry says."""
-        entry = self._servers.get(incarnation[0])
-        if entry is None or incarnation in self._leaving:
-            return
-        if entry.started_ms != incarnation[1]:
+        if incarnation in self._leaving_ms:
             return
-        self._leaving.add(incarnation)
-        log_event("server_leaving", server=entry.server, state=entry.state.value)
-        self._apply_entry(entry, self._clock())
-        self._changes.on_next(None)
+        server, started_ms = incarnation
+        entry = self._servers.get(server)
+        state = entry.state.value if entry is not None else ""
+        log_event("server_leaving", server=server, born_ms=started_ms, state=state)
+        self._remember_leaving(incarnation, self._clock())
+        if entry is not None and entry.started_ms == started_ms:
+            self._apply_entry(entry, self._clock())
+            self._changes.on_next(None)
+
+    def _remember_leaving(self, incarnation: Incarnation, since_ms: float) -> None:
+        known_ms = self._leaving_ms.get(incarnation, since_ms)
+        self._leaving_ms[incarnation] = min(known_ms, since_ms)
+        if len(self._leaving_ms) > MAX_LEAVING:
+            del self._leaving_ms[next(iter(self._leaving_ms))]
 
     def is_drain_grace_over(self, server: BackendServer) -> bool:
         """Return whether a server has drained so long that it gets no more requests."""
-        since_ms = self._draining_ms.get(server.server)
+        since_ms = self._leaving_ms.get((server.server, server.started_ms))
         if since_ms is None:
             return False
         return self._clock() - since_ms > self._drain_grace_ms
@@ -269,13 +284,11 @@
         return min(now_ms, self._store_sync.informed_until_ms)
 
     def _apply_entry(self, entry: BackendServer, stored_from_ms: float) -> None:
-        if (entry.server, entry.started_ms) in self._leaving:
-            entry = msgspec.structs.replace(entry, state=ServerState.DRAINING)
+        incarnation = (entry.server, entry.started_ms)
         if entry.state is ServerState.DRAINING:
-            known_ms = self._draining_ms.get(entry.server, stored_from_ms)
-            self._draining_ms[entry.server] = min(known_ms, stored_from_ms)
-        else:
-            self._draining_ms.pop(entry.server, None)
+            self._remember_leaving(incarnation, stored_from_ms)
+        elif incarnation in self._leaving_ms:
+            entry = msgspec.structs.replace(entry, state=ServerState.DRAINING)
         self._servers[entry.server] = entry
 
     def _record_restores(self, restores: int) -> None:
@@ -306,9 +319,7 @@
 
     def _remove(self, server: ServerId) -> None:
         entry = self._servers.pop(server, None)
-        self._draining_ms.pop(server, None)
         if entry is not None:
-            self._leaving.discard((server, entry.started_ms))
             log_event("server_gone", server=server, service=entry.service)
 
     def _log_entry_change(
--- a/tests/test_edge_server_wishes.py
+++ b/tests/test_edge_server_wishes.py
@@ -12,8 +12,15 @@
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
-from .fixtures.edgefleet import SERVICE, followers_of, start_settled_fleet
+from .fixtures.edgefleet import (
+    SERVERS_TABLE,
+    SERVICE,
+    backend,
+    followers_of,
+    start_settled_fleet,
+)
 from .fixtures.edgerouter import EdgeRouter, edge_refusal, edge_response, edge_router
+from .fixtures.followingcatalog import FollowingCatalog
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 DRAIN_S = 2.0
@@ -69,6 +76,42 @@
             assert len(leaving.received) == before, key
 
 
+def test_a_server_that_left_is_not_used_again_when_its_entry_comes_back() -> None:
+    """Guards against a drain time that begins again, or a server taken for serving.
+
+    The entry is removed, and a restored store shows it in its older state. The owner of
+    keys gets requests for the rest of its drain time only, whatever said it leaves.
+    """
+
+    async def scenario() -> None:
+        for says_entry in (True, False):
+            following = FollowingCatalog()
+            catalog = following.catalog
+            following.put_server(1)
+            await asyncio.sleep(1.0)
+            if says_entry:
+                following.put_server(1, state=ServerState.DRAINING)
+            else:
+                catalog.record_leaving((backend(1).server, backend(1).started_ms))
+            await asyncio.sleep(0.5)
+            following.tables.write(SERVERS_TABLE, backend(1).server, None)
+            await asyncio.sleep(0.5)
+            assert catalog.servers(SERVICE) == []
+            following.put_server(1)
+            await asyncio.sleep(DRAIN_S - 1.0)
+            assert catalog.serving(SERVICE) == []
+            assert catalog.is_drain_grace_over(catalog.servers(SERVICE)[0])
+            restarted = backend(1, started_ms=5)
+            value = msgspec.json.encode(restarted)
+            following.tables.write(SERVERS_TABLE, restarted.server, value)
+            await asyncio.sleep(0.5)
+            assert catalog.serving(SERVICE) == [restarted]
+            assert not catalog.is_drain_grace_over(restarted)
+            following.stop()
+
+    run_virtual(scenario())
+
+
 @async_test
 async def test_a_server_that_starts_again_after_it_left_is_used() -> None:
     """Guards against a server that is left out for what its earlier life stated."""
