Survive entries and attempts with addresses that cannot be used

Cause: the adapter took any text for a host, and an error that an attempt does not foresee ended the request, so that it was not tried elsewhere and the server was never ejected.

Ruled out: a server that refuses; no connection is tried.

Tests: test_a_server_at_an_unusable_address_fails_no_requests (before, ValueError) and six hosts in test_invalid_server_entries_are_ignored.

--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -19,6 +19,7 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.supervision import log_failure
 from mulberryrelay_router.attempts import (
     CONTENT_LENGTH_HEADER,
     HOP_BY_HOP_HEADERS,
@@ -155,6 +156,10 @@
             return AttemptResult(AttemptOutcome.NOT_SENT, detail=str(error))
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
             return self._failure(AttemptOutcome.BROKEN, repr(error))
+        except Exception as error:
+            # Counts against the server like any failure, so that it is ejected.
+            log_failure("attempt", error)
+            return self._failure(AttemptOutcome.BROKEN, repr(error))
 
     async def _run(self, pool: Pool) -> AttemptResult:
         connection = await pool.open(self._server.host, self._server.port)
--- a/tests/test_edge_errors.py
+++ b/tests/test_edge_errors.py
@@ -136,3 +136,17 @@
         assert router.dispatcher.loads.stats(entry).in_flight == 0
         response = await router.send(router.request())
         assert response.status == 200
+
+
+@async_test
+async def test_a_server_at_an_unusable_address_fails_no_requests() -> None:
+    """Guards against a 500 for each request that is sent to such a server."""
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        edge_router() as router,
+    ):
+        router.register_server(server)
+        router.register(backend(1, host="[::1]"))
+        for number in range(30):
+            response = await router.send(router.request(is_idempotent=number % 2 == 0))
+            assert response.status == 200, number
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -165,6 +165,7 @@
     assert server.slow_start_left_ms == 1500
 
 
+UNUSABLE_HOSTS = ("[::1]", "::1", "localhost", "10.0.0.256", "10.0.0", "[10.0.0.1]")
 UNENCODABLE = (1 << 64, 10**30, -(1 << 63) - 1)
 """Numbers that JSON can carry and a message between routers cannot."""
 
@@ -204,6 +205,7 @@
         b"",
         7,
         {**ENTRY, "Address": "nowhere"},
+        *({**ENTRY, "Address": f"{host}:80"} for host in UNUSABLE_HOSTS),
         {**ENTRY, "Status": {"State": "resting"}},
         {**ENTRY, "Info": {"Service": 4, "Zone": "a", "Slots": 4}},
         {**ENTRY, "Info": {"Service": "s", "Zone": "a", "Slots": 0}},
