Give relayed requests the whole grace period to complete

Cause: a stopping router waited for relayed requests for half of its grace period, then closed its connections to servers.

Ruled out: new relayed requests during the stop; none is taken.

Change: it waits as long as for requests of its own callers.

Test: test_a_relayed_request_has_the_whole_grace_to_complete fails with half of the grace period, passes now.

--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -14,11 +14,12 @@
 from mulberryrelay_router.suspects import Suspects
 
 from .adapter import Adapter
-from .callers import CallerServer
+from .callers import STOP_RESERVE_MS, CallerServer
 from .controlplane import ControlPlane
 from .dispatch import Dispatcher
 from .forwarder import RequestForwarder
 from .monitoring import MonitoringServer
+from .relay import RelayReceiver
 from .suspectlink import EDGE_POLICY
 from .tablefollower import Role
 
@@ -76,6 +77,14 @@
             )
 
 
+async def complete_requests(
+    callers: CallerServer, relays: RelayReceiver, grace_ms: float
+) -> None:
+    """Take no more requests, and let those of callers and other routers complete."""
+    relays_s = (grace_ms - STOP_RESERVE_MS) / 1000
+    await asyncio.gather(callers.stop(), relays.stop(relays_s))
+
+
 async def run_edge(adapter: Adapter, clock: Clock = boottime_ms) -> None:
     """Serve callers until SIGTERM or SIGINT, then shut down gracefully."""
     options = adapter.options
@@ -158,9 +167,7 @@
     await stopping.wait()
     log_event("stopping", instance=options.instance, in_flight=callers.in_flight)
     releasing = asyncio.create_task(control.lease.release())
-    await asyncio.gather(
-        callers.stop(), control.relay_receiver.stop(options.stop_grace_ms / 2000)
-    )
+    await complete_requests(callers, control.relay_receiver, options.stop_grace_ms)
     await forwarder.drain_probations(PROBATIONS_DRAIN_S)
     await asyncio.wait({releasing}, timeout=RELEASE_TIMEOUT_S)
     for task in tasks:
--- a/tests/test_edge_shutdown.py
+++ b/tests/test_edge_shutdown.py
@@ -7,9 +7,14 @@
 import asyncio
 import time
 
+from mulberryrelay_edge.instance import complete_requests
+from mulberryrelay_edge.messages import RelayedRequest
+from mulberryrelay_edge.relay import RelayReceiver
+from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_platform.names import HEADERS
 
-from .fixtures import async_test
+from .fixtures import async_test, wait_until
 from .fixtures.edgefleet import route
 from .fixtures.edgerouter import (
     GRACE_MS,
@@ -25,6 +30,8 @@
 """Duration of an upload that begins with the shutdown; nothing is accepted by then."""
 DRAINING_S = 0.75
 """Time from the stop signal until the router has closed its idle connections."""
+RELAYED_S = 1.0
+"""Time that a relayed request takes; longer than half of the grace period."""
 SHORT_MS = 1000
 """Deadline of a request that ends before the router, even if it arrives late."""
 LONG_MS = 5000
@@ -121,6 +128,36 @@
         assert not server.received
 
 
+@async_test
+async def test_a_relayed_request_has_the_whole_grace_to_complete() -> None:
+    """Guards against requests of other routers' callers that a stop cuts off early."""
+    slow = respond_with(edge_response, delay_s=RELAYED_S)
+    async with raw_server(slow) as server, edge_router(False, PAYMENTS) as router:
+        router.register_server(server)
+        await router.callers.start()
+        relays = RelayReceiver(
+            router.routes_in_force, router.reach, router.send, monotonic_ms
+        )
+        headers = [(str(HEADERS.request_id), "a")]
+        relayed = RelayedRequest(
+            RequestId("a"),
+            "GET",
+            "/pay/1",
+            "app.example",
+            None,
+            headers,
+            b"",
+            LONG_MS,
+            "",
+            False,
+        )
+        handling = asyncio.create_task(relays.handle(relayed))
+        await wait_until(lambda: bool(server.received))
+        await complete_requests(router.callers, relays, GRACE_MS)
+        response = handling.result()
+        assert response is not None and response.status == 200
+
+
 @async_test
 async def test_idle_connections_are_closed_before_the_end() -> None:
     """Guards against requests on a connection that the router no longer reads from."""
