Encode the body of a relayed request as bytes

Cause: the type of a relayed request's body became a union of bytes and bytearray, which msgspec cannot decode.

Ruled out: the relay itself; test_edge_cut_off passes again.

--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -302,7 +302,7 @@
     host: str
     key: int | None
     headers: list[tuple[str, str]]
-    body: RequestBody
+    body: bytes
     left_ms: float
     """Time until its deadline."""
     caller_address: str
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -242,7 +242,7 @@
         request.host,
         request.key,
         _pairs(request.headers),
-        request.body,
+        bytes(request.body),
         left_ms - REPLY_RESERVE_MS,
         request.caller_address,
         request.route.is_idempotent,
