Split the handling of requests from the server of callers

Change: callerhandler.py handles requests, callers.py listens and shuts down. Refusals are raised where they are decided. Before the first routes are known, a body is no longer read whole, as nothing bounded it.

--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -0,0 +1,267 @@
+"""Handles the requests of callers: reads and checks each one, and forwards it."""
+
+from math import isnan, nan
+
+import msgspec
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from multidict import CIMultiDict, istr
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import RequestId
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.supervision import log_failure
+from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER, HOP_BY_HOP_HEADERS
+
+from .adapter import Adapter
+from .catalog import Catalog
+from .forwarder import RequestForwarder
+from .messages import (
+    LAST_KEY,
+    CallerLimits,
+    EdgeRequest,
+    EdgeResponse,
+    RequestBody,
+    Route,
+    RouteTable,
+)
+from .requestbuffer import SMALL_BYTES, BodyHold, RequestBuffer
+from .responses import router_response
+from .routematcher import RouteMatcher
+
+DROPPED_HEADERS = (
+    *HOP_BY_HOP_HEADERS,
+    CONTENT_LENGTH_HEADER,
+    istr("Host"),
+    istr("Expect"),
+)
+"""Request headers that are not passed on to a server."""
+DEFAULT_TIMEOUT_MS = 2000.0
+"""Time that a caller is taken to wait if it does not state it and has no route yet."""
+ROOM_WAIT_SHARE = 0.5
+"""Share of a request's time for which its body may wait for room in memory."""
+STOPPING_RETRY_AFTER_S = 0.05
+"""Time after which a caller should return to another router."""
+RESPONSE_RESERVE_MS = 200.0
+"""Minimum time between a request's deadline and the end of the shutdown.
+
+In this time the last responses are written.
+"""
+MAX_LOGGED_LENGTH = 32
+"""Characters of an invalid header value in a log line."""
+
+
+class Shutdown(msgspec.Struct):
+    """How far the shutdown of a router has come."""
+
+    is_begun: bool = False
+    is_draining: bool = False
+    """Whether no more connections are accepted, as callers have gone elsewhere."""
+    deadline_ms: float = float("inf")
+    """Time at which the router stops."""
+
+
+class _RefusedError(Exception):
+    """The router itself responds to a request, which is not forwarded."""
+
+    def __init__(self, response: EdgeResponse) -> None:
+        super().__init__(f"status {response.status}")
+        self.response = response
+
+
+class CallerHandler:
+    """Handles requests and counts those that it is reading or processing."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        catalog: Catalog,
+        forwarder: RequestForwarder,
+        clock: Clock,
+    ) -> None:
+        self._adapter = adapter
+        self._catalog = catalog
+        self._forwarder = forwarder
+        self._clock = clock
+        self._matcher = RouteMatcher()
+        self._bodies = RequestBuffer(adapter.options.max_request_bytes)
+        self._shutdown = Shutdown()
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being read or processed."""
+        return self._in_flight
+
+    @property
+    def shutdown(self) -> Shutdown:
+        """How far the shutdown has come; changed by who runs it."""
+        return self._shutdown
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the response to a request."""
+        self._in_flight += 1
+        hold = self._bodies.open()
+        try:
+            edge_response = await self.respond(request, hold)
+        except (web.HTTPException, web.RequestPayloadError, ConnectionError):
+            raise
+        except Exception as error:
+            # What the request has caused is not known here.
+            log_failure("request", error)
+            edge_response = router_response(500)
+        finally:
+            hold.close()
+            self._in_flight -= 1
+        response = web.Response(
+            status=edge_response.status,
+            headers=edge_response.headers,
+            body=edge_response.body,
+        )
+        if self._shutdown.is_begun:
+            response.force_close()
+        return response
+
+    async def respond(self, request: web.BaseRequest, hold: BodyHold) -> EdgeResponse:
+        """Forward a request, or refuse it; ``hold`` is the room of its body."""
+        try:
+            edge_request = await self._read(request, hold)
+        except _RefusedError as refused:
+            return refused.response
+        return await self._forwarder.forward(edge_request)
+
+    async def _read(self, request: web.BaseRequest, hold: BodyHold) -> EdgeRequest:
+        """Read and check a request.
+
+        Raises:
+            _RefusedError: it must not be forwarded.
+        """
+        arrived_ms = self._clock()
+        routes = self._catalog.routes
+        if routes is None:
+            raise _RefusedError(router_response(503))
+        body = await self._read_body(request, routes.limits, hold)
+        header_bytes = sum(len(k) + len(v) for k, v in request.raw_headers)
+        if header_bytes > routes.limits.header_bytes:
+            raise _RefusedError(router_response(431))
+        route = self._find_route(request, routes)
+        deadline_ms = self._deadline_ms(request, route, arrived_ms)
+        names = self._adapter.headers
+        headers = CIMultiDict(request.headers)
+        for name in DROPPED_HEADERS:
+            headers.popall(name, None)
+        headers.popall(names.expected_server, None)
+        key = _parse_number(request.headers.get(names.key), -1.0)
+        return EdgeRequest(
+            request_id=self._request_id(request),
+            method=request.method,
+            target=request.raw_path,
+            host=request.host,
+            key=int(key) if 0 <= key <= LAST_KEY else None,
+            headers=headers,
+            body=body,
+            route=route,
+            service=self._matcher.pick_service(route),
+            arrived_ms=arrived_ms,
+            deadline_ms=deadline_ms,
+            caller_address=request.remote or "",
+        )
+
+    def _find_route(self, request: web.BaseRequest, routes: RouteTable) -> Route:
+        path = request.rel_url.raw_path
+        route = self._matcher.match(routes, request.host, path)
+        if route is not None:
+            return route
+        log_event(
+            "no_route",
+            request_id=self._request_id(request),
+            host=request.host,
+            path=path,
+            routes_version=routes.version,
+        )
+        raise _RefusedError(router_response(404))
+
+    def _deadline_ms(
+        self, request: web.BaseRequest, route: Route, arrived_ms: float
+    ) -> float:
+        """Return the deadline of a request, which is before the router ends.
+
+        Once callers have gone elsewhere, a request that may outlast the router is
+        refused.
+        """
+        timeout_ms = min(self._timeout_ms(request, route.timeout_ms), route.timeout_ms)
+        deadline_ms = arrived_ms + timeout_ms
+        last_deadline_ms = self._shutdown.deadline_ms - RESPONSE_RESERVE_MS
+        if not self._shutdown.is_draining or deadline_ms <= last_deadline_ms:
+            return min(deadline_ms, last_deadline_ms)
+        log_event(
+            "refused_while_stopping",
+            request_id=self._request_id(request),
+            route=route.name,
+            needed_ms=round(deadline_ms - self._clock()),
+            left_ms=round(last_deadline_ms - self._clock()),
+        )
+        raise _RefusedError(router_response(503, STOPPING_RETRY_AFTER_S))
+
+    def _timeout_ms(self, request: web.BaseRequest, default_ms: float) -> float:
+        """Return the time for which the caller waits."""
+        text = request.headers.get(self._adapter.headers.deadline_ms)
+        return _parse_number(text, default_ms)
+
+    def _request_id(self, request: web.BaseRequest) -> RequestId:
+        return RequestId(request.headers.get(self._adapter.headers.request_id, ""))
+
+    async def _read_body(
+        self, request: web.BaseRequest, limits: CallerLimits, hold: BodyHold
+    ) -> RequestBody:
+        """Return the whole body, once there is room for it.
+
+        Raises:
+            _RefusedError: it is malformed or too long, or there is no room in time.
+        """
+        if not request.body_exists:
+            return b""
+        announced = request.content_length or 0
+        if announced > limits.body_bytes:
+            raise _RefusedError(router_response(413))
+        timeout_ms = self._timeout_ms(request, DEFAULT_TIMEOUT_MS)
+        if not await hold.reserve(announced, ROOM_WAIT_SHARE * timeout_ms / 1000):
+            raise self._no_room(request)
+        # One buffer that grows: joining pieces would hold the body twice.
+        body = bytearray()
+        try:
+            while chunk := await request.content.readany():
+                length = len(body) + len(chunk)
+                if length > limits.body_bytes:
+                    raise _RefusedError(router_response(413))
+                if not hold.grow_to(length):
+                    raise self._no_room(request)
+                body += chunk
+        except HttpProcessingError as error:
+            log_event("malformed_request", status=error.code, error=str(error))
+            raise _RefusedError(router_response(400)) from error
+        return bytes(body) if len(body) <= SMALL_BYTES else body
+
+    def _no_room(self, request: web.BaseRequest) -> _RefusedError:
+        """Return the refusal of a request whose body there is no room for."""
+        log_event(
+            "no_room_for_body",
+            request_id=self._request_id(request),
+            length=request.content_length,
+            held_bytes=self._bodies.held_bytes,
+        )
+        return _RefusedError(router_response(503))
+
+
+def _parse_number(text: str | None, default: float) -> float:
+    """Return the number in a header, or the default if it is absent or invalid."""
+    if text is None:
+        return default
+    try:
+        number = float(text)
+    except ValueError:
+        number = nan
+    if isnan(number):
+        log_event("invalid_header_number", value=text[:MAX_LOGGED_LENGTH])
+        return default
+    return number
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -1,51 +1,30 @@
 """HTTP server for the callers of an edge router, and its readiness check.
 
-Reads and validates each request, finds its route, and passes it to the
-``RequestForwarder``. On shutdown it first reports that the router is not ready, so that
-the load balancer takes it out, and then completes the requests in flight and those
-whose bodies are still arriving.
+``callerhandler`` handles the requests. On shutdown this module first reports that the
+router is not ready, so that the load balancer takes it out, and then completes the
+requests in flight and those whose bodies are still arriving.
 """
 
 import asyncio
 import socket
 from collections.abc import Callable
-from math import isnan, nan
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
-from multidict import CIMultiDict, istr
 
 from mulberryrelay_kernel.callerconnections import (
     CallerConnectionServer,
     drain_connections,
 )
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.logs import log_event
-from mulberryrelay_kernel.supervision import log_failure
-from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER, HOP_BY_HOP_HEADERS
 
 from .adapter import Adapter
+from .callerhandler import CallerHandler
 from .catalog import Catalog
 from .forwarder import RequestForwarder
-from .messages import CallerLimits, EdgeRequest, EdgeResponse, RequestBody
 from .options import EdgeOptions
-from .requestbuffer import SMALL_BYTES, BodyHold, RequestBuffer
-from .responses import router_response
-from .routematcher import RouteMatcher
 
-DROPPED_HEADERS = (
-    *HOP_BY_HOP_HEADERS,
-    CONTENT_LENGTH_HEADER,
-    istr("Host"),
-    istr("Expect"),
-)
-"""Request headers that are not passed on to a server."""
-DEFAULT_TIMEOUT_MS = 2000.0
-"""Time that a caller is taken to wait if it does not state it and has no route yet."""
-ROOM_WAIT_SHARE = 0.5
-"""Share of a request's time for which its body may wait for room in memory."""
 IDLE_TIMEOUT_S = 60.0
 """Time after which an idle connection is closed, unless operators permit more."""
 LISTEN_BACKLOG = 1024
@@ -78,13 +57,6 @@
 """Time kept free at the end of the grace period, before the process is killed."""
 CANCEL_S = 0.01
 """Time to cancel each request whose body has not arrived; 0 would be no limit."""
-RESPONSE_RESERVE_MS = 200.0
-"""Minimum time between a request's deadline and the end of the shutdown.
-
-In this time the last responses are written.
-"""
-STOPPING_RETRY_AFTER_S = 0.05
-"""Time after which a caller should return to another router."""
 
 
 class _ConnectionServer(CallerConnectionServer):
@@ -103,14 +75,6 @@
         return connection
 
 
-class _BodyTooLongError(Exception):
-    """A request's body exceeds the limit of the routes in force."""
-
-
-class _NoRoomError(Exception):
-    """There was no room in memory for a request's body in time."""
-
-
 class CallerServer:
     """Serves requests of callers until it is stopped."""
 
@@ -124,15 +88,8 @@
         self._adapter = adapter
         self._options: EdgeOptions = adapter.options
         self._catalog = catalog
-        self._forwarder = forwarder
         self._clock = clock
-        self._matcher = RouteMatcher()
-        self._bodies = RequestBuffer(self._options.max_request_bytes)
-        self._in_flight = 0
-        self._is_stopping = False
-        self._is_draining = False
-        """Whether no more connections are accepted, as a shutdown goes on."""
-        self._stop_deadline_ms = float("inf")
+        self._handler = CallerHandler(adapter, catalog, forwarder, clock)
         self._runner: web.ServerRunner | None = None
         self._listener: socket.socket | None = None
         self._site: web.SockSite | None = None
@@ -141,7 +98,7 @@
     @property
     def in_flight(self) -> int:
         """Number of requests that are being read or processed."""
-        return self._in_flight
+        return self._handler.in_flight
 
     @property
     def port(self) -> int:
@@ -153,7 +110,7 @@
         """Listen for callers and for readiness checks."""
         server = _ConnectionServer(
             self._idle_timeout_s,
-            self._handle,
+            self._handler.handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -179,9 +136,10 @@
 
     async def stop(self) -> None:
         """Report not ready, then shut down and let requests in flight complete."""
-        self._is_stopping = True
+        shutdown = self._handler.shutdown
+        shutdown.is_begun = True
         grace_ms = self._options.stop_grace_ms - STOP_RESERVE_MS
-        self._stop_deadline_ms = self._clock() + grace_ms
+        shutdown.deadline_ms = self._clock() + grace_ms
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + grace_ms / 1000
         await asyncio.sleep(
@@ -192,9 +150,9 @@
         assert self._runner is not None
         server = self._runner.server
         assert server is not None
-        self._is_draining = True
+        shutdown.is_draining = True
         await drain_connections(server, deadline_s)
-        log_event("caller_server_stopped", in_flight=self._in_flight)
+        log_event("caller_server_stopped", in_flight=self.in_flight)
         await server.shutdown(CANCEL_S)
         await self._runner.cleanup()
         if self._ready_runner is not None:
@@ -213,156 +171,6 @@
         await self._site.stop()
 
     async def _check_ready(self, request: web.Request) -> web.Response:
-        is_ready = self._catalog.has_routes_and_servers and not self._is_stopping
+        is_stopping = self._handler.shutdown.is_begun
+        is_ready = self._catalog.has_routes_and_servers and not is_stopping
         return web.Response(status=200 if is_ready else 503)
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._in_flight += 1
-        hold = self._bodies.open()
-        try:
-            edge_response = await self._process(request, hold)
-        except (web.HTTPException, web.RequestPayloadError, ConnectionError):
-            raise
-        except Exception as error:
-            # What the request has caused is not known here.
-            log_failure("request", error)
-            edge_response = router_response(500)
-        finally:
-            hold.close()
-            self._in_flight -= 1
-        response = web.Response(
-            status=edge_response.status,
-            headers=edge_response.headers,
-            body=edge_response.body,
-        )
-        if self._is_stopping:
-            response.force_close()
-        return response
-
-    async def _process(self, request: web.BaseRequest, hold: BodyHold) -> EdgeResponse:
-        arrived_ms = self._clock()
-        routes = self._catalog.routes
-        if routes is None:
-            await request.read()
-            return router_response(503)
-        names = self._adapter.headers
-        caller_timeout_ms = _parse_number(
-            request.headers.get(names.deadline_ms), DEFAULT_TIMEOUT_MS
-        )
-        room_wait_s = ROOM_WAIT_SHARE * caller_timeout_ms / 1000
-        try:
-            body = await self._read_body(request, routes.limits, hold, room_wait_s)
-        except HttpProcessingError as error:
-            log_event("malformed_request", status=error.code, error=str(error))
-            return router_response(400)
-        except _BodyTooLongError:
-            return router_response(413)
-        except _NoRoomError:
-            return self._refuse_for_room(request, arrived_ms)
-        header_bytes = sum(len(k) + len(v) for k, v in request.raw_headers)
-        if header_bytes > routes.limits.header_bytes:
-            return router_response(431)
-        route = self._matcher.match(routes, request.host, request.rel_url.raw_path)
-        if route is None:
-            request_id = request.headers.get(names.request_id, "")
-            log_event(
-                "no_route",
-                request_id=request_id,
-                host=request.host,
-                path=request.rel_url.raw_path,
-                routes_version=routes.version,
-            )
-            return router_response(404)
-        if names.deadline_ms not in request.headers:
-            caller_timeout_ms = route.timeout_ms
-        headers = CIMultiDict(request.headers)
-        for name in DROPPED_HEADERS:
-            headers.popall(name, None)
-        headers.popall(names.expected_server, None)
-        key = _parse_number(request.headers.get(names.key), -1.0)
-        deadline_ms = arrived_ms + min(caller_timeout_ms, route.timeout_ms)
-        last_deadline_ms = self._stop_deadline_ms - RESPONSE_RESERVE_MS
-        if self._is_draining and deadline_ms > last_deadline_ms:
-            # The router may end before it has a response.
-            request_id = request.headers.get(names.request_id, "")
-            log_event(
-                "refused_while_stopping",
-                request_id=request_id,
-                route=route.name,
-                needed_ms=round(deadline_ms - self._clock()),
-                left_ms=round(last_deadline_ms - self._clock()),
-            )
-            return router_response(503, STOPPING_RETRY_AFTER_S)
-        edge_request = EdgeRequest(
-            request_id=RequestId(request.headers.get(names.request_id, "")),
-            method=request.method,
-            target=request.raw_path,
-            host=request.host,
-            key=int(key) if 0 <= key <= 65535 else None,
-            headers=headers,
-            body=body,
-            route=route,
-            service=self._matcher.pick_service(route),
-            arrived_ms=arrived_ms,
-            deadline_ms=min(deadline_ms, last_deadline_ms),
-            caller_address=request.remote or "",
-        )
-        return await self._forwarder.forward(edge_request)
-
-    def _refuse_for_room(
-        self, request: web.BaseRequest, arrived_ms: float
-    ) -> EdgeResponse:
-        """Refuse a request whose body has not been read, as there is no room for it."""
-        log_event(
-            "no_room_for_body",
-            request_id=request.headers.get(self._adapter.headers.request_id, ""),
-            length=request.content_length,
-            held_bytes=self._bodies.held_bytes,
-            waited_ms=round(self._clock() - arrived_ms),
-        )
-        return router_response(503)
-
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-        limits: CallerLimits,
-        hold: BodyHold,
-        room_wait_s: float,
-    ) -> RequestBody:
-        """Return the whole body.
-
-        Raises:
-            _BodyTooLongError: it exceeds the limit.
-            _NoRoomError: there is no room for it within ``room_wait_s``.
-        """
-        if not request.body_exists:
-            return b""
-        announced = request.content_length or 0
-        if announced > limits.body_bytes:
-            raise _BodyTooLongError
-        if not await hold.reserve(announced, room_wait_s):
-            raise _NoRoomError
-        # One buffer that grows: joining pieces would hold the body twice.
-        body = bytearray()
-        while chunk := await request.content.readany():
-            length = len(body) + len(chunk)
-            if length > limits.body_bytes:
-                raise _BodyTooLongError
-            if not hold.grow_to(length):
-                raise _NoRoomError
-            body += chunk
-        return bytes(body) if len(body) <= SMALL_BYTES else body
-
-
-def _parse_number(text: str | None, default: float) -> float:
-    """Return the number in a header, or the default if it is absent or invalid."""
-    if text is None:
-        return default
-    try:
-        number = float(text)
-    except ValueError:
-        number = nan
-    if isnan(number):
-        log_event("invalid_header_number", value=text[:32])
-        return default
-    return number
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from mulberryrelay_edge.callerhandler import CallerHandler
 from mulberryrelay_edge.callers import CallerServer
 from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
@@ -24,7 +25,7 @@
 
 _run_exchange = Exchange.run
 _apply_routes = Catalog.apply_routes
-_process = CallerServer._process
+_respond = CallerHandler.respond
 
 
 async def _report_broken_as_not_run(exchange: Exchange, pool: Any) -> AttemptResult:
@@ -48,9 +49,9 @@
 
 
 async def _cut_body(
-    callers: CallerServer, request: Any, hold: BodyHold
+    handler: CallerHandler, request: Any, hold: BodyHold
 ) -> EdgeResponse:
-    response = await _process(callers, request, hold)
+    response = await _respond(handler, request, hold)
     return msgspec.structs.replace(response, body=response.body[:2000])
 
 
@@ -77,7 +78,7 @@
         Catalog, "apply_routes", _apply_first_routes
     ),
     "stops-at-once": lambda: patch.object(CallerServer, "stop", _stop_at_once),
-    "responses-cut": lambda: patch.object(CallerServer, "_process", _cut_body),
+    "responses-cut": lambda: patch.object(CallerHandler, "respond", _cut_body),
     "drained-servers-used": lambda: patch.multiple(
         Catalog,
         serving=_serving_and_draining,
