Count responses until their callers have them

Cause: a response counted in the bound of all responses only until it was received from its server; then it was held by the connection to its caller, and after that as the last response of the open connection.

Ruled out: responses of up to 16 KB, which the number of connections bounds.

Change: a longer response counts until it is written. When all of them exceed their bound, the connection with the largest is closed.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -1,6 +1,8 @@
 """Handles the requests of callers: reads and checks each one, and forwards it."""
 
+import weakref
 from math import isnan, nan
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -12,6 +14,7 @@
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.supervision import log_failure
 from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER, HOP_BY_HOP_HEADERS
+from mulberryrelay_router.serverconnection import ResponseBuffer, ResponseHold
 
 from .adapter import Adapter
 from .catalog import Catalog
@@ -69,6 +72,24 @@
         self.response = response
 
 
+class _HeldResponse(web.Response):
+    """A response whose body counts as held until it is written."""
+
+    def __init__(self, hold: ResponseHold, **options: Any) -> None:
+        super().__init__(**options)
+        self._hold = hold
+        # If the caller has left, the response is never written.
+        weakref.finalize(self, hold.close)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        try:
+            await super().write_eof(data)
+        finally:
+            self._hold.close()
+            # aiohttp keeps the last response of each open connection.
+            self._body = None
+
+
 class CallerHandler:
     """Handles requests and counts those that it is reading or processing."""
 
@@ -85,6 +106,7 @@
         self._clock = clock
         self._matcher = RouteMatcher()
         self._bodies = RequestBuffer(adapter.options.max_request_bytes)
+        self._responses: ResponseBuffer = forwarder.response_buffer
         self._shutdown = Shutdown()
         self._in_flight = 0
 
@@ -113,11 +135,7 @@
         finally:
             hold.close()
             self._in_flight -= 1
-        response = web.Response(
-            status=edge_response.status,
-            headers=edge_response.headers,
-            body=edge_response.body,
-        )
+        response = self._build_response(request, edge_response)
         if self._shutdown.is_begun:
             response.force_close()
         return response
@@ -130,6 +148,26 @@
             return refused.response
         return await self._forwarder.forward(edge_request)
 
+    def _build_response(
+        self, request: web.BaseRequest, edge_response: EdgeResponse
+    ) -> web.Response:
+        options: dict[str, Any] = {
+            "status": edge_response.status,
+            "headers": edge_response.headers,
+            "body": edge_response.body,
+        }
+        if len(edge_response.body) <= SMALL_BYTES:
+            return web.Response(**options)
+
+        def disconnect() -> None:
+            if request.transport is not None:
+                request.transport.abort()
+
+        hold = self._responses.open(disconnect)
+        response = _HeldResponse(hold, **options)
+        hold.add(len(edge_response.body))
+        return response
+
     async def _read(self, request: web.BaseRequest, hold: BodyHold) -> EdgeRequest:
         """Read and check a request.
 
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -177,13 +177,17 @@
         self._held_bytes += count
         self._buffer.enforce_limit()
 
+    def close(self) -> None:
+        """Release the response's bytes."""
+        self._buffer.close(self)
+
     def evict(self) -> None:
         """End the response, because all responses together hold too much."""
         self._on_evict()
 
 
 class ResponseBuffer:
-    """Bounds the bytes of all responses that are being received."""
+    """Bounds the bytes of all responses that are being received or sent."""
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
--- a/tests/test_edge_endless.py
+++ b/tests/test_edge_endless.py
@@ -5,15 +5,18 @@
 """
 
 import asyncio
+import socket
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 
+import aiohttp
 from returns.result import Failure
 
 from mulberryrelay_edge.messages import LAST_KEY
 from mulberryrelay_platform.commands import PlatformCommands
+from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test, wait_until
 from .fixtures.edgefleet import backend
@@ -23,6 +26,7 @@
     EdgeRouter,
     edge_response,
     edge_router,
+    get,
 )
 from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
 
@@ -31,6 +35,9 @@
 """Time in which an endless response has to be rejected, a quarter of the deadline."""
 SOCKET_BYTES = 16 << 20
 """Upper bound of what the sockets' buffers may hold beyond what the router reads."""
+UNREAD_RESPONSES = 16
+MAX_KEPT = MAX_BUFFERED_BYTES // (MAX_RESPONSE_BYTES * 3 // 4)
+"""Callers whose responses there is room for."""
 MAX_COMMAND_BYTES = 4 << 20
 """Upper bound of what a response to a command may take, the socket's reads included."""
 MAX_ATTEMPTS_OF_TEST_ROUTE = 2
@@ -232,3 +239,65 @@
         response = await router.send(router.request())
         assert response.status == 200
         await wait_until(lambda: server.closed_connections == 1)
+
+
+@async_test
+async def test_responses_that_callers_do_not_read_take_bounded_memory() -> None:
+    """Guards against callers that send requests and leave the responses unread.
+
+    The connections of the callers with the largest responses are closed. Others go on.
+    """
+    body = b"x" * (MAX_RESPONSE_BYTES * 3 // 4)
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if request.path == "/listing/short":
+            writer.write(edge_response(request))
+            return
+        framing = f"Content-Length: {len(body)}\r\n"
+        writer.write(_head(request, framing) + b"\r\n\r\n" + body)
+
+    loop = asyncio.get_running_loop()
+    with ExitStack() as stack:
+        async with raw_server(respond) as server, edge_router() as router:
+            router.register_server(server)
+            await router.callers.start()
+            assert router.callers._listener is not None
+            # Otherwise the kernel takes all the responses from the router.
+            router.callers._listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+            callers = []
+            for number in range(UNREAD_RESPONSES):
+                caller = stack.enter_context(socket.socket())
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.setblocking(False)
+                await loop.sock_connect(caller, (HOST, router.callers.port))
+                await loop.sock_sendall(caller, _request(f"/listing/{number}"))
+                callers.append(caller)
+            await wait_until(lambda: len(server.received) == UNREAD_RESPONSES)
+            buffer = router.forwarder.response_buffer
+            await wait_until(lambda: _connections(router) <= MAX_KEPT)
+            assert 0 < buffer.held_bytes <= MAX_BUFFERED_BYTES
+            status, _ = await _get_short(router)
+            assert status == 200
+            for caller in callers:
+                caller.close()
+            await wait_until(lambda: buffer.held_bytes == 0)
+
+
+async def _get_short(router: EdgeRouter) -> tuple[int, bytes]:
+    async with aiohttp.ClientSession() as session:
+        return await get(session, f"{router.url}/listing/short")
+
+
+def _request(path: str) -> bytes:
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: app.example\r\n{HEADERS.request_id}: {path}\r\n"
+        f"{HEADERS.deadline_ms}: {DEADLINE_MS}\r\n\r\n"
+    ).encode()
+
+
+def _connections(router: EdgeRouter) -> int:
+    runner = router.callers._runner
+    assert runner is not None and runner.server is not None
+    return len(runner.server.connections)
