Give each server of a poison test a start time of its own

test_connections_that_end_without_a_crash_make_no_suspects registered five servers one after the other under one id and one start time, the first of which says that it leaves. Since an incarnation that leaves is remembered, the others count as the same one and get no requests.

The platform gives each start its time, so the test was wrong there. It is as strict as before: the same servers, requests and expectations.

--- a/tests/test_edge_poison.py
+++ b/tests/test_edge_poison.py
@@ -118,12 +118,13 @@
 
     for respond in (close, leave):
         async with edge_router() as router:
-            for _ in range(EDGE_POLICY.losses_to_block + 1):
+            starts = range(EDGE_POLICY.losses_to_block + 1)
+            for started_ms in starts:
                 async with raw_server(respond) as server:
-                    router.register_server(server)
+                    router.register_server(server, started_ms=started_ms)
                     await router.send(_poison_of(router, is_idempotent=False))
             async with raw_server(respond_with(edge_response)) as server:
-                router.register_server(server)
+                router.register_server(server, started_ms=len(starts))
                 assert (await router.send(_poison_of(router))).status == 200, respond
 
 
