Split the sending of attempts from the forwarder of requests

Cause: forwarder.py had 444 lines with two jobs; four handlers of the link decoded bodies in the same six lines.

Change: attemptsender.py sends an attempt and records what it shows of its server; the link decodes a body in one place.

--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -0,0 +1,178 @@
+"""Sends one attempt of a request, and records what it shows of its server.
+
+That is load, speed, limits, failures and crashes, whether or not the caller still waits
+for the response.
+"""
+
+import asyncio
+
+import msgspec
+
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.metrics import Metrics
+from mulberryrelay_kernel.unreadheaders import UnreadHeaders
+from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.serverconnection import ResponseBuffer
+
+from .adapter import Adapter
+from .catalog import Catalog
+from .dispatch import Dispatcher
+from .exchange import AttemptOutcome, AttemptResult, Exchange
+from .keyload import KeyLoad
+from .messages import BackendServer, EdgeRequest
+from .responses import had_free_slot
+from .serverreach import ServerReach
+from .suspectruns import SuspectRuns
+
+
+class AttemptSender:
+    """Sends the attempts of one router."""
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        catalog: Catalog,
+        dispatcher: Dispatcher,
+        pool: Pool,
+        key_load: KeyLoad,
+        metrics: Metrics,
+        suspect_runs: SuspectRuns,
+        reach: ServerReach,
+        clock: Clock,
+    ) -> None:
+        self._adapter = adapter
+        self._catalog = catalog
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._key_load = key_load
+        self._metrics = metrics
+        self._suspect_runs = suspect_runs
+        self._reach = reach
+        self._clock = clock
+        self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
+        self._unread_headers = UnreadHeaders(
+            "server", msgspec.structs.astuple(adapter.headers)
+        )
+
+    @property
+    def response_buffer(self) -> ResponseBuffer:
+        """The bytes of the responses that are being received or sent."""
+        return self._response_buffer
+
+    async def send(
+        self, request: EdgeRequest, server: BackendServer, send_id: int
+    ) -> AttemptResult:
+        """Send one attempt and return its result."""
+        attempt = self._send_watched(request, server, send_id)
+        if request.route.is_idempotent:
+            return await attempt
+        # A non-idempotent request that was started is not cancelled if its caller
+        # disconnects.
+        return await asyncio.shield(asyncio.ensure_future(attempt))
+
+    async def _send_watched(
+        self, request: EdgeRequest, server: BackendServer, send_id: int
+    ) -> AttemptResult:
+        """Send one attempt, and report the request if its server crashes under it.
+
+        Whether the caller still waits does not matter for that.
+        """
+        try:
+            result = await self.send_once(request, server, send_id)
+        except asyncio.CancelledError:
+            self._suspect_runs.record_abandoned(request, server)
+            raise
+        if not is_final(request, result):
+            self.log_failure(request, server, result)
+        elif result.outcome is AttemptOutcome.COMPLETED:
+            self._suspect_runs.record_response(request)
+        if result.outcome is AttemptOutcome.BROKEN:
+            await self._suspect_runs.record_broken(request, server)
+        elif result.outcome is AttemptOutcome.TIMED_OUT:
+            self._suspect_runs.record_abandoned(request, server)
+        return result
+
+    async def send_once(
+        self, request: EdgeRequest, server: BackendServer, send_id: int
+    ) -> AttemptResult:
+        """Send an attempt whose crashes the calling code watches for."""
+        loads = self._dispatcher.loads
+        result: AttemptResult | None = None
+        try:
+            exchange = Exchange(
+                request, server, self._adapter, self._response_buffer, self._clock
+            )
+            result = await exchange.run(self._pool)
+        finally:
+            load = result.load if result is not None else None
+            latency_ms = loads.end_request(server, send_id, load)
+        self._record_statements(server, result)
+        if result.outcome is AttemptOutcome.COMPLETED:
+            self._record_response(request, server, result, latency_ms)
+        elif result.outcome is AttemptOutcome.NOT_RUN:
+            if result.other_server:
+                self._catalog.mark_replaced(server, result.other_server)
+            elif result.status != 421 and not had_free_slot(result):
+                loads.record_refusal(server)
+        else:
+            loads.record_failure(server, result.detail)
+            if result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent():
+                self._reach.suspect()
+        return result
+
+    def _record_response(
+        self,
+        request: EdgeRequest,
+        server: BackendServer,
+        result: AttemptResult,
+        latency_ms: float,
+    ) -> None:
+        assert result.headers is not None
+        self._unread_headers.log_new(result.headers, server.server)
+        is_failure = result.status >= 500
+        has_queued = result.load is not None and result.load.waiting > 0
+        if not is_failure and not has_queued:
+            self._key_load.record_service_time(request.service, latency_ms)
+        self._dispatcher.loads.record_response(
+            server, request.route.name, latency_ms, result.load, is_failure
+        )
+
+    def _record_statements(self, server: BackendServer, result: AttemptResult) -> None:
+        """Record what a server states of the requests that it wants.
+
+        Only a success shows that it states no limit: a refusal may come from another
+        server at the address.
+        """
+        if result.pause_ms > 0:
+            self._dispatcher.loads.pause(server, result.pause_ms)
+        if result.is_leaving:
+            self._catalog.record_leaving((server.server, server.started_ms))
+        is_success = result.outcome is AttemptOutcome.COMPLETED and result.status < 300
+        if result.limit_per_s is not None or is_success:
+            self._dispatcher.limits.record(server, result.limit_per_s)
+
+    def log_failure(
+        self, request: EdgeRequest, server: BackendServer, result: AttemptResult
+    ) -> None:
+        """Log and count an attempt that brought no response for the caller."""
+        log_event(
+            "attempt_failed",
+            request_id=request.request_id,
+            server=server.server,
+            verdict=result.outcome.value,
+            status=result.status,
+            detail=result.detail,
+            state=self._dispatcher.describe(server),
+            born_ms=server.started_ms,
+        )
+        self._metrics.count(f"attempt_{result.outcome.value}")
+
+
+def is_final(request: EdgeRequest, result: AttemptResult) -> bool:
+    """Return whether the server's response is passed on to the caller."""
+    if result.status == 400:
+        return True
+    if result.outcome is not AttemptOutcome.COMPLETED:
+        return False
+    return result.status < 500 or not request.route.is_idempotent
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -1,26 +1,24 @@
 """Forwards one request: queues it, sends it to a server and retries it where safe.
 
-The dispatcher decides when and to which server a request is sent, an ``Exchange`` sends
-one attempt, and ``RequestForwarder`` turns the results of the attempts into the
+The dispatcher decides when and to which server a request is sent, an ``AttemptSender``
+sends one attempt, and ``RequestForwarder`` turns the results of the attempts into the
 response to the caller.
 """
 
 import asyncio
 from collections.abc import Callable, Collection
 
-import msgspec
-
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestClass, ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
-from mulberryrelay_kernel.unreadheaders import UnreadHeaders
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.probation import ProbationEnd
 from mulberryrelay_router.serverconnection import ResponseBuffer
 from mulberryrelay_router.suspects import Suspects
 
 from .adapter import Adapter
+from .attemptsender import AttemptSender, is_final
 from .catalog import Catalog
 from .dispatch import (
     RETRY_AFTER_S,
@@ -30,7 +28,7 @@
     RefusalReason,
     SendPermit,
 )
-from .exchange import AttemptOutcome, AttemptResult, Exchange
+from .exchange import AttemptOutcome, AttemptResult
 from .keyload import KeyLoad
 from .messages import BackendServer, EdgeRequest, EdgeResponse
 from .ownership import Ownership
@@ -92,23 +90,29 @@
         self._catalog = catalog
         self._ownership = ownership
         self._dispatcher = dispatcher
-        self._pool = pool
         self._key_load = key_load
         self._metrics = metrics
         self._reach = reach
         self._relay = relay
         self._clock = clock
-        self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
-        self._budget = RetryBudget(lambda: adapter.options, routers, clock)
-        self._unread_headers = UnreadHeaders(
-            "server", msgspec.structs.astuple(adapter.headers)
+        self._sender = AttemptSender(
+            adapter,
+            catalog,
+            dispatcher,
+            pool,
+            key_load,
+            metrics,
+            self._suspect_runs,
+            reach,
+            clock,
         )
+        self._budget = RetryBudget(lambda: adapter.options, routers, clock)
 
     @property
     def response_buffer(self) -> ResponseBuffer:
-        """The bytes of the responses that are being received."""
-        return self._response_buffer
+        """The bytes of the responses that are being received or sent."""
+        return self._sender.response_buffer
 
     async def drain_probations(self, timeout_s: float) -> None:
         """Wait until the results of all runs of suspects are reported."""
@@ -154,8 +158,8 @@
                     continue
                 return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
-            result = await self._attempt(request, server, permit.send_id)
-            if _is_final(request, result):
+            result = await self._sender.send(request, server, permit.send_id)
+            if is_final(request, result):
                 return server_response(result)
             tried.add(server.server)
             if may_have_run(result):
@@ -244,9 +248,11 @@
         possibly_ran = set(possibly_ran)
 
         async def send(request: EdgeRequest, permit: SendPermit) -> AttemptResult:
-            result = await self._exchange(request, permit.server, permit.send_id)
+            result = await self._sender.send_once(
+                request, permit.server, permit.send_id
+            )
             if result.outcome is not AttemptOutcome.COMPLETED:
-                self._log_failed_attempt(request, permit.server, result)
+                self._sender.log_failure(request, permit.server, result)
             if may_have_run(result):
                 possibly_ran.add(permit.server.server)
             return result
@@ -298,87 +304,6 @@
 
         return owner
 
-    async def _attempt(
-        self, request: EdgeRequest, server: BackendServer, send_id: int
-    ) -> AttemptResult:
-        attempt = self._watched_attempt(request, server, send_id)
-        if request.route.is_idempotent:
-            return await attempt
-        # A non-idempotent request that was started is not cancelled if its caller
-        # disconnects.
-        return await asyncio.shield(asyncio.ensure_future(attempt))
-
-    async def _watched_attempt(
-        self, request: EdgeRequest, server: BackendServer, send_id: int
-    ) -> AttemptResult:
-        """Send one attempt, and report the request if its server crashes under it.
-
-        Whether the caller still waits does not matter for that.
-        """
-        try:
-            result = await self._exchange(request, server, send_id)
-        except asyncio.CancelledError:
-            self._suspect_runs.record_abandoned(request, server)
-            raise
-        if not _is_final(request, result):
-            self._log_failed_attempt(request, server, result)
-        elif result.outcome is AttemptOutcome.COMPLETED:
-            self._suspect_runs.record_response(request)
-        if result.outcome is AttemptOutcome.BROKEN:
-            await self._suspect_runs.record_broken(request, server)
-        elif result.outcome is AttemptOutcome.TIMED_OUT:
-            self._suspect_runs.record_abandoned(request, server)
-        return result
-
-    async def _exchange(
-        self, request: EdgeRequest, server: BackendServer, send_id: int
-    ) -> AttemptResult:
-        loads = self._dispatcher.loads
-        result: AttemptResult | None = None
-        try:
-            exchange = Exchange(
-                request, server, self._adapter, self._response_buffer, self._clock
-            )
-            result = await exchange.run(self._pool)
-        finally:
-            load = result.load if result is not None else None
-            latency_ms = loads.end_request(server, send_id, load)
-        self._record_limit(server, result)
-        if result.pause_ms > 0:
-            loads.pause(server, result.pause_ms)
-        if result.is_leaving:
-            self._catalog.record_leaving((server.server, server.started_ms))
-        if result.outcome is AttemptOutcome.COMPLETED:
-            assert result.headers is not None
-            self._unread_headers.log_new(result.headers, server.server)
-            is_failure = result.status >= 500
-            has_queued = result.load is not None and result.load.waiting > 0
-            if not is_failure and not has_queued:
-                self._key_load.record_service_time(request.service, latency_ms)
-            loads.record_response(
-                server, request.route.name, latency_ms, result.load, is_failure
-            )
-        elif result.outcome is AttemptOutcome.NOT_RUN:
-            if result.other_server:
-                self._catalog.mark_replaced(server, result.other_server)
-            elif result.status != 421 and not had_free_slot(result):
-                loads.record_refusal(server)
-        else:
-            loads.record_failure(server, result.detail)
-            if result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent():
-                self._reach.suspect()
-        return result
-
-    def _record_limit(self, server: BackendServer, result: AttemptResult) -> None:
-        """Record the limit that a server states, or no longer states.
-
-        Only a success shows that it states none: a refusal may come from another server
-        at the address.
-        """
-        is_success = result.outcome is AttemptOutcome.COMPLETED and result.status < 300
-        if result.limit_per_s is not None or is_success:
-            self._dispatcher.limits.record(server, result.limit_per_s)
-
     def _give_up(
         self,
         request: EdgeRequest,
@@ -418,27 +343,3 @@
         if result is not None and had_free_slot(result):
             return router_response(status, RETRY_AFTER_FREE_SLOT_S)
         return router_response(status, retry_after_s)
-
-    def _log_failed_attempt(
-        self, request: EdgeRequest, server: BackendServer, result: AttemptResult
-    ) -> None:
-        log_event(
-            "attempt_failed",
-            request_id=request.request_id,
-            server=server.server,
-            verdict=result.outcome.value,
-            status=result.status,
-            detail=result.detail,
-            state=self._dispatcher.describe(server),
-            born_ms=server.started_ms,
-        )
-        self._metrics.count(f"attempt_{result.outcome.value}")
-
-
-def _is_final(request: EdgeRequest, result: AttemptResult) -> bool:
-    """Return whether the server's response is passed on to the caller."""
-    if result.status == 400:
-        return True
-    if result.outcome is not AttemptOutcome.COMPLETED:
-        return False
-    return result.status < 500 or not request.route.is_idempotent
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -7,6 +7,7 @@
 import zlib
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -57,6 +58,7 @@
 """First byte of a reply that is not compressed."""
 COMPRESSED = b"\1"
 """First byte of a compressed reply."""
+Message = TypeVar("Message")
 ReserveForAll = Callable[[Sequence[ReservationRequest]], list[Reservations] | None]
 """Reserves times at servers for a router; returns None if this is not the leader."""
 
@@ -103,36 +105,23 @@
             await self._runner.cleanup()
 
     async def _handle_report(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        try:
-            report = decode_msgpack(body, RouterReport)
-        except msgspec.MsgspecError as error:
-            log_event("bad_report", error=str(error))
-            return web.Response(status=400)
+        report = await _decode_body(request, RouterReport, "bad_report")
         leader_reply = await self._report_handler.handle_report(report)
         if leader_reply is None:
             return web.Response(status=409)
         return web.Response(body=self._encode_reply(report, leader_reply))
 
     async def _handle_reservations(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        try:
-            requests = decode_msgpack(body, list[ReservationRequest])
-        except msgspec.MsgspecError as error:
-            log_event("bad_reservation_request", error=str(error))
-            return web.Response(status=400)
+        requests = await _decode_body(
+            request, list[ReservationRequest], "bad_reservation_request"
+        )
         reservations = self._reserve_for_all(requests)
         if reservations is None:
             return web.Response(status=409)
         return web.Response(body=msgspec.msgpack.encode(reservations))
 
     async def _handle_suspects(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        try:
-            report = decode_msgpack(body, SuspectReport)
-        except msgspec.MsgspecError as error:
-            log_event("bad_suspect_report", error=str(error))
-            return web.Response(status=400)
+        report = await _decode_body(request, SuspectReport, "bad_suspect_report")
         is_recorded = await self._suspects.handle_report(report)
         return web.Response(status=200 if is_recorded else 409)
 
@@ -143,12 +132,7 @@
         return web.Response(body=reply)
 
     async def _handle_relayed(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        try:
-            relayed = decode_msgpack(body, RelayedRequest)
-        except msgspec.MsgspecError as error:
-            log_event("bad_relayed_request", error=str(error))
-            return web.Response(status=400)
+        relayed = await _decode_body(request, RelayedRequest, "bad_relayed_request")
         response = await self._relays.handle(relayed)
         if response is None:
             return web.Response(status=409)
@@ -307,6 +291,22 @@
         await self._session.close()
 
 
+async def _decode_body(
+    request: web.Request, message_type: type[Message], event: str
+) -> Message:
+    """Return the message in a request's body.
+
+    Raises:
+        web.HTTPBadRequest: it cannot be decoded; logged as ``event``.
+    """
+    body = await request.read()
+    try:
+        return decode_msgpack(body, message_type)
+    except msgspec.MsgspecError as error:
+        log_event(event, error=str(error))
+        raise web.HTTPBadRequest from error
+
+
 def _compress_body(body: bytes) -> bytes:
     """Return a body, compressed if large, after a byte that tells whether it is."""
     if len(body) < MIN_COMPRESSED_BYTES:
