Log when the last grant of a silent server was written

Cause: server_silent does not tell a command that was written late (the router's event loop stood still) from one that was written in time and got no reply (the server or a link). Change: the body of a command calls a function just before it is written, and server_silent has the age of the last written grant. Ruled out: times from aiohttp's tracing; its signals are sent after the write, from tasks of their own. Result: no change of behaviour; test_platform_adapter, test_fuzz and the tests of unreachable servers pass.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -4,7 +4,7 @@
 and commands to backend servers.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -77,11 +77,13 @@
         fence: int,
         grant_ttl_ms: float,
         handover_token: str | None,
+        on_write: Callable[[], None],
     ) -> Result[None, CommandFailure]:
         """Permit the server to run requests for these keys for ``grant_ttl_ms``.
 
         ``handover_token`` is the token that the previous owner returned from
-        ``release``, if any. With it the server warms up.
+        ``release``, if any. With it the server warms up. ``on_write`` is called just
+        before the command is written to a connection.
         """
 
     async def release(
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -86,6 +86,8 @@
         self._unreachable_since_ms = dict.fromkeys(self._grant_expires_ms, clock())
         self._confirmed_ms: dict[Incarnation, float] = {}
         """Send time of the last grant that a server confirmed."""
+        self._written_ms: dict[Incarnation, float] = {}
+        """Time at which the last grant to a server was written to a connection."""
 
     def last_entry(self, incarnation: Incarnation) -> BackendServer | None:
         """Return the last known entry of an incarnation of a server."""
@@ -173,8 +175,14 @@
                 service=server.service,
                 error=failure.error,
                 hold_left_ms=round(self.grant_expires_ms(incarnation) - self._clock()),
+                written_ms_ago=self._written_ms_ago(incarnation),
             )
 
+    def _written_ms_ago(self, incarnation: Incarnation) -> int | None:
+        """Return the age of the last grant that was written; None if there is none."""
+        written_ms = self._written_ms.get(incarnation)
+        return None if written_ms is None else round(self._clock() - written_ms)
+
     async def wait_released(
         self, service: ServiceName, key_range: KeyRange
     ) -> str | None:
@@ -292,8 +300,18 @@
         self._grant_expires_ms[incarnation] = max(
             self.grant_expires_ms(incarnation), expires_ms
         )
+
+        def record_write() -> None:
+            self._written_ms[incarnation] = self._clock()
+
         result = await self._commands.grant(
-            server, key_range.first, key_range.last, fence, grant_ttl_ms, handover_token
+            server,
+            key_range.first,
+            key_range.last,
+            fence,
+            grant_ttl_ms,
+            handover_token,
+            record_write,
         )
         if isinstance(result, Success):
             self._confirmed_ms[incarnation] = sent_ms
--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -235,7 +235,9 @@
         fence: int,
         grant_ttl_ms: float,
         handover_token: str | None,
+        on_write: Callable[[], None],
     ) -> Result[None, CommandFailure]:
+        on_write()
         # The TTL of a grant counts from the arrival of the call, however late the
         # grant is applied.
         arrived_ms = asyncio.get_running_loop().time() * 1000
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -203,7 +203,9 @@
                 result = await store.follow("t", 1, 10)
                 assert isinstance(result, Success | Failure)
                 assert isinstance(await store.commit([], []), Success | Failure)
-                granted = await commands.grant(entry, 0, 9, 1, 100.0, None)
+                granted = await commands.grant(
+                    entry, 0, 9, 1, 100.0, None, lambda: None
+                )
                 assert isinstance(granted, Success | Failure)
             except TimeoutError:
                 # The reply claims that more rows follow.
