Show that late grants give a key two owners

Cause: the expiry of a grant is counted from before its connection, and a command that gets no reply may arrive later than the margin of 500 ms allows for: it waits in the queue of the leader's link, or is written late because the event loop stood still. Nothing checks the lease at the write. The in-memory servers can hold the link of a router (commands arrive in order when it is free) and delay a router's writes. Ruled out: a late application of a grant in time; its TTL counts from its arrival, which the random faults had already.

--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -214,6 +214,10 @@
         return len(self.ungranted_keys()) / len(WATCHED_KEYS)
 
 
+Apply = Callable[[KeyedServer, float], int]
+"""Applies a command at a server, so many milliseconds after its arrival."""
+
+
 class CommandClient:
     """Commands that one router sends; implements ``ServerCommands``."""
 
@@ -226,6 +230,14 @@
         """Fraction of the commands that are applied but whose reply is lost."""
         self.is_cut_off = False
         """Whether no command reaches a server."""
+        self.write_delay_s = 0.0
+        """Time for which the router stands still before it writes a command."""
+        self._link_held_until_s = float("-inf")
+        """Time at which commands in the queue of the router's link arrive."""
+
+    def hold_link(self, for_s: float) -> None:
+        """Let commands wait in the queue of the router's link for some seconds."""
+        self._link_held_until_s = asyncio.get_running_loop().time() + for_s
 
     async def grant(
         self,
@@ -237,38 +249,48 @@
         handover_token: str | None,
         on_write: Callable[[], None],
     ) -> Result[None, CommandFailure]:
-        on_write()
         # The TTL of a grant counts from the arrival of the call, however late the
         # grant is applied.
-        arrived_ms = asyncio.get_running_loop().time() * 1000
-
-        def apply(incarnation: KeyedServer) -> int:
-            elapsed_ms = asyncio.get_running_loop().time() * 1000 - arrived_ms
+        def apply(incarnation: KeyedServer, elapsed_ms: float) -> int:
             return incarnation.grant(first, last, fence, grant_ttl_ms - elapsed_ms)
 
-        result = await self._send(server, apply)
+        result = await self._send(server, apply, on_write)
         return result.map(lambda _: None)
 
     async def release(
         self, server: BackendServer, first: int, last: int, fence: int
     ) -> Result[str | None, CommandFailure]:
         return await self._send(
-            server, lambda incarnation: incarnation.release(first, last, fence)
+            server,
+            lambda incarnation, _: incarnation.release(first, last, fence),
+            lambda: None,
         )
 
     async def probe(
         self, server: BackendServer, health_path: str
     ) -> Result[None, CommandFailure]:
-        result = await self._send(server, lambda incarnation: 200)
+        result = await self._send(server, lambda incarnation, _: 200, lambda: None)
         return result.map(lambda _: None)
 
     async def close(self) -> None:
         """Nothing to release."""
 
     async def _send(
-        self, server: BackendServer, apply: Callable[[KeyedServer], int]
+        self, server: BackendServer, apply: Apply, on_write: Callable[[], None]
     ) -> Result[str | None, CommandFailure]:
-        await asyncio.sleep(REPLY_DELAY_S / 2)
+        loop = asyncio.get_running_loop()
+        if self.write_delay_s >= COMMAND_TIMEOUT_S:
+            # A router that goes on may write before the end of its term takes effect.
+            loop.call_later(self.write_delay_s, self._write, server, apply, on_write)
+            await asyncio.sleep(self.write_delay_s)
+            return Failure(CommandUnanswered("timeout"))
+        queued_s = self._link_held_until_s - loop.time()
+        if queued_s >= COMMAND_TIMEOUT_S:
+            self._write(server, apply, on_write)
+            await asyncio.sleep(COMMAND_TIMEOUT_S)
+            return Failure(CommandUnanswered("timeout"))
+        on_write()
+        await asyncio.sleep(max(REPLY_DELAY_S / 2, queued_s))
         if self.is_cut_off:
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
@@ -281,11 +303,11 @@
         if incarnation.entry.server != server.server:
             return Failure(CommandMisdirected(incarnation.entry.server))
         if self._rng.random() < self.late_share:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self._rng.uniform(*LATE_S), _apply_late, incarnation, apply)
+            late_s = self._rng.uniform(*LATE_S)
+            loop.call_later(late_s, _apply_late, incarnation, apply, late_s * 1000)
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
-        status = apply(incarnation)
+        status = apply(incarnation, 0.0)
         if self._rng.random() < self.lost_share:
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
@@ -294,7 +316,19 @@
             return Failure(CommandRefused(status))
         return Success("token")
 
+    def _write(
+        self, server: BackendServer, apply: Apply, on_write: Callable[[], None]
+    ) -> None:
+        """Write a command that arrives after its sender stopped waiting."""
+        on_write()
+        incarnation = self._servers.find_running(server)
+        if incarnation is None or incarnation.entry.server != server.server:
+            return
+        loop = asyncio.get_running_loop()
+        queued_s = max(0.0, self._link_held_until_s - loop.time())
+        loop.call_later(queued_s, _apply_late, incarnation, apply, 0.0)
+
 
-def _apply_late(incarnation: KeyedServer, apply: Callable[[KeyedServer], int]) -> None:
+def _apply_late(incarnation: KeyedServer, apply: Apply, elapsed_ms: float) -> None:
     if incarnation.is_up:
-        apply(incarnation)
+        apply(incarnation, elapsed_ms)
