Check the lease when a command is written, not before its connection

Callers saw: nothing yet; two servers could begin requests on the same keys. Cause: the leader checked its lease and took the time of a grant before the command had a connection. If its event loop stood still in between, the command was written afterwards, even after the end of the lease, from which the next leader counts. Change: a command asks for permission just before its body is written. It needs a lease that outlasts it by 500 ms, since it may travel long. A command that is not permitted leaves nothing on the connection and fails as CommandNotSent. Ruled out: a shorter timeout; it is due together with the connection after a stall, so that it does not stop the write.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -56,6 +56,12 @@
     error: str
 
 
+class CommandNotSent(msgspec.Struct, frozen=True):
+    """A command was not written, so the server will not apply it."""
+
+    reason: str
+
+
 class CommandMisdirected(msgspec.Struct, frozen=True):
     """A command reached another server at the address; the intended one is gone."""
 
@@ -63,7 +69,11 @@
     """Id of the other server; empty if it does not support commands about keys."""
 
 
-CommandFailure = CommandRefused | CommandUnanswered | CommandMisdirected
+CommandFailure = (
+    CommandRefused | CommandUnanswered | CommandNotSent | CommandMisdirected
+)
+MayWrite = Callable[[], bool]
+"""Called just before a command is written; it is written only if this returns True."""
 
 
 class ServerCommands(Protocol):
@@ -77,17 +87,21 @@
         fence: int,
         grant_ttl_ms: float,
         handover_token: str | None,
-        on_write: Callable[[], None],
+        may_write: MayWrite,
     ) -> Result[None, CommandFailure]:
         """Permit the server to run requests for these keys for ``grant_ttl_ms``.
 
         ``handover_token`` is the token that the previous owner returned from
-        ``release``, if any. With it the server warms up. ``on_write`` is called just
-        before the command is written to a connection.
+        ``release``, if any. With it the server warms up.
         """
 
     async def release(
-        self, server: BackendServer, first: int, last: int, fence: int
+        self,
+        server: BackendServer,
+        first: int,
+        last: int,
+        fence: int,
+        may_write: MayWrite,
     ) -> Result[str | None, CommandFailure]:
         """Revoke keys from a server; return the handover token for the next owner."""
 
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -15,6 +15,7 @@
 from .adapter import (
     CommandFailure,
     CommandMisdirected,
+    CommandNotSent,
     CommandUnanswered,
     ServerCommands,
 )
@@ -124,7 +125,7 @@
         """Renew the grant of a range that is not moving to its owner."""
         server = self.last_entry((key_range.owner, key_range.owner_started_ms))
         if server is None:
-            return Failure(CommandUnanswered("address of the server is not known"))
+            return Failure(CommandNotSent("address of the server is not known"))
         return await self._grant(
             service, server, key_range, key_range.fence, grant_ttl_ms, None
         )
@@ -197,7 +198,7 @@
         expires_ms = self.grant_expires_ms(incarnation)
         was_sent = False
         while True:
-            await self._lease.wait_valid()
+            await self._lease.wait_sendable()
             left_ms = expires_ms - self._clock()
             if left_ms <= 0 and was_sent:
                 log_event(
@@ -222,7 +223,11 @@
             try:
                 async with asyncio.timeout(max(MIN_RELEASE_TIMEOUT_S, left_ms / 1000)):
                     result = await self._commands.release(
-                        server, key_range.first, key_range.last, fence
+                        server,
+                        key_range.first,
+                        key_range.last,
+                        fence,
+                        self._may_send,
                     )
             except TimeoutError:
                 continue
@@ -254,8 +259,10 @@
         Raises:
             TermEndedError: the term ended first.
         """
-        await self._lease.wait_valid()
-        result = await self._commands.release(server, first, last, fence)
+        await self._lease.wait_sendable()
+        result = await self._commands.release(
+            server, first, last, fence, self._may_send
+        )
         if isinstance(result, Success):
             return True
         self._record_failure(server, result.failure())
@@ -271,7 +278,7 @@
         """Grant a moving range to its next owner."""
         server = self.last_entry((key_range.next_owner, key_range.next_started_ms))
         if server is None:
-            return Failure(CommandUnanswered("address of the server is not known"))
+            return Failure(CommandNotSent("address of the server is not known"))
         fence = key_range.fence + GRANT_STEP
         return await self._grant(
             service, server, key_range, fence, grant_ttl_ms, handover_token
@@ -286,23 +293,17 @@
         grant_ttl_ms: float,
         handover_token: str | None,
     ) -> Result[None, CommandFailure]:
-        if not self._lease.is_valid:
-            return Failure(CommandUnanswered("this router is not the leader"))
         grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
         incarnation = (server.server, server.started_ms)
         if self._unreachable_servers.is_listed(incarnation):
-            return Failure(
-                CommandUnanswered("server is listed as unreachable in the leader lease")
-            )
+            return Failure(CommandNotSent("the lease may list it as unreachable"))
         self._known_servers.record(server)
-        sent_ms = self._clock()
-        expires_ms = sent_ms + grant_ttl_ms * SLOW_CLOCK_FACTOR + GRANT_MARGIN_MS
-        self._grant_expires_ms[incarnation] = max(
-            self.grant_expires_ms(incarnation), expires_ms
-        )
 
-        def record_write() -> None:
-            self._written_ms[incarnation] = self._clock()
+        def may_write() -> bool:
+            if not self._may_send():
+                return False
+            self._record_write(incarnation, grant_ttl_ms)
+            return True
 
         result = await self._commands.grant(
             server,
@@ -311,10 +312,21 @@
             fence,
             grant_ttl_ms,
             handover_token,
-            record_write,
+            may_write,
         )
         if isinstance(result, Success):
-            self._confirmed_ms[incarnation] = sent_ms
+            self._confirmed_ms[incarnation] = self._written_ms[incarnation]
         else:
             self._record_failure(server, result.failure())
         return result
+
+    def _may_send(self) -> bool:
+        return self._lease.may_send
+
+    def _record_write(self, incarnation: Incarnation, grant_ttl_ms: float) -> None:
+        now_ms = self._clock()
+        self._written_ms[incarnation] = now_ms
+        expires_ms = now_ms + grant_ttl_ms * SLOW_CLOCK_FACTOR + GRANT_MARGIN_MS
+        self._grant_expires_ms[incarnation] = max(
+            self.grant_expires_ms(incarnation), expires_ms
+        )
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -143,7 +143,7 @@
                 # Owners may have restarted unnoticed under an earlier leader.
                 await self._ranges.update(service, raise_all_fences)
         while True:
-            await self._lease.wait_valid()
+            await self._lease.wait_sendable()
             services = self._keyed_services()
             ranges = sum(len(self._ranges.ranges(service)) for service in services)
             self._renewal_period_ms = renewal_period_ms(ranges)
@@ -392,7 +392,7 @@
                 if isinstance(result, Success):
                     break
                 outcome = str(result.failure())
-                await self._lease.wait_valid()
+                await self._lease.wait_sendable()
                 if isinstance(result, Failure) and isinstance(
                     result.failure(), CommandRefused
                 ):
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -41,8 +41,10 @@
 """Period in which the leader renews its lease."""
 RETRY_MS = 150.0
 """Pause before a failed renewal is retried."""
-VALID_POLL_S = 0.03
-"""Period in which ``wait_valid`` checks the lease."""
+SEND_MARGIN_MS = 500.0
+"""Time that the lease has to outlast the write of a command, which may travel long."""
+SENDABLE_POLL_S = 0.03
+"""Period in which ``wait_sendable`` checks the lease."""
 RELEASED_EXPIRES_MS = 0.0
 """Expiry that marks a lease as released by its holder, at an unknown time."""
 SLOW_RENEWAL_MS = 150.0
@@ -144,14 +146,19 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether the lease is held and not expired, so that commands may be sent."""
+        """Whether the lease is held and not expired."""
         return self._clock() < self._valid_until_ms
 
+    @property
+    def may_send(self) -> bool:
+        """Whether commands may be sent: the lease outlasts their way to a server."""
+        return self._clock() + SEND_MARGIN_MS < self._valid_until_ms
+
     @property
     def is_held(self) -> bool:
         """Whether this process's term has not ended.
 
-        The lease may have expired temporarily; sending commands requires ``is_valid``.
+        The lease may have expired temporarily; sending commands requires ``may_send``.
         """
         return self._row is not None and not self._is_leaving
 
@@ -177,16 +184,16 @@
         """Whether the store is so slow that rebalancing has to wait."""
         return self.is_renewal_late or self._renewal_duration_ms > SLOW_RENEWAL_MS
 
-    async def wait_valid(self) -> None:
+    async def wait_sendable(self) -> None:
         """Wait until commands may be sent.
 
         Raises:
             TermEndedError: the term has ended.
         """
-        while not self.is_valid:
+        while not self.may_send:
             if not self.is_held:
                 raise TermEndedError
-            await asyncio.sleep(VALID_POLL_S)
+            await asyncio.sleep(SENDABLE_POLL_S)
 
     @property
     def previous_leader_end_ms(self) -> float:
--- a/packages/edge/mulberryrelay_edge/rangestore.py
+++ b/packages/edge/mulberryrelay_edge/rangestore.py
@@ -112,7 +112,7 @@
             TermEndedError: the term ended first.
         """
         while True:
-            await self._lease.wait_valid()
+            await self._lease.wait_sendable()
             result = await self._store.read(RANGES_TABLE)
             if isinstance(result, Success):
                 self._apply_read(result.unwrap())
@@ -184,7 +184,7 @@
 
     async def _write(self, service: ServiceName, edits: list[Edit]) -> None:
         while True:
-            await self._lease.wait_valid()
+            await self._lease.wait_sendable()
             old = self.ranges(service)
             ranges = old
             for edit in edits:
@@ -206,7 +206,7 @@
         value = msgspec.json.encode(row)
         condition = RowCondition(RANGES_TABLE, service, self._versions.get(service, 0))
         while True:
-            await self._lease.wait_valid()
+            await self._lease.wait_sendable()
             result = await self._store.commit(
                 [condition], [RowWrite(RANGES_TABLE, service, value)]
             )
--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -13,8 +13,10 @@
 from mulberryrelay_edge.adapter import (
     CommandFailure,
     CommandMisdirected,
+    CommandNotSent,
     CommandRefused,
     CommandUnanswered,
+    MayWrite,
 )
 from mulberryrelay_edge.messages import LAST_KEY, BackendServer
 from mulberryrelay_kernel.ids import ServerId
@@ -23,6 +25,8 @@
 """Time from a command to its reply."""
 COMMAND_TIMEOUT_S = 0.4
 """Time after which the sender of a command stops waiting for a reply."""
+CONNECT_TIMEOUT_S = 0.3
+"""Time after which a connection that is not open is given up."""
 LATE_S = (2.0, 12.0)
 """Bounds of the delay of a command that is applied late."""
 SLOW_CLOCK_FACTOR = 1.02
@@ -234,11 +238,20 @@
         """Time for which the router stands still before it writes a command."""
         self._link_held_until_s = float("-inf")
         """Time at which commands in the queue of the router's link arrive."""
+        self._connected: set[KeyedServer] = set()
+        """Servers to which the router has a connection."""
 
     def hold_link(self, for_s: float) -> None:
         """Let commands wait in the queue of the router's link for some seconds."""
         self._link_held_until_s = asyncio.get_running_loop().time() + for_s
 
+    async def connect(self) -> bool:
+        """Return whether a connection to some server is opened in time."""
+        loop = asyncio.get_running_loop()
+        queued_s = max(0.0, self._link_held_until_s - loop.time())
+        await asyncio.sleep(min(queued_s, CONNECT_TIMEOUT_S))
+        return not self.is_cut_off and queued_s < CONNECT_TIMEOUT_S
+
     async def grant(
         self,
         server: BackendServer,
@@ -247,49 +260,60 @@
         fence: int,
         grant_ttl_ms: float,
         handover_token: str | None,
-        on_write: Callable[[], None],
+        may_write: MayWrite,
     ) -> Result[None, CommandFailure]:
         # The TTL of a grant counts from the arrival of the call, however late the
         # grant is applied.
         def apply(incarnation: KeyedServer, elapsed_ms: float) -> int:
             return incarnation.grant(first, last, fence, grant_ttl_ms - elapsed_ms)
 
-        result = await self._send(server, apply, on_write)
+        result = await self._send(server, apply, may_write)
         return result.map(lambda _: None)
 
     async def release(
-        self, server: BackendServer, first: int, last: int, fence: int
+        self,
+        server: BackendServer,
+        first: int,
+        last: int,
+        fence: int,
+        may_write: MayWrite,
     ) -> Result[str | None, CommandFailure]:
         return await self._send(
             server,
             lambda incarnation, _: incarnation.release(first, last, fence),
-            lambda: None,
+            may_write,
         )
 
     async def probe(
         self, server: BackendServer, health_path: str
     ) -> Result[None, CommandFailure]:
-        result = await self._send(server, lambda incarnation, _: 200, lambda: None)
+        result = await self._send(server, lambda incarnation, _: 200, lambda: True)
         return result.map(lambda _: None)
 
     async def close(self) -> None:
         """Nothing to release."""
 
     async def _send(
-        self, server: BackendServer, apply: Apply, on_write: Callable[[], None]
+        self, server: BackendServer, apply: Apply, may_write: MayWrite
     ) -> Result[str | None, CommandFailure]:
         loop = asyncio.get_running_loop()
         if self.write_delay_s >= COMMAND_TIMEOUT_S:
             # A router that goes on may write before the end of its term takes effect.
-            loop.call_later(self.write_delay_s, self._write, server, apply, on_write)
+            loop.call_later(self.write_delay_s, self._write, server, apply, may_write)
             await asyncio.sleep(self.write_delay_s)
             return Failure(CommandUnanswered("timeout"))
         queued_s = self._link_held_until_s - loop.time()
         if queued_s >= COMMAND_TIMEOUT_S:
-            self._write(server, apply, on_write)
+            self._write(server, apply, may_write)
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
-        on_write()
+        receiver = self._servers.find_running(server)
+        is_connected = receiver in self._connected
+        if receiver is not None and receiver.is_unreachable and not is_connected:
+            await asyncio.sleep(COMMAND_TIMEOUT_S)
+            return Failure(CommandUnanswered("no connection"))
+        if not may_write():
+            return Failure(CommandNotSent("not permitted"))
         await asyncio.sleep(max(REPLY_DELAY_S / 2, queued_s))
         if self.is_cut_off:
             await asyncio.sleep(COMMAND_TIMEOUT_S)
@@ -298,8 +322,10 @@
         if incarnation is None:
             return Failure(CommandUnanswered("refused"))
         if incarnation.is_unreachable:
+            self._connected.discard(incarnation)
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
+        self._connected.add(incarnation)
         if incarnation.entry.server != server.server:
             return Failure(CommandMisdirected(incarnation.entry.server))
         if self._rng.random() < self.late_share:
@@ -316,11 +342,10 @@
             return Failure(CommandRefused(status))
         return Success("token")
 
-    def _write(
-        self, server: BackendServer, apply: Apply, on_write: Callable[[], None]
-    ) -> None:
+    def _write(self, server: BackendServer, apply: Apply, may_write: MayWrite) -> None:
         """Write a command that arrives after its sender stopped waiting."""
-        on_write()
+        if not may_write():
+            return
         incarnation = self._servers.find_running(server)
         if incarnation is None or incarnation.entry.server != server.server:
             return
--- a/tests/test_edge_endless.py
+++ b/tests/test_edge_endless.py
@@ -150,7 +150,7 @@
             commands = PlatformCommands()
             started_s = time.monotonic()
             tracemalloc.start()
-            result = await commands.release(entry, 0, LAST_KEY, 1)
+            result = await commands.release(entry, 0, LAST_KEY, 1, lambda: True)
             _, peak_bytes = tracemalloc.get_traced_memory()
             tracemalloc.stop()
             await commands.close()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -204,7 +204,7 @@
                 assert isinstance(result, Success | Failure)
                 assert isinstance(await store.commit([], []), Success | Failure)
                 granted = await commands.grant(
-                    entry, 0, 9, 1, 100.0, None, lambda: None
+                    entry, 0, 9, 1, 100.0, None, lambda: True
                 )
                 assert isinstance(granted, Success | Failure)
             except TimeoutError:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -244,8 +244,8 @@
         commands = PlatformCommands()
         async with raw_server(respond) as server:
             entry = backend(1, host="127.0.0.1", port=server.port)
-            released = await commands.release(entry, 0, 9, 3)
-            granted = await commands.grant(entry, 0, 9, 3, 1000.0, None, lambda: None)
+            released = await commands.release(entry, 0, 9, 3, lambda: True)
+            granted = await commands.grant(entry, 0, 9, 3, 1000.0, None, lambda: True)
             for result in (released, granted):
                 if expected is None:
                     assert isinstance(result, Success), status
