Count a grant's expiry from when it cannot be on its way any more

Cause: the expiry of a grant counted from its write, plus 500 ms for its way. A grant without a reply may take longer: it waits in the queue of the leader's own link. The class: a time that one side takes before an event stands for the time of that event on the other side. Ruled out: a late write (commit before; no stall in the traces), a wrong list (the expiries in it are those that the leader counted). A larger margin: no figure is safe, and each dark server's keys would wait for it. Change: GrantExpiries. A grant is on its way until it has a reply, or until its connection is reset, which discards what the kernel holds, and a command or a probe that left later through the same link has one (2 s without any). Its expiry counts from then; the lease lists a silent server only after it. The random faults' seeded fault "grants are assumed to expire at once" is put in where expiries are kept now.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -77,7 +77,10 @@
 
 
 class ServerCommands(Protocol):
-    """Sends commands about keys to servers, which do not authenticate the sender."""
+    """Sends commands about keys to servers, which do not authenticate the sender.
+
+    A command without a reply is discarded as far as it has not left this process.
+    """
 
     async def grant(
         self,
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -16,10 +16,12 @@
     CommandFailure,
     CommandMisdirected,
     CommandNotSent,
+    CommandRefused,
     CommandUnanswered,
     ServerCommands,
 )
 from .catalog import Catalog
+from .grantexpiries import GrantExpiries, grant_end_ms
 from .knownservers import KnownServers
 from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
@@ -32,10 +34,6 @@
 """Minimum mean time between two renewals, so that the leader has time for requests."""
 TAKEOVER_ALLOWANCE_MS = 4200.0
 """Time that grants outlast the renewal period, for a takeover by the next leader."""
-SLOW_CLOCK_FACTOR = 1.02
-"""Factor by which a server's clock may run slower than real time."""
-GRANT_MARGIN_MS = 500.0
-"""Allowance for the time until a command leaves this process and arrives."""
 RETRY_S = 0.1
 """Pause before a failed release is retried."""
 MIN_RELEASE_TIMEOUT_S = 0.2
@@ -58,6 +56,13 @@
     return min(max_grant_ttl_ms, period_ms + TAKEOVER_ALLOWANCE_MS)
 
 
+def has_reply(result: Result[object, CommandFailure]) -> bool:
+    """Return whether a server replied to a command."""
+    if isinstance(result, Success):
+        return True
+    return isinstance(result.failure(), CommandRefused | CommandMisdirected)
+
+
 class GrantManager:
     """Grants, releases and probes that this process sends during one term as leader."""
 
@@ -74,19 +79,21 @@
         self._catalog = catalog
         self._known_servers = known_servers
         self._max_grant_ttl_ms = max_grant_ttl_ms
-        self._default_expires_ms = (
-            lease.previous_leader_end_ms
-            + max_grant_ttl_ms * SLOW_CLOCK_FACTOR
-            + GRANT_MARGIN_MS
-        )
-        """Latest expiry of earlier leaders' grants to servers that the lease omits."""
         self._lease = lease
         self._clock = clock
         self._unreachable_servers = lease.unreachable_servers
-        self._grant_expires_ms = self._unreachable_servers.grant_expiries_ms
-        self._unreachable_since_ms = dict.fromkeys(self._grant_expires_ms, clock())
+        listed_ms = self._unreachable_servers.grant_expiries_ms
+        self._expiries = GrantExpiries(
+            listed_ms,
+            grant_end_ms(lease.previous_leader_end_ms, max_grant_ttl_ms),
+            lambda: lease.server_reached_ms,
+            clock,
+        )
+        self._unreachable_since_ms = dict.fromkeys(listed_ms, clock())
+        self._unlisted: set[Incarnation] = set()
+        """Unreachable servers that the lease has to list once they are settled."""
         self._confirmed_ms: dict[Incarnation, float] = {}
-        """Send time of the last grant that a server confirmed."""
+        """Time at which the last grant that a server confirmed was written."""
         self._written_ms: dict[Incarnation, float] = {}
         """Time at which the last grant to a server was written to a connection."""
 
@@ -100,11 +107,11 @@
     @property
     def default_expires_ms(self) -> float:
         """Latest expiry of any grant of an earlier leader that is not listed."""
-        return self._default_expires_ms
+        return self._expiries.default_expires_ms
 
     def grant_expires_ms(self, incarnation: Incarnation) -> float:
         """Return the latest time at which a grant of a server may expire."""
-        return self._grant_expires_ms.get(incarnation, self._default_expires_ms)
+        return self._expiries.latest_ms(incarnation)
 
     def is_unreachable(self, incarnation: Incarnation) -> bool:
         """Return whether a command got no reply and the server is not reachable again.
@@ -139,7 +146,9 @@
         server = self.last_entry(incarnation)
         if server is None:
             return False
+        started_ms = self._clock()
         result = await self._commands.probe(server, health_path)
+        self._record_reply(result, started_ms)
         if isinstance(result, Success):
             return True
         self._record_failure(server, result.failure())
@@ -147,37 +156,65 @@
 
     async def mark_reachable(self, incarnation: Incarnation) -> None:
         """Allow grants to a server again, after its fencing tokens were raised."""
+        self._unlisted.discard(incarnation)
         self._lease.renew_soon()
         await self._unreachable_servers.remove(incarnation)
         self._unreachable_since_ms.pop(incarnation, None)
         log_event("server_answers_orders", server=incarnation[0])
 
+    def _record_reply(
+        self, result: Result[object, CommandFailure], written_ms: float
+    ) -> None:
+        """Record the reply, if any, to a command that was written then or later."""
+        if not has_reply(result):
+            return
+        self._expiries.record_reply(written_ms)
+        for incarnation in list(self._unlisted):
+            self._list_if_settled(incarnation)
+
     def _record_failure(self, server: BackendServer, failure: CommandFailure) -> None:
         incarnation = (server.server, server.started_ms)
         if isinstance(failure, CommandMisdirected):
             # The server is gone for good, since another one has its address.
-            self._grant_expires_ms[incarnation] = self._clock()
+            self._expiries.end_all(incarnation)
             self._catalog.mark_replaced(server, failure.responder)
             return
+        if isinstance(failure, CommandUnanswered):
+            self._record_silence(server, failure.error)
+
+    def _record_silence(self, server: BackendServer, error: str) -> None:
+        incarnation = (server.server, server.started_ms)
         confirmed_ms = self._confirmed_ms.get(incarnation, float("-inf"))
         if self._clock() - confirmed_ms < MIN_RESTART_MS:
             return
-        if (
-            isinstance(failure, CommandUnanswered)
-            and incarnation not in self._unreachable_since_ms
-        ):
+        self._lease.suspect_links()
+        if not self.is_unreachable(incarnation):
             self._unreachable_since_ms[incarnation] = self._clock()
-            self._unreachable_servers.add(
-                incarnation, self.grant_expires_ms(incarnation)
-            )
+            self._unlisted.add(incarnation)
             log_event(
                 "server_silent",
                 server=server.server,
                 service=server.service,
-                error=failure.error,
+                error=error,
                 hold_left_ms=round(self.grant_expires_ms(incarnation) - self._clock()),
                 written_ms_ago=self._written_ms_ago(incarnation),
             )
+        self._list_if_settled(incarnation)
+
+    def _list_if_settled(self, incarnation: Incarnation) -> None:
+        """List an unreachable server once the expiry of its grants is final."""
+        if incarnation not in self._unlisted:
+            return
+        if not self._expiries.is_settled(incarnation):
+            return
+        self._unlisted.discard(incarnation)
+        expires_ms = self._expiries.latest_ms(incarnation)
+        self._unreachable_servers.add(incarnation, expires_ms)
+        log_event(
+            "server_listed_unreachable",
+            server=incarnation[0],
+            hold_left_ms=round(expires_ms - self._clock()),
+        )
 
     def _written_ms_ago(self, incarnation: Incarnation) -> int | None:
         """Return the age of the last grant that was written; None if there is none."""
@@ -195,11 +232,11 @@
         incarnation = (key_range.owner, key_range.owner_started_ms)
         if not key_range.owner:
             return None
-        expires_ms = self.grant_expires_ms(incarnation)
+        latest_expiry_ms = self._expiries.sent_so_far(incarnation)
         was_sent = False
         while True:
             await self._lease.wait_sendable()
-            left_ms = expires_ms - self._clock()
+            left_ms = latest_expiry_ms() - self._clock()
             if left_ms <= 0 and was_sent:
                 log_event(
                     "hold_ran_out",
@@ -220,6 +257,7 @@
             was_sent = True
             fence = key_range.fence + RELEASE_STEP
             result: Result[str | None, CommandFailure]
+            started_ms = self._clock()
             try:
                 async with asyncio.timeout(max(MIN_RELEASE_TIMEOUT_S, left_ms / 1000)):
                     result = await self._commands.release(
@@ -231,6 +269,7 @@
                     )
             except TimeoutError:
                 continue
+            self._record_reply(result, started_ms)
             if isinstance(result, Success):
                 handover_token: str | None = result.unwrap()
                 return handover_token
@@ -293,40 +332,46 @@
         grant_ttl_ms: float,
         handover_token: str | None,
     ) -> Result[None, CommandFailure]:
-        grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
         incarnation = (server.server, server.started_ms)
+        if self.is_unreachable(incarnation):
+            return Failure(CommandNotSent("the server is unreachable"))
         if self._unreachable_servers.is_listed(incarnation):
             return Failure(CommandNotSent("the lease may list it as unreachable"))
         self._known_servers.record(server)
+        grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
+        started_ms = self._clock()
+        sent = self._expiries.add(incarnation, grant_ttl_ms)
 
         def may_write() -> bool:
-            if not self._may_send():
+            if sent.is_settled or not self._may_send():
                 return False
-            self._record_write(incarnation, grant_ttl_ms)
+            sent.record_write()
+            self._written_ms[incarnation] = self._clock()
             return True
 
-        result = await self._commands.grant(
-            server,
-            key_range.first,
-            key_range.last,
-            fence,
-            grant_ttl_ms,
-            handover_token,
-            may_write,
-        )
+        result: Result[None, CommandFailure] = Failure(CommandNotSent("term ended"))
+        try:
+            result = await self._commands.grant(
+                server,
+                key_range.first,
+                key_range.last,
+                fence,
+                grant_ttl_ms,
+                handover_token,
+                may_write,
+            )
+        finally:
+            if has_reply(result):
+                sent.record_reply()
+            else:
+                self._expiries.record_close(incarnation, sent)
+        if sent.written_ms is not None:
+            self._record_reply(result, sent.written_ms)
         if isinstance(result, Success):
-            self._confirmed_ms[incarnation] = self._written_ms[incarnation]
+            self._confirmed_ms[incarnation] = sent.written_ms or started_ms
         else:
             self._record_failure(server, result.failure())
         return result
 
     def _may_send(self) -> bool:
         return self._lease.may_send
-
-    def _record_write(self, incarnation: Incarnation, grant_ttl_ms: float) -> None:
-        now_ms = self._clock()
-        self._written_ms[incarnation] = now_ms
-        expires_ms = now_ms + grant_ttl_ms * SLOW_CLOCK_FACTOR + GRANT_MARGIN_MS
-        self._grant_expires_ms[incarnation] = max(
-            self.grant_expires_ms(incarnation), expires_ms
-        )
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -263,6 +263,15 @@
         """Renew the lease now, because its contents have changed."""
         self._renew_event.set()
 
+    @property
+    def server_reached_ms(self) -> float:
+        """Start time of the last probe of this router's links that reached a server."""
+        return self._reach.reached_ms
+
+    def suspect_links(self) -> None:
+        """Find out whether this router's links are lost, as a command got no reply."""
+        self._reach.suspect()
+
     def check_soon(self) -> None:
         """Read the lease as soon as it may be free, because the leader may be gone."""
         self._watch.check_soon()
@@ -353,9 +362,6 @@
             await self._write_renewal(row)
 
     async def _write_renewal(self, row: LeaderRow) -> None:
-        if self._unreachable_servers.grant_expiries_ms:
-            # Commands get no replies, perhaps because this router's links are lost.
-            self._reach.suspect()
         started_ms = self._clock()
         expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
         renewed = msgspec.structs.replace(
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -118,7 +118,7 @@
         transport.abort()
 
 
-class _BoundedConnection(ServerConnection):
+class BoundedConnection(ServerConnection):
     """A connection of a client session, which states no limit for each request."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, max_bytes: float) -> None:
@@ -134,7 +134,7 @@
     """Close a connection whose server sends a longer body, or a head without end."""
 
     def create_connection() -> ResponseHandler:
-        return _BoundedConnection(asyncio.get_running_loop(), max_bytes)
+        return BoundedConnection(asyncio.get_running_loop(), max_bytes)
 
     set_connection_factory(connector, create_connection)
 
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from bench.virtual_time import run_virtual
-from mulberryrelay_edge.grants import GrantManager
+from mulberryrelay_edge.grantexpiries import GrantExpiries
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_edge.unreachableservers import Incarnation, UnreachableServers
 from mulberryrelay_kernel.states import ServerState
@@ -412,7 +412,7 @@
 
 SEEDED_FAULTS: dict[str, Any] = {
     "grants are assumed to expire at once": patch.object(
-        GrantManager, "grant_expires_ms", lambda self, incarnation: 0.0
+        GrantExpiries, "sent_so_far", lambda self, incarnation: lambda: 0.0
     ),
     "a lease never expires": patch.object(
         LeaderLease, "is_valid", property(lambda self: self.is_held)
--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -65,3 +65,31 @@
             assert arrived == permits, (steps, is_connected, permits, refusals)
             refused += refusals
     assert refused, "no grant was to be written after the stall"
+
+
+@async_test
+async def test_a_command_without_a_reply_is_discarded_when_it_is_given_up() -> None:
+    """Guards against a command that is sent again after its sender has given it up."""
+    endings: list[object] = []
+
+    async def never_reply(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await reader.read(65_536):
+                continue
+            endings.append("closed")
+        except ConnectionResetError:
+            endings.append("reset")
+        writer.close()
+
+    commands = PlatformCommands()
+    listener = await asyncio.start_server(never_reply, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    entry = backend(1, host=HOST, port=port)
+    granted = await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+    assert not isinstance(granted, Success)
+    await asyncio.sleep(0.05)
+    assert endings == ["reset"]
+    await commands.close()
+    listener.close()
