Let a leader of just after an outage count as current

Cause: a failed read of the ranges marks them as unread. A router that becomes the leader before it has read them again does not poll them, so that the mark stays for its term and its replies state no time up to which it is informed. Evidence: test_a_leader_of_just_after_an_outage_informs_its_followers fails before, after an outage of 4 s. Change: only tables that a leader polls are marked, as a requested full read does already. Ruled out: clearing the mark when a term begins; it would count tables as read that are not.

--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -175,7 +175,8 @@
     def record_failed_call(self, table: str) -> None:
         """Record that a read of a table, or a poll, failed at this router."""
         self._has_own_call_failed = True
-        self._unread.add(table)
+        if table in self._mirrors:
+            self._unread.add(table)
 
     def record_read(self, table: str) -> None:
         """Record that a read of a table, or a poll, succeeded at this router."""
--- a/tests/test_edge_removals.py
+++ b/tests/test_edge_removals.py
@@ -256,3 +256,26 @@
         following.stop()
 
     run_virtual(scenario())
+
+
+def test_a_leader_of_just_after_an_outage_informs_its_followers() -> None:
+    """Guards against a leader that counts as not current for the rest of its term.
+
+    Its followers would give draining owners of keys no time to serve on.
+    """
+
+    async def scenario(outage_s: float) -> None:
+        fleet = await start_settled_fleet()
+        for router in fleet.routers:
+            router.store.is_partitioned = True
+        await asyncio.sleep(outage_s)
+        for router in fleet.routers:
+            router.store.is_partitioned = False
+        await asyncio.sleep(TAKEOVER_S)
+        oldest_ms = virtual_clock() - CONTACT_S * 1000
+        for router in followers_of(fleet):
+            assert router.store_sync.informed_until_ms > oldest_ms, outage_s
+        fleet.stop()
+
+    for outage_s in (3.5, 4.0, 5.0, 6.0, 8.0):
+        run_virtual(scenario(outage_s))
