Split queued requests and permits from the dispatcher

Change: queuedrequest.py has the queued request, its permit and its refusal; no logic changed. Ruled out: splitting by service; one queue policy serves all.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -7,10 +7,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
-from enum import Enum
-
-import msgspec
+from collections.abc import Sequence
 
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
@@ -18,18 +15,19 @@
 
 from .capacity import ServerCondition
 from .messages import BackendServer, EdgeRequest
+from .queuedrequest import (
+    RETRY_AFTER_S,
+    Candidates,
+    QueuedRequest,
+    QueueRefusal,
+    RefusalReason,
+    SendPermit,
+    count_ahead,
+)
 from .queuewait import expected_wait_ms, max_wait_ms, retry_after_s
 from .serverlimits import Reserve, ServerLimits
 from .serverload import ServerLoads
 
-Candidates = Callable[[], Sequence[BackendServer]]
-"""Returns the servers that may run a request now.
-
-For a request with a key this is the owner of the key, or none while the key moves.
-"""
-
-RETRY_AFTER_S = 0.3
-"""Time after which a caller should return whose request has waited in vain."""
 MAX_QUEUE_LENGTH = 600
 """Queued requests of one service; further ones are refused at once."""
 REMOTE_DATA_CENTRE_COST = 0.8
@@ -42,63 +40,6 @@
 """Servers described in the log line of a request whose wait in the queue timed out."""
 
 
-class SendPermit(msgspec.Struct, frozen=True):
-    """Permission to send one attempt to a server.
-
-    The request counts as in flight until ``ServerLoads.end_request`` is called, which
-    must happen exactly once.
-    """
-
-    server: BackendServer
-    send_id: int
-
-
-class RefusalReason(Enum):
-    """Why a request got no permission; it was not sent."""
-
-    QUEUE_FULL = "queue-full"
-    OVERLOAD = "overload"
-    """It would have waited too long for its target latency."""
-    SERVER_LIMIT = "server-limit"
-    """The owner of its key takes no more requests in the time that it may wait."""
-    SERVER_PAUSED = "server-paused"
-    """All servers that may run it want no requests for longer than it may wait."""
-    CUT_OFF = "cut-off"
-    """The router has lost its links to all servers."""
-    NO_ROOM = "no-room"
-    """It waited as long as its deadline permits."""
-
-
-class QueueRefusal(msgspec.Struct, frozen=True):
-    """Refusal of a request, and when its caller should return."""
-
-    reason: RefusalReason
-    retry_after_s: float
-
-
-class _QueuedRequest:
-    """A request that waits for a server with free capacity."""
-
-    def __init__(
-        self,
-        request: EdgeRequest,
-        candidates: Candidates,
-        is_keyed: bool,
-        queue_deadline_ms: float,
-        avoided: frozenset[ServerId],
-    ) -> None:
-        self.request = request
-        self.candidates = candidates
-        self.is_keyed = is_keyed
-        self.queue_deadline_ms = queue_deadline_ms
-        self.avoided = avoided
-        self.has_reservation = False
-        """Whether a time at the owner of its key is reserved for it."""
-        self.permit: asyncio.Future[SendPermit | QueueRefusal] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-
 class Dispatcher:
     """The request queues of all services."""
 
@@ -107,7 +48,7 @@
         self._clock = clock
         self._loads = ServerLoads(clock, self.schedule_dispatch)
         self._limits = ServerLimits(reserve, self.schedule_dispatch, clock)
-        self._queues: dict[ServiceName, list[_QueuedRequest]] = {}
+        self._queues: dict[ServiceName, list[QueuedRequest]] = {}
         self._is_dispatch_scheduled = False
 
     @property
@@ -138,7 +79,7 @@
         The request waits until ``queue_deadline_ms`` at most. A server in ``avoided``
         is chosen only if it is the only one left.
         """
-        queued = _QueuedRequest(
+        queued = QueuedRequest(
             request, candidates, is_keyed, queue_deadline_ms, avoided
         )
         queue = self._queues.setdefault(request.service, [])
@@ -176,7 +117,7 @@
             if queued in queue:
                 queue.remove(queued)
 
-    def _allowed_wait_ms(self, queued: _QueuedRequest) -> float:
+    def _allowed_wait_ms(self, queued: QueuedRequest) -> float:
         """Return how long a request may wait and still be of full value."""
         route = queued.request.route
         return max_wait_ms(
@@ -185,7 +126,7 @@
             queued.queue_deadline_ms - self._clock(),
         )
 
-    def _refusal_by_pause(self, queued: _QueuedRequest) -> QueueRefusal | None:
+    def _refusal_by_pause(self, queued: QueuedRequest) -> QueueRefusal | None:
         """Refuse a request whose servers all want none for longer than it may wait."""
         candidates = queued.candidates()
         if not candidates:
@@ -197,7 +138,7 @@
         return QueueRefusal(reason, pause_ms / 1000 * random.uniform(1.0, 1.2))
 
     def _expected_wait_ms(
-        self, queue: list[_QueuedRequest], queued: _QueuedRequest
+        self, queue: list[QueuedRequest], queued: QueuedRequest
     ) -> float:
         """Return how long a new request would wait.
 
@@ -208,7 +149,7 @@
         if not candidates or not self._are_congested(candidates, queued.is_keyed):
             return 0.0
         latency_ms = self._loads.latency_ms(queued.request.route.name)
-        ahead = _count_ahead(queue, queued)
+        ahead = count_ahead(queue, queued)
         first_wait_ms = min(
             self._first_wait_ms(server, queued.is_keyed) for server in candidates
         )
@@ -274,10 +215,10 @@
             if queue:
                 self._dispatch_queue(queue)
 
-    def _dispatch_queue(self, queue: list[_QueuedRequest]) -> None:
+    def _dispatch_queue(self, queue: list[QueuedRequest]) -> None:
         now_ms = self._clock()
 
-        def sort_key(queued: _QueuedRequest) -> tuple[bool, bool, int, float]:
+        def sort_key(queued: QueuedRequest) -> tuple[bool, bool, int, float]:
             request = queued.request
             target_end_ms = request.arrived_ms + request.route.target_latency_ms
             usual_ms = self._loads.latency_ms(request.route.name)
@@ -322,7 +263,7 @@
                 are_all_full = True
 
     def _wait_for_limit(
-        self, queued: _QueuedRequest, owner: BackendServer, held_back: Counter[ServerId]
+        self, queued: QueuedRequest, owner: BackendServer, held_back: Counter[ServerId]
     ) -> None:
         """Reserve a time for a request at the owner of its key, or refuse it.
 
@@ -342,7 +283,7 @@
         held_back[owner.server] = position + 1
         self._limits.want(owner, position + 1, allowed_ms)
 
-    def _try_admit(self, queued: _QueuedRequest) -> SendPermit | None:
+    def _try_admit(self, queued: QueuedRequest) -> SendPermit | None:
         server = self._choose_server(queued)
         if server is None:
             return None
@@ -350,7 +291,7 @@
         route = queued.request.route.name
         return SendPermit(server, self._loads.begin_request(server, route))
 
-    def _choose_server(self, queued: _QueuedRequest) -> BackendServer | None:
+    def _choose_server(self, queued: QueuedRequest) -> BackendServer | None:
         """Return the server with the lowest cost, or None if all are at capacity."""
         candidates = queued.candidates()
         if queued.is_keyed:
@@ -386,7 +327,7 @@
             return None
         return best
 
-    def _expire(self, queued: _QueuedRequest) -> None:
+    def _expire(self, queued: QueuedRequest) -> None:
         if queued.permit.done():
             return
         queued.permit.set_result(QueueRefusal(RefusalReason.NO_ROOM, RETRY_AFTER_S))
@@ -399,18 +340,3 @@
             candidates=len(candidates),
             servers=[self.describe(s) for s in candidates[:MAX_LOGGED_CANDIDATES]],
         )
-
-
-def _count_ahead(queue: Sequence[_QueuedRequest], queued: _QueuedRequest) -> int:
-    """Return how many queued requests are sent to the same servers before a new one."""
-    servers = queued.candidates()
-    ahead = 0
-    for other in queue:
-        if other.permit.done() or other.is_keyed is not queued.is_keyed:
-            continue
-        if other.request.route.rank > queued.request.route.rank:
-            continue
-        if queued.is_keyed and list(other.candidates()) != list(servers):
-            continue
-        ahead += 1
-    return ahead
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -20,18 +20,18 @@
 from .adapter import Adapter
 from .attemptsender import AttemptSender, is_final
 from .catalog import Catalog
-from .dispatch import (
+from .dispatch import Dispatcher
+from .exchange import AttemptOutcome, AttemptResult
+from .keyload import KeyLoad
+from .messages import BackendServer, EdgeRequest, EdgeResponse
+from .ownership import Ownership
+from .queuedrequest import (
     RETRY_AFTER_S,
     Candidates,
-    Dispatcher,
     QueueRefusal,
     RefusalReason,
     SendPermit,
 )
-from .exchange import AttemptOutcome, AttemptResult
-from .keyload import KeyLoad
-from .messages import BackendServer, EdgeRequest, EdgeResponse
-from .ownership import Ownership
 from .rangeedits import NO_SERVER
 from .relay import Relay, RelayFailure
 from .responses import (
--- a/packages/edge/mulberryrelay_edge/responses.py
+++ b/packages/edge/mulberryrelay_edge/responses.py
@@ -4,9 +4,9 @@
 
 from mulberryrelay_kernel.states import Outcome
 
-from .dispatch import RETRY_AFTER_S
 from .exchange import AttemptOutcome, AttemptResult
 from .messages import EdgeResponse
+from .queuedrequest import RETRY_AFTER_S
 
 
 def may_have_run(result: AttemptResult) -> bool:
--- a/packages/edge/mulberryrelay_edge/suspectruns.py
+++ b/packages/edge/mulberryrelay_edge/suspectruns.py
@@ -25,9 +25,9 @@
 from mulberryrelay_router.suspects import Suspects
 
 from .catalog import Catalog
-from .dispatch import QueueRefusal, SendPermit
 from .exchange import AttemptOutcome, AttemptResult
 from .messages import BackendServer, EdgeRequest
+from .queuedrequest import QueueRefusal, SendPermit
 
 PROBE_PERIOD_S = 0.8
 """Pause between probes of a server at which a request was abandoned.
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from bench.virtual_time import run_virtual, virtual_clock
-from mulberryrelay_edge.dispatch import Dispatcher, QueueRefusal, SendPermit
+from mulberryrelay_edge.dispatch import Dispatcher
 from mulberryrelay_edge.messages import BackendServer, LoadReport
+from mulberryrelay_edge.queuedrequest import QueueRefusal, SendPermit
 from mulberryrelay_edge.sendschedule import SendSchedule
 from mulberryrelay_kernel.ids import DataCentre
 
