Show that late grants still give a key two owners

Cause, by reading: three times stand for the arrival of a grant. A reply of any server settles the grants to all others, although a queue may be that server's own. The expiry of unlisted servers counts from the end of the lease, or from when the next leader found it released, plus 250 ms, while commands may travel for MAX_QUEUED_MS (2 s). And a wait that began before ``end_all`` keeps the open grants of its own tuple, which nothing settles any more. Evidence: in the trial trace with timeouts of 4 s, grants that edge-qld-a-7 wrote within 4 ms at 26.206 to 26.209 s have replies after 151 to 1,057 ms, not in their order, and equal ones for each server: i-4baf9597cd 804 and 804 ms, i-17d3be7a80 744, 745 and 745 ms. Of 315 traced grants 7 have a reply over 250 ms later than one that was written after them and got its reply over 400 ms after their write. Ruled out: that the trace shows arrivals; it has times of replies only. The in-memory servers can hold the link of one server. The product is unchanged.

--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -238,6 +238,8 @@
         """Time for which the router stands still before it writes a command."""
         self._link_held_until_s = float("-inf")
         """Time at which commands in the queue of the router's link arrive."""
+        self._server_held_until_s: dict[ServerId, float] = {}
+        """Time at which commands in the queue of a server's own link arrive."""
         self._connected: set[KeyedServer] = set()
         """Servers to which the router has a connection."""
 
@@ -245,6 +247,11 @@
         """Let commands wait in the queue of the router's link for some seconds."""
         self._link_held_until_s = asyncio.get_running_loop().time() + for_s
 
+    def hold_server(self, server: ServerId, for_s: float) -> None:
+        """Let commands to one server wait in the queue of its link for some seconds."""
+        loop = asyncio.get_running_loop()
+        self._server_held_until_s[server] = loop.time() + for_s
+
     async def connect(self) -> bool:
         """Return whether a connection to some server is opened in time."""
         loop = asyncio.get_running_loop()
@@ -302,7 +309,7 @@
             loop.call_later(self.write_delay_s, self._write, server, apply, may_write)
             await asyncio.sleep(self.write_delay_s)
             return Failure(CommandUnanswered("timeout"))
-        queued_s = self._link_held_until_s - loop.time()
+        queued_s = self._queued_s(server)
         if queued_s >= COMMAND_TIMEOUT_S:
             self._write(server, apply, may_write)
             await asyncio.sleep(COMMAND_TIMEOUT_S)
@@ -342,6 +349,12 @@
             return Failure(CommandRefused(status))
         return Success("token")
 
+    def _queued_s(self, server: BackendServer) -> float:
+        """Return for how long a command that is written now waits in queues."""
+        server_until_s = self._server_held_until_s.get(server.server, float("-inf"))
+        held_until_s = max(self._link_held_until_s, server_until_s)
+        return held_until_s - asyncio.get_running_loop().time()
+
     def _write(self, server: BackendServer, apply: Apply, may_write: MayWrite) -> None:
         """Write a command that arrives after its sender stopped waiting."""
         if not may_write():
@@ -350,7 +363,7 @@
         if incarnation is None or incarnation.entry.server != server.server:
             return
         loop = asyncio.get_running_loop()
-        queued_s = max(0.0, self._link_held_until_s - loop.time())
+        queued_s = max(0.0, self._queued_s(server))
         loop.call_later(queued_s, _apply_late, incarnation, apply, 0.0)
 
 
