--- a/standins/tables.py
+++ b/standins/tables.py
@@ -114,7 +114,8 @@
         self, tables: Tables, clock: Callable[[], float], rng: random.Random
     ) -> None:
         self._tables = tables
-        self._clock = clock
+        self.clock = clock
+        """The store's clock."""
         self._rng = rng
         self.is_partitioned = False
         """Whether calls get no reply."""
@@ -177,7 +178,7 @@
         await asyncio.sleep(self.reply_delay_s / 2)
         if not was_applied:
             return Failure(TableFailure.CONFLICT)
-        return Success(Committed(version, self._clock()))
+        return Success(Committed(version, self.clock()))
 
     async def close(self) -> None:
         """Nothing to release."""
@@ -189,7 +190,7 @@
             for row in rows
         ]
         version = store_version(restores, self._tables.version)
-        return TableRead(read, version, self._clock())
+        return TableRead(read, version, self.clock())
 
     def _apply(
         self, conditions: Sequence[RowCondition], writes: Sequence[RowWrite]
