Count a grant without a reply as arrived as late as it can be

Cause: took a reply to a later command of any server as proof that an earlier command is no longer on its way. And the default expiry of servers that the lease does not list left 250 ms for a grant that was written just before the lease was released, and 750 ms before its end. Change: a grant without a reply counts as arrived 2 s after its write, the time after which the kernel gives up unacknowledged data; one with a reply, before it. A server is listed as soon as it is silent again, and a grant to it that has begun is not written any more. Earlier leaders' grants count in the same way; a leader writes none in the last second of its lease. Settling is gone, and with it the wait that end_all left open. Ruled out: an answer of the same server as proof; a silent one gives none, and one that answers is not waited for.

--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -21,7 +21,7 @@
     ServerCommands,
 )
 from .catalog import Catalog
-from .grantexpiries import GrantExpiries, grant_end_ms
+from .grantexpiries import MAX_TRAVEL_MS, GrantExpiries, SentGrant, grant_end_ms
 from .knownservers import KnownServers
 from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
@@ -83,15 +83,11 @@
         self._clock = clock
         self._unreachable_servers = lease.unreachable_servers
         listed_ms = self._unreachable_servers.grant_expiries_ms
+        earlier_arrived_ms = lease.previous_leader_end_ms + MAX_TRAVEL_MS
         self._expiries = GrantExpiries(
-            listed_ms,
-            grant_end_ms(lease.previous_leader_end_ms, max_grant_ttl_ms),
-            lambda: lease.server_reached_ms,
-            clock,
+            listed_ms, grant_end_ms(earlier_arrived_ms, max_grant_ttl_ms), clock
         )
         self._unreachable_since_ms = dict.fromkeys(listed_ms, clock())
-        self._unlisted: set[Incarnation] = set()
-        """Unreachable servers that the lease has to list once they are settled."""
         self._confirmed_ms: dict[Incarnation, float] = {}
         """Time at which the last grant that a server confirmed was written."""
         self._written_ms: dict[Incarnation, float] = {}
@@ -146,9 +142,7 @@
         server = self.last_entry(incarnation)
         if server is None:
             return False
-        started_ms = self._clock()
         result = await self._commands.probe(server, health_path)
-        self._record_reply(result, started_ms)
         if isinstance(result, Success):
             return True
         self._record_failure(server, result.failure())
@@ -156,22 +150,11 @@
 
     async def mark_reachable(self, incarnation: Incarnation) -> None:
         """Allow grants to a server again, after its fencing tokens were raised."""
-        self._unlisted.discard(incarnation)
         self._lease.renew_soon()
         await self._unreachable_servers.remove(incarnation)
         self._unreachable_since_ms.pop(incarnation, None)
         log_event("server_answers_orders", server=incarnation[0])
 
-    def _record_reply(
-        self, result: Result[object, CommandFailure], written_ms: float
-    ) -> None:
-        """Record the reply, if any, to a command that was written then or later."""
-        if not has_reply(result):
-            return
-        self._expiries.record_reply(written_ms)
-        for incarnation in list(self._unlisted):
-            self._list_if_settled(incarnation)
-
     def _record_failure(self, server: BackendServer, failure: CommandFailure) -> None:
         incarnation = (server.server, server.started_ms)
         if isinstance(failure, CommandMisdirected):
@@ -187,33 +170,18 @@
         confirmed_ms = self._confirmed_ms.get(incarnation, float("-inf"))
         if self._clock() - confirmed_ms < MIN_RESTART_MS:
             return
-        self._lease.suspect_links()
-        if not self.is_unreachable(incarnation):
-            self._unreachable_since_ms[incarnation] = self._clock()
-            self._unlisted.add(incarnation)
-            log_event(
-                "server_silent",
-                server=server.server,
-                service=server.service,
-                error=error,
-                hold_left_ms=round(self.grant_expires_ms(incarnation) - self._clock()),
-                written_ms_ago=self._written_ms_ago(incarnation),
-            )
-        self._list_if_settled(incarnation)
-
-    def _list_if_settled(self, incarnation: Incarnation) -> None:
-        """List an unreachable server once the expiry of its grants is final."""
-        if incarnation not in self._unlisted:
-            return
-        if not self._expiries.is_settled(incarnation):
+        if self.is_unreachable(incarnation):
             return
-        self._unlisted.discard(incarnation)
-        expires_ms = self._expiries.latest_ms(incarnation)
+        self._unreachable_since_ms[incarnation] = self._clock()
+        expires_ms = self.grant_expires_ms(incarnation)
         self._unreachable_servers.add(incarnation, expires_ms)
         log_event(
-            "server_listed_unreachable",
-            server=incarnation[0],
+            "server_silent",
+            server=server.server,
+            service=server.service,
+            error=error,
             hold_left_ms=round(expires_ms - self._clock()),
+            written_ms_ago=self._written_ms_ago(incarnation),
         )
 
     def _written_ms_ago(self, incarnation: Incarnation) -> int | None:
@@ -232,7 +200,7 @@
         incarnation = (key_range.owner, key_range.owner_started_ms)
         if not key_range.owner:
             return None
-        latest_expiry_ms = self._expiries.sent_so_far(incarnation)
+        latest_expiry_ms = self._expiries.begun_so_far(incarnation)
         was_sent = False
         while True:
             await self._lease.wait_sendable()
@@ -257,7 +225,6 @@
             was_sent = True
             fence = key_range.fence + RELEASE_STEP
             result: Result[str | None, CommandFailure]
-            started_ms = self._clock()
             try:
                 async with asyncio.timeout(max(MIN_RELEASE_TIMEOUT_S, left_ms / 1000)):
                     result = await self._commands.release(
@@ -269,7 +236,6 @@
                     )
             except TimeoutError:
                 continue
-            self._record_reply(result, started_ms)
             if isinstance(result, Success):
                 handover_token: str | None = result.unwrap()
                 return handover_token
@@ -333,23 +299,19 @@
         handover_token: str | None,
     ) -> Result[None, CommandFailure]:
         incarnation = (server.server, server.started_ms)
-        if self.is_unreachable(incarnation):
+        if self._is_barred(incarnation):
             return Failure(CommandNotSent("the server is unreachable"))
-        if self._unreachable_servers.is_listed(incarnation):
-            return Failure(CommandNotSent("the lease may list it as unreachable"))
         self._known_servers.record(server)
         grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
-        started_ms = self._clock()
-        sent = self._expiries.add(incarnation, grant_ttl_ms)
+        grant = self._expiries.begin(incarnation, grant_ttl_ms)
 
         def may_write() -> bool:
-            if sent.is_settled or not self._may_send():
+            if self._is_barred(incarnation) or not self._may_send():
                 return False
-            sent.record_write()
+            grant.record_write()
             self._written_ms[incarnation] = self._clock()
             return True
 
-        result: Result[None, CommandFailure] = Failure(CommandNotSent("term ended"))
         try:
             result = await self._commands.grant(
                 server,
@@ -360,18 +322,25 @@
                 handover_token,
                 may_write,
             )
-        finally:
             if has_reply(result):
-                sent.record_reply()
-            else:
-                self._expiries.record_close(incarnation, sent)
-        if sent.written_ms is not None:
-            self._record_reply(result, sent.written_ms)
+                grant.record_reply()
+        finally:
+            self._expiries.end(incarnation, grant)
         if isinstance(result, Success):
-            self._confirmed_ms[incarnation] = sent.written_ms or started_ms
+            self._record_confirmation(incarnation, grant)
         else:
             self._record_failure(server, result.failure())
         return result
 
+    def _record_confirmation(self, incarnation: Incarnation, grant: SentGrant) -> None:
+        if grant.written_ms is not None:
+            self._confirmed_ms[incarnation] = grant.written_ms
+
+    def _is_barred(self, incarnation: Incarnation) -> bool:
+        """Return whether a server gets no grants, as its last expiry may be listed."""
+        if self.is_unreachable(incarnation):
+            return True
+        return self._unreachable_servers.is_listed(incarnation)
+
     def _may_send(self) -> bool:
         return self._lease.may_send
--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -41,8 +41,11 @@
 """Period in which the leader renews its lease."""
 RETRY_MS = 150.0
 """Pause before a failed renewal is retried."""
-SEND_MARGIN_MS = 500.0
-"""Time that the lease has to outlast the write of a command, which may travel long."""
+SEND_MARGIN_MS = 1000.0
+"""Time by which the lease has to outlast the write of a command.
+
+The next leader waits less then for commands that are still on their way.
+"""
 SENDABLE_POLL_S = 0.03
 """Period in which ``wait_sendable`` checks the lease."""
 RELEASED_EXPIRES_MS = 0.0
@@ -263,15 +266,6 @@
         """Renew the lease now, because its contents have changed."""
         self._renew_event.set()
 
-    @property
-    def server_reached_ms(self) -> float:
-        """Start time of the last probe of this router's links that reached a server."""
-        return self._reach.reached_ms
-
-    def suspect_links(self) -> None:
-        """Find out whether this router's links are lost, as a command got no reply."""
-        self._reach.suspect()
-
     def check_soon(self) -> None:
         """Read the lease as soon as it may be free, because the leader may be gone."""
         self._watch.check_soon()
@@ -325,12 +319,12 @@
         )
         notice = LeaderNoticeRow(acquired.term, self._boot_id, self._link_url)
         if is_outdated:
-            self._previous_leader_end_ms = lost_lease_end_ms
+            self._previous_leader_end_ms = lost_lease_end_ms - SEND_MARGIN_MS
         elif previous.term:
             self._previous_leader_end_ms = now_ms
             if previous.expires_ms != RELEASED_EXPIRES_MS:
-                # The earlier leader sent no commands after its lease expired.
-                self._previous_leader_end_ms -= read.store_ms - previous.expires_ms
+                expired_ms = read.store_ms - previous.expires_ms
+                self._previous_leader_end_ms -= expired_ms + SEND_MARGIN_MS
         result = await self._write_lease(acquired, notice)
         if not isinstance(result, Success):
             return False
@@ -362,6 +356,9 @@
             await self._write_renewal(row)
 
     async def _write_renewal(self, row: LeaderRow) -> None:
+        if self._unreachable_servers.grant_expiries_ms:
+            # Commands get no replies, perhaps because this router's links are lost.
+            self._reach.suspect()
         started_ms = self._clock()
         expires_ms = started_ms + self._clock_offset_ms + LEASE_MS
         renewed = msgspec.structs.replace(
--- a/packages/edge/mulberryrelay_edge/serverreach.py
+++ b/packages/edge/mulberryrelay_edge/serverreach.py
@@ -47,7 +47,6 @@
         """Set unless the links are only suspected to be lost."""
         self._verdict.set()
         self._ignores_hints_until_ms = float("-inf")
-        self._reached_ms = float("-inf")
         self._cut_off_ms: float | None = None
         """Since when the router is cut off, or None."""
         self._changes: Subject[bool] = Subject()
@@ -57,11 +56,6 @@
         """Emits True when the router loses its links to the servers, False after it."""
         return self._changes
 
-    @property
-    def reached_ms(self) -> float:
-        """Start time of the last round of probes that reached a server."""
-        return self._reached_ms
-
     @property
     def is_cut_off(self) -> bool:
         """Whether the router reaches no server."""
@@ -97,12 +91,10 @@
         """Return whether several rounds of probes reach no server."""
         for _ in range(ROUNDS_TO_CUT_OFF):
             chosen = self._choose()
-            started_ms = self._clock()
             probes = [asyncio.ensure_future(self._probe(server)) for server in chosen]
             try:
                 for probe in asyncio.as_completed(probes):
                     if await probe:
-                        self._reached_ms = started_ms
                         return False
             finally:
                 for started in probes:
