Follow the store's clock in a long term of the leader

Cause: the bound of the store's clock minus the router's was only ever lowered. If the store's clock runs faster, the lease in the store ends before the leader thinks so. Evidence: test_a_lease_ends_in_time_although_the_clock_of_the_store_is_faster fails before: at a rate of 1.005 two routers hold the lease after 160 s. Change: each renewal that is confirmed measures the bound anew. Ruled out: a limit on its age; the last measurement is a bound by itself. Result: it passes, and the tests of the lease.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -392,9 +392,8 @@
             if self._is_leaving:
                 return
             self._valid_until_ms = expires_ms - self._clock_offset_ms
-            self._clock_offset_ms = min(
-                self._clock_offset_ms, result.unwrap().store_ms - started_ms
-            )
+            # Not the smallest one so far: clocks run at different rates.
+            self._clock_offset_ms = result.unwrap().store_ms - started_ms
             if self._has_renewal_failed:
                 log_event("lease_renewal_recovered", term=row.term)
             self._has_renewal_failed = False
