Keep a lease that is handed over from becoming valid again

Cause: a leader that loses its links to all servers ends its term and releases its lease after a renewal that is on its way. When the reply to that renewal arrived, the lease became valid again, up to 3 s longer than the release, so that two routers held the lease at once. Its commands had been cancelled, but it went on as a leader for followers, and a command whose write was still due could pass its check. A router that stops was protected already.

Ruled out: a store that accepts both writes; the release is conditional on the version of the renewal.

Change: a lease that is released, or is being released, does not become valid again in its term, as for a router that stops. A handover that ends late does not end a term that began meanwhile.

--- a/packages/edge/mulberryrelay_edge/lease.py
+++ b/packages/edge/mulberryrelay_edge/lease.py
@@ -108,6 +108,8 @@
         self._renewal_started_ms = float("inf")
         """Start time of the renewal in progress; infinity if there is none."""
         self._is_leaving = False
+        self._is_released = False
+        """Whether the lease of the current term is released, or being released."""
         self._reach = reach
         self._handover: asyncio.Task[None] | None = None
         self._writing = asyncio.Lock()
@@ -163,7 +165,12 @@
 
         The lease may have expired temporarily; sending commands requires ``may_send``.
         """
-        return self._row is not None and not self._is_leaving
+        return self._row is not None and not self._is_ending
+
+    @property
+    def _is_ending(self) -> bool:
+        """Whether the lease may not become valid again in the current term."""
+        return self._is_leaving or self._is_released
 
     @property
     def stored_ms(self) -> float:
@@ -223,13 +230,16 @@
 
     async def _hand_over(self) -> None:
         """Release the lease and watch it, as its commands reach no server any more."""
+        term = self.term
         await self._release()
-        self._row = None
+        if self.term == term:
+            self._row = None
 
     async def _release(self) -> None:
         row = self._row
         if row is None or not self.is_valid:
             return
+        self._is_released = True
         self._valid_until_ms = float("-inf")
         self._changes.on_next(False)
         # A renewal that is on its way changes the version of the row.
@@ -337,6 +347,7 @@
 
     def _begin_term(self, row: LeaderRow, committed: Committed) -> None:
         self._row = row
+        self._is_released = False
         self._version = committed.version
         self._valid_until_ms = row.expires_ms - self._clock_offset_ms
         self._has_renewal_failed = False
@@ -390,7 +401,7 @@
             self._stored_ms = started_ms
             self._unreachable_servers.mark_stored(renewed.unreachable)
             self._version = result.unwrap().version
-            if self._is_leaving:
+            if self._is_ending:
                 return
             self._valid_until_ms = expires_ms - self._clock_offset_ms
             # Not the smallest one so far: clocks run at different rates.
