Give a grant up that waits long for its write

Cause: a grant carries a fence that was right when it was decided. If its router stood still before the write, but kept its lease, the command was written seconds later, by when the server could have ended and its next life have its address and id: that took keys at the fence of the life before.

Ruled out: the leader's own replies; the command had got none, and no later grant had been sent to the new life.

Change: a grant is not written later than 500 ms after it was decided. The platform's own timeout of 400 ms ends it first unless the timer is late.

--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -38,6 +38,11 @@
 """Pause before a failed release is retried."""
 MIN_RELEASE_TIMEOUT_S = 0.2
 """Minimum timeout of a release, also after the owner's grant has expired."""
+MAX_WRITE_DELAY_MS = 500.0
+"""Time after which a grant that is not written is given up.
+
+What it is based on may have changed since, such as the server at its address.
+"""
 MIN_RESTART_MS = 1000.0
 """Minimum duration of a server restart.
 
@@ -303,11 +308,14 @@
             return Failure(CommandNotSent("the server is unreachable"))
         self._known_servers.record(server)
         grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
+        begun_ms = self._clock()
         grant = self._expiries.begin(incarnation, grant_ttl_ms)
 
         def may_write() -> bool:
             if self._is_barred(incarnation) or not self._may_send():
                 return False
+            if self._clock() - begun_ms > MAX_WRITE_DELAY_MS:
+                return False
             grant.record_write()
             self._written_ms[incarnation] = self._clock()
             return True
--- a/tests/test_edge_late_grants.py
+++ b/tests/test_edge_late_grants.py
@@ -5,13 +5,17 @@
 
 import asyncio
 
-from .fixtures.edgefleet import Fleet
+from .fixtures.edgefleet import Fleet, backend
 from .test_edge_ownership import LEASE_S, leader_of, run_scenario
 
 LINK_DELAYS_S = (0.5, 0.8, 1.2, 1.9)
 """Times for which commands wait in the queue of the leader's link."""
 SILENT_S = 15.0
 """Time for which a server stays silent; all its grants expire in it."""
+DECIDED_S = 0.9
+"""Time in which each grant is due for a renewal."""
+RESTART_S = 1.05
+"""Time that a server takes to start again."""
 
 
 def test_keys_whose_grant_travels_late_get_no_second_owner() -> None:
@@ -67,3 +71,24 @@
         await fleet.settle()
 
     run_scenario(scenario)
+
+
+def test_a_grant_is_not_written_long_after_it_was_decided() -> None:
+    """Guards against a renewal that reaches the next life of a server."""
+
+    async def scenario(fleet: Fleet) -> None:
+        leader = leader_of(fleet)
+        first = fleet.servers.incarnations[0]
+        leader.commands.write_delay_s = LEASE_S / 2
+        await asyncio.sleep(DECIDED_S)
+        first.is_up = False
+        await asyncio.sleep(RESTART_S)
+        restarted = backend(0, started_ms=1)
+        fleet.servers.start(restarted)
+        leader.commands.write_delay_s = 0.0
+        await asyncio.sleep(LEASE_S / 2)
+        fleet.register(restarted)
+        await asyncio.sleep(LEASE_S)
+        await fleet.settle()
+
+    run_scenario(scenario)
