Play held links and late writes among the random faults

Two new kinds of faults: commands that wait in the queue of a router's link for 0.3 to 2 s, and a router that stands still for 0.4 to 4 s before it writes.

--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -43,7 +43,13 @@
     "unreachable",
     "crash",
     "drain",
+    "held_link",
+    "slow_write",
 )
+HELD_LINK_S = (0.3, 2.0)
+"""Bounds of the time for which commands wait in the queue of a router's link."""
+SLOW_WRITE_S = (0.4, 4.0)
+"""Bounds of the time for which a router stands still before it writes a command."""
 
 Scenario = Callable[[Fleet], Awaitable[None]]
 
@@ -386,6 +392,11 @@
         )
         fleet.register(draining)
         schedule_end(lambda: fleet.register(incarnation.entry))
+    if kind == "held_link":
+        router.commands.hold_link(rng.uniform(*HELD_LINK_S))
+    if kind == "slow_write":
+        router.commands.write_delay_s = rng.uniform(*SLOW_WRITE_S)
+        schedule_end(lambda: setattr(router.commands, "write_delay_s", 0.0))
 
 
 async def _random_faults(fleet: Fleet, seed: int) -> None:
