Close a connection on which bytes arrive while it is idle

Callers saw: nothing yet; two servers could begin requests on the same keys. Cause: a client session reads what arrives on a pooled connection as the response to its next request. A second 200 of a renewal thus confirmed a release whose work had not ended; a second 400, 404, 405 or 421, or one under another server's name, ended all grants of the owner at once. Evidence: test_bytes_on_an_idle_connection_are_no_response_to_a_release, over sockets, failed in 9 of 14 cases: 2 false confirmations, 1 refusal, 6 owners declared gone. The 5 of incomplete bytes were harmless before. Ruled out: an additional response in the same segment as the complete one. The session doesn't return such a connection to its pool. Change: BoundedConnection rejects bytes when no request waits for a response and the last one is read. That covers the sessions that read with a limit: commands and the control plane of mulberryrelay. Result: all 14 cases pass.

--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -119,16 +119,43 @@
 
 
 class BoundedConnection(ServerConnection):
-    """A connection of a client session, which states no limit for each request."""
+    """A connection of a client session, which states no limit for each request.
+
+    It is closed when bytes arrive while no request waits for a response. The session
+    would read them as the response to its next request.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, max_bytes: float) -> None:
         super().__init__(loop)
         self._max_bytes = max_bytes
+        self._awaits_response = False
+        """Whether a request was sent and the head of its response is still missing."""
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no response, nor a part of one, is expected."""
+        is_read = self._payload is None or self._payload.is_eof()
+        return is_read and not self._awaits_response
 
     def set_response_params(self, **params: Any) -> None:
         self.expect_response(self._max_bytes)
+        self._awaits_response = True
         super().set_response_params(**params)
 
+    def data_received(self, data: bytes) -> None:
+        if data and self.is_idle:
+            self.reject("bytes on an idle connection")
+            return
+        super().data_received(data)
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        message, _ = data
+        if message.code >= 200:
+            self._awaits_response = False
+        super().feed_data(data, size)
+
 
 def bound_responses(connector: aiohttp.TCPConnector, max_bytes: float) -> None:
     """Close a connection whose server sends a longer body, or a head without end."""
--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -1,11 +1,13 @@
-"""Commands to servers over sockets, while the router stands still or gives up."""
+"""Commands to servers over sockets: a router that stands still, extra responses."""
 
 import asyncio
 import time
+from collections import Counter
 
 from returns.result import Success
 
 from mulberryrelay_platform.commands import PlatformCommands
+from mulberryrelay_platform.names import GRANT_PATH, HANDOVER_HEADER, HEADERS
 
 from .fixtures import async_test
 from .fixtures.edgefleet import backend
@@ -93,3 +95,118 @@
     assert endings == ["reset"]
     await commands.close()
     listener.close()
+
+
+WORK_S = 0.1
+"""Time for which a server still works on keys that are released."""
+EXTRA_DELAY_S = 0.02
+"""Time after a complete response at which a server sends another one."""
+CONFIRMATION = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+TOKEN = "token-of-this-release"
+RELEASED = CONFIRMATION.replace(
+    b"\r\n\r\n", f"\r\n{HANDOVER_HEADER}: {TOKEN}\r\n\r\n".encode()
+)
+RELEASED_EARLIER = RELEASED.replace(TOKEN.encode(), b"token-of-another-release")
+MISDIRECTED = tuple(
+    f"HTTP/1.1 {status}\r\n{more}Content-Length: 0\r\n\r\n".encode()
+    for status, more in (
+        ("400 Bad Request", ""),
+        ("404 Not Found", ""),
+        ("405 Method Not Allowed", ""),
+        ("421 Misdirected Request", ""),
+        ("421 Misdirected Request", f"{HEADERS.server}: server-2\r\n"),
+        ("200 OK", f"{HEADERS.server}: server-2\r\n"),
+    )
+)
+"""Responses that a server gives to a command that was meant for another one."""
+REFUSED = b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+OPENINGS = (b"HT", CONFIRMATION[:20], CONFIRMATION[:-2], b"\r\n", b"\0")
+"""Bytes that are no complete response."""
+
+
+class ExtraResponses:
+    """Servers that send an extra response to the first grant on a connection.
+
+    It comes after the response, or in place of the response to the next command, whose
+    own response follows when the work on the released keys has ended.
+    """
+
+    def __init__(self, extra: bytes, first: bytes, is_in_place: bool) -> None:
+        self._extra = extra
+        self._first = first
+        self._is_in_place = is_in_place
+        self._commands: Counter[int] = Counter()
+        self.ended = 0
+        """Releases whose work has ended."""
+
+    async def respond(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        """Respond to a command; the first connection is the faulty one."""
+        number = self._commands[request.connection]
+        self._commands[request.connection] += 1
+        if request.connection == 0 and number == 0:
+            writer.write(self._first)
+            if not self._is_in_place:
+                asyncio.get_running_loop().call_later(
+                    EXTRA_DELAY_S, writer.write, self._extra
+                )
+            return
+        if request.connection == 0 and number == 1 and self._is_in_place:
+            writer.write(self._extra)
+        if request.path == GRANT_PATH:
+            await asyncio.sleep(EXTRA_DELAY_S)
+            writer.write(CONFIRMATION)
+            return
+        await asyncio.sleep(WORK_S)
+        self.ended += 1
+        writer.write(RELEASED)
+
+
+async def _release_after_extra(
+    extra: bytes, first: bytes = CONFIRMATION, is_in_place: bool = False
+) -> list[str]:
+    """Return what is wrong with a release after a grant and an extra response."""
+    server = ExtraResponses(extra, first, is_in_place)
+    commands = PlatformCommands()
+    async with raw_server(server.respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        if first == CONFIRMATION:
+            await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+        else:
+            await commands.release(entry, 10, 19, 2, lambda: True)
+        await asyncio.sleep(2 * EXTRA_DELAY_S)
+        result = await commands.release(entry, 0, 9, 2, lambda: True)
+        ended = server.ended
+    await commands.close()
+    if isinstance(result, Success) and not ended:
+        return [f"{extra!r} confirmed a release (in place: {is_in_place})"]
+    if result != Success(TOKEN):
+        return [f"{extra!r} gave {result} (in place: {is_in_place})"]
+    return []
+
+
+@async_test
+async def test_bytes_on_an_idle_connection_are_no_response_to_a_release() -> None:
+    """Guards against keys that are granted on while their owner works on them."""
+    errors = []
+    for extra in (CONFIRMATION, RELEASED_EARLIER, REFUSED, *MISDIRECTED, *OPENINGS):
+        errors += await _release_after_extra(extra)
+    assert not errors, "\n".join(errors)
+
+
+@async_test
+async def test_renewals_and_a_release_share_a_connection() -> None:
+    """Guards against a new connection for each command, which a busy server resets."""
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(CONFIRMATION if request.path == GRANT_PATH else RELEASED)
+
+    commands = PlatformCommands()
+    async with raw_server(respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        for _ in range(5):
+            await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+        released = await commands.release(entry, 0, 4, 2, lambda: True)
+        await commands.grant(entry, 5, 9, 1, 1000.0, None, lambda: True)
+        assert released == Success(TOKEN)
+        assert raw.connections == 1
+    await commands.close()
