Draw conclusions about owners only from responses that are certain

Callers saw: nothing yet; two servers could begin requests on the same keys. An extra response that arrives where the next one is expected was taken for the response to the next command. Evidence, over sockets, before this commit: an extra response in place of the next confirmed a release during the owner's work (2 of 9 cases: a second 200 of a renewal; the response to an earlier release, with its token), ended all grants of the owner (6 of 9, and 6 of 6 in place of the response to a renewal), or refused a release (409). A 200 to a grant answered the probe of a server that is silent. Ruled out: an id of our own in commands. A new connection for each release: a server at its limit of connections resets it, so that keys could not leave a congested server. Change: a response is certain on a connection that carries its first command. On a kept one a release needs a hand-over token, which only releases return, and no earlier release there. A foreign server on a kept connection is doubtful too. The command is then sent once more, on a connection used only once, and that response counts; the kept one is reset. Probes always use a connection of their own. Renewals stay on kept connections, as does a release with a token (test_renewals_and_a_release_share_a_connection: 1 connection for 7 commands). Not covered: an extra 200 read as the response to a grant; it ends nothing.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -79,7 +79,9 @@
 class ServerCommands(Protocol):
     """Sends commands about keys to servers, which do not authenticate the sender.
 
-    A command without a reply is discarded as far as it has not left this process.
+    A command without a reply is discarded as far as it has not left this process. The
+    success of a release, and ``CommandMisdirected``, come only from a response that
+    certainly belongs to the command; for that a command may be written twice.
     """
 
     async def grant(
--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from mulberryrelay_edge.adapter import CommandUnanswered
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.names import GRANT_PATH, HANDOVER_HEADER, HEADERS
 
@@ -184,6 +185,21 @@
     return []
 
 
+async def _grant_after_extra(extra: bytes, is_in_place: bool) -> list[str]:
+    """Return what is wrong with a renewal after a grant and an extra response."""
+    server = ExtraResponses(extra, CONFIRMATION, is_in_place)
+    commands = PlatformCommands()
+    async with raw_server(server.respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        for _ in range(2):
+            result = await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+            await asyncio.sleep(2 * EXTRA_DELAY_S)
+    await commands.close()
+    if isinstance(result, Success):
+        return []
+    return [f"{extra!r} gave {result} (in place: {is_in_place})"]
+
+
 @async_test
 async def test_bytes_on_an_idle_connection_are_no_response_to_a_release() -> None:
     """Guards against keys that are granted on while their owner works on them."""
@@ -193,12 +209,80 @@
     assert not errors, "\n".join(errors)
 
 
+@async_test
+async def test_a_response_in_place_of_that_to_a_release_does_not_confirm_it() -> None:
+    """Guards against keys that are granted on while their owner works on them."""
+    errors = []
+    for extra in (CONFIRMATION, REFUSED, *MISDIRECTED):
+        errors += await _release_after_extra(extra, is_in_place=True)
+    errors += await _release_after_extra(
+        RELEASED_EARLIER, first=RELEASED_EARLIER, is_in_place=True
+    )
+    assert not errors, "\n".join(errors)
+
+
+@async_test
+async def test_a_response_to_another_command_does_not_end_the_owner() -> None:
+    """Guards against a second owner after a refusal that belongs to another command."""
+    errors = []
+    for extra in MISDIRECTED:
+        for is_in_place in (False, True):
+            errors += await _grant_after_extra(extra, is_in_place)
+    assert not errors, "\n".join(errors)
+
+
+@async_test
+async def test_a_probe_is_not_answered_by_a_response_to_a_grant() -> None:
+    """Guards against grants to a server that does not respond."""
+    for is_in_place in (False, True):
+
+        async def respond(
+            request: RawRequest,
+            writer: asyncio.StreamWriter,
+            is_in_place: bool = is_in_place,
+        ) -> None:
+            if request.path == GRANT_PATH:
+                writer.write(CONFIRMATION)
+                await asyncio.sleep(EXTRA_DELAY_S)
+            if request.connection == 0 and is_in_place == (request.method == "GET"):
+                writer.write(CONFIRMATION)
+
+        commands = PlatformCommands()
+        async with raw_server(respond) as raw:
+            entry = backend(1, host=HOST, port=raw.port)
+            await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+            await asyncio.sleep(2 * EXTRA_DELAY_S)
+            result = await commands.probe(entry, "/health")
+        await commands.close()
+        assert isinstance(result.failure(), CommandUnanswered), is_in_place
+
+
+@async_test
+async def test_a_command_is_not_repeated_after_the_lease_has_ended() -> None:
+    """Guards against a grant called unsent that was written, then not repeated."""
+    server = ExtraResponses(MISDIRECTED[0], CONFIRMATION, is_in_place=True)
+    commands = PlatformCommands()
+    async with raw_server(server.respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+        permits = iter((True, False))
+        result = await commands.grant(
+            entry, 0, 9, 1, 1000.0, None, lambda: next(permits)
+        )
+        assert len(raw.received) == 2
+    await commands.close()
+    assert isinstance(result.failure(), CommandUnanswered), result
+
+
 @async_test
 async def test_renewals_and_a_release_share_a_connection() -> None:
     """Guards against a new connection for each command, which a busy server resets."""
 
+    name = f"{HEADERS.server}: server-1\r\n\r\n".encode()
+    named = CONFIRMATION[:-2] + name
+
     async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-        writer.write(CONFIRMATION if request.path == GRANT_PATH else RELEASED)
+        writer.write(named if request.path == GRANT_PATH else RELEASED)
 
     commands = PlatformCommands()
     async with raw_server(respond) as raw:
@@ -206,7 +290,8 @@
         for _ in range(5):
             await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
         released = await commands.release(entry, 0, 4, 2, lambda: True)
-        await commands.grant(entry, 5, 9, 1, 1000.0, None, lambda: True)
+        granted = await commands.grant(entry, 5, 9, 1, 1000.0, None, lambda: True)
         assert released == Success(TOKEN)
+        assert isinstance(granted, Success)
         assert raw.connections == 1
     await commands.close()
