--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from mulberryrelay_edge.adapter import CommandUnanswered
+from mulberryrelay_edge.adapter import CommandRefused, CommandUnanswered
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.names import GRANT_PATH, HANDOVER_HEADER, HEADERS
 
@@ -231,6 +231,27 @@
     assert not errors, "\n".join(errors)
 
 
+@async_test
+async def test_a_refusal_under_the_name_of_the_owner_does_not_end_it() -> None:
+    """Guards against a second owner after a refusal of a server that starts or ends."""
+    for status in ("400 Bad Request", "404 Not Found", "421 Misdirected Request"):
+        response = f"HTTP/1.1 {status}\r\n{HEADERS.server}: server-1\r\n"
+
+        async def respond(
+            request: RawRequest, writer: asyncio.StreamWriter, head: str = response
+        ) -> None:
+            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+
+        commands = PlatformCommands()
+        async with raw_server(respond) as raw:
+            entry = backend(1, host=HOST, port=raw.port)
+            granted = await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+            released = await commands.release(entry, 0, 9, 2, lambda: True)
+        await commands.close()
+        for result in (granted, released):
+            assert isinstance(result.failure(), CommandRefused), (status, result)
+
+
 @async_test
 async def test_a_probe_is_not_answered_by_a_response_to_a_grant() -> None:
     """Guards against grants to a server that does not respond."""
