Check the fences of grants that are applied after their end, too

Change: the check is as strict as before. Ruled out: raising fences for it; a server that has heard nothing newer cannot refuse such a grant.

--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -77,12 +77,8 @@
         )
 
     def grant(self, first: int, last: int, fence: int, grant_ttl_ms: float) -> int:
-        """Apply a grant; return the HTTP status of the reply.
-
-        A late one that has expired before it is applied gives the server no keys.
-        """
-        if grant_ttl_ms > 0:
-            self.on_grant(self, first, last, fence)
+        """Apply a grant; return the HTTP status of the reply."""
+        self.on_grant(self, first, last, fence)
         if any(self._highest_fence(key) > fence for key in watched_keys(first, last)):
             return 409
         self._remove_keys(first, last)
