Doubt that a server is gone right after it confirmed a grant

Callers saw: nothing yet; a live server would lose its keys, which two servers could then hold. Cause: one 400, 404, 405 or 421 without an id ended all grants of the owner and removed it from the catalog, though it had confirmed a grant just before. Evidence: test_a_server_that_knows_no_commands_for_a_moment_keeps_its_keys (150 ms, 20 times, in virtual time) failed: the server had lost its keys. That a real server answers so is not shown. Ruled out: not believing such a status at all; keys would wait for the expiry of grants of a replaced server (test_a_server_without_commands_loses_its_keys). Change: such a failure counts as no reply while the last confirmation is less than MIN_RESTART_MS old. A response under another id is believed as before. Result: both tests pass, and the other 17 of test_edge_ownership, 3 of test_edge_late_grants and 9 of test_platform_commands.

--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -28,6 +29,8 @@
 from .rangeedits import GRANT_STEP, RELEASE_STEP
 from .unreachableservers import Incarnation
 
+T = TypeVar("T")
+
 MIN_RENEWAL_PERIOD_MS = 800.0
 """Minimum time between two renewals of the same grant."""
 RENEWAL_SPACING_MS = 4.0
@@ -47,7 +50,8 @@
 """Minimum duration of a server restart.
 
 A server that confirmed a grant less than this ago cannot have restarted since, so a
-failed command does not make it unreachable.
+failed command does not make it unreachable. Nor does a server without keys have its
+address yet.
 """
 
 
@@ -170,10 +174,31 @@
         if isinstance(failure, CommandUnanswered):
             self._record_silence(server, failure.error)
 
+    def _is_recently_confirmed(self, incarnation: Incarnation) -> bool:
+        """Return whether a server cannot have ended since it confirmed a grant."""
+        confirmed_ms = self._confirmed_ms.get(incarnation, float("-inf"))
+        return self._clock() - confirmed_ms < MIN_RESTART_MS
+
+    def _without_doubtful_end(
+        self, server: BackendServer, result: Result[T, CommandFailure]
+    ) -> Result[T, CommandFailure]:
+        """Return a result that calls no server gone which was there just before.
+
+        A response under another id is always believed.
+        """
+        if isinstance(result, Success):
+            return result
+        failure = result.failure()
+        if not isinstance(failure, CommandMisdirected) or failure.responder:
+            return result
+        if not self._is_recently_confirmed((server.server, server.started_ms)):
+            return result
+        log_event("server_end_doubted", server=server.server)
+        return Failure(CommandUnanswered("a server without keys, after a confirmation"))
+
     def _record_silence(self, server: BackendServer, error: str) -> None:
         incarnation = (server.server, server.started_ms)
-        confirmed_ms = self._confirmed_ms.get(incarnation, float("-inf"))
-        if self._clock() - confirmed_ms < MIN_RESTART_MS:
+        if self._is_recently_confirmed(incarnation):
             return
         if self.is_unreachable(incarnation):
             return
@@ -241,6 +266,7 @@
                     )
             except TimeoutError:
                 continue
+            result = self._without_doubtful_end(server, result)
             if isinstance(result, Success):
                 handover_token: str | None = result.unwrap()
                 return handover_token
@@ -273,6 +299,7 @@
         result = await self._commands.release(
             server, first, last, fence, self._may_send
         )
+        result = self._without_doubtful_end(server, result)
         if isinstance(result, Success):
             return True
         self._record_failure(server, result.failure())
@@ -330,6 +357,7 @@
                 handover_token,
                 may_write,
             )
+            result = self._without_doubtful_end(server, result)
             if has_reply(result):
                 grant.record_reply()
         finally:
--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -62,6 +62,8 @@
         self.is_up = True
         self.is_unreachable = False
         """Whether it receives and answers no commands, but still runs requests."""
+        self.knows_no_commands = False
+        """Whether it answers commands as a server of a service without keys does."""
         self.grants: list[GrantedRange] = []
         self.fences: dict[int, int] = {}
         """Highest fencing token that it received for each watched key."""
@@ -335,6 +337,8 @@
         self._connected.add(incarnation)
         if incarnation.entry.server != server.server:
             return Failure(CommandMisdirected(incarnation.entry.server))
+        if incarnation.knows_no_commands:
+            return Failure(CommandMisdirected(ServerId("")))
         if self._rng.random() < self.late_share:
             late_s = self._rng.uniform(*LATE_S)
             loop.call_later(late_s, _apply_late, incarnation, apply, late_s * 1000)
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -32,6 +32,9 @@
 LEASE_S = 3.0
 """TTL of the leader lease."""
 
+NO_COMMANDS_S = 0.15
+"""Time for which a live server answers commands like one without keys."""
+
 FAULT_KINDS = (
     "kill",
     "kill_all",
@@ -86,6 +89,36 @@
     run_scenario(scenario)
 
 
+def test_a_server_that_knows_no_commands_for_a_moment_keeps_its_keys() -> None:
+    """Guards against a second owner after a status that a live server gave once."""
+
+    async def scenario(fleet: Fleet) -> None:
+        server = fleet.servers.incarnations[0]
+        for _ in range(20):
+            server.knows_no_commands = True
+            await asyncio.sleep(NO_COMMANDS_S)
+            server.knows_no_commands = False
+            await asyncio.sleep(1.0)
+            assert not fleet.servers.overlaps()
+            assert fleet.servers.ungranted_share() == 0
+            assert server.grants, "the server has lost its keys"
+
+    run_scenario(scenario)
+
+
+def test_a_server_without_commands_loses_its_keys() -> None:
+    """Guards against keys that wait for a server that another one has replaced."""
+
+    async def scenario(fleet: Fleet) -> None:
+        replaced = fleet.servers.incarnations[0]
+        replaced.knows_no_commands = True
+        replaced.grants.clear()
+        await asyncio.sleep(LEASE_S)
+        assert fleet.servers.ungranted_share() == 0
+
+    run_scenario(scenario)
+
+
 def test_keys_stay_granted_when_the_leader_is_cut_off_from_the_store() -> None:
     """Guards against grants that expire during the takeover from a cut-off leader."""
 
