--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -316,3 +316,26 @@
         assert isinstance(granted, Success)
         assert raw.connections == 1
     await commands.close()
+
+
+@async_test
+async def test_two_responses_at_once_do_not_confirm_a_release() -> None:
+    """Guards against a second response that is received along with the first one."""
+    for extra in (CONFIRMATION, RELEASED_EARLIER, *MISDIRECTED, *OPENINGS):
+
+        async def respond(
+            request: RawRequest, writer: asyncio.StreamWriter, extra: bytes = extra
+        ) -> None:
+            if request.path == GRANT_PATH:
+                writer.write(CONFIRMATION + extra)
+                return
+            await asyncio.sleep(EXTRA_DELAY_S)
+            writer.write(RELEASED)
+
+        commands = PlatformCommands()
+        async with raw_server(respond) as raw:
+            entry = backend(1, host=HOST, port=raw.port)
+            await commands.grant(entry, 0, 9, 1, 1000.0, None, lambda: True)
+            result = await commands.release(entry, 0, 9, 2, lambda: True)
+            assert result == Success(TOKEN), (extra, result)
+        await commands.close()
