Count no reply as proof that a grant has arrived

Callers saw: nothing yet (suspected in the review of replies to commands). Cause: a reply shortened the time that a grant may be on its way. On a kept connection it may be an extra reply to an earlier command. Ruled out: a new connection for each renewal; it costs one a range and 0.8 s. A server that falls silent has a grant without a reply in any case, so that its keys wait no longer.

--- a/packages/edge/mulberryrelay_edge/grantexpiries.py
+++ b/packages/edge/mulberryrelay_edge/grantexpiries.py
@@ -1,8 +1,9 @@
 """Tracks when the grants that this process has sent expire at the latest.
 
-The TTL of a grant counts from its arrival, which was before the reply. A grant without
-a reply may wait in a queue on its way, so it counts as arrived at the latest time at
-which a command may arrive.
+The TTL of a grant counts from its arrival, which nothing proves for certain: a command
+may wait in a queue on its way, and a reply on a kept connection may be an extra one of
+an earlier command. So a grant counts as arrived at the latest time at which a command
+may arrive after its write.
 """
 
 from collections.abc import Callable, Mapping
@@ -20,9 +21,9 @@
 """
 
 
-def grant_end_ms(arrived_ms: float, grant_ttl_ms: float) -> float:
-    """Return when a grant that arrived then, or earlier, ends at the latest."""
-    return arrived_ms + grant_ttl_ms * SLOW_CLOCK_FACTOR
+def grant_end_ms(written_ms: float, grant_ttl_ms: float) -> float:
+    """Return when a grant that was written then, or earlier, ends at the latest."""
+    return written_ms + MAX_TRAVEL_MS + grant_ttl_ms * SLOW_CLOCK_FACTOR
 
 
 class SentGrant:
@@ -32,7 +33,6 @@
         self._grant_ttl_ms = grant_ttl_ms
         self._clock = clock
         self._written_ms: float | None = None
-        self._replied_ms: float | None = None
 
     @property
     def written_ms(self) -> float | None:
@@ -44,19 +44,12 @@
         """Latest expiry of the grant; minus infinity if it was not written."""
         if self._written_ms is None:
             return float("-inf")
-        arrived_ms = self._written_ms + MAX_TRAVEL_MS
-        if self._replied_ms is not None:
-            arrived_ms = min(arrived_ms, self._replied_ms)
-        return grant_end_ms(arrived_ms, self._grant_ttl_ms)
+        return grant_end_ms(self._written_ms, self._grant_ttl_ms)
 
     def record_write(self) -> None:
         """Record that the command is written now."""
         self._written_ms = self._clock()
 
-    def record_reply(self) -> None:
-        """Record that the server replied now."""
-        self._replied_ms = self._clock()
-
 
 class GrantExpiries:
     """Latest expiry of all grants of each incarnation of a server."""
@@ -76,7 +69,7 @@
         self._default_expires_ms = default_expires_ms
         self._clock = clock
         self._in_flight: dict[Incarnation, list[SentGrant]] = {}
-        """Grants whose commands have neither a reply nor a failure yet."""
+        """Grants whose commands have not ended."""
 
     @property
     def default_expires_ms(self) -> float:
@@ -103,7 +96,7 @@
         return grant
 
     def end(self, incarnation: Incarnation, grant: SentGrant) -> None:
-        """Record that the command of a grant has ended, with or without a reply."""
+        """Record that the command of a grant has ended; it is not written any more."""
         in_flight = self._in_flight.get(incarnation, [])
         if grant not in in_flight:
             return
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -17,12 +17,11 @@
     CommandFailure,
     CommandMisdirected,
     CommandNotSent,
-    CommandRefused,
     CommandUnanswered,
     ServerCommands,
 )
 from .catalog import Catalog
-from .grantexpiries import MAX_TRAVEL_MS, GrantExpiries, SentGrant, grant_end_ms
+from .grantexpiries import GrantExpiries, SentGrant, grant_end_ms
 from .knownservers import KnownServers
 from .lease import LeaderLease
 from .messages import BackendServer, KeyRange
@@ -65,13 +64,6 @@
     return min(max_grant_ttl_ms, period_ms + TAKEOVER_ALLOWANCE_MS)
 
 
-def has_reply(result: Result[object, CommandFailure]) -> bool:
-    """Return whether a server replied to a command."""
-    if isinstance(result, Success):
-        return True
-    return isinstance(result.failure(), CommandRefused | CommandMisdirected)
-
-
 class GrantManager:
     """Grants, releases and probes that this process sends during one term as leader."""
 
@@ -92,9 +84,10 @@
         self._clock = clock
         self._unreachable_servers = lease.unreachable_servers
         listed_ms = self._unreachable_servers.grant_expiries_ms
-        earlier_arrived_ms = lease.previous_leader_end_ms + MAX_TRAVEL_MS
         self._expiries = GrantExpiries(
-            listed_ms, grant_end_ms(earlier_arrived_ms, max_grant_ttl_ms), clock
+            listed_ms,
+            grant_end_ms(lease.previous_leader_end_ms, max_grant_ttl_ms),
+            clock,
         )
         self._unreachable_since_ms = dict.fromkeys(listed_ms, clock())
         self._confirmed_ms: dict[Incarnation, float] = {}
@@ -358,8 +351,6 @@
                 may_write,
             )
             result = self._without_doubtful_end(server, result)
-            if has_reply(result):
-                grant.record_reply()
         finally:
             self._expiries.end(incarnation, grant)
         if isinstance(result, Success):
