Wait for the handover to begin in the test of a lease handed over

Cause: the test looked at the lease in the turn of the event loop in which the links were lost; the handover is a task of its own and begins in the next one.

--- a/tests/test_edge_lease.py
+++ b/tests/test_edge_lease.py
@@ -98,6 +98,8 @@
     while not reach.is_cut_off:
         assert stored_lease(tables).expires_ms != RELEASED_EXPIRES_MS
         await asyncio.sleep(STEP_S)
+    # The handover begins in the next turn of the event loop.
+    await asyncio.sleep(STEP_S)
     end_ms = virtual_clock() + LEASE_MS
     while virtual_clock() < end_ms:
         assert not lease.is_valid, lost_share
