Show the grant at an old fence after a restore without the leader

A leader that was cut off, and takes over after a restore of the store, asks owners to confirm their keys by a grant at the fence that it knows. An owner that was silent while its keys moved has seen no higher one: it takes the grant, at a fence below that of the owner in between.

--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -33,6 +33,7 @@
 from standins.tables import TableClient, Tables, TablesCopy
 
 from .fixtures.edgefleet import (
+    REREGISTRATION_MS,
     SERVICE,
     Fleet,
     FleetRouter,
@@ -245,6 +246,35 @@
     fleet.stop()
 
 
+async def play_unseen_moves_to_an_unseen_server(
+    seed: int, is_registered_again: bool
+) -> None:
+    """Let a router lead that was cut off while keys of a silent server moved.
+
+    Some of them moved to a server that it has never seen. All servers reply to it.
+    """
+    fleet = await start_settled_fleet(seed)
+    copy = fleet.tables.copy()
+    router = followers_of(fleet)[0]
+    router.is_unreachable = router.store.is_refusing = True
+    # A poll that is already on its way still gets its reply.
+    await report_load(fleet, LONG_WAIT_MS / 1000)
+    unseen = fleet.start_server(backend(9))
+    silent = fleet.servers.incarnations[1]
+    silent.is_unreachable = True
+    await report_load(fleet, UNSEEN_S)
+    assert unseen.grants, seed
+    for other in fleet.routers:
+        other.store.is_refusing = True
+    await report_load(fleet, OUTAGE_S)
+    silent.is_unreachable = False
+    if is_registered_again:
+        loop = asyncio.get_running_loop()
+        loop.call_later(REREGISTRATION_MS / 1000, fleet.register, unseen.entry)
+    await lead_alone_after_restore(fleet, copy, router)
+    fleet.stop()
+
+
 async def cut_leader_off(fleet: Fleet) -> None:
     """Cut the leader off from the other routers and the store, and wait a moment."""
     assert fleet.leader is not None
@@ -417,6 +447,15 @@
         run_virtual(play_unseen_moves(seed, is_silent_later=True))
 
 
+def test_keys_of_a_silent_server_that_moved_unseen_are_not_granted_twice() -> None:
+    """Guards against owners that accept a renewal since they missed the release."""
+    for seed in range(1, 4):
+        for is_registered_again in (True, False):
+            run_virtual(
+                play_unseen_moves_to_an_unseen_server(seed, is_registered_again)
+            )
+
+
 def test_no_key_has_two_owners_after_a_lease_is_released_after_a_restore() -> None:
     """Guards against a released lease that counts as one of before a restore."""
     for seed in range(1, 4):
