--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -29,6 +29,8 @@
 It covers a renewal period of 0.8 s, the longest way of the last renewal (2 s), a grant
 TTL of 5 s on a clock that is 2% slow, and two commands.
 """
+SHORT_RESTART_S = 0.05
+"""Time in which a server is back so soon that no command is sent to it meanwhile."""
 LEASE_S = 3.0
 """TTL of the leader lease."""
 
@@ -230,6 +232,24 @@
     run_scenario(scenario)
 
 
+def test_a_server_that_is_back_within_a_second_gets_no_old_fence() -> None:
+    """Guards against a renewal at an old fence to the next life of a server.
+
+    Nothing was sent to its address in between, and its entry has not changed.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        for after_s in (0.1, 0.3, 0.5, 0.7):
+            first = fleet.servers.incarnations[0]
+            first.is_up = False
+            await asyncio.sleep(SHORT_RESTART_S)
+            fleet.servers.incarnations[0] = fleet.servers.start(first.entry)
+            await asyncio.sleep(5.0 + after_s)
+            await fleet.settle()
+
+    run_scenario(scenario)
+
+
 def test_all_routers_killed_during_a_move_finish_it_after_their_return() -> None:
     """Guards against a stored move that no later leader completes."""
 
