Play queues, cut-off routers and requests that crash servers in the soak

Cause: the soak had one proxy in front of each server, shared by all routers, so the link of a single router could not fail. The proxy also went on accepting connections for a server that was down, so no crash looked like one. Ruled out: reading a router's name off its bytes (a connection is refused or not before its first byte); its source address (the same); a setting of the product for the soak's sake. Change: each router has a proxy of its own for each server, at the router's address and the server's port; soak/links.py starts platform/start.py with connections to the servers' address going there. New kinds: router-queue (bytes wait 0.5 to 2 s and arrive in order, after a reset too; in 2 of 3 an owner of keys is silent to all afterwards), router-cut-off, most-routers-cut-off, poison-request. New checks: cut-off, poison. A server that is down refuses connections. The longest stall of the run's own process is counted.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 from standins.edgeserver import response_body
 
 from .checks import CHANGE_APPLIES_S, CallResult, Checks, Rule
+from .fleet import POISON_PREFIX
 from .operator import (
     HOST,
     KEYED_READ,
@@ -32,6 +33,8 @@
 DEADLINE_MS = 2500
 TIMEOUT_S = 4.0
 """Time after which a caller gives up."""
+POISON_PAUSE_S = (0.1, 0.4)
+"""Bounds of the pause until a request that crashes servers is sent again."""
 CHECK_PERIOD_S = 1.0
 """Period in which the load balancer asks routers whether they are ready."""
 MISSES = 2
@@ -141,6 +144,41 @@
         return is_kept
 
 
+class PoisonCaller:
+    """Sends requests that crash servers, and sends each again when it has failed."""
+
+    def __init__(self, checks: Checks) -> None:
+        self._checks = checks
+        self._sent = 0
+        self._crashes_s: dict[str, list[float]] = {}
+        """Times at which servers crashed, by the path of the request."""
+
+    def record_crash(self, path: str) -> None:
+        """Record that a request has crashed a server."""
+        self._crashes_s[path].append(time.monotonic())
+
+    async def run(
+        self,
+        end_s: float,
+        balancer: Balancer,
+        proxies: dict[str, Proxy],
+        rng: random.Random,
+    ) -> None:
+        """Send a new such request again and again until a time."""
+        path = f"{POISON_PREFIX}{len(self._crashes_s)}"
+        self._crashes_s[path] = []
+        while time.monotonic() < end_s:
+            self._sent += 1
+            proxy = proxies[balancer.choose().name]
+            async with aiohttp.ClientSession() as session:
+                request_id = f"poison-{self._sent}"
+                await send_request(
+                    session, proxy, "GET", path, request_id, {}, self._checks
+                )
+            await asyncio.sleep(rng.uniform(*POISON_PAUSE_S))
+        self._checks.check_poison(path, self._crashes_s[path], end_s)
+
+
 async def send_request(
     session: aiohttp.ClientSession,
     proxy: Proxy,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -31,6 +31,15 @@
 """Share of the requests that have to be served at the end of a run."""
 EARLY_CLOSE_S = 0.2
 """Time after a request in which a stopping router may close its connection unread."""
+RELATIVE_SHARE = 2 / 3
+"""Share of requests served at routers cut off from the servers, to that elsewhere."""
+FAILURES_SLACK = 10
+FAILED_SHARE = 0.02
+"""Requests that may fail at these routers: ``FAILURES_SLACK`` and this share of all."""
+CRASHES = 3
+"""Crashes after which a request that causes them is known."""
+MAX_LATE_ARRIVALS = 3
+"""Arrivals of it allowed from ``CONTACT_S`` after these crashes on."""
 STORE = "store"
 SERVERS = "servers"
 TRUE_REFUSALS = frozenset({408, 421, 429, 503})
@@ -49,6 +58,8 @@
     DRAIN = "drain"
     GRACEFUL_STOP = "graceful-stop"
     LIMIT = "limit"
+    CUT_OFF = "cut-off"
+    POISON = "poison"
     RECOVERY = "recovery"
     KEEPS_RUNNING = "keeps-running"
 
@@ -224,6 +235,64 @@
                     server,
                 )
 
+    def check_cut_off(
+        self,
+        routers: frozenset[str],
+        intact: set[str],
+        start_s: float,
+        end_s: float,
+    ) -> None:
+        """Check that callers of routers without links to the servers were served.
+
+        ``intact`` are routers that had all their links meanwhile.
+        """
+        start_s += CONTACT_S
+        parts = (STORE, SERVERS)
+        if not all(self.disturbances.is_calm(part, start_s, end_s) for part in parts):
+            return
+        sent = [r for r in self.results if start_s <= r.sent_s and r.ended_s <= end_s]
+        here = [r for r in sent if r.router in routers]
+        elsewhere = [r for r in sent if r.router in intact]
+        if not elsewhere:
+            return
+        self.counts["requests at routers cut off"] += len(here)
+        failed = sum(result.status != 200 for result in here)
+        is_worse = _served_share(here) < RELATIVE_SHARE * _served_share(elsewhere)
+        if is_worse and failed > FAILURES_SLACK + FAILED_SHARE * len(sent):
+            statuses = dict(Counter(str(result.status) for result in here))
+            self.break_rule(
+                Rule.CUT_OFF,
+                f"{failed} of {len(here)} failed at {sorted(routers)}: {statuses}, "
+                f"{_served_share(elsewhere):.2f} of {len(elsewhere)} served elsewhere",
+            )
+
+    def check_poison(self, path: str, crashes_s: list[float], end_s: float) -> None:
+        """Check a request that has crashed servers, and those beside it.
+
+        It is known as long as one router has gone on.
+        """
+        self.counts["crashes by poison requests"] += len(crashes_s)
+        if len(crashes_s) < CRASHES:
+            return
+        known_s = crashes_s[CRASHES - 1] + CONTACT_S
+        late_s = [time_s for time_s in crashes_s if time_s > known_s]
+        routers = {result.router for result in self.results}
+        goes_on = any(
+            self.disturbances.is_calm(router, crashes_s[0], end_s) for router in routers
+        )
+        if goes_on and len(late_s) > MAX_LATE_ARRIVALS:
+            detail = f"{path} reached servers {len(late_s)} times once it was known"
+            self.break_rule(Rule.POISON, detail)
+        self.counts["poison requests known"] += 1
+        beside = [r for r in self.results if known_s <= r.sent_s and r.ended_s <= end_s]
+        is_calm = self.disturbances.are_routers_calm(known_s, end_s)
+        if not is_calm or not self.disturbances.is_calm(SERVERS, known_s, end_s, True):
+            return
+        self.counts["requests beside poison requests"] += len(beside)
+        if _served_share(beside) < SERVED_SHARE:
+            statuses = dict(Counter(str(result.status) for result in beside))
+            self.break_rule(Rule.POISON, f"requests beside {path}: {statuses}")
+
     def check_end(self, end_s: float) -> None:
         """Check everything that is known only at the end of a run."""
         idempotent = {r.request_id: r.is_idempotent for r in self.results}
@@ -262,3 +331,8 @@
                 f"{result.request_id} {result.path} at {result.router}: connection "
                 f"ended after {took_s:.2f} s, run {has_run}",
             )
+
+
+def _served_share(results: list[CallResult]) -> float:
+    served = sum(result.status == 200 for result in results)
+    return served / len(results) if results else 1.0
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -1,9 +1,8 @@
-"""Starts an edge router with a defect, to show that a soak finds such defects.
+"""Defects of an edge router, to show that a soak finds such defects.
 
-``python -m soak --defect NAME`` runs all routers by this program.
+``python -m soak --defect NAME`` runs all routers with one (``links.py``).
 """
 
-import sys
 from collections.abc import Callable
 from typing import Any
 from unittest.mock import patch
@@ -14,14 +13,16 @@
 from mulberryrelay_edge.callers import CallerServer
 from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
+from mulberryrelay_edge.grantexpiries import SentGrant
 from mulberryrelay_edge.grants import GrantManager
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_edge.messages import BackendServer, EdgeResponse
 from mulberryrelay_edge.requestbuffer import BodyHold
 from mulberryrelay_edge.serverlimits import ServerLimits
+from mulberryrelay_edge.serverreach import ServerReach
 from mulberryrelay_edge.tablestore import TableRead
 from mulberryrelay_kernel.ids import ServiceName
-from mulberryrelay_platform.main import main
+from mulberryrelay_router.suspects import Suspects
 
 _run_exchange = Exchange.run
 _apply_routes = Catalog.apply_routes
@@ -35,6 +36,10 @@
     return result
 
 
+def _settle_at_write(grant: SentGrant) -> None:
+    grant._written_ms = grant._settled_ms = grant._clock()
+
+
 def _apply_first_routes(catalog: Catalog, read: TableRead, is_complete: bool) -> None:
     if catalog.routes is None:
         _apply_routes(catalog, read, is_complete)
@@ -55,6 +60,10 @@
     return msgspec.structs.replace(response, body=response.body[:2000])
 
 
+async def _report_no_suspects(suspects: Suspects, reported: Any) -> None:
+    pass
+
+
 def _serving_and_draining(
     catalog: Catalog, service: ServiceName
 ) -> list[BackendServer]:
@@ -65,6 +74,13 @@
     "grants-expire-at-once": lambda: patch.object(
         GrantManager, "grant_expires_ms", lambda self, incarnation: 0.0
     ),
+    "grants-expire-from-their-write": lambda: patch.object(
+        SentGrant, "record_write", _settle_at_write
+    ),
+    "links-never-suspected": lambda: patch.object(
+        ServerReach, "suspect", lambda self: None
+    ),
+    "crashes-unnoticed": lambda: patch.object(Suspects, "report", _report_no_suspects),
     "lease-never-expires": lambda: patch.object(
         LeaderLease, "is_valid", property(lambda self: self.is_held)
     ),
@@ -88,7 +104,3 @@
         ServerLimits, "record", lambda self, server, limit_per_s: None
     ),
 }
-
-if __name__ == "__main__":
-    with DEFECTS[sys.argv[1]]():
-        main()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,4 +1,8 @@
-"""Backend servers of a run: each behind a proxy, registered in the store."""
+"""Backend servers of a run, registered in the store.
+
+Each router reaches a server by way of a proxy of its own, at the router's own address
+and the server's port (``links.py``).
+"""
 
 import asyncio
 import contextlib
@@ -16,22 +20,28 @@
 from standins.keyedservers import KeyedServers
 from standins.tables import Tables
 
+from .links import SERVERS_HOST
 from .operator import KEYED_SERVICE
 from .proxy import Proxy
+from .routers import RouterProcess
 
-HOST = "127.0.0.1"
+HOST = SERVERS_HOST
 SLOTS = 4
 WORK_S = 0.03
 SLOW_FACTOR = 6.0
 HEARTBEAT_S = 0.87
 LAPSE_S = 3 * HEARTBEAT_S
 """Time without a heartbeat after which the store removes a server's entry."""
+POISON_PREFIX = "/receipt/poison-"
+"""Prefix of the paths of requests that crash whichever server runs them."""
+POISONED_FOR_S = 0.5
+"""Time until a server that such a request has crashed is started again."""
 LEAVES_S = 3.0
 """Time from the report that a server leaves until its entry is removed and it ends."""
 
 
 class SoakServer:
-    """A place for one server: its proxy and address stay, incarnations change."""
+    """A place for one server: its links and address stay, incarnations change."""
 
     def __init__(
         self,
@@ -40,17 +50,24 @@
         zone: str,
         servers: KeyedServers,
         tables: Tables,
+        routers: list[RouterProcess],
         on_execution: Callable[[Execution], None],
+        on_poison: Callable[[str], None],
     ) -> None:
+        """``on_poison`` gets the path of each request that crashes a server."""
         self.name = ServerId(f"i-{service}-{number}")
         self.service = service
-        self.proxy: Proxy | None = None
+        self.links: dict[str, Proxy] = {}
+        """The link of each router to the server, by the router's name."""
         self.incarnation: EdgeServer | None = None
         self.state = ServerState.SERVING
         self._zone = zone
         self._servers = servers
         self._tables = tables
+        self._routers = routers
         self._on_execution = on_execution
+        self._on_poison = on_poison
+        self._port = 0
         self._runner: web.ServerRunner | None = None
         self._lives = 0
 
@@ -61,20 +78,21 @@
         return self.incarnation
 
     async def open(self) -> None:
-        """Listen behind a proxy and start the first incarnation."""
+        """Listen behind the links and start the first incarnation."""
         self._runner = web.ServerRunner(
             web.Server(self._handle, access_log=None, handler_cancellation=True)
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, HOST, 0, backlog=512).start()
-        port = self._runner.addresses[0][1]
-        self.proxy = Proxy(HOST, HOST, int(port))
-        await self.proxy.start()
-        self.start()
-
-    def start(self, keeps_name: bool = True) -> None:
+        self._port = int(self._runner.addresses[0][1])
+        for router in self._routers:
+            link = Proxy(router.host, HOST, self._port)
+            await link.start(self._port)
+            self.links[router.name] = link
+        await self.start()
+
+    async def start(self, keeps_name: bool = True) -> None:
         """Start an incarnation, under the id of the one before or a new id."""
-        assert self.proxy is not None
         self._lives += 1
         if not keeps_name:
             self.name = ServerId(f"{self.name.partition('~')[0]}~{self._lives}")
@@ -84,7 +102,7 @@
             int(time.time() * 1000),
             ServiceName(self.service),
             HOST,
-            self.proxy.port,
+            self._port,
             DataCentre(self._zone),
             SLOTS,
             ServerState.SERVING,
@@ -93,15 +111,20 @@
         is_keyed = self.service == KEYED_SERVICE
         server = self._servers.start(entry)
         self.incarnation = EdgeServer(server, is_keyed, WORK_S, self._on_execution)
+        for link in self.links.values():
+            await link.set_target_down(False)
         self.register()
 
-    def crash(self) -> None:
+    async def crash(self) -> None:
         """End the incarnation at once, without a word."""
-        if self.incarnation is None or self.proxy is None:
+        if self.incarnation is None:
             return
         self.incarnation.server.is_up = False
         self.incarnation = None
-        self.proxy.reset_connections()
+        for link in self.links.values():
+            await link.set_target_down(True)
+        for link in self.links.values():
+            link.reset_connections()
 
     def register(self) -> None:
         """Write the server's entry if it has changed or is missing."""
@@ -119,8 +142,8 @@
 
     async def close(self) -> None:
         """Stop to listen."""
-        if self.proxy is not None:
-            await self.proxy.close()
+        for link in self.links.values():
+            await link.close()
         if self._runner is not None:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._runner.cleanup(), 1.0)
@@ -131,8 +154,19 @@
             assert request.transport is not None
             request.transport.abort()
             return web.Response(status=503)
+        if request.path.startswith(POISON_PREFIX):
+            await asyncio.sleep(WORK_S)
+            if self.incarnation is incarnation:
+                self._on_poison(request.path)
+                await asyncio.shield(self._crash_for(POISONED_FOR_S))
         return await incarnation.handle(request)
 
+    async def _crash_for(self, down_s: float) -> None:
+        await self.crash()
+        await asyncio.sleep(down_s)
+        if self.incarnation is None:
+            await self.start()
+
     def _encode(self) -> bytes:
         entry = self.running.server.entry
         is_serving = self.state is ServerState.SERVING
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -17,9 +17,9 @@
 from .checks import CONTACT_S, SERVERS, STORE, Checks
 from .faultkinds import FaultKind
 from .fleet import LAPSE_S, LEAVES_S, SLOW_FACTOR, WORK_S, SoakServer
-from .operator import Operator
+from .operator import KEYED_SERVICE, Operator
 from .plan import Fault
-from .proxy import Proxy
+from .proxy import LinkState, Proxy
 from .routers import GRACE_S, RouterProcess
 
 RESTART_S = (0.1, 1.5)
@@ -30,6 +30,23 @@
 COPY_PERIOD_S = 1.0
 """Period in which the store is copied; a restore uses the oldest copy."""
 COPIES = 8
+QUEUED_S = (0.5, 2.0)
+"""Bounds of the time for which bytes wait in the queue of a link."""
+LOST_AFTER_QUEUE_S = 7.0
+"""Time after a queue for which one of the servers may be silent to all routers.
+
+It outlasts the grants that have waited in the queue.
+"""
+ARRIVES_S = 0.1
+"""Time in which bytes arrive once they do not wait any more."""
+CUT_OFF_S = CONTACT_S + 1.0
+"""Minimum time for which a router is cut off from the servers."""
+MOST = 0.7
+"""Share of the routers that are cut off at a time."""
+BEGINS_S = 0.1
+"""Time in which a fault of links has begun."""
+POISON_S = 10.0
+"""Time for which a request that crashes servers is sent."""
 REWRITE_S = 0.3
 """Time after a restore until the operator and the servers write again."""
 
@@ -46,8 +63,10 @@
         caller_proxies: dict[str, Proxy],
         operator: Operator,
         checks: Checks,
+        send_poison: Callable[[float], Awaitable[None]],
         rng: random.Random,
     ) -> None:
+        """``send_poison`` sends a request that crashes servers until a time."""
         self._routers = routers
         self._servers = servers
         self._store = store
@@ -56,6 +75,11 @@
         self._operator = operator
         self._checks = checks
         self._rng = rng
+        self._send_poison = send_poison
+        self._faulty_links: set[str] = set()
+        """Routers whose links to the servers have a fault."""
+        self._is_owner_silent = False
+        """Whether a server is silent after bytes for it have waited in a queue."""
         self._copies: list[TablesCopy] = []
         self._store_silences = 0
         self._busy_stores = 0
@@ -65,6 +89,9 @@
             FaultKind.ROUTER_PAUSE: self._pause_router,
             FaultKind.ROUTER_HANGUP: self._hang_up,
             FaultKind.ALL_ROUTERS_KILL: self._kill_all_routers,
+            FaultKind.ROUTER_QUEUE: self._queue_links,
+            FaultKind.ROUTER_CUT_OFF: self._cut_off_router,
+            FaultKind.MOST_ROUTERS_CUT_OFF: self._cut_off_most,
             FaultKind.CALLER_LINK_RESET: self._reset_callers,
             FaultKind.STORE_LINK_CUT: self._cut_from_store,
             FaultKind.STORE_LINK_REFUSED: self._refuse_at_store,
@@ -76,6 +103,7 @@
             FaultKind.SERVER_SLOW: self._slow_server,
             FaultKind.SERVER_DRAIN: self._drain_server,
             FaultKind.SERVER_LIMIT: self._limit_server,
+            FaultKind.POISON_REQUEST: self._crash_servers,
             FaultKind.SERVER_LOSES_RESPONSES: self._lose_responses,
             FaultKind.STORE_SILENT: self._silence_store,
             FaultKind.STORE_BUSY: self._refuse_calls,
@@ -193,14 +221,89 @@
         await asyncio.sleep(fault.for_s)
         proxy.is_refusing = False
 
+    async def _queue_links(self, fault: Fault) -> None:
+        """Let bytes wait; one owner of keys may be silent to all others and after."""
+        router = self._router(fault)
+        shortest_s, longest_s = QUEUED_S
+        for_s = min(longest_s, shortest_s + fault.for_s / 3)
+        if router.name in self._faulty_links or self._is_owner_silent:
+            return
+        self._disturb(router.name, for_s)
+        queue = self._set_all_links([router], LinkState.QUEUED, for_s)
+        if fault.target % 3 == 0:
+            await queue
+            return
+        self._is_owner_silent = True
+        keyed = [s for s in self._servers if s.service == KEYED_SERVICE]
+        links = dict(self._rng.choice(keyed).links)
+        link = links.pop(router.name)
+        lost_s = for_s + LOST_AFTER_QUEUE_S
+        self._disturb(SERVERS, lost_s)
+        others = asyncio.create_task(
+            _set_links(list(links.values()), LinkState.HUNG, lost_s)
+        )
+        await queue
+        await asyncio.sleep(ARRIVES_S)
+        await _set_links([link], LinkState.HUNG, LOST_AFTER_QUEUE_S)
+        await others
+        self._is_owner_silent = False
+
+    async def _cut_off_router(self, fault: Fault) -> None:
+        await self._cut_off([self._router(fault)], fault)
+
+    async def _cut_off_most(self, fault: Fault) -> None:
+        start = fault.target % len(self._routers)
+        turned = [*self._routers[start:], *self._routers[:start]]
+        await self._cut_off(turned[: round(MOST * len(turned))], fault)
+
+    async def _cut_off(self, routers: list[RouterProcess], fault: Fault) -> None:
+        """Cut routers off from all servers; open connections hang, end or live on."""
+        for_s = CUT_OFF_S + fault.for_s
+        routers = [r for r in routers if r.name not in self._faulty_links]
+        resets = fault.target % 3 == 0
+        is_hung = fault.target % 3 == 1
+        state = LinkState.HUNG if is_hung else LinkState.REFUSING
+        if is_hung:
+            # Requests that were written before arrive when the links are back.
+            for router in routers:
+                self._disturb(router.name, for_s)
+        started_s = time.monotonic()
+        cut = asyncio.create_task(self._set_all_links(routers, state, for_s))
+        await asyncio.sleep(BEGINS_S)
+        if resets:
+            for server in self._servers:
+                for router in routers:
+                    server.links[router.name].reset_connections()
+        intact = self._intact_routers()
+        await cut
+        intact &= self._intact_routers()
+        names = frozenset(router.name for router in routers)
+        self._checks.check_cut_off(names, intact, started_s, time.monotonic())
+
+    def _intact_routers(self) -> set[str]:
+        return {router.name for router in self._routers} - self._faulty_links
+
+    async def _set_all_links(
+        self, routers: list[RouterProcess], state: LinkState, for_s: float
+    ) -> None:
+        """Give the links of routers to all servers a fault."""
+        names = {router.name for router in routers}
+        self._faulty_links |= names
+        links = [server.links[name] for server in self._servers for name in names]
+        await _set_links(links, state, for_s)
+        self._faulty_links -= names
+
+    async def _crash_servers(self, fault: Fault) -> None:
+        await self._send_poison(time.monotonic() + POISON_S)
+
     async def _crash_server(self, fault: Fault) -> None:
         server = self._server(fault)
         if server.incarnation is None:
             return
         self._disturb(SERVERS, fault.for_s + LAPSE_S)
-        server.crash()
+        await server.crash()
         await asyncio.sleep(fault.for_s + LAPSE_S)
-        server.start(keeps_name=False)
+        await server.start(keeps_name=False)
 
     async def _restart_server(self, fault: Fault) -> None:
         server = self._server(fault)
@@ -208,33 +311,33 @@
             return
         down_s = min(1.0, fault.for_s)
         self._disturb(SERVERS, down_s)
-        server.crash()
+        await server.crash()
         await asyncio.sleep(down_s)
-        server.start()
+        await server.start()
 
     async def _silence_server(self, fault: Fault) -> None:
-        proxy = self._proxy(fault)
+        links = self._server(fault).links.values()
         self._disturb(SERVERS, fault.for_s)
-        proxy.is_silent_to_target = proxy.is_silent_from_target = True
+        for link in links:
+            link.is_silent_to_target = link.is_silent_from_target = True
         await asyncio.sleep(fault.for_s)
-        proxy.is_silent_to_target = proxy.is_silent_from_target = False
+        for link in links:
+            link.is_silent_to_target = link.is_silent_from_target = False
 
     async def _deafen_server(self, fault: Fault) -> None:
         """Let a server receive everything while its responses are held back."""
-        proxy = self._proxy(fault)
+        links = self._server(fault).links.values()
         self._disturb(SERVERS, fault.for_s)
-        proxy.is_silent_from_target = True
+        for link in links:
+            link.is_silent_from_target = True
         await asyncio.sleep(fault.for_s)
-        proxy.is_silent_from_target = False
+        for link in links:
+            link.is_silent_from_target = False
 
     async def _reset_server(self, fault: Fault) -> None:
         self._disturb(SERVERS, 0.1)
-        self._proxy(fault).reset_connections()
-
-    def _proxy(self, fault: Fault) -> Proxy:
-        proxy = self._server(fault).proxy
-        assert proxy is not None
-        return proxy
+        for link in self._server(fault).links.values():
+            link.reset_connections()
 
     async def _slow_server(self, fault: Fault) -> None:
         server = self._server(fault).incarnation
@@ -261,8 +364,8 @@
         if place.incarnation is not server:
             return
         place.remove_entry()
-        place.crash()
-        place.start(keeps_name=False)
+        await place.crash()
+        await place.start(keeps_name=False)
 
     async def _limit_server(self, fault: Fault) -> None:
         server = self._server(fault).incarnation
@@ -341,3 +444,11 @@
     async def _remove_route(self, fault: Fault) -> None:
         if not self.is_store_away:
             self._operator.remove_route()
+
+
+async def _set_links(links: list[Proxy], state: LinkState, for_s: float) -> None:
+    for link in links:
+        await link.set_link(state)
+    await asyncio.sleep(for_s)
+    for link in links:
+        await link.set_link(LinkState.OPEN)
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -12,8 +12,7 @@
 from .options import SoakOptions
 
 ROOT = Path(__file__).parent.parent
-PROGRAM = ("platform/start.py",)
-DEFECTIVE_PROGRAM = ("-m", "soak.defects")
+PROGRAM = ("-m", "soak.links")
 CALLER_PORT = 8381
 READY_PORT = 8388
 INTERNAL_PORT = 7200
@@ -33,12 +32,10 @@
         self, number: int, zone: str, options: SoakOptions, directory: Path
     ) -> None:
         network = options.network
-        self._program = (
-            (*DEFECTIVE_PROGRAM, options.defect) if options.defect else PROGRAM
-        )
         self.name = f"router-{number}"
         self.zone = zone
         self.host = f"127.0.{network + number // 200}.{1 + number % 200}"
+        self._program = (*PROGRAM, self.host, *filter(None, [options.defect]))
         self.starts = 0
         """How often it was started; each start begins a new lifetime."""
         self.is_paused = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from standins.tables import Tables
 from standins.tableserver import TableServer
 
-from .callers import Balancer, Caller, probe_routes
+from .callers import Balancer, Caller, PoisonCaller, probe_routes
 from .checks import CallResult, Checks, Rule, Violation
 from .fleet import HOST, Registry, SoakServer
 from .injector import Injector
@@ -60,6 +60,7 @@
             RouterProcess(number, ZONES[number % len(ZONES)], options, self._directory)
             for number in range(options.routers)
         ]
+        self._poison = PoisonCaller(self._checks)
         self._servers = [
             self._new_server(number, service)
             for service, count in (
@@ -106,7 +107,16 @@
     def _new_server(self, number: int, service: str) -> SoakServer:
         zone = ZONES[number % len(ZONES)]
         record = self._checks.record_execution
-        return SoakServer(number, service, zone, self._keyed, self._tables, record)
+        return SoakServer(
+            number,
+            service,
+            zone,
+            self._keyed,
+            self._tables,
+            self._routers,
+            record,
+            self._poison.record_crash,
+        )
 
     async def _open(self) -> web.AppRunner:
         """Start the store, the servers, all proxies and the routers."""
@@ -118,17 +128,18 @@
         for server in self._servers:
             await server.open()
         for router in self._routers:
-            store_proxy = Proxy(HOST, HOST, store_port)
+            store_proxy = Proxy(router.host, HOST, store_port)
             await store_proxy.start()
             self._store_proxies[router.name] = store_proxy
             caller_proxy = Proxy(HOST, router.host, CALLER_PORT)
             await caller_proxy.start()
             self._caller_proxies[router.name] = caller_proxy
-            router.write_settings(f"{HOST}:{store_proxy.port}")
+            router.write_settings(f"{router.host}:{store_proxy.port}")
             router.start()
         return runner
 
     async def _play_faults(self, plan: list[Fault]) -> None:
+        balancer = Balancer(self._routers, self._rng)
         injector = Injector(
             self._routers,
             self._servers,
@@ -137,9 +148,11 @@
             self._caller_proxies,
             self._operator,
             self._checks,
+            lambda end_s: self._poison.run(
+                end_s, balancer, self._caller_proxies, self._rng
+            ),
             self._rng,
         )
-        balancer = Balancer(self._routers, self._rng)
         registry = Registry(self._servers, self._tables)
         self._start(registry.run(lambda: injector.is_store_away))
         self._start(injector.copy_store())
@@ -178,8 +191,13 @@
             self._start(probe_routes(router, proxy, self._operator, self._checks, rng))
 
     async def _watch(self) -> None:
-        """Watch grants and processes; never returns."""
+        """Watch grants, processes and this process's own stalls; never returns."""
+        watched_s = time.monotonic()
         while True:
+            stalled_ms = round((time.monotonic() - watched_s - WATCH_PERIOD_S) * 1000)
+            watched_s = time.monotonic()
+            longest_ms = self._checks.counts["longest stall ms"]
+            self._checks.counts["longest stall ms"] = max(longest_ms, stalled_ms)
             self._checks.watch_grants()
             for router in self._routers:
                 status = router.unexpected_end()
