--- a/soak/defects.py
+++ b/soak/defects.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
+from mulberryrelay_edge import grantexpiries
 from mulberryrelay_edge.callerhandler import CallerHandler
 from mulberryrelay_edge.callers import CallerServer
 from mulberryrelay_edge.catalog import Catalog
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
-from mulberryrelay_edge.grantexpiries import SentGrant
-from mulberryrelay_edge.grants import GrantManager
+from mulberryrelay_edge.grantexpiries import GrantExpiries
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_edge.messages import BackendServer, EdgeResponse
 from mulberryrelay_edge.requestbuffer import BodyHold
@@ -36,10 +36,6 @@
     return result
 
 
-def _settle_at_write(grant: SentGrant) -> None:
-    grant._written_ms = grant._settled_ms = grant._clock()
-
-
 def _apply_first_routes(catalog: Catalog, read: TableRead, is_complete: bool) -> None:
     if catalog.routes is None:
         _apply_routes(catalog, read, is_complete)
@@ -72,10 +68,10 @@
 
 DEFECTS: dict[str, Callable[[], Any]] = {
     "grants-expire-at-once": lambda: patch.object(
-        GrantManager, "grant_expires_ms", lambda self, incarnation: 0.0
+        GrantExpiries, "begun_so_far", lambda self, incarnation: lambda: 0.0
     ),
     "grants-expire-from-their-write": lambda: patch.object(
-        SentGrant, "record_write", _settle_at_write
+        grantexpiries, "MAX_TRAVEL_MS", 0.0
     ),
     "links-never-suspected": lambda: patch.object(
         ServerReach, "suspect", lambda self: None
