Log the age of the view and stalls of the event loop

Cause: the logs of the late requests do not tell whether a router knew of a leaving server, dated it wrongly, or stood still between decision and write. Ruled out: the lines that exist; `server_listed` dates what is known, and nothing says how old the rest is. Conclusion: the three hypotheses differ in these lines.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -165,6 +165,7 @@
             detail=result.detail,
             state=self._dispatcher.describe(server),
             born_ms=server.started_ms,
+            view_age_ms=self._catalog.view_age_ms,
         )
         self._metrics.count(f"attempt_{result.outcome.value}")
 
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -32,7 +32,7 @@
 MAX_LEAVING = 4096
 """Incarnations of which it is remembered that they leave."""
 MAX_LOGGED_AGE_MS = 3_600_000.0
-"""Age of an entry in a log line if it is not known."""
+"""Age in a log line if it is not known."""
 
 
 class Catalog:
@@ -166,6 +166,12 @@
         if len(self._leaving_ms) > MAX_LEAVING:
             del self._leaving_ms[next(iter(self._leaving_ms))]
 
+    @property
+    def view_age_ms(self) -> int:
+        """Time since all changes of the servers were known here, for log lines."""
+        age_ms = self._clock() - self._store_sync.informed_until_ms
+        return round(min(max(age_ms, 0.0), MAX_LOGGED_AGE_MS))
+
     def is_drain_grace_over(self, server: BackendServer) -> bool:
         """Return whether a server has drained so long that it gets no more requests."""
         since_ms = self._leaving_ms.get((server.server, server.started_ms))
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -338,6 +338,7 @@
             routes_version=self._catalog.version,
             ranges_version=self._ownership.version(request.service),
             store_silent_ms=round(self._catalog.store_unreachable_ms),
+            view_age_ms=self._catalog.view_age_ms,
         )
         self._metrics.count(f"given_up_{reason}")
         if result is not None and had_free_slot(result):
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -18,6 +18,7 @@
 from .controlplane import ControlPlane
 from .dispatch import Dispatcher
 from .forwarder import RequestForwarder
+from .loopwatch import log_stalls
 from .monitoring import MonitoringServer
 from .relay import RelayReceiver
 from .suspectlink import EDGE_POLICY
@@ -161,6 +162,7 @@
             *control.tasks(),
             run_supervised("dispatch", dispatcher.run),
             run_supervised("reload", lambda: reload_settings(adapter, hangup)),
+            run_supervised("stalls", lambda: log_stalls(clock)),
             run_supervised("summaries", lambda: log_summaries(metrics)),
         )
     ]
