Test how late a draining owner gets requests while the leader's polls are late

Cause, of the tests' failures: a leader takes a change that a poll returns for new, whatever the time that the reply travelled. It states the start of its last lease renewal as the time until which it knows all changes, although no poll returned since. Change: stand-ins can lose or delay replies to polls of one table; three tests let an owner drain at several moments of such a trouble.

--- a/standins/tables.py
+++ b/standins/tables.py
@@ -128,9 +128,17 @@
         self.late_share = 0.0
         """Fraction of the transactions applied seconds later, without a reply."""
         self.reply_delay_s = REPLY_DELAY_S
+        self.lost_polls: set[str] = set()
+        """Tables whose waiting polls get no reply."""
+        self.poll_travel_s: dict[str, float] = {}
+        """Time that the reply to a waiting poll of a table travels."""
+        self.failing_reads: set[str] = set()
+        """Tables whose reads and polls fail although the store answers other calls."""
 
     async def read(self, table: str) -> Result[TableRead, TableFailure]:
         failure = await self._injected_failure()
+        if failure is None and table in self.failing_reads:
+            failure = await self._time_out()
         if failure is not None:
             return Failure(failure)
         rows = [row for (name, _), row in self._tables.rows.items() if name == table]
@@ -138,6 +146,22 @@
 
     async def follow(
         self, table: str, after: int, wait_ms: int
+    ) -> Result[TableRead, TableFailure]:
+        loop = asyncio.get_running_loop()
+        given_up_s = loop.time() + wait_ms / 1000 + CALL_TIMEOUT_S
+        result = await self._follow(table, after, wait_ms)
+        if table in self.failing_reads:
+            return Failure(await self._time_out())
+        travel_s = self.poll_travel_s.get(table, 0.0)
+        if table in self.lost_polls or loop.time() + travel_s > given_up_s:
+            await asyncio.sleep(given_up_s - loop.time())
+            return Failure(TableFailure.UNKNOWN)
+        if travel_s:
+            await asyncio.sleep(travel_s)
+        return result
+
+    async def _follow(
+        self, table: str, after: int, wait_ms: int
     ) -> Result[TableRead, TableFailure]:
         failure = await self._injected_failure()
         if failure is not None:
@@ -206,6 +230,11 @@
         ]
         return self._tables.apply(own_conditions, writes)
 
+    async def _time_out(self) -> TableFailure:
+        """Wait until a call without a reply is given up; return its failure."""
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        return TableFailure.UNKNOWN
+
     async def _injected_failure(self) -> TableFailure | None:
         """Count a call, delay it and return its failure, if it is to fail."""
         self._tables.calls += 1
--- /dev/null
+++ b/tests/test_edge_view_age.py
@@ -0,0 +1,133 @@
+"""A draining owner gets no request that a router sends because its view is old.
+
+The time counts from the store's acknowledgement of the report, however late a router
+learns of it. Tests of whole fleets run in virtual time.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge.catalog import SEND_MARGIN_MS
+from mulberryrelay_edge.messages import BackendServer
+from mulberryrelay_kernel.states import ServerState
+
+from .fixtures.edgefleet import (
+    DRAIN_MS,
+    SERVERS_TABLE,
+    SERVICE,
+    Fleet,
+    FleetRouter,
+    backend,
+)
+
+KEY = 0
+"""Key whose owner drains."""
+GRACE_S = (DRAIN_MS - SEND_MARGIN_MS) / 1000
+"""Time after the acknowledgement for which a draining owner may get requests."""
+STEP_S = 0.02
+"""Period in which the routers are asked whether they would send a request."""
+MOMENTS_S = (0.0, 0.3, 0.7, 1.2, 5.0)
+"""Times for which a trouble has lasted when an owner reports that it drains."""
+ROUTERS = 5
+SERVER_COUNTS = (1, 4)
+"""With a single server the keys stay, as there is no other owner for them."""
+
+Trouble = Callable[[Fleet, FleetRouter], None]
+"""Starts a trouble of the leader, or of the followers."""
+
+
+def owner_in_use(router: FleetRouter, key: int) -> BackendServer | None:
+    """Return the server to which a router would send a request for a key now."""
+    key_range = router.ownership.find(SERVICE, key)
+    if key_range is None or key_range.is_moving:
+        return None
+    return router.catalog.serving_owner(key_range)
+
+
+async def _start_fleet(servers: int) -> Fleet:
+    """Return a fleet with all keys granted and its followers connected."""
+    fleet = Fleet(1, ROUTERS, servers)
+    await fleet.settle()
+    await asyncio.sleep(1.0)
+    assert all(owner_in_use(router, KEY) is not None for router in fleet.routers)
+    return fleet
+
+
+def _drain_owner(fleet: Fleet) -> BackendServer:
+    """Let the owner of the key report that it drains; return its entry."""
+    owner = owner_in_use(fleet.routers[0], KEY)
+    assert owner is not None
+    draining = msgspec.structs.replace(owner, state=ServerState.DRAINING)
+    fleet.register(draining)
+    return draining
+
+
+async def _late_senders(
+    fleet: Fleet, draining: BackendServer, watched_s: float
+) -> dict[str, float]:
+    """Return the routers that would send to a server whose report is just stored.
+
+    Each has the time after the report, in seconds, at which it last would.
+    """
+    stored_ms = virtual_clock()
+    last_s: dict[str, float] = {}
+    await asyncio.sleep(GRACE_S + STEP_S)
+    while virtual_clock() < stored_ms + watched_s * 1000:
+        for router in fleet.routers:
+            owner = owner_in_use(router, KEY)
+            if owner is None or owner.server != draining.server:
+                continue
+            role = "leader" if router is fleet.leader else "follower"
+            after_s = (virtual_clock() - stored_ms) / 1000
+            last_s[f"{role} {router.name}"] = round(after_s, 2)
+        await asyncio.sleep(STEP_S)
+    return last_s
+
+
+async def _play(trouble: Trouble, watched_s: float) -> None:
+    """Let an owner drain at several moments of a trouble; fail if requests are late."""
+    errors = []
+    for servers in SERVER_COUNTS:
+        for moment_s in MOMENTS_S:
+            fleet = await _start_fleet(servers)
+            leader = fleet.leader
+            assert leader is not None
+            trouble(fleet, leader)
+            await asyncio.sleep(moment_s)
+            draining = _drain_owner(fleet)
+            late = await _late_senders(fleet, draining, watched_s)
+            if late:
+                errors.append(f"{servers} servers, {moment_s} s: {late}")
+            fleet.stop()
+    assert not errors, "\n".join(errors)
+
+
+def test_a_lost_poll_of_the_leader_causes_no_late_requests() -> None:
+    """Guards against a leader whose poll hangs while its lease is renewed."""
+
+    def lose_polls(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.lost_polls.add(SERVERS_TABLE)
+
+    run_virtual(_play(lose_polls, watched_s=13.0))
+
+
+def test_a_slow_poll_of_the_leader_causes_no_late_requests() -> None:
+    """Guards against a report whose age is taken for zero when a poll returns it."""
+
+    def delay_polls(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.poll_travel_s[SERVERS_TABLE] = 1.0
+
+    run_virtual(_play(delay_polls, watched_s=4.0))
+
+
+def test_a_change_before_the_report_causes_no_late_requests() -> None:
+    """Guards against a report that waits for the pause after an earlier change."""
+
+    def delay_polls_after_change(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.poll_travel_s[SERVERS_TABLE] = 1.0
+        fleet.register(backend(9, state=ServerState.DRAINING))
+
+    run_virtual(_play(delay_polls_after_change, watched_s=4.0))
