Test how late a draining owner gets requests from followers that know less

Cause, of the tests' failures: no router asks how old its view is before it sends. A follower of a leader that states that it is not current sends on. A router that has read all servers polls after the pause for batches, and takes a change of that pause for new. Change: replies to reports can be held in the fleet of the tests; three tests.

--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -21,6 +21,7 @@
     Fleet,
     FleetRouter,
     backend,
+    followers_of,
 )
 
 KEY = 0
@@ -131,3 +132,35 @@
         fleet.register(backend(9, state=ServerState.DRAINING))
 
     run_virtual(_play(delay_polls_after_change, watched_s=4.0))
+
+
+def test_reports_that_hang_cause_no_late_requests() -> None:
+    """Guards against followers that wait for a leader although the store answers."""
+
+    def hold_replies(fleet: Fleet, leader: FleetRouter) -> None:
+        until_s = asyncio.get_running_loop().time() + 2.0
+        for router in followers_of(fleet):
+            router.replies_held_until_s = until_s
+
+    run_virtual(_play(hold_replies, watched_s=5.0))
+
+
+def test_a_leader_that_cannot_read_the_servers_causes_no_late_requests() -> None:
+    """Guards against followers of a leader that states that it is not current."""
+
+    def fail_reads(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.failing_reads.add(SERVERS_TABLE)
+
+    run_virtual(_play(fail_reads, watched_s=6.0))
+
+
+def test_hanging_reports_to_a_leader_with_an_old_view_cause_no_late_requests() -> None:
+    """Guards against followers that return to a leader which knows less than they."""
+
+    def hold_replies_of_uninformed(fleet: Fleet, leader: FleetRouter) -> None:
+        leader.store.lost_polls.add(SERVERS_TABLE)
+        until_s = asyncio.get_running_loop().time() + 2.0
+        for router in followers_of(fleet):
+            router.replies_held_until_s = until_s
+
+    run_virtual(_play(hold_replies_of_uninformed, watched_s=6.0))
