--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -32,6 +32,12 @@
 """Period in which the routers are asked whether they would send a request."""
 MOMENTS_S = (0.0, 0.3, 0.7, 1.2, 5.0)
 """Times for which a trouble has lasted when an owner reports that it drains."""
+OUTAGE_MOMENTS_S = (0.0, 0.3, 0.6, 0.9)
+"""Times after the start of a fleet at which an outage of the store begins."""
+OUTAGE_S = 10.0
+"""Duration of an outage; keys are granted for longer without the store."""
+QUIET_S = 30.0
+"""Time without changes of the servers; it is longer than several polls."""
 ROUTERS = 5
 SERVER_COUNTS = (1, 4)
 """With a single server the keys stay, as there is no other owner for them."""
@@ -164,3 +170,52 @@
             router.replies_held_until_s = until_s
 
     run_virtual(_play(hold_replies_of_uninformed, watched_s=6.0))
+
+
+def _cut_off_from_store(fleet: Fleet) -> None:
+    for router in fleet.routers:
+        router.store.is_partitioned = True
+
+
+def _refuse_calls(fleet: Fleet) -> None:
+    for router in fleet.routers:
+        router.store.is_refusing = True
+
+
+def test_the_last_known_view_is_used_while_the_store_is_away() -> None:
+    """Guards against requests that are refused because the view is old in an outage."""
+
+    async def scenario(start_outage: Callable[[Fleet], None]) -> None:
+        for moment_s in OUTAGE_MOMENTS_S:
+            fleet = await _start_fleet(4)
+            await asyncio.sleep(moment_s)
+            await _check_owner_is_used(fleet, start_outage, OUTAGE_S)
+            fleet.stop()
+
+    for start_outage in (_cut_off_from_store, _refuse_calls):
+        run_virtual(scenario(start_outage))
+
+
+def test_owners_are_used_while_the_servers_do_not_change() -> None:
+    """Guards against requests that are refused because there is nothing to learn."""
+
+    async def scenario() -> None:
+        fleet = await _start_fleet(4)
+        await _check_owner_is_used(fleet, lambda fleet: None, QUIET_S)
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
+async def _check_owner_is_used(
+    fleet: Fleet, start_trouble: Callable[[Fleet], None], for_s: float
+) -> None:
+    """Check that all routers send requests for a key to its owner for some time."""
+    owner = owner_in_use(fleet.routers[0], KEY)
+    started_ms = virtual_clock()
+    start_trouble(fleet)
+    while virtual_clock() < started_ms + for_s * 1000:
+        for router in fleet.routers:
+            after_s = (virtual_clock() - started_ms) / 1000
+            assert owner_in_use(router, KEY) == owner, (router.name, after_s)
+        await asyncio.sleep(STEP_S)
