Test that a request is not written after its owner has drained

Cause, of the test's failure: dispatch looks at the owner and the time for which it drains; the write, which follows the opening of a connection, looks only at the request's deadline. Change: a test with sockets whose clock jumps, as after a stall of the event loop, at each step from the choice of the owner to the write.

--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -12,8 +13,11 @@
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.catalog import SEND_MARGIN_MS
 from mulberryrelay_edge.messages import BackendServer
+from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.states import ServerState
+from mulberryrelay_platform.names import HEADERS
 
+from .fixtures import async_test, wait_until
 from .fixtures.edgefleet import (
     DRAIN_MS,
     SERVERS_TABLE,
@@ -23,6 +27,8 @@
     backend,
     followers_of,
 )
+from .fixtures.edgerouter import edge_response, edge_router
+from .fixtures.rawserver import RawRequest, raw_server
 
 KEY = 0
 """Key whose owner drains."""
@@ -42,6 +48,16 @@
 SERVER_COUNTS = (1, 4)
 """With a single server the keys stay, as there is no other owner for them."""
 
+CHOSEN_BEFORE_MS = 50.0
+"""Time before the end of the grace at which a request is sent to its owner."""
+STALL_MS = 300.0
+"""Time for which a router stands still between the choice of a server and the write."""
+STALL_STEPS = range(12)
+"""Steps of the event loop before it stands still; a request is written in one."""
+REQUEST_TIMEOUT_MS = 700.0
+ROUNDING_MS = 1.0
+"""Difference of the time left that a request states to the time that is left."""
+
 Trouble = Callable[[Fleet, FleetRouter], None]
 """Starts a trouble of the leader, or of the followers."""
 
@@ -219,3 +235,72 @@
             after_s = (virtual_clock() - started_ms) / 1000
             assert owner_in_use(router, KEY) == owner, (router.name, after_s)
         await asyncio.sleep(STEP_S)
+
+
+class ShiftedClock:
+    """The monotonic clock plus the time for which the event loop stood still."""
+
+    def __init__(self) -> None:
+        self.stall_ms = 0.0
+
+    def __call__(self) -> float:
+        return monotonic_ms() + self.stall_ms
+
+
+async def _respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(edge_response(request))
+
+
+async def _write_after_stall(
+    steps: int, is_connected: bool, is_queued: bool
+) -> list[float]:
+    """Return how long after the end of its owner's grace a request was written.
+
+    Empty if it was not written. The event loop stands still ``steps`` steps after the
+    request came, or after its owner got known, and the grace ends meanwhile.
+    """
+    clock = ShiftedClock()
+    async with raw_server(_respond) as server, edge_router(True, clock=clock) as router:
+        owner = router.register_server(server)
+        router.assign_all_keys(owner)
+        if is_connected:
+            first = await router.send(router.request(key=KEY))
+            assert first.status == 200
+        earlier = len(server.received)
+        router.register(msgspec.structs.replace(owner, state=ServerState.DRAINING))
+        grace_end_ms = clock() + GRACE_S * 1000
+        clock.stall_ms += GRACE_S * 1000 - CHOSEN_BEFORE_MS
+        if is_queued:
+            router.assign_all_keys(backend(9))
+        request = router.request(key=KEY, timeout_ms=REQUEST_TIMEOUT_MS)
+        sending = asyncio.ensure_future(router.send(request))
+        if is_queued:
+            await wait_until(lambda: router.dispatcher.queue_length > 0)
+            router.assign_all_keys(owner)
+            router.dispatcher.schedule_dispatch()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        clock.stall_ms += STALL_MS
+        response = await sending
+        assert response.status in (200, 503), response.status
+        name = HEADERS.deadline_ms.lower()
+        return [
+            request.deadline_ms - int(received.headers[name]) - grace_end_ms
+            for received in server.received[earlier:]
+        ]
+
+
+@async_test
+async def test_a_request_is_not_written_after_its_owner_has_drained() -> None:
+    """Guards against a check of the owner that is made before the connection opens."""
+    errors = []
+    written = 0
+    cases = list(itertools.product((False, True), (False, True), STALL_STEPS))
+    for is_connected, is_queued, steps in cases:
+        late_ms = await _write_after_stall(steps, is_connected, is_queued)
+        written += len(late_ms)
+        if any(late > ROUNDING_MS for late in late_ms):
+            case = f"connected: {is_connected}, queued: {is_queued}, {steps} steps"
+            errors.append(f"{case}: {late_ms}")
+    assert not errors, "\n".join(errors)
+    assert 0 < written < len(cases), written
