Test that a read of all servers counts as of its start

Cause: a router that gets no replies from the leader reads all servers and then states that it knows all changes up to the arrival of the reply. Its next poll starts after the pause for batches, and what it returns counts as new. Change: replies to reads of a table can travel in the stand-in; one test.

--- a/standins/tables.py
+++ b/standins/tables.py
@@ -132,6 +132,8 @@
         """Tables whose waiting polls get no reply."""
         self.poll_travel_s: dict[str, float] = {}
         """Time that the reply to a waiting poll of a table travels."""
+        self.read_travel_s: dict[str, float] = {}
+        """Time that the reply to a read of a whole table travels."""
         self.failing_reads: set[str] = set()
         """Tables whose reads and polls fail although the store answers other calls."""
 
@@ -142,7 +144,10 @@
         if failure is not None:
             return Failure(failure)
         rows = [row for (name, _), row in self._tables.rows.items() if name == table]
-        return Success(self._read(rows))
+        read = self._read(rows)
+        if table in self.read_travel_s:
+            await asyncio.sleep(self.read_travel_s[table])
+        return Success(read)
 
     async def follow(
         self, table: str, after: int, wait_ms: int
--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -38,6 +38,8 @@
 """Period in which the routers are asked whether they would send a request."""
 MOMENTS_S = (0.0, 0.3, 0.7, 1.2, 5.0)
 """Times for which a trouble has lasted when an owner reports that it drains."""
+READ_MOMENTS_S = tuple(0.5 + 0.1 * step for step in range(10))
+"""Times after a report began to hang, from before the read that follows until after."""
 OUTAGE_MOMENTS_S = (0.0, 0.3, 0.6, 0.9)
 """Times after the start of a fleet at which an outage of the store begins."""
 OUTAGE_S = 10.0
@@ -110,11 +112,13 @@
     return last_s
 
 
-async def _play(trouble: Trouble, watched_s: float) -> None:
+async def _play(
+    trouble: Trouble, watched_s: float, moments_s: Sequence[float] = MOMENTS_S
+) -> None:
     """Let an owner drain at several moments of a trouble; fail if requests are late."""
     errors = []
     for servers in SERVER_COUNTS:
-        for moment_s in MOMENTS_S:
+        for moment_s in moments_s:
             fleet = await _start_fleet(servers)
             leader = fleet.leader
             assert leader is not None
@@ -123,7 +127,7 @@
             draining = _drain_owner(fleet)
             late = await _late_senders(fleet, draining, watched_s)
             if late:
-                errors.append(f"{servers} servers, {moment_s} s: {late}")
+                errors.append(f"{servers} servers, {moment_s:.1f} s: {late}")
             fleet.stop()
     assert not errors, "\n".join(errors)
 
@@ -167,6 +171,18 @@
     run_virtual(_play(hold_replies, watched_s=5.0))
 
 
+def test_a_report_during_a_slow_read_causes_no_late_requests() -> None:
+    """Guards against a read that counts as of its arrival, and the pause after it."""
+
+    def hold_replies_and_reads(fleet: Fleet, leader: FleetRouter) -> None:
+        until_s = asyncio.get_running_loop().time() + 2.0
+        for router in followers_of(fleet):
+            router.replies_held_until_s = until_s
+            router.store.read_travel_s[SERVERS_TABLE] = 0.25
+
+    run_virtual(_play(hold_replies_and_reads, 4.0, READ_MOMENTS_S))
+
+
 def test_a_leader_that_cannot_read_the_servers_causes_no_late_requests() -> None:
     """Guards against followers of a leader that states that it is not current."""
 
