Date what a router knows of the servers by the start of its calls

Cause: what a router read itself counted as stored when it was read, and a leader stated by the renewal of its lease that its polls had returned all changes. Between the store's answer and the code that reads it lie a link, a queue and an event loop; between two polls lies the pause for batches. Ruled out: the times of the store in its replies, as they need the difference of two clocks; a larger margin, as the delay has no bound. Change: ViewAge holds the time up to which all changes of the servers are known: the start of the last call for the table whose rows are applied, or what the leader states of its own. The leader states it in a new field, as a leader of the build before means another time by the old one. The margin for the way of a request is 0.5 s for 0.4 s. Conclusion: nothing but a call for the table itself dates what is known of it.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from reactivex.subject import Subject
@@ -21,14 +21,15 @@
 
 from .messages import BackendServer, KeyRange, RouteTable
 from .storeversion import restores_of
-from .tablefollower import FollowedTable, Role, StoreSync, follow_table
+from .tablefollower import FollowedTable, StoreSync, follow_table
 from .tablestore import Source, TableRead, TableStore, decode_row
 from .unreachableservers import Incarnation
+from .viewrefresh import ViewRefresher
 
 SERVERS_BATCH_DELAY_S = 0.2
 """Pause after a change of the servers table, to fetch several changes at once."""
-SEND_MARGIN_MS = 400.0
-"""Time that a request may take to reach a server that must soon get none."""
+SEND_MARGIN_MS = 500.0
+"""Time that a request may take from its write to a server that must soon get none."""
 MAX_LEAVING = 4096
 """Incarnations of which it is remembered that they leave."""
 MAX_LOGGED_AGE_MS = 3_600_000.0
@@ -169,7 +170,7 @@
     @property
     def view_age_ms(self) -> int:
         """Time since all changes of the servers were known here, for log lines."""
-        age_ms = self._clock() - self._store_sync.informed_until_ms
+        age_ms = self._store_sync.view_age.age_ms(self._clock())
         return round(min(max(age_ms, 0.0), MAX_LOGGED_AGE_MS))
 
     def is_drain_grace_over(self, server: BackendServer) -> bool:
@@ -212,27 +213,52 @@
 
     def tasks(self) -> list[Awaitable[None]]:
         """Return the tasks that keep the catalog current."""
+        view_age = self._store_sync.view_age
         tables = (
-            FollowedTable(self._route_source.table, self.apply_routes, is_probe=True),
+            FollowedTable(
+                self._route_source.table,
+                self.apply_routes,
+                is_probe=True,
+                begin_call=lambda: self._begin_call(view_age.record_answered),
+            ),
             FollowedTable(
                 self._server_source.table,
                 self.apply_servers,
                 batch_delay_s=SERVERS_BATCH_DELAY_S,
+                begin_call=lambda: self._begin_call(view_age.record_informed),
             ),
         )
-        return [
+        refresher = ViewRefresher(
+            self._store,
+            self._server_source.table,
+            self._store_sync,
+            self._drain_grace_ms,
+            self._record_outage_end,
+            self._clock,
+        )
+        follows = [
             run_supervised(
                 f"follow {table.table}",
                 functools.partial(follow_table, self._store, table, self._store_sync),
             )
             for table in tables
         ]
+        return [*follows, run_supervised("refresh view", refresher.run)]
+
+    def _begin_call(self, record_reply: Callable[[float], None]) -> Callable[[], None]:
+        """Return what records the reply to a call of the store that starts now."""
+        started_ms = self._clock()
+        return lambda: record_reply(started_ms)
+
+    def _record_outage_end(self) -> None:
+        """Let servers register again after an outage of the store."""
+        self._outage_ended_ms = self._clock()
 
     def set_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the store answers."""
         has_ended = is_reachable and not self._is_store_reachable
         if has_ended and self._store_sync.has_own_call_failed:
-            self._outage_ended_ms = self._clock()
+            self._record_outage_end()
         if not is_reachable and self._is_store_reachable:
             self._store_lost_ms = self._clock()
         self._is_store_reachable = is_reachable
@@ -255,7 +281,8 @@
     def apply_servers(self, read: TableRead, is_complete: bool) -> None:
         """Apply changed entries, or replace all entries if ``is_complete``."""
         self._record_restores(restores_of(read.version))
-        stored_from_ms = self._stored_from_ms(is_complete)
+        # The changes were stored after all earlier ones were known.
+        stored_from_ms = min(self._clock(), self._store_sync.informed_until_ms)
         listed: set[ServerId] = set()
         for row in read.rows:
             server = ServerId(row.key)
@@ -274,21 +301,8 @@
         if is_complete:
             for server in [s for s in self._servers if s not in listed]:
                 self._handle_deletion(server)
-        if self._store_sync.role is not Role.FOLLOWER:
-            self._store_sync.record_informed(self._clock())
         self._changes.on_next(None)
 
-    def _stored_from_ms(self, is_complete: bool) -> float:
-        """Return the earliest time at which rows read now may have been stored.
-
-        A waiting poll of this router returns a change at once. A leader may send it
-        late, and a complete read may find one that was missed before.
-        """
-        now_ms = self._clock()
-        if not is_complete and self._store_sync.role is not Role.FOLLOWER:
-            return now_ms
-        return min(now_ms, self._store_sync.informed_until_ms)
-
     def _apply_entry(self, entry: BackendServer, stored_from_ms: float) -> None:
         incarnation = (entry.server, entry.started_ms)
         if entry.state is ServerState.DRAINING:
@@ -300,7 +314,7 @@
     def _record_restores(self, restores: int) -> None:
         """Let servers register again if the store lost their latest entries."""
         if self._restores is not None and restores > self._restores:
-            self._outage_ended_ms = self._clock()
+            self._record_outage_end()
         self._restores = restores
 
     def _handle_deletion(self, server: ServerId) -> None:
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -66,14 +66,13 @@
         record_leaving: Callable[[Incarnation], None],
         is_leader: Callable[[], bool],
         is_store_unresponsive: Callable[[], bool],
-        informed_until_ms: Callable[[], float],
+        store_answered_ms: Callable[[], float],
         clock: Clock,
     ) -> None:
         """``record_leaving`` records that a server told a follower that it drains.
 
-        ``informed_until_ms`` returns the last time at which the store certainly
-        answered this router as the leader; minus infinity if there is none. Its waiting
-        polls returned all changes up to then.
+        ``store_answered_ms`` returns the start of the leader's last call for the lease
+        that the store answered.
         """
         self._load = load
         self._ownership = ownership
@@ -82,7 +81,7 @@
         self._record_leaving = record_leaving
         self._is_leader = is_leader
         self._is_store_unresponsive = is_store_unresponsive
-        self._informed_until_ms = informed_until_ms
+        self._store_answered_ms = store_answered_ms
         self._clock = clock
         self._is_store_reachable = True
         self._leading_since_ms: float | None = None
@@ -148,6 +147,7 @@
 
     def check_store(self) -> None:
         """Check whether the store still answers; has to be called regularly."""
+        self._store_sync.view_age.record_answered(self._store_answered_ms())
         is_store_reachable = (
             self._store_sync.is_reachable and not self._is_store_unresponsive()
         )
@@ -172,13 +172,15 @@
         end_ms = arrived_ms + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
+            known_after_ms = self._known_after_ms(arrived_ms)
             leader_reply = LeaderReply(
                 self._store_sync.updates_since(report.table_versions),
                 self._ownership.changes_since(report.range_versions),
                 self._is_store_reachable,
                 self.counted_routers,
                 self._suspects.changes_since(report.suspects_version),
-                self._informed_after_ms(arrived_ms),
+                known_after_ms,
+                known_after_ms,
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -199,10 +201,10 @@
                 continue
         return None
 
-    def _informed_after_ms(self, arrived_ms: float) -> float | None:
-        """Return ``LeaderReply.informed_after_report_ms``."""
-        after_ms = self._informed_until_ms() - arrived_ms
-        if isinf(after_ms) or not self._store_sync.is_current:
+    def _known_after_ms(self, arrived_ms: float) -> float | None:
+        """Return ``LeaderReply.servers_known_after_report_ms``."""
+        after_ms = self._store_sync.informed_until_ms - arrived_ms
+        if isinf(after_ms):
             return None
         # Rounded, so that equal replies to many followers are encoded once.
         return floor(after_ms / INFORMED_STEP_MS) * INFORMED_STEP_MS
@@ -317,10 +319,10 @@
         self._ownership.apply_changes(leader_reply.ranges)
         self._suspects.apply_changes(leader_reply.suspects)
         self._record_leader_store(leader_reply.is_store_reachable)
-        informed_after_ms = leader_reply.informed_after_report_ms
-        if informed_after_ms is not None:
+        known_after_ms = leader_reply.servers_known_after_report_ms
+        if known_after_ms is not None:
             # The report arrived at the leader after it was sent here.
-            self._store_sync.record_informed(sent_ms + informed_after_ms)
+            self._store_sync.view_age.record_informed(sent_ms + known_after_ms)
         # While the store does not answer the leader, it cannot send changes, so this
         # router polls the store itself.
         self._store_sync.set_role(
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -151,7 +151,7 @@
             leader_reply.is_store_reachable,
             leader_reply.routers,
             leader_reply.suspects.version,
-            leader_reply.informed_after_report_ms,
+            leader_reply.servers_known_after_report_ms,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -401,8 +401,10 @@
     """Number of routers, the leader included; 0 while some may not have reported."""
     suspects: SuspectChanges = SuspectChanges(0, [])
     informed_after_report_ms: float | None = None
+    """As below, for the build before; it counts on an earlier build's meaning of it."""
+    servers_known_after_report_ms: float | None = None
     """Time from the arrival of the report until the last one up to which the leader
-    certainly knows all changes of the store; negative if that was before the report.
+    certainly knows all changes of the servers; negative if that was before the report.
 
-    None in replies of older builds, and if the leader does not know it.
+    None in replies of older builds, and before the leader has read the servers.
     """
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -20,6 +20,7 @@
 from .storeversion import restores_of
 from .tablemirror import TableMirror, TableUpdate
 from .tablestore import TableFailure, TableRead, TableStore
+from .viewage import ViewAge
 
 INITIAL_BACKOFF_S = 0.1
 """Base of the exponential backoff after a failed call."""
@@ -59,6 +60,15 @@
     """
 
 
+def _ignore_reply() -> None:
+    """Ignore a reply."""
+
+
+def _ignore_call() -> Callable[[], None]:
+    """Ignore a call."""
+    return _ignore_reply
+
+
 class FollowedTable(msgspec.Struct, frozen=True):
     """A table to follow, and how to follow it."""
 
@@ -74,6 +84,11 @@
     """
     batch_delay_s: float = 0.0
     """Pause after a change, so that the next poll returns several changes at once."""
+    begin_call: Callable[[], Callable[[], None]] = _ignore_call
+    """Called before each call of this router for the table.
+
+    What it returns is called once the rows of the reply are applied.
+    """
 
 
 class StoreSync:
@@ -102,9 +117,7 @@
 
         None if it did not, or if rows were read since.
         """
-        self._informed_until_ms = float("-inf")
-        self._unread: set[str] = set()
-        """Tables that have to be read before a poll can wait for their changes."""
+        self._view_age = ViewAge()
         self._reachable_event = asyncio.Event()
         """Set when the store answers again."""
         self._changes: Subject[bool] = Subject()
@@ -145,21 +158,14 @@
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
     @property
-    def informed_until_ms(self) -> float:
-        """Time up to which all changes of the store are certainly known here.
-
-        Minus infinity before the first read.
-        """
-        return self._informed_until_ms
+    def view_age(self) -> ViewAge:
+        """Up to when this router knows all changes of the servers."""
+        return self._view_age
 
     @property
-    def is_current(self) -> bool:
-        """Whether polls wait for the changes of all tables that this router copies."""
-        return not self._unread
-
-    def record_informed(self, until_ms: float) -> None:
-        """Record that all changes up to a time are known here."""
-        self._informed_until_ms = max(self._informed_until_ms, until_ms)
+    def informed_until_ms(self) -> float:
+        """Time up to which all changes of the servers are certainly known here."""
+        return self._view_age.informed_until_ms
 
     def follow(self, followed: FollowedTable) -> None:
         """Start to keep a copy of a table, unless that was started before."""
@@ -181,15 +187,9 @@
         for table in self._followed:
             self._request_full_read(table)
 
-    def record_failed_call(self, table: str) -> None:
+    def record_failed_call(self) -> None:
         """Record that a read of a table, or a poll, failed at this router."""
         self._has_own_call_failed = True
-        if table in self._mirrors:
-            self._unread.add(table)
-
-    def record_read(self, table: str) -> None:
-        """Record that a read of a table, or a poll, succeeded at this router."""
-        self._unread.discard(table)
 
     def set_leader_lost_store(self, lost_ms: float | None) -> None:
         """Record when the leader reported that it lost the store; None if it did not.
@@ -288,8 +288,6 @@
         return self._role is Role.STANDALONE
 
     def _request_full_read(self, table: str) -> None:
-        if table in self._mirrors:
-            self._unread.add(table)
         event = self._full_read_events.get(table)
         if event is not None:
             event.set()
@@ -310,6 +308,7 @@
         full_read_event = await store_sync.wait_for_poll(followed)
         if is_full_read_due:
             version = None
+        record_reply = followed.begin_call()
         if version is None:
             result = await store.read(table)
         else:
@@ -325,8 +324,8 @@
                 # be missing that are written again soon.
                 store_sync.set_reachable(True)
             read = result.unwrap()
-            store_sync.record_read(table)
             store_sync.apply_rows(table, read, version is None)
+            record_reply()
             version = read.version
             if followed.batch_delay_s and read.rows:
                 await asyncio.sleep(followed.batch_delay_s)
@@ -346,7 +345,7 @@
             if followed.is_probe:
                 store_sync.set_reachable(False)
         failures += 1
-        store_sync.record_failed_call(table)
+        store_sync.record_failed_call()
         await store_sync.wait_before_retry(followed, failures)
 
 
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/viewage.py
@@ -0,0 +1,64 @@
+"""Up to when a router knows all changes of the servers, and whether it may rely on it.
+
+A server may begin to drain right after that time without the router knowing. So the
+time bounds how long any server, known to drain or not, may still get requests. Only the
+start of a call whose rows were applied shows it; the leader passes its own time on to
+its followers.
+"""
+
+from math import inf
+
+SILENT_MS = 1200.0
+"""Time without any answer after which the store may be away.
+
+A leader whose calls for the lease are answered gets answers more often.
+"""
+
+
+class ViewAge:
+    """The age of a router's copy of the servers. Times are on the router's clock."""
+
+    def __init__(self) -> None:
+        self._informed_until_ms = -inf
+        self._unanswered_ms = -inf
+        self._answered_ms = -inf
+
+    @property
+    def informed_until_ms(self) -> float:
+        """Time up to which all changes are certainly known.
+
+        Minus infinity before the first read.
+        """
+        return self._informed_until_ms
+
+    @property
+    def has_unanswered_call(self) -> bool:
+        """Whether the store has not answered a call since the copy was current."""
+        return self._unanswered_ms > self._informed_until_ms
+
+    def record_informed(self, until_ms: float) -> None:
+        """Record that all changes up to a time are known."""
+        self._informed_until_ms = max(self._informed_until_ms, until_ms)
+
+    def record_unanswered(self, started_ms: float) -> None:
+        """Record that the store has not answered a call that started then."""
+        self._unanswered_ms = max(self._unanswered_ms, started_ms)
+
+    def record_answered(self, started_ms: float) -> None:
+        """Record that the store answered some call that started then."""
+        self._answered_ms = max(self._answered_ms, started_ms)
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return the time since all changes were known; infinity before a read."""
+        return now_ms - self._informed_until_ms
+
+    def is_usable(self, now_ms: float, max_age_ms: float) -> bool:
+        """Return whether requests may be sent by the copy.
+
+        An old copy is used only while the store answers no call of this router: nothing
+        newer is to be had, and servers cannot report either.
+        """
+        if self.age_ms(now_ms) <= max_age_ms:
+            return True
+        is_silent = now_ms - self._answered_ms > SILENT_MS
+        return self.has_unanswered_call and is_silent
