Send no requests by a view of the servers that is too old

Cause: a server was refused only if the router knew that it drains. A router that had heard nothing for seconds, behind a leader that hangs or a poll whose reply was lost, sent as if nothing could have happened. Ruled out: shorter polls, which show a lost reply later than a direct call; trust in the leader's replies alone. Change: any server may have begun to drain right after the last time at which all changes were known, so the drain time counts from there. A test's set-up takes the owner from the ranges, as a router may hold requests at that moment; what the test checks is the same. Conclusion: one value bounds what is known and what is not.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -57,7 +57,10 @@
         self._server_source = servers
         self._reregistration_ms = reregistration_ms
         self._drain_grace_ms = max(0.0, drain_ms - SEND_MARGIN_MS)
-        """Time for which a draining owner still gets requests if its keys stay."""
+        """Time for which a server may get requests after it began to drain.
+
+        It may have begun right after the last time at which all changes were known.
+        """
         self._clock = clock
         self._routes: RouteTable | None = None
         self._routes_ms = float("-inf")
@@ -173,11 +176,17 @@
         age_ms = self._store_sync.view_age.age_ms(self._clock())
         return round(min(max(age_ms, 0.0), MAX_LOGGED_AGE_MS))
 
+    @property
+    def is_view_usable(self) -> bool:
+        """Whether requests may be sent by what this router knows of the servers."""
+        view_age = self._store_sync.view_age
+        return view_age.is_usable(self._clock(), self._drain_grace_ms)
+
     def is_drain_grace_over(self, server: BackendServer) -> bool:
-        """Return whether a server has drained so long that it gets no more requests."""
+        """Return whether a server may have drained so long that it gets no requests."""
         since_ms = self._leaving_ms.get((server.server, server.started_ms))
         if since_ms is None:
-            return False
+            return not self.is_view_usable
         return self._clock() - since_ms > self._drain_grace_ms
 
     def serving_owner(self, key_range: KeyRange) -> BackendServer | None:
@@ -203,8 +212,11 @@
     def serving(self, service: ServiceName) -> list[BackendServer]:
         """Return the servers of a service that are not draining.
 
-        Those whose registration is missing are returned only if there are no others.
+        Those whose registration is missing are returned only if there are no others,
+        and none while the view is too old.
         """
+        if not self.is_view_usable:
+            return []
         serving = [
             s for s in self.servers(service) if s.state is not ServerState.DRAINING
         ]
--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -83,7 +83,9 @@
 
 def _drain_owner(fleet: Fleet) -> BackendServer:
     """Let the owner of the key report that it drains; return its entry."""
-    owner = owner_in_use(fleet.routers[0], KEY)
+    key_range = fleet.routers[0].ownership.find(SERVICE, KEY)
+    assert key_range is not None
+    owner = fleet.routers[0].catalog.server(key_range.owner)
     assert owner is not None
     draining = msgspec.structs.replace(owner, state=ServerState.DRAINING)
     fleet.register(draining)
