Date a server's statement that it leaves by what was known before

Cause: a follower tells the leader which servers leave, and the leader took the time of that for the time of the report, which the follower had read earlier. A response that says so may also come after the server's report to the store. Ruled out: the follower's time, as the two have no common clock. Change: such a statement counts from the last time at which all changes were known, or from now in an outage, in which the store takes no reports. Conclusion: what others say is dated like what is read.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -159,11 +159,23 @@
         entry = self._servers.get(server)
         state = entry.state.value if entry is not None else ""
         log_event("server_leaving", server=server, born_ms=started_ms, state=state)
-        self._remember_leaving(incarnation, self._clock())
+        self._remember_leaving(incarnation, self._unheard_since_ms())
         if entry is not None and entry.started_ms == started_ms:
             self._apply_entry(entry, self._clock())
             self._changes.on_next(None)
 
+    def _unheard_since_ms(self) -> float:
+        """Return the earliest time of a report that this router has not read.
+
+        That is now in an outage, in which the store takes no reports.
+        """
+        now_ms = self._clock()
+        view_age = self._store_sync.view_age
+        is_old = view_age.age_ms(now_ms) > self._drain_grace_ms
+        if is_old and self.is_view_usable:
+            return now_ms
+        return min(now_ms, view_age.informed_until_ms)
+
     def _remember_leaving(self, incarnation: Incarnation, since_ms: float) -> None:
         known_ms = self._leaving_ms.get(incarnation, since_ms)
         self._leaving_ms[incarnation] = min(known_ms, since_ms)
