Check at the write whether a server may still get a request

Cause: dispatch looks at the drain time of a server; the write follows the opening of a connection, seconds later if the event loop stands still. Ruled out: a shorter connection timeout, which does not bound a stall. Change: Exchange asks the catalog again when it writes. An attempt that is kept back is no failure of the server: it is tried elsewhere, or waits for the key's next owner. Conclusion: every request to a server passes this check, relayed ones, retries and probations included, as all are written by Exchange.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -101,7 +101,12 @@
         result: AttemptResult | None = None
         try:
             exchange = Exchange(
-                request, server, self._adapter, self._response_buffer, self._clock
+                request,
+                server,
+                self._adapter,
+                self._response_buffer,
+                self._catalog.may_send_to,
+                self._clock,
             )
             result = await exchange.run(self._pool)
         finally:
@@ -115,7 +120,7 @@
                 self._catalog.mark_replaced(server, result.other_server)
             elif result.status != 421 and not had_free_slot(result):
                 loads.record_refusal(server)
-        else:
+        elif not result.is_withheld:
             loads.record_failure(server, result.detail)
             if result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent():
                 self._reach.suspect()
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -201,6 +201,13 @@
             return not self.is_view_usable
         return self._clock() - since_ms > self._drain_grace_ms
 
+    def may_send_to(self, server: BackendServer) -> bool:
+        """Return whether a request may be written to a server now."""
+        current = self._servers.get(server.server)
+        if current is None or _address_key(current) != _address_key(server):
+            return False
+        return not self.is_drain_grace_over(current)
+
     def serving_owner(self, key_range: KeyRange) -> BackendServer | None:
         """Return the owner of a range if it may get requests for its keys."""
         owner = self._servers.get(key_range.owner)
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from math import nan
 
@@ -83,10 +84,16 @@
     is_leaving: bool = False
     """Whether the server states that it drains."""
     detail: str = ""
+    is_withheld: bool = False
+    """Whether this router kept it back, as the server may have left; ``NOT_SENT``."""
     other_server: ServerId = NO_SERVER
     """Id of the server that responds at the address instead of the expected one."""
 
 
+class _WithheldError(NotSentError):
+    """The server may have left since it was chosen."""
+
+
 class _InvalidResponseError(aiohttp.ClientError):
     """The response must not be passed on to the caller."""
 
@@ -103,12 +110,15 @@
         server: BackendServer,
         adapter: Adapter,
         response_buffer: ResponseBuffer,
+        may_send_to: Callable[[BackendServer], bool],
         clock: Clock,
     ) -> None:
+        """``may_send_to`` is asked again when the request is written."""
         self._request = request
         self._server = server
         self._adapter = adapter
         self._response_buffer = response_buffer
+        self._may_send_to = may_send_to
         self._clock = clock
         self._is_sent = False
 
@@ -135,11 +145,13 @@
         """Set the deadline header and mark the attempt as sent.
 
         Raises:
-            NotSentError: the deadline has passed.
+            NotSentError: the deadline has passed, or the server may have left.
         """
         left_ms = int(self.left_ms)
         if left_ms <= 0:
             raise NotSentError("the deadline passed before the request was sent")
+        if not self._may_send_to(self._server):
+            raise _WithheldError("the server may have left before the request was sent")
         headers[self._adapter.headers.deadline_ms] = str(left_ms)
         self._is_sent = True
 
@@ -153,7 +165,11 @@
         except TimeoutError:
             return self._failure(AttemptOutcome.TIMED_OUT, "deadline")
         except NotSentError as error:
-            return AttemptResult(AttemptOutcome.NOT_SENT, detail=str(error))
+            return AttemptResult(
+                AttemptOutcome.NOT_SENT,
+                detail=str(error),
+                is_withheld=isinstance(error, _WithheldError),
+            )
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
             return self._failure(AttemptOutcome.BROKEN, repr(error))
         except Exception as error:
