Test poison requests that are blocked while they wait to be sent

Cause: the forwarder asks whether a request is a suspect at the head of its loop; then the request may wait in the queue and for its connection, and nothing is asked at the write. A permit is not asked again either. Conclusion: the block has to be asked at the write.

--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -12,31 +12,42 @@
 from unittest.mock import patch
 
 import msgspec
+from aiohttp.connector import Connection
+from multidict import CIMultiDict
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
 from mulberryrelay_edge.forwarder import MAX_ATTEMPTS
 from mulberryrelay_edge.messages import (
     EdgeRequest,
+    LoadReport,
 )
 from mulberryrelay_edge.suspectlink import EDGE_POLICY
+from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import RequestId
+from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath, Suspect
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.suspects import LocalLink
 
 from .fixtures import async_test, wait_until
-from .fixtures.edgefleet import DRAIN_MS
+from .fixtures.edgefleet import DRAIN_MS, SERVICE
 from .fixtures.edgerouter import (
     EdgeRouter,
     edge_response,
     edge_router,
 )
-from .fixtures.rawserver import RawRequest, raw_server
+from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
+POISON_PATH = "/listing/poison"
 SLOWEST_MS = 6000.0
 """Longest time budget of a route at the sites."""
+BUSY = 2
+"""Requests that a router has in flight at a server before the first response."""
+BUSY_S = 4.0
+"""Time for which these keep the server busy; routers learn of a block in 3 s."""
 WAITING = 5
 """Attempts that wait for their connection."""
+FREE_SLOT = LoadReport(1, 0, 4)
 WINDOW_MS = 10_000.0
 """Window of the retry budget at the sites, as are the next two values."""
 RATIO = 0.2
@@ -44,10 +55,95 @@
 REQUEST_PERIOD_S = 0.005
 ROUTERS = 12
 MISDIRECTED = AttemptResult(AttemptOutcome.NOT_RUN, 421)
+RAN = AttemptResult(AttemptOutcome.COMPLETED, 200, CIMultiDict(), load=FREE_SLOT)
 
 Respond = Callable[[Exchange], Awaitable[AttemptResult]]
 
 
+class _Gate:
+    """Holds back attempts that were permitted, until their connections may open."""
+
+    def __init__(self) -> None:
+        self.waiting = 0
+        self._opened = asyncio.Event()
+        self._opened.set()
+
+    def close(self) -> None:
+        self._opened.clear()
+
+    def open(self) -> None:
+        self._opened.set()
+
+    async def wait(self) -> None:
+        self.waiting += 1
+        await self._opened.wait()
+        self.waiting -= 1
+
+
+@asynccontextmanager
+async def _gated_connections(router: EdgeRouter) -> AsyncIterator[_Gate]:
+    """Let a test decide when the connections of a router to servers open."""
+    gate = _Gate()
+    open_connection = router.pool.open
+
+    async def open_gated(host: str, port: int) -> Connection:
+        await gate.wait()
+        return await open_connection(host, port)
+
+    with patch.object(router.pool, "open", open_gated):
+        yield gate
+
+
+def _poison_of(router: EdgeRouter) -> EdgeRequest:
+    request = router.request(timeout_ms=SLOWEST_MS)
+    return msgspec.structs.replace(request, target=POISON_PATH)
+
+
+async def _record_losses(link: LocalLink, request: EdgeRequest, losses: int) -> None:
+    """Let the leader say that a request has crashed some servers."""
+    suspect = Suspect(
+        fingerprint=request.fingerprint(),
+        service=SERVICE,
+        deaths=losses,
+        seen=[ServerDeath(server=f"lost-{n}", boot_id="1") for n in range(losses)],
+        blocked=losses >= EDGE_POLICY.losses_to_block,
+    )
+    await link.report_suspects([suspect], 0.0)
+
+
+@async_test
+async def test_a_request_that_is_blocked_while_it_connects_is_not_sent() -> None:
+    """Guards against a poison request written after its block is known."""
+    await _block_while_connecting(0)
+
+
+@async_test
+async def test_a_probation_that_is_blocked_while_it_connects_is_not_sent() -> None:
+    """Guards against a permit that is used after a block that followed it."""
+    await _block_while_connecting(EDGE_POLICY.losses_to_permit)
+
+
+async def _block_while_connecting(losses: int) -> None:
+    """Block a request of some known losses while its connection opens."""
+    link = LocalLink(monotonic_ms, EDGE_POLICY)
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        edge_router(suspect_link=link) as router,
+        _gated_connections(router) as gate,
+    ):
+        router.register_server(server)
+        poison = _poison_of(router)
+        if losses:
+            await _record_losses(link, poison, losses)
+        gate.close()
+        sending = asyncio.create_task(router.send(poison))
+        await wait_until(lambda: gate.waiting == 1)
+        await _record_losses(link, poison, EDGE_POLICY.losses_to_block)
+        gate.open()
+        response = await sending
+        assert (len(server.received), response.status) == (0, 503)
+
+
 @async_test
 async def test_a_queued_request_is_not_sent_after_the_drain_time() -> None:
     """Guards against requests that leave the queue after their owner's drain time."""
@@ -162,6 +258,41 @@
     raise AssertionError
 
 
+def test_requests_that_are_blocked_while_they_are_queued_are_not_sent() -> None:
+    """Guards against poison requests that crash more servers after their wait."""
+    run_virtual(_block_while_queued(0))
+
+
+def test_a_probation_that_is_blocked_while_it_is_queued_is_not_sent() -> None:
+    """Guards against a permit that is used seconds later, after a block."""
+    run_virtual(_block_while_queued(EDGE_POLICY.losses_to_permit))
+
+
+async def _block_while_queued(losses: int) -> None:
+    """Block a request, sent several times, that waits behind others in the queue."""
+
+    async def respond(exchange: Exchange) -> AttemptResult:
+        if exchange.request.target != POISON_PATH:
+            await asyncio.sleep(BUSY_S)
+        return RAN
+
+    arrivals = _Arrivals(respond)
+    link = LocalLink(virtual_clock, EDGE_POLICY)
+    async with _virtual_routers(arrivals, 1, False, link) as (router,):
+        router.register_address(1)
+        harmless = [router.request(timeout_ms=SLOWEST_MS) for _ in range(BUSY)]
+        sending = [asyncio.create_task(router.send(each)) for each in harmless]
+        await asyncio.sleep(0.1)
+        poisons = [_poison_of(router) for _ in range(WAITING)]
+        if losses:
+            await _record_losses(link, poisons[0], losses)
+        sending += [asyncio.create_task(router.send(each)) for each in poisons]
+        await asyncio.sleep(0.1)
+        await _record_losses(link, poisons[0], EDGE_POLICY.losses_to_block)
+        await asyncio.gather(*sending)
+        assert arrivals.of(poisons) == []
+
+
 def test_retries_of_all_routers_at_a_former_key_owner_stay_within_the_budget() -> None:
     """Guards against repeats at a server that does not hold the key any more.
 
