Test attempts whose connections open while their server wants a pause

Seen by callers: requests at a server that had answered 503 with Retry-After. Cause: the pause is asked when a request leaves the queue, not at the write. Ruled out: requests that wait in the queue; they are refused at once. Conclusion: the pause has to be asked at the write.

--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -33,6 +33,7 @@
 from .fixtures.edgefleet import DRAIN_MS, SERVICE
 from .fixtures.edgerouter import (
     EdgeRouter,
+    edge_refusal,
     edge_response,
     edge_router,
 )
@@ -45,8 +46,14 @@
 """Requests that a router has in flight at a server before the first response."""
 BUSY_S = 4.0
 """Time for which these keep the server busy; routers learn of a block in 3 s."""
+WARM_UP_REQUESTS = 30
+"""Requests after which a router keeps several in flight at a server."""
 WAITING = 5
 """Attempts that wait for their connection."""
+PAUSE_S = 5.0
+UNTIL_PAUSED_S = 0.5
+"""Time in which requests that are on their way may reach a server in its pause."""
+MAX_IN_PAUSE = 2
 FREE_SLOT = LoadReport(1, 0, 4)
 WINDOW_MS = 10_000.0
 """Window of the retry budget at the sites, as are the next two values."""
@@ -144,6 +151,47 @@
         assert (len(server.received), response.status) == (0, 503)
 
 
+@async_test
+async def test_attempts_that_connect_during_a_pause_are_not_sent() -> None:
+    """Guards against requests in a pause that had left the queue before it began."""
+    for key in (None, 7):
+        async with (
+            raw_server(respond_with(edge_response, delay_s=0.01)) as server,
+            edge_router(is_keyed=key is not None) as router,
+            _gated_connections(router) as gate,
+        ):
+            entry = router.register_server(server)
+            if key is not None:
+                router.assign_all_keys(entry)
+            for _ in range(WARM_UP_REQUESTS):
+                await router.send(router.request(key=key))
+            is_refusing = asyncio.Event()
+
+            async def refuse(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+                await is_refusing.wait()  # noqa: B023
+                pause = f"Retry-After: {PAUSE_S}\r\n"
+                writer.write(edge_refusal(request, more=pause))
+
+            server.respond = refuse
+            before = len(server.received)
+            first = asyncio.create_task(router.send(router.request(key=key)))
+            await wait_until(lambda: len(server.received) > before)  # noqa: B023
+            gate.close()
+            waiting = [
+                asyncio.create_task(router.send(router.request(key=key)))
+                for _ in range(WAITING)
+            ]
+            await wait_until(lambda: gate.waiting == WAITING)
+            is_refusing.set()
+            assert (await first).status == 503
+            await asyncio.sleep(UNTIL_PAUSED_S)
+            before = len(server.received)
+            gate.open()
+            await asyncio.gather(*waiting)
+            arrived = len(server.received) - before
+            assert arrived <= MAX_IN_PAUSE, (key, arrived)
+
+
 @async_test
 async def test_a_queued_request_is_not_sent_after_the_drain_time() -> None:
     """Guards against requests that leave the queue after their owner's drain time."""
