Test an attempt whose connection opens after its server's drain time

Seen by callers: requests at servers over two seconds after their leaving was known. Cause: the drain time is asked when a request leaves the queue, not at the write; 0.4 s are reserved for all that follows, and a connection alone may take 0.5 s. Ruled out: requests that are still queued when the time is over. Evidence: it fails, the request arrives. Conclusion: the drain time has to be asked at the write.

--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -192,6 +192,28 @@
             assert arrived <= MAX_IN_PAUSE, (key, arrived)
 
 
+@async_test
+async def test_an_attempt_that_connects_after_the_drain_time_is_not_sent() -> None:
+    """Guards against requests at a key owner whose drain time passed meanwhile."""
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        edge_router(is_keyed=True) as router,
+        _gated_connections(router) as gate,
+    ):
+        entry = router.register_server(server)
+        router.assign_all_keys(entry)
+        router.catalog.record_leaving((entry.server, entry.started_ms))
+        gate.close()
+        sending = asyncio.create_task(
+            router.send(router.request(key=7, timeout_ms=SLOWEST_MS))
+        )
+        await wait_until(lambda: gate.waiting == 1)
+        await asyncio.sleep(DRAIN_MS / 1000)
+        gate.open()
+        await sending
+        assert server.received == []
+
+
 @async_test
 async def test_a_queued_request_is_not_sent_after_the_drain_time() -> None:
     """Guards against requests that leave the queue after their owner's drain time."""
