Test the time left that a relayed request states after a slow way

Seen by callers: nothing yet; servers may work for callers who have left. Cause: a relayed request carries the time that was left when it was composed, and the receiving router begins anew with it on arrival. Waits for a connection, on the link and in the receiving process are not taken off. Ruled out: requests that are not relayed; their time is computed at the write. Conclusion: real if the way takes over half a second; how often it does is not measured.

--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -21,21 +21,27 @@
 from mulberryrelay_edge.messages import (
     EdgeRequest,
     LoadReport,
+    RelayedRequest,
+    RelayedResponse,
 )
+from mulberryrelay_edge.relay import RelayFailure
 from mulberryrelay_edge.suspectlink import EDGE_POLICY
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath, Suspect
+from mulberryrelay_platform.names import HEADERS
 from mulberryrelay_router.pool import Pool
 from mulberryrelay_router.suspects import LocalLink
 
 from .fixtures import async_test, wait_until
+from .fixtures.cutlinks import refusing_address
 from .fixtures.edgefleet import DRAIN_MS, SERVICE
 from .fixtures.edgerouter import (
     EdgeRouter,
     edge_refusal,
     edge_response,
     edge_router,
+    linked_routers,
 )
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
@@ -54,6 +60,10 @@
 UNTIL_PAUSED_S = 0.5
 """Time in which requests that are on their way may reach a server in its pause."""
 MAX_IN_PAUSE = 2
+RELAY_DELAY_S = 0.8
+"""Time that a relayed request takes to the other router."""
+MAX_EXCESS_MS = 500.0
+"""Time by which a server may be told more than the caller has left."""
 FREE_SLOT = LoadReport(1, 0, 4)
 WINDOW_MS = 10_000.0
 """Window of the retry budget at the sites, as are the next two values."""
@@ -241,6 +251,36 @@
         assert len(server.received) == before
 
 
+@async_test
+async def test_a_relayed_request_states_no_more_time_than_its_caller_has() -> None:
+    """Guards against a deadline that begins anew after a slow way to another router."""
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        linked_routers(2) as (cut_off, other),
+    ):
+        other.register_server(server)
+        relay = cut_off.link_client.relay
+
+        async def relay_late(
+            url: str, request: RelayedRequest
+        ) -> RelayedResponse | RelayFailure:
+            await asyncio.sleep(RELAY_DELAY_S)
+            return await relay(url, request)
+
+        with (
+            refusing_address() as port,
+            patch.object(cut_off.link_client, "relay", relay_late),
+        ):
+            cut_off.register_address(port)
+            cut_off.reach.suspect()
+            await wait_until(lambda: cut_off.relay.is_needed)
+            request = cut_off.request()
+            await cut_off.send(request)
+        stated = str(HEADERS.deadline_ms).lower()
+        left_ms = request.deadline_ms - monotonic_ms()
+        assert float(server.received[0].headers[stated]) <= left_ms + MAX_EXCESS_MS
+
+
 class _Arrivals:
     """Records what reaches servers in virtual time, instead of connections."""
 
