Take repeats of relayed requests from the retry budget

Cause: a router without links to servers sends an idempotent request to up to five other routers, one after the other, if a reply is lost. Each of them takes it for a new request, so no budget counted these repeats. Ruled out: a request that was sent to a server here before it is relayed; its retry is taken from the budget first. Change: the relay asks the budget before it sends a request again that may have reached a server. A cut-off router counts no requests of its own, so it spends only its part of the slack. Evidence: without slack, 5 requests whose replies were lost brought 10 repeats before and are within the 1 that is allowed now (test_requests_that_are_relayed_again_stay_within_the_budget). Conclusion: mended. How much of the reported excess came from it is not known; it takes a router that is lost with relayed requests in flight.

--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -205,7 +205,9 @@
         self, request: EdgeRequest, possibly_ran: set[ServerId]
     ) -> EdgeResponse:
         """Pass a request on to another router, as this one reaches no server."""
-        relaying = self._relay.forward(request)
+        relaying = self._relay.forward(
+            request, lambda: self._budget.try_consume(request.service)
+        )
         if not request.route.is_idempotent:
             # As with a server: it is not cancelled if its caller disconnects.
             response = await asyncio.shield(asyncio.ensure_future(relaying))
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -121,14 +121,23 @@
                 self._on_ready()
             await asyncio.sleep(PEERS_PERIOD_S)
 
-    async def forward(self, request: EdgeRequest) -> EdgeResponse | RelayFailure:
-        """Send a request to another router; return its response."""
+    async def forward(
+        self, request: EdgeRequest, may_repeat: Callable[[], bool]
+    ) -> EdgeResponse | RelayFailure:
+        """Send a request to another router; return its response.
+
+        ``may_repeat`` is asked before it is sent again though it may have reached a
+        server; it counts the repetition.
+        """
         peers = random.sample(self._peers, min(MAX_RELAY_ATTEMPTS, len(self._peers)))
         failure = RelayFailure.NOT_SENT
+        result: RelayedResponse | RelayFailure = RelayFailure.NOT_SENT
         for peer in peers:
             left_ms = request.deadline_ms - self._clock()
             if left_ms <= REPLY_RESERVE_MS:
                 break
+            if result is RelayFailure.UNKNOWN and not may_repeat():
+                break
             result = await self._calls.relay(peer, _relayed(request, left_ms))
             log_event(
                 "request_relayed",
--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -24,7 +24,7 @@
     RelayedRequest,
     RelayedResponse,
 )
-from mulberryrelay_edge.relay import RelayFailure
+from mulberryrelay_edge.relay import PEERS_PERIOD_S, RelayFailure
 from mulberryrelay_edge.suspectlink import EDGE_POLICY
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import RequestId
@@ -281,6 +281,43 @@
         assert float(server.received[0].headers[stated]) <= left_ms + MAX_EXCESS_MS
 
 
+@async_test
+async def test_requests_that_are_relayed_again_stay_within_the_budget() -> None:
+    """Guards against repeats, without a budget, of requests whose relay was lost."""
+    requests = 5
+    async with (
+        raw_server(respond_with(edge_response)) as server,
+        linked_routers(4) as (cut_off, *others),
+    ):
+        for router in (cut_off, *others):
+            router.adapter.options = msgspec.structs.replace(
+                router.adapter.options, retry_slack=0.0, retry_ratio=RATIO
+            )
+        for other in others:
+            other.register_server(server)
+        relay = cut_off.link_client.relay
+
+        async def lose_reply(
+            url: str, request: RelayedRequest
+        ) -> RelayedResponse | RelayFailure:
+            await relay(url, request)
+            return RelayFailure.UNKNOWN
+
+        with (
+            refusing_address() as port,
+            patch.object(cut_off.link_client, "relay", lose_reply),
+        ):
+            cut_off.register_address(port)
+            cut_off.reach.suspect()
+            await wait_until(lambda: cut_off.relay.is_needed)
+            for _ in range(requests):
+                await cut_off.send(cut_off.request())
+                # Until the router has asked for all peers again.
+                await asyncio.sleep(2 * PEERS_PERIOD_S)
+        repeats = len(server.received) - requests
+        assert repeats <= RATIO * requests, repeats
+
+
 class _Arrivals:
     """Records what reaches servers in virtual time, instead of connections."""
 
