Let attempts of tests in virtual time ask what is asked at the write

Cause: the stand-in for Exchange.run in test_edge_outdated_sends recorded each attempt as an arrival without calling before_write, so a check that is added there would not have been seen by its tests. Change: it calls before_write, and an attempt that must not be written is no arrival. The assertions are the same.

--- a/tests/test_edge_outdated_sends.py
+++ b/tests/test_edge_outdated_sends.py
@@ -30,7 +30,7 @@
 from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath, Suspect
 from mulberryrelay_platform.names import HEADERS
-from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.pool import NotSentError, Pool
 from mulberryrelay_router.suspects import LocalLink
 
 from .fixtures import async_test, wait_until
@@ -329,7 +329,11 @@
         self._times_ms: dict[str, list[float]] = {}
 
     async def run(self, exchange: Exchange) -> AttemptResult:
-        """Record an attempt and return its result."""
+        """Record an attempt and return its result, unless it must not be written."""
+        try:
+            exchange.before_write(CIMultiDict())
+        except NotSentError as error:
+            return AttemptResult(AttemptOutcome.NOT_SENT, detail=str(error))
         times_ms = self._times_ms.setdefault(exchange.request.request_id, [])
         times_ms.append(virtual_clock())
         return await self._respond(exchange)
