Ask at the write for pauses of the server and blocks of the request

Ruled out: queued requests and pauses, which dispatch asks again. Change: the check at the write names the obstacle: the server may have left, it wants no requests, or the request may crash servers (for a run under probation: is blocked). Conclusion: what is known when a request is written decides.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -18,7 +18,7 @@
 from .adapter import Adapter
 from .catalog import Catalog
 from .dispatch import Dispatcher
-from .exchange import AttemptOutcome, AttemptResult, Exchange
+from .exchange import AttemptOutcome, AttemptResult, Exchange, Obstacle
 from .keyload import KeyLoad
 from .messages import BackendServer, EdgeRequest
 from .responses import had_free_slot
@@ -94,9 +94,17 @@
         return result
 
     async def send_once(
-        self, request: EdgeRequest, server: BackendServer, send_id: int
+        self,
+        request: EdgeRequest,
+        server: BackendServer,
+        send_id: int,
+        is_probation: bool = False,
     ) -> AttemptResult:
         """Send an attempt whose crashes the calling code watches for."""
+
+        def find_obstacle() -> Obstacle | None:
+            return self._find_obstacle(request, server, is_probation)
+
         loads = self._dispatcher.loads
         result: AttemptResult | None = None
         try:
@@ -105,7 +113,7 @@
                 server,
                 self._adapter,
                 self._response_buffer,
-                self._catalog.may_send_to,
+                find_obstacle,
                 self._clock,
             )
             result = await exchange.run(self._pool)
@@ -126,6 +134,23 @@
                 self._reach.suspect()
         return result
 
+    def _find_obstacle(
+        self, request: EdgeRequest, server: BackendServer, is_probation: bool
+    ) -> Obstacle | None:
+        """Return why a request may not be written to a server now, if so.
+
+        All of this may have changed while it waited in the queue or for a connection.
+        """
+        if not self._catalog.may_send_to(server):
+            return Obstacle.MAY_HAVE_LEFT
+        if self._dispatcher.loads.pause_ms(server) > 0:
+            return Obstacle.WANTS_NONE
+        if is_probation and not self._suspect_runs.is_blocked(request):
+            return None
+        if self._suspect_runs.is_suspect(request):
+            return Obstacle.MAY_CRASH
+        return None
+
     def _record_response(
         self,
         request: EdgeRequest,
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -69,6 +69,18 @@
     """There was no complete response by the deadline; the request may have run."""
 
 
+class Obstacle(Enum):
+    """Why a request may not be written to the server that was chosen for it."""
+
+    MAY_HAVE_LEFT = "server-may-have-left"
+    WANTS_NONE = "server-paused"
+    MAY_CRASH = "request-may-crash-servers"
+
+
+FindObstacle = Callable[[], Obstacle | None]
+"""Returns why a request may not be written now, or None if it may."""
+
+
 class AttemptResult(msgspec.Struct, frozen=True):
     """Result of one attempt."""
 
@@ -85,13 +97,13 @@
     """Whether the server states that it drains."""
     detail: str = ""
     is_withheld: bool = False
-    """Whether this router kept it back, as the server may have left; ``NOT_SENT``."""
+    """Whether this router kept it back, which shows nothing about the server."""
     other_server: ServerId = NO_SERVER
     """Id of the server that responds at the address instead of the expected one."""
 
 
 class _WithheldError(NotSentError):
-    """The server may have left since it was chosen."""
+    """The request may no longer be sent to the server that was chosen."""
 
 
 class _InvalidResponseError(aiohttp.ClientError):
@@ -110,15 +122,15 @@
         server: BackendServer,
         adapter: Adapter,
         response_buffer: ResponseBuffer,
-        may_send_to: Callable[[BackendServer], bool],
+        find_obstacle: FindObstacle,
         clock: Clock,
     ) -> None:
-        """``may_send_to`` is asked again when the request is written."""
+        """``find_obstacle`` is called when the request is written."""
         self._request = request
         self._server = server
         self._adapter = adapter
         self._response_buffer = response_buffer
-        self._may_send_to = may_send_to
+        self._find_obstacle = find_obstacle
         self._clock = clock
         self._is_sent = False
 
@@ -145,13 +157,14 @@
         """Set the deadline header and mark the attempt as sent.
 
         Raises:
-            NotSentError: the deadline has passed, or the server may have left.
+            NotSentError: the deadline has passed, or there is an obstacle.
         """
         left_ms = int(self.left_ms)
         if left_ms <= 0:
             raise NotSentError("the deadline passed before the request was sent")
-        if not self._may_send_to(self._server):
-            raise _WithheldError("the server may have left before the request was sent")
+        obstacle = self._find_obstacle()
+        if obstacle is not None:
+            raise _WithheldError(obstacle.value)
         headers[self._adapter.headers.deadline_ms] = str(left_ms)
         self._is_sent = True
 
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -263,7 +263,7 @@
 
         async def send(request: EdgeRequest, permit: SendPermit) -> AttemptResult:
             result = await self._sender.send_once(
-                request, permit.server, permit.send_id
+                request, permit.server, permit.send_id, is_probation=True
             )
             if result.outcome is not AttemptOutcome.COMPLETED:
                 self._sender.log_failure(request, permit.server, result)
--- a/packages/edge/mulberryrelay_edge/suspectruns.py
+++ b/packages/edge/mulberryrelay_edge/suspectruns.py
@@ -62,6 +62,11 @@
         """Return whether a request may only run under probation, or not at all."""
         return self._suspects.find(request) is not None
 
+    def is_blocked(self, request: EdgeRequest) -> bool:
+        """Return whether a request may not run at all."""
+        suspect = self._suspects.find(request)
+        return suspect is not None and suspect.blocked
+
     def record_response(self, request: EdgeRequest) -> None:
         """Record that a server answered a request, so that it did not crash."""
         self._suspects.record_response(request)
