Let followers read large tables from the store

Cause: all followers lack the same update at the same time, and the leader replies to all of them at once. Ruled out: to send the updates one after the other. At a quarter of 5 Mbit/s, 71 copies take over 11 s, and a change has to be in force after 2 s. Change: large updates of the routes share a quarter of the link's rate (bulkupdates.py). Beyond it a reply names the table, and the follower reads it once (directreads.py). If that fails or lasts over 0.8 s, the leader sends the update, as it does when it cannot reach the store, and to builds without the new fields. Servers and ranges are always sent. The reply on sockets failed without the new field in the key of the cache.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -15,9 +15,11 @@
 from mulberryrelay_router.deaths import ProbeResult, is_unreachable, probe_address
 
 from .adapter import Adapter
+from .bulkupdates import BulkUpdates
 from .capacity import ServerCondition
 from .catalog import Catalog
 from .coordinator import Coordinator
+from .directreads import DirectReads, read_due_tables
 from .keyload import KeyLoad
 from .leaderlink import LeaderLink, ReportHandler
 from .lease import LeaderLease
@@ -120,6 +122,7 @@
             lambda: lease.is_valid,
             lambda: lease.is_store_unresponsive,
             lambda: lease.stored_ms,
+            BulkUpdates([adapter.route_source.table], options.link_bytes_per_s, clock),
             clock,
         )
         lease.changes.subscribe(report_handler.set_leading)
@@ -153,6 +156,7 @@
             on_relay_ready,
             clock,
         )
+        self._direct_reads = DirectReads()
         self._link = LeaderLink(
             self._key_load,
             self._ownership,
@@ -166,6 +170,7 @@
             lambda: lease.is_valid,
             lease.check_soon,
             has_queued_requests,
+            self._direct_reads,
             self._link_client.send,
             clock,
         )
@@ -280,6 +285,12 @@
                 f"follow {RANGES_TABLE}",
                 lambda: follow_table(self._adapter.store, ranges, self._store_sync),
             ),
+            run_supervised(
+                "read due tables",
+                lambda: read_due_tables(
+                    self._adapter.store, self._store_sync, self._direct_reads
+                ),
+            ),
             run_supervised("lease", self._lease.run),
             run_supervised("link", self._link.run),
             run_supervised("reach", self._reach.run),
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -13,6 +13,8 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.logs import log_event
 
+from .bulkupdates import BulkUpdates, DividedUpdates
+from .directreads import DirectReads
 from .keyload import KeyLoad
 from .messages import (
     LeaderNoticeRow,
@@ -29,7 +31,7 @@
 MAX_REPORT_PERIOD_MS = 600.0
 """Maximum time between two reports of a follower."""
 MAX_BUSY_REPORT_PERIOD_MS = 250.0
-"""Maximum time between two reports while requests are queued at the follower."""
+"""The same while requests are queued at the follower, or it reads a table itself."""
 RETRY_S = 0.25
 """Pause after a report that got no reply."""
 MAX_WAIT_MS = 2000.0
@@ -67,6 +69,7 @@
         is_leader: Callable[[], bool],
         is_store_unresponsive: Callable[[], bool],
         store_answered_ms: Callable[[], float],
+        bulk_updates: BulkUpdates,
         clock: Clock,
     ) -> None:
         """``record_leaving`` records that a server told a follower that it drains.
@@ -82,6 +85,7 @@
         self._is_leader = is_leader
         self._is_store_unresponsive = is_store_unresponsive
         self._store_answered_ms = store_answered_ms
+        self._bulk_updates = bulk_updates
         self._clock = clock
         self._is_store_reachable = True
         self._leading_since_ms: float | None = None
@@ -172,15 +176,17 @@
         end_ms = arrived_ms + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
+            updates = self._divide_updates(report)
             known_after_ms = self._known_after_ms(arrived_ms)
             leader_reply = LeaderReply(
-                self._store_sync.updates_since(report.table_versions),
+                updates.sent,
                 self._ownership.changes_since(report.range_versions),
                 self._is_store_reachable,
                 self.counted_routers,
                 self._suspects.changes_since(report.suspects_version),
                 known_after_ms,
                 known_after_ms,
+                updates.unsent,
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -188,6 +194,7 @@
             )
             if (
                 leader_reply.tables
+                or leader_reply.unsent_tables
                 or leader_reply.ranges
                 or leader_reply.suspects.suspects
                 or is_store_state_new
@@ -201,6 +208,12 @@
                 continue
         return None
 
+    def _divide_updates(self, report: RouterReport) -> DividedUpdates:
+        """Return the updates to send, and the tables that the follower has to read."""
+        store_reads = report.store_reads if self._is_store_reachable else None
+        updates = self._store_sync.updates_since(report.table_versions)
+        return self._bulk_updates.divide(updates, store_reads)
+
     def _known_after_ms(self, arrived_ms: float) -> float | None:
         """Return ``LeaderReply.servers_known_after_report_ms``."""
         after_ms = self._store_sync.informed_until_ms - arrived_ms
@@ -225,6 +238,7 @@
         is_leader: Callable[[], bool],
         on_leader_lost: Callable[[], None],
         has_queued_requests: Callable[[], bool],
+        direct_reads: DirectReads,
         send: SendReport,
         clock: Clock,
     ) -> None:
@@ -238,6 +252,7 @@
         self._is_leader = is_leader
         self._on_leader_lost = on_leader_lost
         self._has_queued_requests = has_queued_requests
+        self._direct_reads = direct_reads
         self._send = send
         self._clock = clock
         self._is_store_reachable = True
@@ -281,11 +296,10 @@
                 dict(self._ownership.range_versions),
                 self._store_sync.table_versions,
                 self._is_store_reachable,
-                MAX_BUSY_REPORT_PERIOD_MS
-                if self._has_queued_requests()
-                else MAX_REPORT_PERIOD_MS,
+                self._report_period_ms(),
                 self._suspects.applied_version,
                 self._describe_self(),
+                self._direct_reads.reported,
             )
             sent_ms = self._clock()
             leader_reply = await self._send(notice.link_url, report)
@@ -299,6 +313,15 @@
                 continue
             self._apply_reply(leader_reply, sent_ms)
 
+    def _report_period_ms(self) -> float:
+        """Return the time until the next report, unless there is newer data.
+
+        The leader should soon learn how a read of the store ended.
+        """
+        if self._has_queued_requests() or self._direct_reads.are_pending:
+            return MAX_BUSY_REPORT_PERIOD_MS
+        return MAX_REPORT_PERIOD_MS
+
     def _apply_reply(self, leader_reply: LeaderReply, sent_ms: float) -> None:
         """Apply the reply to a report that was sent at ``sent_ms``."""
         self._set_count(leader_reply.routers)
@@ -316,6 +339,9 @@
             if update.version > self._store_sync.table_versions.get(update.table, 0):
                 read = TableRead(update.rows, update.version, 0.0)
                 self._store_sync.apply_rows(update.table, read, update.is_complete)
+            self._direct_reads.record_applied(update.table)
+        for table in leader_reply.unsent_tables:
+            self._direct_reads.request(table)
         self._ownership.apply_changes(leader_reply.ranges)
         self._suspects.apply_changes(leader_reply.suspects)
         self._record_leader_store(leader_reply.is_store_reachable)
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -152,6 +152,7 @@
             leader_reply.routers,
             leader_reply.suspects.version,
             leader_reply.servers_known_after_report_ms,
+            leader_reply.unsent_tables,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -364,6 +364,12 @@
     suspects_version: int = 0
     """Version of the leader's suspects that the follower has applied."""
     state: RouterState = RouterState()
+    store_reads: tuple[str, ...] | None = None
+    """Tables that the follower is reading from the store; it needs no updates of them.
+
+    None in reports of older builds, and if the follower could not read a table: the
+    leader then has to send all updates.
+    """
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -408,3 +414,5 @@
 
     None in replies of older builds, and before the leader has read the servers.
     """
+    unsent_tables: tuple[str, ...] = ()
+    """Tables with newer rows that the follower has to read from the store."""
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -36,6 +36,8 @@
     """Retries allowed in each window beyond that share, for all routers together."""
     min_routers: int
     """Minimum number of routers among which shared budgets are divided."""
+    link_bytes_per_s: float
+    """Rate of the machine's network link."""
     max_request_bytes: int
     """Bytes that the bodies of all requests together may hold."""
     max_response_bytes: int
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -13,6 +13,7 @@
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge import leaderlink
+from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.leaserow import LEADER_TABLE
@@ -48,6 +49,7 @@
 
 from .fixtures import async_test
 from .fixtures.edgefleet import (
+    LINK_BYTES_PER_S,
     LINK_DELAY_S,
     ROUTES_TABLE,
     SERVICE,
@@ -449,6 +451,7 @@
         lambda: is_leader,
         lambda: False,
         monotonic_ms,
+        BulkUpdates([], LINK_BYTES_PER_S, monotonic_ms),
         monotonic_ms,
     )
     server = link_server_to(report_handler, suspects, monotonic_ms)
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -10,6 +10,7 @@
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge import leaderterm
+from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.capacity import ServerCondition
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
@@ -36,6 +37,7 @@
 
 from .fixtures import async_test
 from .fixtures.edgefleet import (
+    LINK_BYTES_PER_S,
     LINK_DELAY_S,
     SERVICE,
     Fleet,
@@ -313,6 +315,7 @@
         lambda: True,
         lambda: False,
         virtual_clock,
+        BulkUpdates([], LINK_BYTES_PER_S, virtual_clock),
         virtual_clock,
     )
     leader = leader_source(handler)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -18,6 +18,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
@@ -31,7 +32,7 @@
 from mulberryrelay_platform.names import CONFIGURATION_KEY, HEADERS
 from mulberryrelay_platform.store import PlatformStore
 
-from .fixtures.edgefleet import backend
+from .fixtures.edgefleet import LINK_BYTES_PER_S, backend
 from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router, get
 from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
 from .fixtures.relays import link_server_to
@@ -244,6 +245,7 @@
             lambda: True,
             lambda: False,
             monotonic_ms,
+            BulkUpdates([], LINK_BYTES_PER_S, monotonic_ms),
             monotonic_ms,
         )
         link_server = link_server_to(handler, suspects, monotonic_ms)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -94,12 +94,14 @@
 
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
     """Guards against a router that does not start once the platform adds a setting."""
-    settings = parse_settings(f"{SETTINGS}Bounds.DrainS=2.5\n", "boot.conf")
+    text = f"{SETTINGS}Bounds.DrainS=2.5\nLimits.LinkMbps=40.0\n"
+    settings = parse_settings(text, "boot.conf")
     assert settings.options.drain_ms == 2500
     assert settings.store_address == "127.0.0.1:8384"
     assert settings.options.caller_port == 8381
     assert settings.options.stop_grace_ms == 6000
     assert settings.options.retry_ratio == 0.2
+    assert settings.options.link_bytes_per_s == 5_000_000
 
 
 def test_every_finding_in_the_settings_is_reported_with_its_position() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -62,7 +62,10 @@
 
 def _without_new_fields(reply: LeaderReply) -> LeaderReply:
     return msgspec.structs.replace(
-        reply, informed_after_report_ms=None, servers_known_after_report_ms=None
+        reply,
+        informed_after_report_ms=None,
+        servers_known_after_report_ms=None,
+        unsent_tables=(),
     )
 
 
@@ -78,10 +81,12 @@
     async def handle(
         handler: ReportHandler, report: RouterReport
     ) -> LeaderReply | None:
+        if handler not in older:
+            return await handle_report(handler, report)
+        # A build that does not know the field sends all updates.
+        report = msgspec.structs.replace(report, store_reads=None)
         reply = await handle_report(handler, report)
-        if reply is None or handler not in older:
-            return reply
-        return _without_new_fields(reply)
+        return _without_new_fields(reply) if reply is not None else None
 
     async def scenario() -> None:
         fleet = Fleet(1, routers=5)
