Limit the link in tests before a large change is written

Cause: reports that were on their way when a test limited the leader's link got their replies without the limit, and the change went out with these. Three tests of large updates measured a wider link than they state. Change: limit_link returns after these reports have ended. No bound is changed.

--- a/tests/test_edge_bulkupdates.py
+++ b/tests/test_edge_bulkupdates.py
@@ -69,8 +69,11 @@
     fleet.tables.write(ROUTES_TABLE, "routes", value)
 
 
-def limit_link(fleet: Fleet) -> list[int]:
-    """Let replies wait for each other on a link; return the sizes sent over it."""
+async def limit_link(fleet: Fleet) -> list[int]:
+    """Let replies wait for each other on a link; return the sizes sent over it.
+
+    Return once no report is on its way that was sent without the limit.
+    """
     sizes: list[int] = []
     encoded_sizes: dict[bytes, int] = {}
     free_s = 0.0
@@ -99,6 +102,8 @@
 
     for router in fleet.routers:
         limited(router)
+    await asyncio.sleep(1.0)
+    sizes.clear()
     return sizes
 
 
@@ -120,9 +125,7 @@
 
     async def scenario() -> None:
         fleet = await start_settled_fleet(routers=ROUTERS)
-        sizes = limit_link(fleet)
-        await asyncio.sleep(1.0)
-        sizes.clear()
+        sizes = await limit_link(fleet)
         leader = fleet.leader
         assert leader is not None
         seen = leader.ownership.version(SERVICE)
@@ -149,7 +152,7 @@
 
     async def scenario() -> None:
         fleet = await start_settled_fleet(routers=ROUTERS)
-        sizes = limit_link(fleet)
+        sizes = await limit_link(fleet)
         for router in fleet.routers:
             router.store.is_refusing = True
         await asyncio.sleep(OUTAGE_S)
@@ -183,7 +186,7 @@
 
     async def scenario(harm: Callable[[FleetRouter], None], share: int) -> None:
         fleet = await start_settled_fleet(routers=ROUTERS)
-        limit_link(fleet)
+        await limit_link(fleet)
         for router in followers_of(fleet)[::share]:
             harm(router)
         put_large_routes(fleet, 2)
@@ -215,8 +218,8 @@
                 return Failure(TableFailure.UNKNOWN)
             return await read(client, table)
 
+        await limit_link(fleet)
         with patch.object(TableClient, "read", lose_first):
-            limit_link(fleet)
             put_large_routes(fleet, 2)
             await wait_for_version(fleet, 2)
             # The leader may send one update at once.
@@ -258,9 +261,7 @@
         await wait_for_version(fleet, 2)
         for router in followers_of(fleet):
             router.store.is_refusing = False
-        sizes = limit_link(fleet)
-        await asyncio.sleep(1.0)
-        sizes.clear()
+        sizes = await limit_link(fleet)
         put_large_routes(fleet, 3)
         await wait_for_version(fleet, 3)
         assert large_bytes(sizes) <= BULK_SHARE * LINK_BYTES_PER_S, large_bytes(sizes)
@@ -274,7 +275,7 @@
 
     async def scenario() -> None:
         fleet = await start_settled_fleet(routers=ROUTERS)
-        sizes = limit_link(fleet)
+        sizes = await limit_link(fleet)
         before = fleet.tables.calls
         put_large_routes(fleet, 2)
         await wait_for_version(fleet, 2)
