Read changes instead of whole tables after a change of role

Cause: each change of role, and each lost poll, made a router read whole tables, although its copy names the version from which all changes are to be had. Ruled out: that a complete read finds what changes miss; the version only rises when the rows up to it are applied. Change: a router with a copy asks for the changes since its version, without a wait, and reads the table whole only if the store no longer has them. The test of polls in an outage counts these calls like reads, under the same bounds. Conclusion: a takeover costs each router the changes alone.

--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -103,7 +103,7 @@
         self._role_changed = asyncio.Event()
         self._followed: dict[str, FollowedTable] = {}
         self._mirrors: dict[str, TableMirror] = {}
-        self._full_read_events: dict[str, asyncio.Event] = {}
+        self._catch_up_events: dict[str, asyncio.Event] = {}
         self._is_reachable = True
         self._has_own_call_failed = False
         """Whether a call of this router failed since ``_is_reachable`` last changed.
@@ -157,6 +157,14 @@
         """Version of the store at the last read of each table."""
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
+    def known_version(self, table: str) -> int | None:
+        """Return the version up to which all changes of a table are copied.
+
+        None if there is no copy, so that the table has to be read whole.
+        """
+        mirror = self._mirrors.get(table)
+        return mirror.version or None if mirror is not None else None
+
     @property
     def view_age(self) -> ViewAge:
         """Up to when this router knows all changes of the servers."""
@@ -176,7 +184,7 @@
             self._mirrors[followed.table] = TableMirror()
 
     def set_reachable(self, is_reachable: bool) -> None:
-        """Record whether the store answers; if it does, read all tables again."""
+        """Record whether the store answers; if it does, catch up with all tables."""
         self._is_reachable = is_reachable
         self._changes.on_next(is_reachable)
         self._has_own_call_failed = False
@@ -185,7 +193,7 @@
         self._reachable_event.set()
         self._reachable_event = asyncio.Event()
         for table in self._followed:
-            self._request_full_read(table)
+            self._request_catch_up(table)
 
     def record_failed_call(self) -> None:
         """Record that a read of a table, or a poll, failed at this router."""
@@ -209,7 +217,7 @@
         self._role_changed = asyncio.Event()
         # Cancel polls that are no longer needed or whose reply may have been lost.
         for table in self._followed:
-            self._request_full_read(table)
+            self._request_catch_up(table)
 
     async def wait_before_retry(self, followed: FollowedTable, failures: int) -> None:
         """Wait after failed calls for a table, or until the store answers again."""
@@ -226,14 +234,14 @@
     async def wait_for_poll(self, followed: FollowedTable) -> asyncio.Event:
         """Wait until this router has to poll a table.
 
-        The returned event is set when the poll has to be cancelled and the whole table
-        read again.
+        The returned event is set when the poll has to be cancelled and all changes read
+        without a wait.
         """
         while not self._is_polled(followed):
             await self._role_changed.wait()
-        event = self._full_read_events.get(followed.table)
+        event = self._catch_up_events.get(followed.table)
         if event is None or event.is_set():
-            event = self._full_read_events[followed.table] = asyncio.Event()
+            event = self._catch_up_events[followed.table] = asyncio.Event()
         return event
 
     def apply_rows(self, table: str, read: TableRead, is_complete: bool) -> None:
@@ -287,8 +295,8 @@
             return not followed.is_written_by_leader
         return self._role is Role.STANDALONE
 
-    def _request_full_read(self, table: str) -> None:
-        event = self._full_read_events.get(table)
+    def _request_catch_up(self, table: str) -> None:
+        event = self._catch_up_events.get(table)
         if event is not None:
             event.set()
 
@@ -302,18 +310,21 @@
     store_sync.follow(followed)
     version: int | None = None
     failures = 0
-    full_read_event = asyncio.Event()
+    is_catching_up = False
+    catch_up_event = asyncio.Event()
     while True:
-        is_full_read_due = full_read_event.is_set()
-        full_read_event = await store_sync.wait_for_poll(followed)
-        if is_full_read_due:
-            version = None
+        is_catching_up = is_catching_up or catch_up_event.is_set()
+        catch_up_event = await store_sync.wait_for_poll(followed)
+        if is_catching_up:
+            version = store_sync.known_version(table)
         record_reply = followed.begin_call()
         if version is None:
             result = await store.read(table)
+        elif is_catching_up:
+            result = await store.follow(table, version, 0)
         else:
             result = await _call_unless_set(
-                store.follow(table, version, wait_ms), full_read_event
+                store.follow(table, version, wait_ms), catch_up_event
             )
         if isinstance(result, Success):
             if failures:
@@ -323,13 +334,14 @@
                 # Before the rows are applied: after an outage of the store, rows may
                 # be missing that are written again soon.
                 store_sync.set_reachable(True)
-            if version is None:
-                # Polls from this read's version miss no change, so that it serves all
-                # requests for a read that came while it ran.
-                full_read_event = asyncio.Event()
+            if version is None or is_catching_up:
+                # Polls from this version miss no change, so that this call serves all
+                # requests to catch up that came while it ran.
+                catch_up_event = asyncio.Event()
             read = result.unwrap()
             store_sync.apply_rows(table, read, version is None)
             record_reply()
+            is_catching_up = False
             version = read.version
             if followed.batch_delay_s and read.rows:
                 await asyncio.sleep(followed.batch_delay_s)
@@ -337,13 +349,14 @@
         reason = result.failure()
         if reason is TableFailure.HISTORY_LOST:
             log_event("history_lost", table=table, version=version)
+            is_catching_up = False
             version = None
             continue
-        if full_read_event.is_set() and version is not None:
-            version = None
+        if catch_up_event.is_set() and version is not None and not is_catching_up:
             continue
-        # A poll's reply may be lost; a read shows at once whether the store answers.
-        version = None
+        # A poll's reply may be lost; a call without a wait shows at once whether the
+        # store answers.
+        is_catching_up = True
         if not failures:
             log_event("store_lost", table=table, reason=reason.value)
             if followed.is_probe:
--- a/tests/test_edge_catalog.py
+++ b/tests/test_edge_catalog.py
@@ -318,11 +318,20 @@
 
 
 def _count_reads(router: FleetRouter, reads: Counter[str]) -> None:
-    """Count the reads of each table by a router."""
+    """Count a router's reads of each table, and its calls that do not wait."""
     read = router.store.read
+    follow = router.store.follow
 
     async def read_and_count(table: str) -> Result[TableRead, TableFailure]:
         reads[table] += 1
         return await read(table)
 
+    async def follow_and_count(
+        table: str, after: int, wait_ms: int
+    ) -> Result[TableRead, TableFailure]:
+        if not wait_ms:
+            reads[table] += 1
+        return await follow(table, after, wait_ms)
+
     router.store.read = read_and_count  # type: ignore[method-assign]
+    router.store.follow = follow_and_count  # type: ignore[method-assign]
