Send whole tables to followers that may know rows the leader does not

Cause: a server that registers and leaves between two reads of a router leaves no trace in its copy. If that router leads, a follower that has read the entry itself keeps it for good, while the leader states that all changes are known. Ruled out: always sending whole tables after such a read, which fills the leader's link. Change: the copy keeps the versions between which a whole read left a gap; only followers with a version in a gap get the whole table. Not reproduced in a fleet. Conclusion: what a leader says that it knows includes what it does not list.

--- a/packages/edge/mulberryrelay_edge/tablemirror.py
+++ b/packages/edge/mulberryrelay_edge/tablemirror.py
@@ -20,14 +20,23 @@
     rows: list[TableRow]
 
 
+MAX_GAPS = 16
+"""Complete reads of which it is kept what lay between them and the read before."""
+
+
 class TableMirror:
     """The rows of a table, including those deleted since the first read."""
 
     def __init__(self) -> None:
         self._rows: dict[str, TableRow] = {}
         self._first_version = 0
-        """Version of the first read; deletions after it are recorded."""
+        """Version from which on deletions are recorded, but for the gaps."""
         self._version = 0
+        self._gaps: list[tuple[int, int]] = []
+        """Versions before and at each complete read.
+
+        Rows that were written and deleted between the two are unknown here.
+        """
 
     @property
     def version(self) -> int:
@@ -45,15 +54,26 @@
             if current is None or current.version < row.version:
                 self._rows[row.key] = row
         if is_complete:
+            self._record_gap(read.version)
             for key, current in list(self._rows.items()):
                 is_removed = key not in read_keys and current.version <= read.version
                 if is_removed and current.value is not None:
                     self._rows[key] = TableRow(key, None, read.version)
         self._version = max(self._version, read.version)
 
+    def _record_gap(self, version: int) -> None:
+        if not self._version or version <= self._version:
+            return
+        self._gaps.append((self._version, version))
+        if len(self._gaps) > MAX_GAPS:
+            self._first_version = self._gaps.pop(0)[1]
+
+    def _is_in_gap(self, version: int) -> bool:
+        return any(before < version < after for before, after in self._gaps)
+
     def update_since(self, table: str, known_version: int) -> TableUpdate | None:
         """Return the changes since a version, or None if there are none."""
-        if known_version < self._first_version:
+        if known_version < self._first_version or self._is_in_gap(known_version):
             rows = [row for row in self._rows.values() if row.value is not None]
             return TableUpdate(table, self._version, True, rows)
         rows = [row for row in self._rows.values() if row.version > known_version]
