Write a grant at a known fence only to the process that has it

Cause: a renewal went to the address of an entry, over a kept connection or a new one alike. The entry of the next life comes later than its start, and the name that a command states is the same in both lives. So nothing that was known at the write bounded how old the knowledge of the process was. A failed command was passed over if the server had confirmed a grant within the last second.

Ruled out: a proof in a response. No response names the start of the process, and a grant at a lower fence, which the old process refuses, would be taken by a new one.

Change: a process that ends loses its connections before another one has its address. The commands keep the continuity of the connections to each address: one of them was open at any time, and if the server ended one of several, no new one was opened before another brought the response to a later command. A grant is written only while the continuity is the one since the fences of the server were raised. If it is broken, all fences of the server are raised once, with one write of the ranges. A move whose grants may have reached two processes starts again at a higher fence.

The stand-in of the commands knows which process its connection leads to. The random faults now restart servers within a second, and find a sixth seeded fault, connections that count as ones to the process before.

Three tests over sockets show the continuity.

Conclusion: what is not covered is a restart of which the end of every connection is lost on the way while a new connection is opened. While the store is away, an owner whose connections were lost is not renewed.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -76,6 +76,18 @@
 """Called just before a command is written; it is written only if this returns True."""
 
 
+class Continuity(Protocol):
+    """Connections to an address, one of which was open at any time since the first.
+
+    All of them lead to the same process: a process that ends loses its connections
+    before another one has its address.
+    """
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the process may have ended since; stays so."""
+
+
 class ServerCommands(Protocol):
     """Sends commands about keys to servers, which do not authenticate the sender.
 
@@ -115,6 +127,12 @@
     ) -> Result[None, CommandFailure]:
         """Check whether the server answers, without changing its grants."""
 
+    def continuity(self, server: BackendServer) -> Continuity:
+        """Return the continuity of the connections to a server's address.
+
+        It is a new one, to which the next connection belongs, if the last is broken.
+        """
+
     async def close(self) -> None:
         """Close all connections."""
 
--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -18,6 +18,7 @@
     CommandMisdirected,
     CommandNotSent,
     CommandUnanswered,
+    Continuity,
     ServerCommands,
 )
 from .catalog import Catalog
@@ -94,6 +95,8 @@
         """Time at which the last grant that a server confirmed was written."""
         self._written_ms: dict[Incarnation, float] = {}
         """Time at which the last grant to a server was written to a connection."""
+        self._continuities: dict[Incarnation, Continuity] = {}
+        """Continuity of the connections since the fences of a server were raised."""
 
     def last_entry(self, incarnation: Incarnation) -> BackendServer | None:
         """Return the last known entry of an incarnation of a server."""
@@ -124,6 +127,31 @@
             incarnation
         ) and self._clock() >= self.grant_expires_ms(incarnation)
 
+    def may_have_ended(self, incarnation: Incarnation) -> bool:
+        """Return whether another process may be at a server's address by now.
+
+        The server gets no grants until ``mark_fences_raised``.
+        """
+        continuity = self._continuities.get(incarnation)
+        return continuity is not None and continuity.is_broken
+
+    def mark_fences_raised(self, incarnation: Incarnation) -> None:
+        """Allow grants to a server over new connections, at its raised fences."""
+        self._continuities.pop(incarnation, None)
+
+    def continuity(self, incarnation: Incarnation) -> Continuity | None:
+        """Return the connections over which a server gets grants at its fences.
+
+        Returns None if the address of the server is not known.
+        """
+        server = self.last_entry(incarnation)
+        return None if server is None else self._continuity(server)
+
+    def _continuity(self, server: BackendServer) -> Continuity:
+        incarnation = (server.server, server.started_ms)
+        current = self._commands.continuity(server)
+        return self._continuities.setdefault(incarnation, current)
+
     async def renew(
         self, service: ServiceName, key_range: KeyRange, grant_ttl_ms: float
     ) -> Result[None, CommandFailure]:
@@ -154,6 +182,7 @@
         """Allow grants to a server again, after its fencing tokens were raised."""
         self._lease.renew_soon()
         await self._unreachable_servers.remove(incarnation)
+        self.mark_fences_raised(incarnation)
         self._unreachable_since_ms.pop(incarnation, None)
         log_event("server_answers_orders", server=incarnation[0])
 
@@ -326,6 +355,9 @@
         incarnation = (server.server, server.started_ms)
         if self._is_barred(incarnation):
             return Failure(CommandNotSent("the server is unreachable"))
+        continuity = self._continuity(server)
+        if continuity.is_broken:
+            return Failure(CommandNotSent("the server may have ended"))
         self._known_servers.record(server)
         grant_ttl_ms = min(grant_ttl_ms, self._max_grant_ttl_ms)
         begun_ms = self._clock()
@@ -334,6 +366,8 @@
         def may_write() -> bool:
             if self._is_barred(incarnation) or not self._may_send():
                 return False
+            if continuity.is_broken:
+                return False
             if self._clock() - begun_ms > MAX_WRITE_DELAY_MS:
                 return False
             grant.record_write()
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -108,6 +108,8 @@
         self._renewed_ms: dict[tuple[ServiceName, int, int], float] = {}
         """Last renewal of each grant, by service, first key and fencing token."""
         self._probed_ms: dict[Incarnation, float] = {}
+        self._raising: set[Incarnation] = set()
+        """Servers that may have ended, and whose fences are being raised."""
         self._renewal_period_ms = renewal_period_ms(0)
         self._grant_ttl_ms = normal_grant_ttl_ms(
             self._renewal_period_ms, max_grant_ttl_ms
@@ -246,6 +248,9 @@
         if self._grants.is_unreachable(incarnation):
             self._probe_if_due(service, incarnation)
             return
+        if self._grants.may_have_ended(incarnation):
+            self._start_raising_fences(service, incarnation)
+            return
         self._renewed_ms[renewal_key] = (
             self._clock() - random.uniform(0, 0.1) * period_ms
         )
@@ -267,6 +272,28 @@
             )
             await self._grants.mark_reachable(incarnation)
 
+    def _start_raising_fences(
+        self, service: ServiceName, incarnation: Incarnation
+    ) -> None:
+        if incarnation in self._raising:
+            return
+        self._raising.add(incarnation)
+        self._start_task(self._raise_fences(service, incarnation))
+
+    async def _raise_fences(
+        self, service: ServiceName, incarnation: Incarnation
+    ) -> None:
+        """Raise the fences of a server whose next life may be at its address."""
+        self._raising.add(incarnation)
+        log_event("server_may_have_ended", service=service, server=incarnation[0])
+        try:
+            await self._ranges.update(
+                service, raise_fences_of_incarnation(*incarnation)
+            )
+            self._grants.mark_fences_raised(incarnation)
+        finally:
+            self._raising.discard(incarnation)
+
     async def _renew(
         self, service: ServiceName, key_range: KeyRange, grant_ttl_ms: float
     ) -> None:
@@ -385,10 +412,18 @@
         try:
             handover_token = await self._grants.wait_released(service, key_range)
             outcome = "granted"
+            next_owner = (key_range.next_owner, key_range.next_started_ms)
+            if self._grants.may_have_ended(next_owner):
+                await self._raise_fences(service, next_owner)
+            continuity = self._grants.continuity(next_owner)
             for _ in range(MAX_GRANT_ATTEMPTS):
                 result = await self._grants.grant_to_next_owner(
                     service, key_range, self._grant_ttl_ms, handover_token
                 )
+                if continuity is not None and continuity.is_broken:
+                    # The fence may have been granted to the process before.
+                    await self._ranges.update(service, raise_fence(key_range))
+                    return
                 if isinstance(result, Success):
                     break
                 outcome = str(result.failure())
--- a/standins/keyedservers.py
+++ b/standins/keyedservers.py
@@ -224,6 +224,29 @@
 """Applies a command at a server, so many milliseconds after its arrival."""
 
 
+class Connections:
+    """Connections of one router to the address of a server."""
+
+    def __init__(self, is_noticed: Callable[[], bool]) -> None:
+        """``is_noticed`` tells whether the router notices that a server ends them."""
+        self._is_noticed = is_noticed
+        self._is_broken = False
+        self.server: KeyedServer | None = None
+        """The server at the other end; None before the first connection."""
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the last one is closed."""
+        server = self.server
+        if server is not None and not server.is_up and not server.is_unreachable:
+            self._is_broken = self._is_broken or self._is_noticed()
+        return self._is_broken
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._is_broken = self.server is not None
+
+
 class CommandClient:
     """Commands that one router sends; implements ``ServerCommands``."""
 
@@ -242,8 +265,8 @@
         """Time at which commands in the queue of the router's link arrive."""
         self._server_held_until_s: dict[ServerId, float] = {}
         """Time at which commands in the queue of a server's own link arrive."""
-        self._connected: set[KeyedServer] = set()
-        """Servers to which the router has a connection."""
+        self._connections: dict[tuple[str, int], Connections] = {}
+        """The last connections to each address."""
 
     def hold_link(self, for_s: float) -> None:
         """Let commands wait in the queue of the router's link for some seconds."""
@@ -299,6 +322,25 @@
         result = await self._send(server, lambda incarnation, _: 200, lambda: True)
         return result.map(lambda _: None)
 
+    def continuity(self, server: BackendServer) -> Connections:
+        address = (server.host, server.port)
+        last = self._connections.get(address)
+        if last is None or last.is_broken:
+            last = Connections(lambda: not self.is_cut_off)
+            self._connections[address] = last
+        return last
+
+    def _connect(self, server: BackendServer) -> KeyedServer | None:
+        """Return the server at an address; connect to it if there is no connection."""
+        receiver = self._servers.find_running(server)
+        last = self.continuity(server)
+        if receiver is None or last.server is receiver:
+            return receiver
+        # Connections to a process that has ended are of no use.
+        last.close()
+        self.continuity(server).server = receiver
+        return receiver
+
     async def close(self) -> None:
         """Nothing to release."""
 
@@ -317,10 +359,11 @@
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
         receiver = self._servers.find_running(server)
-        is_connected = receiver in self._connected
+        is_connected = self.continuity(server).server is receiver
         if receiver is not None and receiver.is_unreachable and not is_connected:
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("no connection"))
+        self._connect(server)
         if not may_write():
             return Failure(CommandNotSent("not permitted"))
         await asyncio.sleep(max(REPLY_DELAY_S / 2, queued_s))
@@ -331,10 +374,9 @@
         if incarnation is None:
             return Failure(CommandUnanswered("refused"))
         if incarnation.is_unreachable:
-            self._connected.discard(incarnation)
+            self.continuity(server).close()
             await asyncio.sleep(COMMAND_TIMEOUT_S)
             return Failure(CommandUnanswered("timeout"))
-        self._connected.add(incarnation)
         if incarnation.entry.server != server.server:
             return Failure(CommandMisdirected(incarnation.entry.server))
         if incarnation.knows_no_commands:
@@ -361,6 +403,7 @@
 
     def _write(self, server: BackendServer, apply: Apply, may_write: MayWrite) -> None:
         """Write a command that arrives after its sender stopped waiting."""
+        self._connect(server)
         if not may_write():
             return
         incarnation = self._servers.find_running(server)
--- a/tests/test_edge_ownership.py
+++ b/tests/test_edge_ownership.py
@@ -18,6 +18,7 @@
 from mulberryrelay_edge.lease import LeaderLease
 from mulberryrelay_edge.unreachableservers import Incarnation, UnreachableServers
 from mulberryrelay_kernel.states import ServerState
+from standins.keyedservers import Connections
 
 from .fixtures.edgefleet import MAX_GRANT_TTL_MS, Fleet, FleetRouter, backend
 
@@ -47,12 +48,17 @@
     "lost",
     "unreachable",
     "crash",
+    "restart",
     "drain",
     "held_link",
     "slow_write",
 )
 HELD_LINK_S = (0.3, 2.0)
 """Bounds of the time for which commands wait in the queue of a router's link."""
+RESTART_S = (SHORT_RESTART_S, 0.9)
+"""Bounds of the time in which a server is back under its id and address."""
+REGISTER_S = (0.05, 2.0)
+"""Bounds of the time after which such a server registers itself."""
 SLOW_WRITE_S = (0.4, 4.0)
 """Bounds of the time for which a router stands still before it writes a command."""
 
@@ -439,6 +445,14 @@
             incarnation.entry, started_ms=started_ms, state=ServerState.SERVING
         )
         schedule_end(lambda: fleet.start_server(restarted))
+    if kind == "restart":
+        incarnation.is_up = False
+        next_life = msgspec.structs.replace(
+            incarnation.entry, started_ms=started_ms, state=ServerState.SERVING
+        )
+        back_s = rng.uniform(*RESTART_S)
+        loop.call_later(back_s, fleet.servers.start, next_life)
+        loop.call_later(back_s + rng.uniform(*REGISTER_S), fleet.register, next_life)
     if kind == "drain" and len(alive) > 3:
         draining = msgspec.structs.replace(
             incarnation.entry, state=ServerState.DRAINING
@@ -487,6 +501,9 @@
     "a server gets grants while the lease lists it as unreachable": patch.object(
         UnreachableServers, "remove", _remove_without_waiting
     ),
+    "a new connection counts as one to the process before": patch.object(
+        Connections, "is_broken", False
+    ),
     "grants of earlier leaders are ignored": patch.object(
         LeaderLease, "previous_leader_end_ms", property(lambda self: float("-inf"))
     ),
--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from mulberryrelay_edge.adapter import CommandRefused, CommandUnanswered
+from mulberryrelay_edge.messages import BackendServer
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.names import GRANT_PATH, HANDOVER_HEADER, HEADERS
 
@@ -339,3 +340,118 @@
             result = await commands.release(entry, 0, 9, 2, lambda: True)
             assert result == Success(TOKEN), (extra, result)
         await commands.close()
+
+
+CLOSE_DELAY_S = 0.05
+"""Time after which a connection that a server ends is noticed."""
+
+
+class KeptWriters:
+    """A server that confirms commands, and whose connections a test can end."""
+
+    def __init__(self) -> None:
+        self.writers: dict[int, asyncio.StreamWriter] = {}
+        self.is_silent = False
+
+    async def respond(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        """Confirm a command; a release only when its work has ended."""
+        self.writers[request.connection] = writer
+        if self.is_silent:
+            return
+        if request.path != GRANT_PATH:
+            await asyncio.sleep(WORK_S)
+        writer.write(CONFIRMATION if request.path == GRANT_PATH else RELEASED)
+
+    async def end(self, connection: int) -> None:
+        """End a connection."""
+        self.writers[connection].close()
+        await asyncio.sleep(CLOSE_DELAY_S)
+
+
+async def _grant(commands: PlatformCommands, entry: BackendServer) -> bool:
+    """Return whether a grant was confirmed that needs an unbroken continuity."""
+    continuity = commands.continuity(entry)
+    result = await commands.grant(
+        entry, 0, 9, 1, 1000.0, None, lambda: not continuity.is_broken
+    )
+    return isinstance(result, Success)
+
+
+async def _connect_twice(commands: PlatformCommands, entry: BackendServer) -> None:
+    """Open two connections, of which the first one was used last."""
+    release = commands.release(entry, 10, 19, 2, lambda: True)
+    releasing = asyncio.ensure_future(release)
+    await asyncio.sleep(WORK_S / 2)
+    assert await _grant(commands, entry)
+    assert await releasing == Success(TOKEN)
+
+
+@async_test
+async def test_a_server_that_ends_its_only_connection_may_have_ended() -> None:
+    """Guards against a renewal at an old fence to the next life of a server."""
+    for kind in ("ends the connection", "is silent", "restarts"):
+        server = KeptWriters()
+        commands = PlatformCommands()
+        async with raw_server(server.respond) as raw:
+            entry = backend(1, host=HOST, port=raw.port)
+            for _ in range(3):
+                assert await _grant(commands, entry)
+            continuity = commands.continuity(entry)
+            assert not continuity.is_broken
+            if kind == "is silent":
+                # The connection of a command without a reply is closed here.
+                server.is_silent = True
+                assert not await _grant(commands, entry)
+                server.is_silent = False
+            if kind == "ends the connection":
+                await server.end(0)
+            if kind == "restarts":
+                raw.die()
+                await raw.start()
+                await asyncio.sleep(CLOSE_DELAY_S)
+            assert continuity.is_broken, kind
+            assert commands.continuity(entry) is not continuity
+            assert await _grant(commands, entry)
+            assert not commands.continuity(entry).is_broken
+        await commands.close()
+
+
+@async_test
+async def test_a_response_shows_that_a_server_has_not_ended() -> None:
+    """Guards against fences that rise whenever a server ends an idle connection."""
+    server = KeptWriters()
+    commands = PlatformCommands()
+    async with raw_server(server.respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        await _connect_twice(commands, entry)
+        continuity = commands.continuity(entry)
+        await server.end(0)
+        assert await _grant(commands, entry)
+        await _connect_twice(commands, entry)
+        assert raw.connections == 3
+        assert commands.continuity(entry) is continuity
+        assert not continuity.is_broken
+    await commands.close()
+
+
+@async_test
+async def test_a_connection_opened_in_doubt_is_no_proof_of_the_process_before() -> None:
+    """Guards against a renewal to the next life while a connection seems open."""
+    server = KeptWriters()
+    commands = PlatformCommands()
+    async with raw_server(server.respond) as raw:
+        entry = backend(1, host=HOST, port=raw.port)
+        await _connect_twice(commands, entry)
+        continuity = commands.continuity(entry)
+        await server.end(0)
+        assert not continuity.is_broken
+        release = commands.release(entry, 10, 19, 2, lambda: True)
+        releasing = asyncio.ensure_future(release)
+        await asyncio.sleep(WORK_S / 2)
+        # The other connection is in use, and no response has arrived on it.
+        grants = len(raw.received)
+        assert not await _grant(commands, entry)
+        assert len(raw.received) == grants
+        assert continuity.is_broken
+        await releasing
+    await commands.close()
