--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -108,3 +108,27 @@
         assert isinstance(await store.read("op"), Success), era
     await store.close()
     await runner.cleanup()
+
+
+@async_test
+async def test_a_change_while_a_table_is_read_in_parts_is_not_skipped() -> None:
+    """Guards against polls that start after a change which no part showed."""
+
+    async def read(request: web.Request) -> web.Response:
+        is_first = "From" not in request.query
+        version = 10 if is_first else 20
+        row = {"Key": "a" if is_first else "b", "RowVersion": 5, "Value": "e30="}
+        body = {"Rows": [row], "RowVersion": version, "NowS": 1.0, "HasMore": is_first}
+        return web.json_response(body)
+
+    app = web.Application()
+    app.router.add_get(READ_PATH, read)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    store = PlatformStore(f"127.0.0.1:{runner.addresses[0][1]}")
+    table = (await store.read("servers")).unwrap()
+    assert [row.key for row in table.rows] == ["a", "b"]
+    assert table.version == 10
+    await store.close()
+    await runner.cleanup()
