Send a release again that was not permitted to be written

Callers saw nothing. The keys of a silent server were given on without the release that shuts out a grant which the server has not yet carried out.

Cause: wait_released noted a release as sent before the command, which may be refused at its write because the lease does not reach far enough.

Ruled out: an endless wait. A command is refused at its write only while the lease is not valid, which is waited for, or ends the term. A release whose connection fails still counts as sent.

Change: a release counts as sent after its result, unless that is that it was not written.

Evidence: test_a_release_that_was_not_written_is_sent_again failed before with one release, refused, and passes. Passed after the change: test_edge_grants_on_their_way, test_edge_late_grants, test_edge_ownership (random faults included), test_platform_commands. Not run again: the other test_edge_ files.

Conclusion: that a command was begun stood for its arrival.

--- a/packages/edge/mulberryrelay_edge/grants.py
+++ b/packages/edge/mulberryrelay_edge/grants.py
@@ -274,7 +274,6 @@
                 continue
             # Send the release even after the grant has expired: the server may still
             # be about to apply an older grant.
-            was_sent = True
             fence = key_range.fence + RELEASE_STEP
             result: Result[str | None, CommandFailure]
             try:
@@ -287,6 +286,7 @@
                         self._may_send,
                     )
             except TimeoutError:
+                was_sent = True
                 continue
             result = self._without_doubtful_end(server, result)
             if isinstance(result, Success):
@@ -295,6 +295,8 @@
             self._record_failure(server, result.failure())
             if isinstance(result.failure(), CommandMisdirected):
                 return None
+            if not isinstance(result.failure(), CommandNotSent):
+                was_sent = True
             log_event(
                 "release_failed",
                 service=service,
--- a/tests/test_edge_grants_on_their_way.py
+++ b/tests/test_edge_grants_on_their_way.py
@@ -5,8 +5,12 @@
 
 import asyncio
 
+from returns.result import Failure, Result
+
 from bench.virtual_time import virtual_clock
+from mulberryrelay_edge.adapter import CommandFailure, CommandNotSent, MayWrite
 from mulberryrelay_edge.grantexpiries import MAX_TRAVEL_MS, GrantExpiries
+from mulberryrelay_edge.messages import BackendServer
 from mulberryrelay_kernel.ids import ServerId
 
 from .fixtures.edgefleet import Fleet
@@ -103,3 +107,35 @@
     expiries.end(gone, grant)
     now_ms += MAX_TRAVEL_MS + 60_000.0
     assert latest_ms() <= now_ms, latest_ms()
+
+
+def test_a_release_that_was_not_written_is_sent_again() -> None:
+    """Guards against an owner that was told no higher fence and takes a late grant."""
+
+    async def scenario(fleet: Fleet) -> None:
+        silent = fleet.servers.incarnations[0]
+        commands = leader_of(fleet).commands
+        send = commands.release
+        sent: dict[int, int] = {}
+
+        async def release(
+            server: BackendServer,
+            first: int,
+            last: int,
+            fence: int,
+            may_write: MayWrite,
+        ) -> Result[str | None, CommandFailure]:
+            if server.server != silent.entry.server:
+                return await send(server, first, last, fence, may_write)
+            sent[first] = sent.get(first, 0) + 1
+            if sent[first] == 1:
+                return Failure(CommandNotSent("the lease is not valid"))
+            return await send(server, first, last, fence, may_write)
+
+        commands.release = release  # type: ignore[method-assign]
+        silent.is_unreachable = True
+        await asyncio.sleep(SILENT_S)
+        await fleet.settle()
+        assert sent and min(sent.values()) > 1, sent
+
+    run_scenario(scenario)
