Let a view have an age of 1.2 s however short the drain time is

Callers saw: nothing; found by reading for deployments that were not seen. Cause: the age that a view may have follows from the drain time. With a drain time of 0.5 s or less no view is ever usable, and every request is held. Ruled out: an error at the start, since such settings are valid. Change: the age has a lower bound; the drain time of a server that is known to leave is unchanged. Conclusion: what cannot be known in time does not stop the service.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -30,6 +30,11 @@
 """Pause after a change of the servers table, to fetch several changes at once."""
 SEND_MARGIN_MS = 500.0
 """Time that a request may take from its write to a server that must soon get none."""
+MIN_VIEW_AGE_MS = 1200.0
+"""Age that the view may have however short the drain time is.
+
+Followers hear of the leader only every 0.6 s.
+"""
 MAX_LEAVING = 4096
 """Incarnations of which it is remembered that they leave."""
 MAX_LOGGED_AGE_MS = 3_600_000.0
@@ -61,6 +66,7 @@
 
         It may have begun right after the last time at which all changes were known.
         """
+        self._max_view_age_ms = max(self._drain_grace_ms, MIN_VIEW_AGE_MS)
         self._clock = clock
         self._routes: RouteTable | None = None
         self._routes_ms = float("-inf")
@@ -171,7 +177,7 @@
         """
         now_ms = self._clock()
         view_age = self._store_sync.view_age
-        is_old = view_age.age_ms(now_ms) > self._drain_grace_ms
+        is_old = view_age.age_ms(now_ms) > self._max_view_age_ms
         if is_old and self.is_view_usable:
             return now_ms
         return min(now_ms, view_age.informed_until_ms)
@@ -192,7 +198,7 @@
     def is_view_usable(self) -> bool:
         """Whether requests may be sent by what this router knows of the servers."""
         view_age = self._store_sync.view_age
-        return view_age.is_usable(self._clock(), self._drain_grace_ms)
+        return view_age.is_usable(self._clock(), self._max_view_age_ms)
 
     def is_drain_grace_over(self, server: BackendServer) -> bool:
         """Return whether a server may have drained so long that it gets no requests."""
@@ -263,7 +269,7 @@
             self._store,
             self._server_source.table,
             self._store_sync,
-            self._drain_grace_ms,
+            self._max_view_age_ms,
             self._record_outage_end,
             self._clock,
         )
--- a/tests/test_edge_viewrefresh.py
+++ b/tests/test_edge_viewrefresh.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import random
 import threading
 import time
 from collections.abc import Sequence
@@ -24,7 +25,7 @@
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.store import PlatformStore
-from standins.tables import CALL_TIMEOUT_S, TableClient
+from standins.tables import CALL_TIMEOUT_S, TableClient, Tables
 
 from .fixtures.edgefleet import (
     DRAIN_MS,
@@ -496,6 +497,37 @@
     assert max(latest_ms.values()) <= DRAIN_MS, latest_ms
 
 
+def test_a_short_drain_time_does_not_make_routers_hold_requests() -> None:
+    """Guards against a deployment that serves nothing because servers leave at once."""
+
+    async def scenario(drain_ms: float) -> None:
+        tables = Tables()
+        for table, value in (
+            (ROUTES_TABLE, msgspec.json.encode(route_table(1))),
+            (SERVERS_TABLE, msgspec.json.encode(backend(1))),
+        ):
+            tables.write(table, "first", value)
+        catalog = Catalog(
+            TableClient(tables, virtual_clock, random.Random(1)),
+            route_source(),
+            server_source(),
+            StoreSync(),
+            REREGISTRATION_MS,
+            drain_ms,
+            virtual_clock,
+        )
+        tasks = [asyncio.ensure_future(task) for task in catalog.tasks()]
+        await asyncio.sleep(1.0)
+        for _ in range(1000):
+            assert catalog.serving(SERVICE), drain_ms
+            await asyncio.sleep(STEP_S)
+        for task in tasks:
+            task.cancel()
+
+    for drain_ms in (0.0, 400.0, 1000.0):
+        run_virtual(scenario(drain_ms))
+
+
 def test_a_silent_store_does_not_make_followers_hold_requests() -> None:
     """Guards against a copy that is too old before a refresh can show an outage."""
 
