Register the server of a test under its id

Callers saw: nothing; went in with this test failing. Cause: the test wrote the server's row under another key than its id, so that its entry counted as deleted, before the change as well as after it. Ruled out: the product; the view was usable in the failed run. Change: the row has the server's id as its key; the checks are the same. Conclusion: the failure that reports as seen before was the test's own.

--- a/tests/test_edge_viewrefresh.py
+++ b/tests/test_edge_viewrefresh.py
@@ -502,11 +502,9 @@
 
     async def scenario(drain_ms: float) -> None:
         tables = Tables()
-        for table, value in (
-            (ROUTES_TABLE, msgspec.json.encode(route_table(1))),
-            (SERVERS_TABLE, msgspec.json.encode(backend(1))),
-        ):
-            tables.write(table, "first", value)
+        server = backend(1)
+        tables.write(ROUTES_TABLE, "routes", msgspec.json.encode(route_table(1)))
+        tables.write(SERVERS_TABLE, server.server, msgspec.json.encode(server))
         catalog = Catalog(
             TableClient(tables, virtual_clock, random.Random(1)),
             route_source(),
