Build the catalogs of the view's tests in one place

Ruled out: the fixture that follows in-memory tables, which has no other store or drain time. Evidence: the file's tests pass.

--- a/tests/test_edge_viewrefresh.py
+++ b/tests/test_edge_viewrefresh.py
@@ -20,9 +20,14 @@
 from mulberryrelay_edge.messages import LeaderReply, RouterReport
 from mulberryrelay_edge.tablefollower import Role, StoreSync
 from mulberryrelay_edge.tablemirror import TableMirror
-from mulberryrelay_edge.tablestore import TableFailure, TableRead, TableRow
+from mulberryrelay_edge.tablestore import (
+    TableFailure,
+    TableRead,
+    TableRow,
+    TableStore,
+)
 from mulberryrelay_edge.viewrefresh import TIMEOUT_MS
-from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.clock import Clock, monotonic_ms
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.store import PlatformStore
 from standins.tables import CALL_TIMEOUT_S, TableClient, Tables
@@ -354,6 +359,19 @@
     router.store_sync._request_catch_up(SERVERS_TABLE)
 
 
+def new_catalog(store: TableStore, drain_ms: float, clock: Clock) -> Catalog:
+    """Return a catalog that has read nothing yet."""
+    return Catalog(
+        store,
+        route_source(),
+        server_source(),
+        StoreSync(),
+        REREGISTRATION_MS,
+        drain_ms,
+        clock,
+    )
+
+
 class StoreThread:
     """A store over HTTP that answers at once, in a thread of its own."""
 
@@ -457,15 +475,7 @@
 
     async def scenario(iteration_s: float) -> float:
         client = PlatformStore(store.address)
-        catalog = Catalog(
-            client,
-            route_source(),
-            server_source(),
-            StoreSync(),
-            REREGISTRATION_MS,
-            DRAIN_MS,
-            monotonic_ms,
-        )
+        catalog = new_catalog(client, DRAIN_MS, monotonic_ms)
         tasks = [asyncio.ensure_future(task) for task in catalog.tasks()]
         await asyncio.sleep(2.0)
         assert len(catalog.serving(SERVICE)) == 2
@@ -505,15 +515,8 @@
         server = backend(1)
         tables.write(ROUTES_TABLE, "routes", msgspec.json.encode(route_table(1)))
         tables.write(SERVERS_TABLE, server.server, msgspec.json.encode(server))
-        catalog = Catalog(
-            TableClient(tables, virtual_clock, random.Random(1)),
-            route_source(),
-            server_source(),
-            StoreSync(),
-            REREGISTRATION_MS,
-            drain_ms,
-            virtual_clock,
-        )
+        client = TableClient(tables, virtual_clock, random.Random(1))
+        catalog = new_catalog(client, drain_ms, virtual_clock)
         tasks = [asyncio.ensure_future(task) for task in catalog.tasks()]
         await asyncio.sleep(1.0)
         for _ in range(1000):
