Call a router's view of the servers by one name

Cause: the reviewer read "copy", "view" and "informed" as three things, and a reason that holds for outages only. Change: docstrings of viewage.py and viewrefresh.py; no code.

--- a/packages/edge/mulberryrelay_edge/viewage.py
+++ b/packages/edge/mulberryrelay_edge/viewage.py
@@ -16,7 +16,7 @@
 
 
 class ViewAge:
-    """The age of a router's copy of the servers. Times are on the router's clock."""
+    """The age of a router's view of the servers. Times are on the router's clock."""
 
     def __init__(self) -> None:
         self._informed_until_ms = -inf
@@ -33,7 +33,7 @@
 
     @property
     def has_unanswered_call(self) -> bool:
-        """Whether the store has not answered a call since the copy was current."""
+        """Whether the store has not answered a call since the view was current."""
         return self._unanswered_ms > self._informed_until_ms
 
     def record_informed(self, until_ms: float) -> None:
@@ -53,10 +53,10 @@
         return now_ms - self._informed_until_ms
 
     def is_usable(self, now_ms: float, max_age_ms: float) -> bool:
-        """Return whether requests may be sent by the copy.
+        """Return whether requests may be sent by the view.
 
-        An old copy is used only while the store answers no call of this router: nothing
-        newer is to be had, and servers cannot report either.
+        An old view is used only while the store answers no call of this router, since
+        nothing newer is to be had then.
         """
         if self.age_ms(now_ms) <= max_age_ms:
             return True
--- a/packages/edge/mulberryrelay_edge/viewrefresh.py
+++ b/packages/edge/mulberryrelay_edge/viewrefresh.py
@@ -1,4 +1,4 @@
-"""Reads changes of the servers directly when the copy of them grows old.
+"""Reads changes of the servers directly when the view of them grows old.
 
 Changes usually come by a waiting poll or from the leader. Neither shows in time that
 there are none: a poll may wait, its reply may be lost, and a leader may be slow.
@@ -17,11 +17,11 @@
 from .tablestore import TableFailure, TableRead, TableStore
 
 LEADER_PERIOD_MS = 400.0
-"""Age of the leader's copy at which it is refreshed; followers' copies are older."""
+"""Age of the leader's view at which it is refreshed; followers' views are older."""
 REFRESH_RESERVE_MS = 350.0
-"""Time before the copy becomes unusable at which other routers refresh it."""
+"""Time before the view becomes unusable at which other routers refresh it."""
 CHECK_PERIOD_S = 0.05
-"""Longest pause between two checks of the copy's age."""
+"""Longest pause between two checks of the view's age."""
 TIMEOUT_MS = 350.0
 """Time after which a refresh counts as unanswered, until its reply arrives."""
 TURN_S = 0.02
@@ -43,7 +43,7 @@
 
 
 class ViewRefresher:
-    """Keeps the copy of one table from becoming older than it may be used."""
+    """Keeps the view from becoming older than it may be used."""
 
     def __init__(
         self,
@@ -54,7 +54,10 @@
         on_outage_end: Callable[[], None],
         clock: Clock,
     ) -> None:
-        """``on_outage_end`` is called before rows that follow unanswered calls."""
+        """``table`` is that of the servers.
+
+        ``on_outage_end`` is called before rows that follow unanswered calls.
+        """
         self._store = store
         self._table = table
         self._store_sync = store_sync
@@ -66,7 +69,7 @@
         """Duration of the last refresh."""
 
     async def run(self) -> None:
-        """Refresh the copy whenever it is due; never returns."""
+        """Refresh the view whenever it is due; never returns."""
         while True:
             left_s = (self._due_ms - self._clock()) / 1000
             if left_s > 0:
@@ -82,7 +85,7 @@
 
     @property
     def _due_ms(self) -> float:
-        """Time at which the copy has to be refreshed."""
+        """Time at which the view has to be refreshed."""
         max_age_ms = self._max_age_ms - REFRESH_RESERVE_MS - self._last_took_ms
         if self._store_sync.role is Role.LEADER:
             max_age_ms = LEADER_PERIOD_MS
