Treat routes of kind download as idempotent

The configuration of a deployment has a new kind of routes, whose responses are large. They were taken for non-idempotent ones: a failed request was not retried. Each decoding of the row also logged one line per route of an unknown kind. Such routes are now idempotent and marked with Route.is_download, and unknown kinds are logged in one line for each version of the configuration.

The tests' recorder of log lines moves to a fixture, as a second module uses it.

--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -56,6 +56,8 @@
     """Latency up to which a response has its full value to the caller."""
     rank: int
     """Priority class of the requests; 0 is the most important."""
+    is_download: bool = False
+    """Whether responses may be so large that they are not held as a whole."""
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/tests/test_edge_explain.py
+++ b/tests/test_edge_explain.py
@@ -6,37 +6,20 @@
 
 import asyncio
 import os
-from collections.abc import Iterator
-from contextlib import contextmanager
 
-import eliot
 from click.testing import CliRunner
 
 from mulberryctl.main import main
 from mulberryctl.timeline import LogLine, find_timeline
 from mulberryrelay_edge.monitoring import render_metrics
-from mulberryrelay_kernel.logs import BoundedWriter, format_line
+from mulberryrelay_kernel.logs import BoundedWriter
 
 from .fixtures import async_test
 from .fixtures.edgerouter import edge_refusal, edge_response, edge_router
+from .fixtures.logs import recorded_lines
 from .fixtures.rawserver import RawRequest, close, raw_server, respond_with
 
 
-@contextmanager
-def recorded_lines() -> Iterator[list[str]]:
-    """Collect the log lines that are written meanwhile."""
-    lines: list[str] = []
-
-    def record(message: dict[str, object]) -> None:
-        lines.append(format_line(message))
-
-    eliot.add_destinations(record)
-    try:
-        yield lines
-    finally:
-        eliot.remove_destination(record)
-
-
 def events(timeline: list[LogLine]) -> list[str]:
     """Return the names of the events of a timeline."""
     return [line.event for line in timeline]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,12 +20,13 @@
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.commands import PlatformCommands
-from mulberryrelay_platform.entries import decode_routes, decode_server
+from mulberryrelay_platform.entries import UnknownKindLog, decode_routes, decode_server
 from mulberryrelay_platform.names import SETTINGS_VARIABLE
 from mulberryrelay_platform.settings import parse_settings
 
 from .fixtures import async_test
 from .fixtures.edgefleet import backend
+from .fixtures.logs import recorded_lines
 from .fixtures.rawserver import RawRequest, raw_server
 
 ROOT = Path(__file__).parent.parent
@@ -73,6 +74,8 @@
             ],
             ["b", "b.example", "/b/", "unsafe", 1.2, 0.4, 1, None, 3, "t"],
             ["c", "c.example", "/c/", "new-kind", 1.2, 0.4, 1, None, 3, "t"],
+            ["d", "d.example", "/d/", "download", 1.2, 0.4, 1, None, 3, "t"],
+            ["e", "e.example", "/e/", "new-kind", 1.2, 0.4, 1, None, 3, "t"],
         ],
     },
     "Services": {
@@ -134,15 +137,30 @@
     assert table is not None
     assert table.version == 12
     assert table.limits.idle_ms == 15_000
-    first, second, third = table.routes
+    first, second, third, fourth, fifth = table.routes
     assert [(s.service, s.weight) for s in first.shares] == [("s", 9), ("t", 1)]
     assert first.is_idempotent and not second.is_idempotent
     # A route of an unknown kind is treated as not idempotent.
-    assert not third.is_idempotent
+    assert not third.is_idempotent and not fifth.is_idempotent
+    assert fourth.is_idempotent and fourth.is_download
+    assert not any(route.is_download for route in (first, second, third, fifth))
     assert second.timeout_ms == 1200 and second.attempts == 3
     assert [s.is_keyed for s in table.services.values()] == [True, False]
 
 
+def test_unknown_kinds_are_logged_once_for_each_version() -> None:
+    """Guards against a log line for each route whenever the row is read again."""
+    unknown_kinds = UnknownKindLog()
+    with recorded_lines() as lines:
+        for version in ("r12", "r12", "r13", "r13"):
+            value = {**CONFIGURATION, "Version": version}
+            assert decode_routes(row(value), unknown_kinds) is not None
+    logged = [line for line in lines if "unknown_route_kinds" in line]
+    assert len(logged) == 2, logged
+    assert all("new-kind" in line and "routes=2" in line for line in logged), logged
+    assert "routes_version=12" in logged[0] and "routes_version=13" in logged[1]
+
+
 def test_an_invalid_configuration_is_ignored() -> None:
     """Guards against a faulty configuration that ends the process or removes routes."""
     invalid = [
