Forward pipelined idempotent requests of a connection concurrently

aiohttp handles the requests of a connection one after the other, so a request of 300 ms waited behind one of up to 13 s. A connection now starts to forward up to 8 idempotent requests without a body while earlier ones have no response yet, and aiohttp still writes the responses in request order. Nothing starts behind a non-idempotent request, a request with a body, a response that closes the connection, or once the shutdown has begun. The time of a request counts from when it was parsed. Responses that wait for earlier ones count in ResponseBuffer. A stopping router closes a connection with the last response of those that it has forwarded.

aiohttp's parser drops the requests before a malformed one in the same segment, so heads are now parsed one by one, up to 32 at once.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -28,6 +28,7 @@
     Route,
     RouteTable,
 )
+from .pipelining import EarlyResponse, PipelinedConnection
 from .requestbuffer import SMALL_BYTES, BodyHold, RequestBuffer
 from .responses import router_response
 from .routematcher import RouteMatcher
@@ -122,31 +123,81 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to a request."""
+        connection = request.protocol
+        assert isinstance(connection, PipelinedConnection)
+        connection.begin(self._is_concurrent(request))
+        edge_response = await connection.early_response()
+        if edge_response is None:
+            edge_response = await self._respond(request, connection.arrived_ms)
+        response = self._build_response(request, edge_response)
+        # The responses to requests that are already forwarded are written as well.
+        if self._shutdown.is_begun and not connection.has_forwarded:
+            response.force_close()
+        return response
+
+    def read_early(
+        self, request: web.BaseRequest, arrived_ms: float
+    ) -> EdgeRequest | None:
+        """Return the request to forward now, or None if it has to wait its turn."""
+        routes = self._catalog.routes
+        if routes is None or self._shutdown.is_begun:
+            return None
+        if not self._is_concurrent(request):
+            return None
+        try:
+            return self._check(request, routes, b"", arrived_ms)
+        except _RefusedError:
+            return None
+
+    async def forward_early(
+        self, request: EdgeRequest, connection: web.RequestHandler
+    ) -> EarlyResponse:
+        """Return the response to a request; ``connection`` is closed to drop it."""
+        self._in_flight += 1
+        self._forwarder.metrics.count("forwarded_early")
+        try:
+            response = await self.forward(request)
+        except Exception as error:
+            log_failure("request", error)
+            response = router_response(500)
+        finally:
+            self._in_flight -= 1
+        hold = self._responses.open(lambda: _disconnect(connection))
+        hold.add(len(response.body))
+        return EarlyResponse(response, hold)
+
+    async def forward(self, request: EdgeRequest) -> EdgeResponse:
+        """Forward a request that was read and checked."""
+        return await self._forwarder.forward(request)
+
+    async def _respond(
+        self, request: web.BaseRequest, arrived_ms: float
+    ) -> EdgeResponse:
+        """Forward a request in its turn, or refuse it."""
         self._in_flight += 1
         hold = self._bodies.open()
         try:
-            edge_response = await self.respond(request, hold)
+            edge_request = await self._read(request, arrived_ms, hold)
+            return await self.forward(edge_request)
+        except _RefusedError as refused:
+            return refused.response
         except (web.HTTPException, web.RequestPayloadError, ConnectionError):
             raise
         except Exception as error:
             # What the request has caused is not known here.
             log_failure("request", error)
-            edge_response = router_response(500)
+            return router_response(500)
         finally:
             hold.close()
             self._in_flight -= 1
-        response = self._build_response(request, edge_response)
-        if self._shutdown.is_begun:
-            response.force_close()
-        return response
 
-    async def respond(self, request: web.BaseRequest, hold: BodyHold) -> EdgeResponse:
-        """Forward a request, or refuse it; ``hold`` is the room of its body."""
-        try:
-            edge_request = await self._read(request, hold)
-        except _RefusedError as refused:
-            return refused.response
-        return await self._forwarder.forward(edge_request)
+    def _is_concurrent(self, request: web.BaseRequest) -> bool:
+        """Return whether a request and those around it may run at the same time."""
+        routes = self._catalog.routes
+        if routes is None or request.body_exists:
+            return False
+        route = self._match(request, routes)
+        return route is not None and route.is_idempotent
 
     def _build_response(
         self, request: web.BaseRequest, edge_response: EdgeResponse
@@ -158,27 +209,38 @@
         }
         if len(edge_response.body) <= SMALL_BYTES:
             return web.Response(**options)
-
-        def disconnect() -> None:
-            if request.transport is not None:
-                request.transport.abort()
-
-        hold = self._responses.open(disconnect)
+        connection = request.protocol
+        hold = self._responses.open(lambda: _disconnect(connection))
         response = _HeldResponse(hold, **options)
         hold.add(len(edge_response.body))
         return response
 
-    async def _read(self, request: web.BaseRequest, hold: BodyHold) -> EdgeRequest:
+    async def _read(
+        self, request: web.BaseRequest, arrived_ms: float, hold: BodyHold
+    ) -> EdgeRequest:
         """Read and check a request.
 
         Raises:
             _RefusedError: it must not be forwarded.
         """
-        arrived_ms = self._clock()
         routes = self._catalog.routes
         if routes is None:
             raise _RefusedError(router_response(503))
         body = await self._read_body(request, routes.limits, hold)
+        return self._check(request, routes, body, arrived_ms)
+
+    def _check(
+        self,
+        request: web.BaseRequest,
+        routes: RouteTable,
+        body: RequestBody,
+        arrived_ms: float,
+    ) -> EdgeRequest:
+        """Check a request whose body has been read.
+
+        Raises:
+            _RefusedError: it must not be forwarded.
+        """
         header_bytes = sum(len(k) + len(v) for k, v in request.raw_headers)
         if header_bytes > routes.limits.header_bytes:
             raise _RefusedError(router_response(431))
@@ -205,16 +267,18 @@
             caller_address=request.remote or "",
         )
 
+    def _match(self, request: web.BaseRequest, routes: RouteTable) -> Route | None:
+        return self._matcher.match(routes, request.host, request.rel_url.raw_path)
+
     def _find_route(self, request: web.BaseRequest, routes: RouteTable) -> Route:
-        path = request.rel_url.raw_path
-        route = self._matcher.match(routes, request.host, path)
+        route = self._match(request, routes)
         if route is not None:
             return route
         log_event(
             "no_route",
             request_id=self._request_id(request),
             host=request.host,
-            path=path,
+            path=request.rel_url.raw_path,
             routes_version=routes.version,
         )
         raise _RefusedError(router_response(404))
@@ -291,6 +355,11 @@
         return _RefusedError(router_response(503))
 
 
+def _disconnect(connection: web.RequestHandler) -> None:
+    if connection.transport is not None:
+        connection.transport.abort()
+
+
 def _parse_number(text: str | None, default: float) -> float:
     """Return the number in a header, or the default if it is absent or invalid."""
     if text is None:
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -24,6 +24,7 @@
 from .catalog import Catalog
 from .forwarder import RequestForwarder
 from .options import EdgeOptions
+from .pipelining import PipelinedConnection
 
 IDLE_TIMEOUT_S = 60.0
 """Time after which an idle connection is closed, unless operators permit more."""
@@ -63,13 +64,21 @@
     """Gives each connection the idle timeout that is in force when it is opened."""
 
     def __init__(
-        self, idle_timeout_s: Callable[[], float], handler: Any, **options: Any
+        self,
+        idle_timeout_s: Callable[[], float],
+        handler: CallerHandler,
+        clock: Clock,
+        **options: Any,
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler.handle, **options)
         self._idle_timeout_s = idle_timeout_s
+        self._handler = handler
+        self._clock = clock
 
     def __call__(self) -> web.RequestHandler:
-        connection = super().__call__()
+        connection = PipelinedConnection(
+            self, self._handler, self._clock, loop=self._loop, **self._kwargs
+        )
         # aiohttp has no public way to set it for a connection.
         connection._keepalive_timeout = self._idle_timeout_s()
         return connection
@@ -110,7 +119,8 @@
         """Listen for callers and for readiness checks."""
         server = _ConnectionServer(
             self._idle_timeout_s,
-            self._handler.handle,
+            self._handler,
+            self._clock,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -114,6 +114,11 @@
         """The bytes of the responses that are being received or sent."""
         return self._sender.response_buffer
 
+    @property
+    def metrics(self) -> Metrics:
+        """Counts of the requests and of the decisions on them."""
+        return self._metrics
+
     async def drain_probations(self, timeout_s: float) -> None:
         """Wait until the results of all runs of suspects are reported."""
         await self._suspect_runs.drain(timeout_s)
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -16,8 +16,7 @@
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult, Exchange
 from mulberryrelay_edge.grantexpiries import GrantExpiries
 from mulberryrelay_edge.lease import LeaderLease
-from mulberryrelay_edge.messages import BackendServer, EdgeResponse
-from mulberryrelay_edge.requestbuffer import BodyHold
+from mulberryrelay_edge.messages import BackendServer, EdgeRequest, EdgeResponse
 from mulberryrelay_edge.serverlimits import ServerLimits
 from mulberryrelay_edge.serverreach import ServerReach
 from mulberryrelay_edge.tablestore import TableRead
@@ -26,7 +25,7 @@
 
 _run_exchange = Exchange.run
 _apply_routes = Catalog.apply_routes
-_respond = CallerHandler.respond
+_forward = CallerHandler.forward
 
 
 async def _report_broken_as_not_run(exchange: Exchange, pool: Any) -> AttemptResult:
@@ -49,10 +48,8 @@
             connection.transport.abort()
 
 
-async def _cut_body(
-    handler: CallerHandler, request: Any, hold: BodyHold
-) -> EdgeResponse:
-    response = await _respond(handler, request, hold)
+async def _cut_body(handler: CallerHandler, request: EdgeRequest) -> EdgeResponse:
+    response = await _forward(handler, request)
     return msgspec.structs.replace(response, body=response.body[:2000])
 
 
@@ -90,7 +87,7 @@
         Catalog, "apply_routes", _apply_first_routes
     ),
     "stops-at-once": lambda: patch.object(CallerServer, "stop", _stop_at_once),
-    "responses-cut": lambda: patch.object(CallerHandler, "respond", _cut_body),
+    "responses-cut": lambda: patch.object(CallerHandler, "forward", _cut_body),
     "drained-servers-used": lambda: patch.multiple(
         Catalog,
         serving=_serving_and_draining,
