Send nothing to servers of evacuated data centres

Rows `evacuate/ZONE` of the table with the routes were ignored, so servers of an evacuated data centre kept getting requests.

The catalogue keeps the evacuated data centres. Requests without a key stop going there once the row is read, if there are other servers. Owners get requests for their keys until EvacuationS less a margin after the earliest time at which the row may have been written; the check is repeated at the write. That time follows from the version of the row: it was written after each read of the store that returned a lower version. The leader states its last read and how current its view of the table is; a follower whose view grows older than the bound reads the changes itself. Keys are not yet moved out.

--- a/packages/edge/mulberryrelay_edge/adapter.py
+++ b/packages/edge/mulberryrelay_edge/adapter.py
@@ -11,7 +11,7 @@
 from multidict import istr
 from returns.result import Result
 
-from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.ids import DataCentre, ServerId
 
 from .messages import BackendServer, LoadReport, RouteTable
 from .options import EdgeOptions
@@ -161,6 +161,13 @@
     def route_source(self) -> Source[RouteTable]: ...
     @property
     def server_source(self) -> Source[BackendServer]: ...
+    @property
+    def evacuation_source(self) -> Source[DataCentre]:
+        """The rows of the routes table that each evacuate a data centre.
+
+        Deleted rows are decoded as well.
+        """
+
     @property
     def ready_path(self) -> str: ...
     def parse_load(self, headers: Mapping[str, str]) -> LoadReport | None:
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -19,17 +19,17 @@
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_kernel.supervision import run_supervised
 
+from .evacuations import Evacuations
 from .messages import BackendServer, KeyRange, RouteTable
 from .storeversion import restores_of
-from .tablefollower import FollowedTable, StoreSync, follow_table
+from .tablefollower import FollowedTable, Role, StoreSync, follow_table
 from .tablestore import Source, TableRead, TableStore, decode_row
 from .unreachableservers import Incarnation
+from .viewage import SEND_MARGIN_MS
 from .viewrefresh import ViewRefresher
 
 SERVERS_BATCH_DELAY_S = 0.2
 """Pause after a change of the servers table, to fetch several changes at once."""
-SEND_MARGIN_MS = 500.0
-"""Time that a request may take from its write to a server that must soon get none."""
 MIN_VIEW_AGE_MS = 1200.0
 """Age that the view may have however short the drain time is.
 
@@ -52,6 +52,7 @@
         store_sync: StoreSync,
         reregistration_ms: float,
         drain_ms: float,
+        evacuations: Evacuations,
         clock: Clock,
     ) -> None:
         """``drain_ms`` is ``EdgeOptions.drain_ms``."""
@@ -67,6 +68,7 @@
         It may have begun right after the last time at which all changes were known.
         """
         self._max_view_age_ms = max(self._drain_grace_ms, MIN_VIEW_AGE_MS)
+        self._evacuations = evacuations
         self._clock = clock
         self._routes: RouteTable | None = None
         self._routes_ms = float("-inf")
@@ -188,6 +190,17 @@
         if len(self._leaving_ms) > MAX_LEAVING:
             del self._leaving_ms[next(iter(self._leaving_ms))]
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated data centres."""
+        return self._evacuations
+
+    @property
+    def evacuated_data_centres(self) -> int:
+        """Number of evacuated data centres with registered servers."""
+        known = {server.data_centre for server in self._servers.values()}
+        return sum(name in known for name in self._evacuations.data_centres)
+
     @property
     def view_age_ms(self) -> int:
         """Time since all changes of the servers were known here, for log lines."""
@@ -212,14 +225,19 @@
         current = self._servers.get(server.server)
         if current is None or _address_key(current) != _address_key(server):
             return False
-        return not self.is_drain_grace_over(current)
+        return self._may_get_requests(current)
 
     def serving_owner(self, key_range: KeyRange) -> BackendServer | None:
         """Return the owner of a range if it may get requests for its keys."""
         owner = self._servers.get(key_range.owner)
         if owner is None or not key_range.is_owned_by(owner):
             return None
-        return None if self.is_drain_grace_over(owner) else owner
+        return owner if self._may_get_requests(owner) else None
+
+    def _may_get_requests(self, server: BackendServer) -> bool:
+        if self.is_drain_grace_over(server):
+            return False
+        return not self._evacuations.is_grace_over(server.data_centre)
 
     def server(self, server: ServerId) -> BackendServer | None:
         """Return the entry of a server, or None if it is not registered."""
@@ -235,44 +253,68 @@
         return list(self._servers.values())
 
     def serving(self, service: ServiceName) -> list[BackendServer]:
-        """Return the servers of a service that are not draining.
+        """Return the servers of a service that get requests without a key.
 
+        They do not drain, and are not in an evacuated data centre if there are others.
         Those whose registration is missing are returned only if there are no others,
         and none while the view is too old.
         """
+        usable = self._evacuations.usable(self._active(service))
+        registered = [s for s in usable if s.server not in self._missing]
+        return registered or usable
+
+    def assignable(self, service: ServiceName) -> list[BackendServer]:
+        """Return the servers of a service that may get keys."""
+        usable = [
+            s
+            for s in self._active(service)
+            if not self._evacuations.is_evacuated(s.data_centre)
+        ]
+        registered = [s for s in usable if s.server not in self._missing]
+        return registered or usable
+
+    def _active(self, service: ServiceName) -> list[BackendServer]:
+        """Return the servers of a service that do not drain, by a current view."""
         if not self.is_view_usable:
             return []
-        serving = [
-            s for s in self.servers(service) if s.state is not ServerState.DRAINING
-        ]
-        registered = [s for s in serving if s.server not in self._missing]
-        return registered or serving
+        servers = self.servers(service)
+        return [s for s in servers if s.state is not ServerState.DRAINING]
 
     def tasks(self) -> list[Awaitable[None]]:
         """Return the tasks that keep the catalog current."""
-        view_age = self._store_sync.view_age
         tables = (
             FollowedTable(
                 self._route_source.table,
                 self.apply_routes,
                 is_probe=True,
-                begin_call=lambda: self._begin_call(view_age.record_answered),
+                begin_call=lambda: self._begin_call(self._record_routes_reply),
             ),
             FollowedTable(
                 self._server_source.table,
                 self.apply_servers,
                 batch_delay_s=SERVERS_BATCH_DELAY_S,
-                begin_call=lambda: self._begin_call(view_age.record_informed),
+                begin_call=lambda: self._begin_call(self._record_servers_reply),
             ),
         )
         refresher = ViewRefresher(
             self._store,
             self._server_source.table,
             self._store_sync,
+            self._store_sync.view_age,
             self._max_view_age_ms,
             self._record_outage_end,
             self._clock,
         )
+        routes_refresher = ViewRefresher(
+            self._store,
+            self._route_source.table,
+            self._store_sync,
+            self._store_sync.routes_view_age,
+            max(self._evacuations.grace_ms, MIN_VIEW_AGE_MS),
+            lambda: None,
+            self._clock,
+            (Role.FOLLOWER,),
+        )
         follows = [
             run_supervised(
                 f"follow {table.table}",
@@ -280,12 +322,35 @@
             )
             for table in tables
         ]
-        return [*follows, run_supervised("refresh view", refresher.run)]
+        return [
+            *follows,
+            run_supervised("refresh view", refresher.run),
+            run_supervised("refresh view of routes", routes_refresher.run),
+        ]
 
-    def _begin_call(self, record_reply: Callable[[float], None]) -> Callable[[], None]:
+    def _begin_call(
+        self, record_reply: Callable[[float, int], None]
+    ) -> Callable[[int], None]:
         """Return what records the reply to a call of the store that starts now."""
         started_ms = self._clock()
-        return lambda: record_reply(started_ms)
+
+        def record(version: int) -> None:
+            self._store_sync.write_times.record_read(version, started_ms)
+            record_reply(started_ms, version)
+
+        return record
+
+    def _record_servers_reply(self, started_ms: float, version: int) -> None:
+        self._store_sync.view_age.record_informed(started_ms)
+
+    def _record_routes_reply(self, started_ms: float, version: int) -> None:
+        self._store_sync.view_age.record_answered(started_ms)
+        # A poll may have waited since; later reads of other tables show that a change
+        # which it did not return was written after them.
+        known_ms = max(
+            started_ms, self._store_sync.write_times.earliest_ms(version + 1)
+        )
+        self._store_sync.routes_view_age.record_informed(known_ms)
 
     def _record_outage_end(self) -> None:
         """Let servers register again after an outage of the store."""
@@ -301,7 +366,10 @@
         self._is_store_reachable = is_reachable
 
     def apply_routes(self, read: TableRead, is_complete: bool) -> None:
-        """Apply the newest valid routes."""
+        """Apply the newest valid routes, and the evacuations of data centres."""
+        if self._evacuations.apply(read, is_complete):
+            self._log_unknown_data_centres()
+            self._changes.on_next(None)
         for row in read.rows:
             if row.value is None:
                 continue
@@ -315,6 +383,13 @@
             log_event("routes_applied", version=table.version, row_version=row.version)
             self._changes.on_next(None)
 
+    def _log_unknown_data_centres(self) -> None:
+        """Log evacuations without effect, such as those with a misspelt name."""
+        known = {server.data_centre for server in self._servers.values()}
+        for name in self._evacuations.data_centres:
+            if known and name not in known:
+                log_event("evacuation_unknown", data_centre=name)
+
     def apply_servers(self, read: TableRead, is_complete: bool) -> None:
         """Apply changed entries, or replace all entries if ``is_complete``."""
         self._record_restores(restores_of(read.version))
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -20,6 +20,7 @@
 from .catalog import Catalog
 from .coordinator import Coordinator
 from .directreads import DirectReads, read_due_tables
+from .evacuations import Evacuations
 from .keyload import KeyLoad
 from .leaderlink import LeaderLink, ReportHandler
 from .lease import LeaderLease
@@ -70,6 +71,13 @@
             self._store_sync,
             options.reregistration_ms,
             options.drain_ms,
+            Evacuations(
+                adapter.evacuation_source,
+                options.evacuation_ms,
+                options.instance,
+                self._store_sync.write_times,
+                clock,
+            ),
             clock,
         )
         self._ownership = Ownership()
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -150,6 +150,7 @@
             "servers_unreachable": float(control.reach.is_cut_off),
             "blocked_requests": control.suspects.blocked,
             "routes_version": control.catalog.version,
+            "evacuated_data_centres": control.catalog.evacuated_data_centres,
             "store_silent_ms": control.catalog.store_unreachable_ms,
         },
         lambda: control.status.snapshot(callers.in_flight, dispatcher.queue_length),
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -27,6 +27,7 @@
 from .tablefollower import Role, StoreSync
 from .tablestore import TableRead
 from .unreachableservers import Incarnation
+from .viewage import VersionRead, ViewAge
 
 MAX_REPORT_PERIOD_MS = 600.0
 """Maximum time between two reports of a follower."""
@@ -177,7 +178,12 @@
         while self._is_leader():
             update_event = self._update_event
             updates = self._divide_updates(report)
-            known_after_ms = self._known_after_ms(arrived_ms)
+            known_after_ms = self._known_after_ms(self._store_sync.view_age, arrived_ms)
+            routes_known_after_ms = None
+            if not updates.unsent and not report.store_reads:
+                routes_known_after_ms = self._known_after_ms(
+                    self._store_sync.routes_view_age, arrived_ms
+                )
             leader_reply = LeaderReply(
                 updates.sent,
                 self._ownership.changes_since(report.range_versions),
@@ -187,6 +193,8 @@
                 known_after_ms,
                 known_after_ms,
                 updates.unsent,
+                routes_known_after_ms,
+                self._last_read(arrived_ms),
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -214,13 +222,22 @@
         updates = self._store_sync.updates_since(report.table_versions)
         return self._bulk_updates.divide(updates, store_reads)
 
-    def _known_after_ms(self, arrived_ms: float) -> float | None:
-        """Return ``LeaderReply.servers_known_after_report_ms``."""
-        after_ms = self._store_sync.informed_until_ms - arrived_ms
-        if isinf(after_ms):
+    def _known_after_ms(self, view_age: ViewAge, arrived_ms: float) -> float | None:
+        """Return ``LeaderReply.servers_known_after_report_ms``, or that of routes."""
+        after_ms = view_age.informed_until_ms - arrived_ms
+        return None if isinf(after_ms) else _rounded_down(after_ms)
+
+    def _last_read(self, arrived_ms: float) -> VersionRead | None:
+        """Return ``LeaderReply.store_read``."""
+        read = self._store_sync.write_times.last_read
+        if read is None:
             return None
-        # Rounded, so that equal replies to many followers are encoded once.
-        return floor(after_ms / INFORMED_STEP_MS) * INFORMED_STEP_MS
+        return VersionRead(read.version, _rounded_down(read.started_ms - arrived_ms))
+
+
+def _rounded_down(after_ms: float) -> float:
+    """Return a rounded time, so that replies to many followers are encoded once."""
+    return floor(after_ms / INFORMED_STEP_MS) * INFORMED_STEP_MS
 
 
 class LeaderLink:
@@ -349,6 +366,14 @@
         if known_after_ms is not None:
             # The report arrived at the leader after it was sent here.
             self._store_sync.view_age.record_informed(sent_ms + known_after_ms)
+        known_after_ms = leader_reply.routes_known_after_report_ms
+        if known_after_ms is not None:
+            self._store_sync.routes_view_age.record_informed(sent_ms + known_after_ms)
+        last_read = leader_reply.store_read
+        if last_read is not None:
+            self._store_sync.write_times.record_read(
+                last_read.version, sent_ms + last_read.started_ms
+            )
         # While the store does not answer the leader, it cannot send changes, so this
         # router polls the store itself.
         self._store_sync.set_role(
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -202,7 +202,7 @@
             self._planning.discard(service)
 
     def _start_initial_assignment(self, service: ServiceName) -> None:
-        servers = self._catalog.serving(service)
+        servers = self._catalog.assignable(service)
         now_ms = self._clock()
         if len(servers) != self._server_counts.get(service, 0):
             self._server_counts[service] = len(servers)
@@ -383,7 +383,7 @@
         """Return the servers that may get keys, with their capacities."""
         servers = [
             (server, self._condition(server))
-            for server in self._catalog.serving(service)
+            for server in self._catalog.assignable(service)
             if not self._grants.is_unreachable((server.server, server.started_ms))
         ]
         return capacities(servers, self._load.sample(service))
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -153,6 +153,8 @@
             leader_reply.suspects.version,
             leader_reply.servers_known_after_report_ms,
             leader_reply.unsent_tables,
+            leader_reply.routes_known_after_report_ms,
+            leader_reply.store_read,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -23,6 +23,7 @@
 from mulberryrelay_kernel.states import ServerState
 
 from .tablemirror import TableUpdate
+from .viewage import VersionRead
 
 LAST_KEY = 65535
 """Highest key of a keyed service; the lowest is 0."""
@@ -416,3 +417,13 @@
     """
     unsent_tables: tuple[str, ...] = ()
     """Tables with newer rows that the follower has to read from the store."""
+    routes_known_after_report_ms: float | None = None
+    """As ``servers_known_after_report_ms``, for evacuations of data centres.
+
+    None in replies of older builds as well, and if the follower lacks rows.
+    """
+    store_read: VersionRead | None = None
+    """The leader's last read of the store; its time counts as the one above.
+
+    None in replies of older builds.
+    """
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -44,3 +44,5 @@
     """Bytes that the bodies received for one request may have."""
     max_buffered_bytes: int
     """Bytes that all responses together may hold while they are received."""
+    evacuation_ms: float = 5000.0
+    """Time after the write of an evacuation from which on servers get no requests."""
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -20,7 +20,7 @@
 from .storeversion import restores_of
 from .tablemirror import TableMirror, TableUpdate
 from .tablestore import TableFailure, TableRead, TableStore
-from .viewage import ViewAge
+from .viewage import ViewAge, WriteTimes
 
 INITIAL_BACKOFF_S = 0.1
 """Base of the exponential backoff after a failed call."""
@@ -60,11 +60,11 @@
     """
 
 
-def _ignore_reply() -> None:
+def _ignore_reply(version: int) -> None:
     """Ignore a reply."""
 
 
-def _ignore_call() -> Callable[[], None]:
+def _ignore_call() -> Callable[[int], None]:
     """Ignore a call."""
     return _ignore_reply
 
@@ -84,10 +84,11 @@
     """
     batch_delay_s: float = 0.0
     """Pause after a change, so that the next poll returns several changes at once."""
-    begin_call: Callable[[], Callable[[], None]] = _ignore_call
+    begin_call: Callable[[], Callable[[int], None]] = _ignore_call
     """Called before each call of this router for the table.
 
-    What it returns is called once the rows of the reply are applied.
+    What it returns is called with the version that the reply states, once the rows of
+    the reply are applied.
     """
 
 
@@ -118,6 +119,8 @@
         None if it did not, or if rows were read since.
         """
         self._view_age = ViewAge()
+        self._routes_view_age = ViewAge()
+        self._write_times = WriteTimes()
         self._reachable_event = asyncio.Event()
         """Set when the store answers again."""
         self._changes: Subject[bool] = Subject()
@@ -170,6 +173,16 @@
         """Up to when this router knows all changes of the servers."""
         return self._view_age
 
+    @property
+    def routes_view_age(self) -> ViewAge:
+        """Up to when this router knows all changes of the routes table."""
+        return self._routes_view_age
+
+    @property
+    def write_times(self) -> WriteTimes:
+        """Earliest times at which rows may have been written."""
+        return self._write_times
+
     @property
     def informed_until_ms(self) -> float:
         """Time up to which all changes of the servers are certainly known here."""
@@ -340,7 +353,7 @@
                 catch_up_event = asyncio.Event()
             read = result.unwrap()
             store_sync.apply_rows(table, read, version is None)
-            record_reply()
+            record_reply(read.version)
             is_catching_up = False
             version = read.version
             if followed.batch_delay_s and read.rows:
--- a/packages/edge/mulberryrelay_edge/viewage.py
+++ b/packages/edge/mulberryrelay_edge/viewage.py
@@ -6,13 +6,61 @@
 its followers.
 """
 
+from collections import deque
 from math import inf
 
+import msgspec
+
+SEND_MARGIN_MS = 500.0
+"""Time that a request may take from its write to a server that must soon get none."""
 SILENT_MS = 1200.0
 """Time without any answer after which the store may be away.
 
 A leader whose calls for the lease are answered gets answers more often.
 """
+MAX_READS = 64
+"""Reads of which the version is kept; there are about three in a second."""
+
+
+class VersionRead(msgspec.Struct, frozen=True, array_like=True):
+    """A read of the store that started at a time and returned a version."""
+
+    version: int
+    started_ms: float
+
+
+class WriteTimes:
+    """Earliest times at which rows may have been written, by their versions.
+
+    All tables share the versions of the store. A row whose version is above that of a
+    read was written after the start of the read. Times are on the router's clock.
+    """
+
+    def __init__(self) -> None:
+        self._reads: deque[VersionRead] = deque(maxlen=MAX_READS)
+        """Reads with rising versions and start times."""
+
+    @property
+    def last_read(self) -> VersionRead | None:
+        """The read with the highest version."""
+        return self._reads[-1] if self._reads else None
+
+    def record_read(self, version: int, started_ms: float) -> None:
+        """Record that the store had a version after a time."""
+        while self._reads and self._reads[-1].started_ms <= started_ms:
+            if self._reads[-1].version < version:
+                break
+            self._reads.pop()
+        last = self.last_read
+        if last is None or last.started_ms < started_ms:
+            self._reads.append(VersionRead(version, started_ms))
+
+    def earliest_ms(self, version: int) -> float:
+        """Return the earliest time of the write of a row; minus infinity if unknown."""
+        for read in reversed(self._reads):
+            if read.version < version:
+                return read.started_ms
+        return -inf
 
 
 class ViewAge:
--- a/packages/edge/mulberryrelay_edge/viewrefresh.py
+++ b/packages/edge/mulberryrelay_edge/viewrefresh.py
@@ -1,11 +1,11 @@
-"""Reads changes of the servers directly when the view of them grows old.
+"""Reads changes of a table directly when the view of it grows old.
 
 Changes usually come by a waiting poll or from the leader. Neither shows in time that
 there are none: a poll may wait, its reply may be lost, and a leader may be slow.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from math import isinf
 
 from returns.result import Failure, Result, Success
@@ -15,6 +15,7 @@
 
 from .tablefollower import Role, StoreSync
 from .tablestore import TableFailure, TableRead, TableStore
+from .viewage import ViewAge
 
 LEADER_PERIOD_MS = 400.0
 """Age of the leader's view at which it is refreshed; followers' views are older."""
@@ -50,18 +51,23 @@
         store: TableStore,
         table: str,
         store_sync: StoreSync,
+        view_age: ViewAge,
         max_age_ms: float,
         on_outage_end: Callable[[], None],
         clock: Clock,
+        roles: Collection[Role] = tuple(Role),
     ) -> None:
-        """``table`` is that of the servers.
+        """``view_age`` is that of the view of ``table``.
 
-        ``on_outage_end`` is called before rows that follow unanswered calls.
+        ``on_outage_end`` is called before rows that follow unanswered calls. The view
+        is refreshed while this router has one of the ``roles``.
         """
         self._store = store
         self._table = table
         self._store_sync = store_sync
+        self._view_age = view_age
         self._max_age_ms = max_age_ms
+        self._roles = frozenset(roles)
         self._on_outage_end = on_outage_end
         self._clock = clock
         self._failures = 0
@@ -89,17 +95,18 @@
         max_age_ms = self._max_age_ms - REFRESH_RESERVE_MS - self._last_took_ms
         if self._store_sync.role is Role.LEADER:
             max_age_ms = LEADER_PERIOD_MS
-        return self._store_sync.view_age.informed_until_ms + max_age_ms
+        return self._view_age.informed_until_ms + max_age_ms
 
     def _is_needed(self) -> bool:
         """Return whether nothing else is about to read the table or to show an outage.
 
         The first read of the table, and the reads after an outage, are complete ones.
         """
-        view_age = self._store_sync.view_age
-        if isinf(view_age.informed_until_ms):
+        if isinf(self._view_age.informed_until_ms):
             return False
-        return self._store_sync.is_reachable or not view_age.has_unanswered_call
+        if self._store_sync.role not in self._roles:
+            return False
+        return self._store_sync.is_reachable or not self._view_age.has_unanswered_call
 
     async def _refresh(self) -> bool:
         """Read the changes; return whether the store answered.
@@ -123,8 +130,10 @@
         if self._failures >= FAILURES_OF_OUTAGE:
             self._on_outage_end()
         self._failures = 0
-        self._store_sync.apply_rows(self._table, result.unwrap(), is_complete)
-        self._store_sync.view_age.record_informed(started_ms)
+        read = result.unwrap()
+        self._store_sync.apply_rows(self._table, read, is_complete)
+        self._view_age.record_informed(started_ms)
+        self._store_sync.write_times.record_read(read.version, started_ms)
         return True
 
     async def _wait_for_reply(
@@ -152,13 +161,12 @@
 
     def _record_unanswered(self, reason: str, started_ms: float) -> None:
         now_ms = self._clock()
-        view_age = self._store_sync.view_age
         log_event(
             "view_refresh_failed",
             table=self._table,
             reason=reason,
             took_ms=round(now_ms - started_ms),
-            age_ms=round(view_age.age_ms(now_ms)),
+            age_ms=round(self._view_age.age_ms(now_ms)),
         )
         self._failures += 1
-        view_age.record_unanswered(started_ms)
+        self._view_age.record_unanswered(started_ms)
--- /dev/null
+++ b/tests/test_edge_evacuation.py
@@ -0,0 +1,362 @@
+"""Evacuated data centres get no requests in time, and get them back in steps.
+
+Tests of catalogues and fleets run in virtual time.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+from unittest.mock import patch
+
+from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge import catalog, evacuations
+from mulberryrelay_edge.evacuations import (
+    RETURN_FIRST_SHARE,
+    RETURN_RAMP_MS,
+    _position,
+)
+from mulberryrelay_edge.tablestore import TableRead, TableRow
+from mulberryrelay_edge.viewage import SEND_MARGIN_MS
+from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
+from mulberryrelay_platform.entries import decode_evacuation
+
+from .fixtures.edgefleet import (
+    EVACUATION_MS,
+    EVACUATION_PREFIX,
+    ROUTES_TABLE,
+    SERVERS_TABLE,
+    SERVICE,
+    Fleet,
+    FleetRouter,
+    backend,
+    followers_of,
+)
+from .fixtures.followingcatalog import FollowingCatalog
+
+SOON_S = 0.1
+"""Time in which a row is known to a router whose poll is waiting."""
+BOUND_S = (EVACUATION_MS - SEND_MARGIN_MS) / 1000
+"""Time after the write from which on no request is written."""
+STEP_S = 0.02
+"""Period in which routers are asked whether they would send a request."""
+MOMENTS_S = (0.0, 0.3, 0.7, 1.2, 5.0)
+"""Times for which a trouble has lasted when the row is written."""
+TROUBLE_S = 2.0
+"""Duration of a trouble that ends by itself."""
+POLL_TRAVEL_S = 0.8
+"""Time that a reply travels; the store is given up after 1 s."""
+WATCHED_S = 10.0
+ROUTERS = 5
+
+Trouble = Callable[[Fleet, FleetRouter], None]
+"""Starts a trouble of the leader, or of the followers."""
+
+
+def _run(scenario: Callable[[FollowingCatalog], Coroutine[Any, Any, None]]) -> None:
+    """Run a scenario with two servers in data centre a, and two in b."""
+
+    async def run() -> None:
+        following = FollowingCatalog()
+        following.put_routes(1)
+        for number in range(4):
+            following.put_server(number, data_centre=DataCentre("aabb"[number]))
+        await asyncio.sleep(1.0)
+        assert _used(following) == "aabb"
+        await scenario(following)
+        following.stop()
+
+    run_virtual(run())
+
+
+def _used(following: FollowingCatalog) -> str:
+    """Return the data centres of the servers that requests without a key may use."""
+    return "".join(s.data_centre for s in following.catalog.serving(SERVICE))
+
+
+def _sendable(following: FollowingCatalog) -> str:
+    """Return the data centres of the servers to which a chosen request is written."""
+    servers = following.catalog.servers(SERVICE)
+    return "".join(s.data_centre for s in servers if following.catalog.may_send_to(s))
+
+
+def test_requests_leave_at_once_and_owners_keep_theirs_until_the_bound() -> None:
+    """Guards against late requests, and against keys without an owner before moves."""
+
+    async def scenario(following: FollowingCatalog) -> None:
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        assert (_used(following), _sendable(following)) == ("bb", "aabb")
+        assert len(following.catalog.assignable(SERVICE)) == 2
+        assert following.catalog.evacuated_data_centres == 1
+        await asyncio.sleep(BOUND_S - SOON_S - 2.5)
+        assert _sendable(following) == "aabb"
+        await asyncio.sleep(2.5)
+        assert _sendable(following) == "bb"
+        following.evacuate("a", False)
+        await asyncio.sleep(SOON_S)
+        assert _sendable(following) == "aabb"
+        assert len(following.catalog.assignable(SERVICE)) == 4
+
+    _run(scenario)
+
+
+def test_an_evacuation_of_all_data_centres_holds() -> None:
+    """Guards against requests to evacuated servers because there are no others."""
+
+    async def scenario(following: FollowingCatalog) -> None:
+        following.evacuate("a")
+        following.evacuate("b")
+        await asyncio.sleep(SOON_S)
+        assert (_used(following), _sendable(following)) == ("aabb", "aabb")
+        assert following.catalog.assignable(SERVICE) == []
+        await asyncio.sleep(BOUND_S)
+        assert (_used(following), _sendable(following)) == ("", "")
+
+    _run(scenario)
+
+
+def test_an_evacuation_of_an_unknown_data_centre_is_logged_only() -> None:
+    """Guards against a misspelt name that moves load, or passes unnoticed."""
+
+    async def scenario(following: FollowingCatalog) -> None:
+        with patch.object(catalog, "log_event") as log:
+            following.evacuate("c")
+            await asyncio.sleep(BOUND_S + SOON_S)
+        log.assert_called_once_with("evacuation_unknown", data_centre="c")
+        assert (_used(following), _sendable(following)) == ("aabb", "aabb")
+        assert following.catalog.evacuated_data_centres == 0
+
+    _run(scenario)
+
+
+def test_a_row_that_is_gone_in_a_complete_read_ends_its_evacuation() -> None:
+    """Guards against an evacuation for good if its deletion is not read as such."""
+
+    async def scenario(following: FollowingCatalog) -> None:
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        following.store.is_partitioned = True
+        following.evacuate("a", False)
+        following.evacuate("b")
+        following.tables.compact()
+        await asyncio.sleep(30.0)
+        # The last known state applies while the store is away.
+        assert _sendable(following) == "bb"
+        following.store.is_partitioned = False
+        await asyncio.sleep(3.0)
+        assert (set(_used(following)), _sendable(following)) == ({"a"}, "aa")
+
+    _run(scenario)
+
+
+def test_a_router_that_starts_later_sends_nothing_to_an_evacuated_server() -> None:
+    """Guards against a new bound that starts with the router."""
+
+    async def scenario() -> None:
+        following = FollowingCatalog()
+        for number in range(4):
+            following.put_server(number, data_centre=DataCentre("aabb"[number]))
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        assert (_used(following), _sendable(following)) == ("bb", "bb")
+        following.stop()
+
+    run_virtual(scenario())
+
+
+def test_old_rows_and_repeated_writes_do_not_extend_an_evacuation() -> None:
+    """Guards against rows that come late, or ahead of others of their table."""
+
+    async def scenario(following: FollowingCatalog) -> None:
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        written = following.tables.version
+        for _ in range(round(BOUND_S)):
+            following.evacuate("a")
+            await asyncio.sleep(1.0)
+        assert _sendable(following) == "bb"
+        following.evacuate("a", False)
+        await asyncio.sleep(SOON_S)
+        known = following.catalog.evacuations
+        row = TableRow(EVACUATION_PREFIX + "a", b"{}", written)
+        assert not known.apply(TableRead([row], written, 0.0), is_complete=False)
+        early = TableRow(EVACUATION_PREFIX + "b", b"{}", written + 100)
+        assert known.apply(TableRead([early], written + 100, 0.0), is_complete=False)
+        assert not known.apply(TableRead([], written + 99, 0.0), is_complete=True)
+        assert known.data_centres == ("b",)
+
+    _run(scenario)
+
+
+def test_load_returns_in_steps() -> None:
+    """Guards against routers that all use a returning server at the same moment."""
+    instances = [InstanceId(f"router-{number}") for number in range(200)]
+
+    def share_below(limit: float) -> float:
+        server = ServerId("server-1")
+        return sum(_position(name, server) < limit for name in instances) / 200
+
+    for limit in (RETURN_FIRST_SHARE, 0.5, 0.9):
+        assert abs(share_below(limit) - limit) < 0.1, limit
+
+    async def scenario(following: FollowingCatalog) -> None:
+        known = following.catalog.evacuations
+        data_centre = DataCentre("a")
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        following.evacuate("a", False)
+        await asyncio.sleep(SOON_S)
+        shares = []
+        with patch.object(evacuations, "_position", lambda *names: 0.5):
+            assert _used(following) == "bb"
+            while known.return_share(data_centre) < 1.0:
+                shares.append(known.return_share(data_centre))
+                is_used = _used(following) == "aabb"
+                assert is_used == (shares[-1] > 0.5), shares[-1]
+                await asyncio.sleep(STEP_S)
+        assert shares == sorted(shares)
+        assert len(shares) * STEP_S >= 0.9 * RETURN_RAMP_MS / 1000 - SOON_S
+        assert shares[0] < 2 * RETURN_FIRST_SHARE
+        following.evacuate("b")
+        await asyncio.sleep(SOON_S)
+        following.evacuate("b", False)
+        following.evacuate("a")
+        await asyncio.sleep(SOON_S)
+        # Without servers elsewhere, all returning ones are used.
+        with patch.object(evacuations, "_position", lambda *names: 1.0):
+            assert _used(following) == "bb"
+
+    _run(scenario)
+
+
+def test_rows_of_evacuations_are_told_from_other_rows() -> None:
+    """Guards against rows of later builds that are taken for evacuations."""
+    rows = {
+        "evacuate/accra": "accra",
+        "evacuate/": None,
+        "evacuate": None,
+        "config": None,
+    }
+    for key, expected in rows.items():
+        for value in (b"{}", b"", None):
+            assert decode_evacuation(TableRow(key, value, 1)) == expected, key
+
+
+async def _late_senders(fleet: Fleet) -> dict[str, float]:
+    """Return the routers that would send to a data centre evacuated just now.
+
+    Each has the time after the write, in seconds, at which it last would.
+    """
+    written_ms = virtual_clock()
+    last_s: dict[str, float] = {}
+    await asyncio.sleep(BOUND_S + STEP_S)
+    while virtual_clock() < written_ms + WATCHED_S * 1000:
+        for router in fleet.routers:
+            for server in router.catalog.servers(SERVICE):
+                if server.data_centre == "b" and router.catalog.may_send_to(server):
+                    role = "leader" if router is fleet.leader else "follower"
+                    after_s = (virtual_clock() - written_ms) / 1000
+                    last_s[f"{role} {router.name}"] = round(after_s, 2)
+        await asyncio.sleep(STEP_S)
+    return last_s
+
+
+async def _play(trouble: Trouble) -> None:
+    """Evacuate at several moments of a trouble; fail if requests are late."""
+    errors = []
+    for moment_s in MOMENTS_S:
+        fleet = Fleet(1, ROUTERS, 2)
+        for number in (2, 3):
+            fleet.start_server(backend(number, data_centre=DataCentre("b")))
+        await fleet.settle()
+        await asyncio.sleep(1.0)
+        leader = fleet.leader
+        assert leader is not None
+        trouble(fleet, leader)
+        await asyncio.sleep(moment_s)
+        fleet.evacuate("b")
+        late = await _late_senders(fleet)
+        if late:
+            errors.append(f"{trouble.__name__} for {moment_s:.1f} s: {late}")
+        fleet.stop()
+    assert not errors, "\n".join(errors)
+
+
+def _do_nothing(fleet: Fleet, leader: FleetRouter) -> None:
+    pass
+
+
+def _lose_all_polls(fleet: Fleet, leader: FleetRouter) -> None:
+    leader.store.lost_polls.add(ROUTES_TABLE)
+
+
+def _lose_polls(fleet: Fleet, leader: FleetRouter) -> None:
+    _lose_all_polls(fleet, leader)
+    loop = asyncio.get_running_loop()
+    loop.call_later(TROUBLE_S, leader.store.lost_polls.clear)
+
+
+def _delay_polls(fleet: Fleet, leader: FleetRouter) -> None:
+    leader.store.poll_travel_s[ROUTES_TABLE] = POLL_TRAVEL_S
+
+
+def _fail_reads(fleet: Fleet, leader: FleetRouter) -> None:
+    leader.store.failing_reads.add(ROUTES_TABLE)
+
+
+def _fail_all_reads(fleet: Fleet, leader: FleetRouter) -> None:
+    leader.store.failing_reads.update((ROUTES_TABLE, SERVERS_TABLE))
+
+
+def _hold_replies(fleet: Fleet, leader: FleetRouter) -> None:
+    until_s = asyncio.get_running_loop().time() + TROUBLE_S
+    for router in followers_of(fleet):
+        router.replies_held_until_s = until_s
+
+
+def _lose_polls_and_hold_replies(fleet: Fleet, leader: FleetRouter) -> None:
+    _lose_polls(fleet, leader)
+    _hold_replies(fleet, leader)
+
+
+def _kill_leader(fleet: Fleet, leader: FleetRouter) -> None:
+    leader.kill()
+    fleet.routers.remove(leader)
+
+
+def test_no_router_that_reaches_the_store_sends_after_the_bound() -> None:
+    """Guards against routers that learn of an evacuation late from their leader.
+
+    A leader whose reads of the routes fail does not reach the store itself.
+    """
+    for trouble in (
+        _do_nothing,
+        _lose_polls,
+        _delay_polls,
+        _hold_replies,
+        _lose_polls_and_hold_replies,
+        _kill_leader,
+    ):
+        run_virtual(_play(trouble))
+
+
+def test_followers_of_a_leader_that_cannot_read_the_routes_send_nothing_late() -> None:
+    """Guards against followers that rely on a leader which is not current."""
+
+    async def scenario(trouble: Trouble) -> None:
+        fleet = Fleet(1, ROUTERS, 2)
+        for number in (2, 3):
+            fleet.start_server(backend(number, data_centre=DataCentre("b")))
+        await fleet.settle()
+        await asyncio.sleep(1.0)
+        leader = fleet.leader
+        assert leader is not None
+        trouble(fleet, leader)
+        await asyncio.sleep(0.5)
+        fleet.evacuate("b")
+        late = await _late_senders(fleet)
+        assert not [name for name in late if not name.endswith(leader.name)], late
+        fleet.stop()
+
+    for trouble in (_lose_all_polls, _fail_reads, _fail_all_reads):
+        run_virtual(scenario(trouble))
--- a/tests/test_edge_view_age.py
+++ b/tests/test_edge_view_age.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from bench.virtual_time import run_virtual, virtual_clock
-from mulberryrelay_edge.catalog import SEND_MARGIN_MS
 from mulberryrelay_edge.messages import BackendServer
+from mulberryrelay_edge.viewage import SEND_MARGIN_MS
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_platform.names import HEADERS
--- a/tests/test_edge_viewrefresh.py
+++ b/tests/test_edge_viewrefresh.py
@@ -41,6 +41,7 @@
     Fleet,
     FleetRouter,
     backend,
+    evacuations_of,
     followers_of,
     route_source,
     route_table,
@@ -361,13 +362,15 @@
 
 def new_catalog(store: TableStore, drain_ms: float, clock: Clock) -> Catalog:
     """Return a catalog that has read nothing yet."""
+    store_sync = StoreSync()
     return Catalog(
         store,
         route_source(),
         server_source(),
-        StoreSync(),
+        store_sync,
         REREGISTRATION_MS,
         drain_ms,
+        evacuations_of(store_sync, "router-1", clock),
         clock,
     )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -95,8 +95,11 @@
 def test_settings_are_read_and_unknown_fields_ignored() -> None:
     """Guards against a router that does not start once the platform adds a setting."""
     text = f"{SETTINGS}Bounds.DrainS=2.5\nLimits.LinkMbps=40.0\n"
+    assert parse_settings(text, "boot.conf").options.evacuation_ms == 5000
+    text += "Bounds.EvacuationS=4.5\n"
     settings = parse_settings(text, "boot.conf")
     assert settings.options.drain_ms == 2500
+    assert settings.options.evacuation_ms == 4500
     assert settings.store_address == "127.0.0.1:8384"
     assert settings.options.caller_port == 8381
     assert settings.options.stop_grace_ms == 6000
