Send small rows ahead of the large ones of their update

A leader that holds back a large update of the routes also held back the row of an evacuation beside it, until each follower had read the table from the store. With a slow store that takes 0.8 s and more.

The leader sends rows of at most 256 bytes at once, and the follower reports the version up to which it has them, so that it gets each once. Older builds state no such version and get no rows early.

--- a/packages/edge/mulberryrelay_edge/bulkupdates.py
+++ b/packages/edge/mulberryrelay_edge/bulkupdates.py
@@ -3,10 +3,11 @@
 All followers lack the same update at the same time. A large one, sent to all of them,
 would fill a narrow link for seconds, and commands to servers would be late. Followers
 beyond the limit read the table from the store, each over its own link
-(``directreads.py``).
+(``directreads.py``). Small rows of such an update are sent at once nevertheless: one
+that evacuates a data centre must not wait for a large row beside it.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
 
@@ -20,6 +21,8 @@
 """Share of the link's rate that large updates may use."""
 BURST_S = 0.2
 """Time in which an unused budget is saved up to its maximum."""
+MAX_EARLY_ROW_BYTES = 256
+"""Size of a row up to which it is sent ahead of the large rows of its update."""
 
 
 class DividedUpdates(msgspec.Struct, frozen=True):
@@ -28,6 +31,13 @@
     sent: list[TableUpdate]
     unsent: tuple[str, ...]
     """Tables that the follower has to read from the store."""
+    early: list[TableUpdate]
+    """Small rows of the updates that are not sent, as far as the follower lacks them.
+
+    Their version is the highest one of a row.
+    """
+    are_small_rows_withheld: bool
+    """Whether the follower may lack small rows."""
 
 
 class BulkUpdates:
@@ -48,28 +58,45 @@
         self._clock = clock
 
     def divide(
-        self, updates: Sequence[TableUpdate], store_reads: Collection[str] | None
+        self,
+        updates: Sequence[TableUpdate],
+        store_reads: Collection[str] | None,
+        early_versions: Mapping[str, int] | None = None,
     ) -> DividedUpdates:
         """Choose which updates to send to a follower, and count the large ones.
 
         ``store_reads`` is ``RouterReport.store_reads``, or None if the store may not
-        answer the follower.
+        answer the follower. ``early_versions`` is ``RouterReport.early_versions``.
         """
         sent: list[TableUpdate] = []
         unsent: list[str] = []
+        withheld: list[TableUpdate] = []
         for update in updates:
             size = _update_bytes(update)
             if update.table not in self._tables or size < LARGE_UPDATE_BYTES:
                 sent.append(update)
                 continue
             if store_reads is not None and update.table in store_reads:
+                withheld.append(update)
                 continue
             if store_reads is not None and not self._has_room():
+                withheld.append(update)
                 unsent.append(update.table)
                 continue
             self._left_bytes -= size
             sent.append(update)
-        return DividedUpdates(sent, tuple(unsent))
+        if early_versions is None:
+            return DividedUpdates(sent, tuple(unsent), [], bool(withheld))
+        early = [
+            _small_rows(update, early_versions.get(update.table, 0))
+            for update in withheld
+        ]
+        return DividedUpdates(
+            sent,
+            tuple(unsent),
+            [update for update in early if update is not None and update.rows],
+            any(update is None for update in early),
+        )
 
     def _has_room(self) -> bool:
         """Return whether an update may be sent now, of any size.
@@ -83,5 +110,21 @@
         return self._left_bytes > 0
 
 
+def _small_rows(update: TableUpdate, known_version: int) -> TableUpdate | None:
+    """Return the small rows of an update that are newer than a version.
+
+    None if there are so many that they are not small together.
+    """
+    rows = [
+        row
+        for row in update.rows
+        if row.version > known_version and len(row.value or b"") <= MAX_EARLY_ROW_BYTES
+    ]
+    if len(rows) * MAX_EARLY_ROW_BYTES > LARGE_UPDATE_BYTES:
+        return None
+    version = max((row.version for row in rows), default=known_version)
+    return TableUpdate(update.table, version, False, rows)
+
+
 def _update_bytes(update: TableUpdate) -> int:
     return sum(len(row.value) for row in update.rows if row.value is not None)
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -180,7 +180,7 @@
             updates = self._divide_updates(report)
             known_after_ms = self._known_after_ms(self._store_sync.view_age, arrived_ms)
             routes_known_after_ms = None
-            if not updates.unsent and not report.store_reads:
+            if not updates.are_small_rows_withheld:
                 routes_known_after_ms = self._known_after_ms(
                     self._store_sync.routes_view_age, arrived_ms
                 )
@@ -195,6 +195,7 @@
                 updates.unsent,
                 routes_known_after_ms,
                 self._last_read(arrived_ms),
+                updates.early,
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -203,6 +204,7 @@
             if (
                 leader_reply.tables
                 or leader_reply.unsent_tables
+                or leader_reply.early
                 or leader_reply.ranges
                 or leader_reply.suspects.suspects
                 or is_store_state_new
@@ -220,7 +222,7 @@
         """Return the updates to send, and the tables that the follower has to read."""
         store_reads = report.store_reads if self._is_store_reachable else None
         updates = self._store_sync.updates_since(report.table_versions)
-        return self._bulk_updates.divide(updates, store_reads)
+        return self._bulk_updates.divide(updates, store_reads, report.early_versions)
 
     def _known_after_ms(self, view_age: ViewAge, arrived_ms: float) -> float | None:
         """Return ``LeaderReply.servers_known_after_report_ms``, or that of routes."""
@@ -317,6 +319,7 @@
                 self._suspects.applied_version,
                 self._describe_self(),
                 self._direct_reads.reported,
+                self._store_sync.early_versions,
             )
             sent_ms = self._clock()
             leader_reply = await self._send(notice.link_url, report)
@@ -357,6 +360,8 @@
                 read = TableRead(update.rows, update.version, 0.0)
                 self._store_sync.apply_rows(update.table, read, update.is_complete)
             self._direct_reads.record_applied(update.table)
+        for update in leader_reply.early:
+            self._store_sync.apply_early(update)
         for table in leader_reply.unsent_tables:
             self._direct_reads.request(table)
         self._ownership.apply_changes(leader_reply.ranges)
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -155,11 +155,13 @@
             leader_reply.unsent_tables,
             leader_reply.routes_known_after_report_ms,
             leader_reply.store_read,
+            tuple((update.table, update.version) for update in leader_reply.early),
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
             tuple(sorted(report.range_versions.items())),
             report.suspects_version,
+            tuple(sorted((report.early_versions or {}).items())),
         )
         body = self._cached_bodies.get((reported_versions, sent))
         if body is None:
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -371,6 +371,11 @@
     None in reports of older builds, and if the follower could not read a table: the
     leader then has to send all updates.
     """
+    early_versions: dict[str, int] | None = None
+    """Highest version of the rows of each table that came as ``LeaderReply.early``.
+
+    None in reports of older builds, which read no such rows.
+    """
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -427,3 +432,5 @@
 
     None in replies of older builds.
     """
+    early: list[TableUpdate] = []
+    """Small rows of tables of which the follower lacks larger rows as well."""
--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -104,6 +104,7 @@
         self._role_changed = asyncio.Event()
         self._followed: dict[str, FollowedTable] = {}
         self._mirrors: dict[str, TableMirror] = {}
+        self._early_versions: dict[str, int] = {}
         self._catch_up_events: dict[str, asyncio.Event] = {}
         self._is_reachable = True
         self._has_own_call_failed = False
@@ -160,6 +161,11 @@
         """Version of the store at the last read of each table."""
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
+    @property
+    def early_versions(self) -> dict[str, int]:
+        """Highest version of the rows of each table that were applied early."""
+        return dict(self._early_versions)
+
     def known_version(self, table: str) -> int | None:
         """Return the version up to which all changes of a table are copied.
 
@@ -282,6 +288,18 @@
             if read.rows:
                 self._changes.on_next(self._is_reachable)
 
+    def apply_early(self, update: TableUpdate) -> None:
+        """Apply rows ahead of older ones of their table, which is not copied further.
+
+        They come again with the other rows.
+        """
+        followed = self._followed.get(update.table)
+        known_version = self._early_versions.get(update.table, 0)
+        if followed is None or update.version <= known_version:
+            return
+        self._early_versions[update.table] = update.version
+        followed.apply(TableRead(update.rows, update.version, 0.0), False)
+
     def updates_since(self, known_versions: Mapping[str, int]) -> list[TableUpdate]:
         """Return the updates for a router that has the given versions of the tables."""
         updates = []
--- a/tests/test_edge_bulkupdates.py
+++ b/tests/test_edge_bulkupdates.py
@@ -290,6 +290,43 @@
     run_virtual(scenario())
 
 
+def test_an_evacuation_is_known_at_once_beside_a_large_change() -> None:
+    """Guards against an evacuation that waits until a follower has the new routes.
+
+    It is written just before or after the routes, and the store may be slow. It also
+    guards against followers that report in a loop meanwhile.
+    """
+
+    async def scenario(is_first: bool, harm: Callable[[FleetRouter], None]) -> None:
+        fleet = await start_settled_fleet(routers=ROUTERS)
+        sizes = await limit_link(fleet)
+        for router in followers_of(fleet)[::5]:
+            harm(router)
+        if is_first:
+            fleet.evacuate("a")
+        put_large_routes(fleet, 2)
+        if not is_first:
+            fleet.evacuate("a")
+        await asyncio.sleep(MOVED_S)
+        followers = followers_of(fleet)
+        late = [r.name for r in followers if not r.catalog.evacuations.data_centres]
+        assert not late, late
+        assert len(sizes) <= 5 * ROUTERS, len(sizes)
+        await wait_for_version(fleet, 2)
+        fleet.end_evacuation("a")
+        put_large_routes(fleet, 3)
+        await asyncio.sleep(MOVED_S)
+        late = [r.name for r in followers if r.catalog.evacuations.data_centres]
+        assert not late, late
+        await wait_for_version(fleet, 3)
+        assert all(router.is_connected for router in fleet.routers)
+        fleet.stop()
+
+    for harm in (lambda router: None, make_slow):
+        for is_first in (True, False):
+            run_virtual(scenario(is_first, harm))
+
+
 def test_builds_without_direct_reads_get_large_tables() -> None:
     """Guards against a leader or a follower of the build before that lacks routes."""
     handle_report = ReportHandler.handle_report
@@ -383,3 +420,26 @@
     assert (divided.sent, divided.unsent) == ([small, urgent], (ROUTES_TABLE,))
     reading = bulk.divide([large, urgent], (ROUTES_TABLE,))
     assert (reading.sent, reading.unsent) == ([urgent], ())
+
+
+def test_small_rows_of_a_large_update_are_sent_early_once() -> None:
+    """Guards against small rows that are sent again and again, or to older builds."""
+    bulk = BulkUpdates([ROUTES_TABLE], 0.001, lambda: 0.0)
+    bulk.divide([_update(ROUTES_TABLE, LARGE_UPDATE_BYTES)], None)
+    rows = [
+        TableRow("routes", bytes(LARGE_UPDATE_BYTES), 2),
+        TableRow("evacuate/a", None, 3),
+        TableRow("evacuate/b", b"{}", 5),
+    ]
+    update = TableUpdate(ROUTES_TABLE, 7, False, rows)
+    for store_reads in ((), (ROUTES_TABLE,)):
+        divided = bulk.divide([update], store_reads, {ROUTES_TABLE: 2})
+        assert divided.early == [TableUpdate(ROUTES_TABLE, 5, False, rows[1:])]
+        divided = bulk.divide([update], store_reads, {ROUTES_TABLE: 5})
+        assert not divided.early and not divided.are_small_rows_withheld
+        older = bulk.divide([update], store_reads)
+        assert not older.early and older.are_small_rows_withheld
+    many = [TableRow(f"evacuate/{n}", b"{}", 3) for n in range(100)]
+    update = TableUpdate(ROUTES_TABLE, 7, False, [*rows, *many])
+    divided = bulk.divide([update], (), {})
+    assert not divided.early and divided.are_small_rows_withheld
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -66,6 +66,9 @@
         informed_after_report_ms=None,
         servers_known_after_report_ms=None,
         unsent_tables=(),
+        routes_known_after_report_ms=None,
+        store_read=None,
+        early=[],
     )
 
 
@@ -83,8 +86,8 @@
     ) -> LeaderReply | None:
         if handler not in older:
             return await handle_report(handler, report)
-        # A build that does not know the field sends all updates.
-        report = msgspec.structs.replace(report, store_reads=None)
+        # A build that does not know the fields sends all updates.
+        report = msgspec.structs.replace(report, store_reads=None, early_versions=None)
         reply = await handle_report(handler, report)
         return _without_new_fields(reply) if reply is not None else None
 
