--- a/packages/edge/mulberryrelay_edge/tablefollower.py
+++ b/packages/edge/mulberryrelay_edge/tablefollower.py
@@ -20,7 +20,7 @@
 from .storeversion import restores_of
 from .tablemirror import TableMirror, TableUpdate
 from .tablestore import TableFailure, TableRead, TableStore
-from .viewage import ViewAge
+from .viewage import ViewAge, WriteTimes
 
 INITIAL_BACKOFF_S = 0.1
 """Base of the exponential backoff after a failed call."""
@@ -60,11 +60,11 @@
     """
 
 
-def _ignore_reply() -> None:
+def _ignore_reply(version: int) -> None:
     """Ignore a reply."""
 
 
-def _ignore_call() -> Callable[[], None]:
+def _ignore_call() -> Callable[[int], None]:
     """Ignore a call."""
     return _ignore_reply
 
@@ -84,10 +84,11 @@
     """
     batch_delay_s: float = 0.0
     """Pause after a change, so that the next poll returns several changes at once."""
-    begin_call: Callable[[], Callable[[], None]] = _ignore_call
+    begin_call: Callable[[], Callable[[int], None]] = _ignore_call
     """Called before each call of this router for the table.
 
-    What it returns is called once the rows of the reply are applied.
+    What it returns is called with the version that the reply states, once the rows of
+    the reply are applied.
     """
 
 
@@ -103,6 +104,7 @@
         self._role_changed = asyncio.Event()
         self._followed: dict[str, FollowedTable] = {}
         self._mirrors: dict[str, TableMirror] = {}
+        self._early_versions: dict[str, int] = {}
         self._catch_up_events: dict[str, asyncio.Event] = {}
         self._is_reachable = True
         self._has_own_call_failed = False
@@ -118,6 +120,8 @@
         None if it did not, or if rows were read since.
         """
         self._view_age = ViewAge()
+        self._routes_view_age = ViewAge()
+        self._write_times = WriteTimes()
         self._reachable_event = asyncio.Event()
         """Set when the store answers again."""
         self._changes: Subject[bool] = Subject()
@@ -157,6 +161,11 @@
         """Version of the store at the last read of each table."""
         return {table: mirror.version for table, mirror in self._mirrors.items()}
 
+    @property
+    def early_versions(self) -> dict[str, int]:
+        """Highest version of the rows of each table that were applied early."""
+        return dict(self._early_versions)
+
     def known_version(self, table: str) -> int | None:
         """Return the version up to which all changes of a table are copied.
 
@@ -170,6 +179,16 @@
         """Up to when this router knows all changes of the servers."""
         return self._view_age
 
+    @property
+    def routes_view_age(self) -> ViewAge:
+        """Up to when this router knows all changes of the routes table."""
+        return self._routes_view_age
+
+    @property
+    def write_times(self) -> WriteTimes:
+        """Earliest times at which rows may have been written."""
+        return self._write_times
+
     @property
     def informed_until_ms(self) -> float:
         """Time up to which all changes of the servers are certainly known here."""
@@ -269,6 +288,18 @@
             if read.rows:
                 self._changes.on_next(self._is_reachable)
 
+    def apply_early(self, update: TableUpdate) -> None:
+        """Apply rows ahead of older ones of their table, which is not copied further.
+
+        They come again with the other rows.
+        """
+        followed = self._followed.get(update.table)
+        known_version = self._early_versions.get(update.table, 0)
+        if followed is None or update.version <= known_version:
+            return
+        self._early_versions[update.table] = update.version
+        followed.apply(TableRead(update.rows, update.version, 0.0), False)
+
     def updates_since(self, known_versions: Mapping[str, int]) -> list[TableUpdate]:
         """Return the updates for a router that has the given versions of the tables."""
         updates = []
@@ -340,7 +371,7 @@
                 catch_up_event = asyncio.Event()
             read = result.unwrap()
             store_sync.apply_rows(table, read, version is None)
-            record_reply()
+            record_reply(read.version)
             is_catching_up = False
             version = read.version
             if followed.batch_delay_s and read.rows:
