Decode load reports with a fourth figure

Some servers state in their load header how long work takes on their machine. A header with four figures was discarded entirely, so that routers knew nothing of the load of these servers.

--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -126,6 +126,11 @@
     running: int
     waiting: int
     slots: int
+    work_percent: int = 100
+    """How long work takes on the server's machine now; 100 is normal.
+
+    It changes many times a second, so it must not enter averages over seconds.
+    """
 
 
 class EdgeRequest(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -12,6 +12,7 @@
 from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.logs import log_event
 
+from .machineload import NORMAL_PERCENT, cost_factor
 from .messages import BackendServer, LoadReport
 from .sendwindow import SendWindow
 
@@ -55,6 +56,8 @@
         """Requests of this router at the server."""
         self.other_load = 0.0
         """Requests of other routers at the server, as of the last load report."""
+        self.work_percent = NORMAL_PERCENT
+        """How long work took on the server's machine at the last load report."""
         self.load_reported_ms = float("-inf")
         self.usual_ms = INITIAL_LATENCY_MS
         """Moving average of the time from send to response, of all routes."""
@@ -206,6 +209,8 @@
         stats = self.stats(server)
         load = self.expected_load(server)
         cost = stats.slowdown * max(1.0, (load + 1.0) / server.slots)
+        report_age_ms = self._clock() - stats.load_reported_ms
+        cost *= cost_factor(stats.work_percent, report_age_ms)
         if self._clock() < stats.slow_start_ends_ms:
             cost *= SLOW_START_COST_FACTOR
         return cost + load / (4.0 * server.slots)
@@ -240,6 +245,7 @@
             stats.other_load = max(
                 0.0, load.running + load.waiting - stats.in_flight - 1
             )
+            stats.work_percent = load.work_percent
             stats.load_reported_ms = now_ms
         self._on_capacity()
         return now_ms - sent_ms
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -85,6 +85,25 @@
     run_virtual(scenario())
 
 
+def test_the_work_time_of_a_machine_counts_for_a_fraction_of_a_second() -> None:
+    """Guards against figures that change many times a second and count for seconds."""
+
+    async def scenario() -> None:
+        loads = new_dispatcher().loads
+        servers = [backend(1), backend(2)]
+        for server, work_percent in zip(servers, (100, 300), strict=True):
+            send_id = loads.begin_request(server, "listing")
+            report = LoadReport(1, 0, server.slots, work_percent)
+            latency_ms = loads.end_request(server, send_id, report)
+            loads.record_response(server, "listing", latency_ms, report, False)
+        assert loads.cost(servers[1]) > 2 * loads.cost(servers[0])
+        assert loads.stats(servers[1]).slowdown == loads.stats(servers[0]).slowdown
+        await asyncio.sleep(0.5)
+        assert loads.cost(servers[1]) == loads.cost(servers[0])
+
+    run_virtual(scenario())
+
+
 @async_test
 async def test_routers_forget_servers_that_left_the_view() -> None:
     """Guards against memory of a router that grows with each server."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,12 +16,14 @@
 from returns.result import Success
 
 from mulberryrelay_edge.adapter import CommandMisdirected, CommandRefused
+from mulberryrelay_edge.messages import LoadReport
 from mulberryrelay_edge.tablestore import TableRow
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
+from mulberryrelay_platform.adapter import parse_load
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.entries import decode_routes, decode_server
-from mulberryrelay_platform.names import SETTINGS_VARIABLE
+from mulberryrelay_platform.names import HEADERS, SETTINGS_VARIABLE
 from mulberryrelay_platform.settings import parse_settings
 
 from .fixtures import async_test
@@ -223,6 +225,27 @@
         assert decode_server(row(value, "i-1")) is None, value
 
 
+def test_load_reports_with_three_and_four_figures_are_decoded() -> None:
+    """Guards against load that is lost because of a fourth or an invalid figure."""
+    cases = {
+        "2,1,4": LoadReport(2, 1, 4),
+        "2,1,4,180": LoadReport(2, 1, 4, 180),
+        " 2 , 1, 4 , 55 ": LoadReport(2, 1, 4, 55),
+        "2,1,4,0": LoadReport(2, 1, 4),
+        "2,1,4,-7": LoadReport(2, 1, 4),
+        "2,1,4,1.5": LoadReport(2, 1, 4),
+        "2,1,4,": LoadReport(2, 1, 4),
+        f"2,1,4,{'9' * 5000}": LoadReport(2, 1, 4),
+        "2,1": None,
+        "2,1,x,100": None,
+        "2,1,4,100,3": None,
+        "": None,
+    }
+    for text, expected in cases.items():
+        assert parse_load({str(HEADERS.load): text}) == expected, text[:20]
+    assert parse_load({}) is None
+
+
 @async_test
 async def test_a_command_to_a_server_without_keys_is_misdirected() -> None:
     """Guards against keys that wait for the grant of a server that no longer exists.
