Sum the speed of servers over all routers

A router gets 0.1 to 0.2 responses per second from each server, too few to know how fast the server is. One that prefers some servers even takes their speed for the usual one.

Routers report response counts and latency ratios of the servers that they used, and the latencies of routes. The leader sums them with a half-life of 4 s, publishes means in steps of 15 % once a second, and adds those that changed to its replies, which are not sent earlier for it. A router uses its own average of a server where its responses are many and fresh, and else the leader's; without a leader its own alone. The leader's plans for keys use the sums as well.

--- a/packages/edge/mulberryrelay_edge/capacity.py
+++ b/packages/edge/mulberryrelay_edge/capacity.py
@@ -29,6 +29,20 @@
     """Requests per second that it takes from all routers, if it states a limit."""
 
 
+def combined_condition(
+    own: ServerCondition, slowdown: float | None, limit_per_s: float | None
+) -> ServerCondition:
+    """Return the condition of a server by what all routers observed.
+
+    ``own`` is what this router observed. The speed of all routers' responses replaces
+    its own; of the limits, its own is at least as new.
+    """
+    return ServerCondition(
+        own.slowdown if slowdown is None else slowdown,
+        limit_per_s if own.limit_per_s is None else own.limit_per_s,
+    )
+
+
 class Capacity(msgspec.Struct, frozen=True):
     """A server that may own keys, and its capacity."""
 
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -6,8 +6,6 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-import msgspec
-
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath
@@ -16,7 +14,7 @@
 
 from .adapter import Adapter
 from .bulkupdates import BulkUpdates
-from .capacity import ServerCondition
+from .capacity import ServerCondition, combined_condition
 from .catalog import Catalog
 from .coordinator import Coordinator
 from .directreads import DirectReads, read_due_tables
@@ -36,6 +34,7 @@
 from .relay import Relay, RelayReceiver
 from .reservations import ReservationSource
 from .serverreach import PROBE_TIMEOUT_S, ServerReach
+from .serverspeed import ServerSpeeds
 from .status import StatusSource
 from .suspectlink import SuspectLink
 from .tablefollower import FollowedTable, StoreSync, follow_table
@@ -49,6 +48,7 @@
         adapter: Adapter,
         boot_id: str,
         condition: Callable[[BackendServer], ServerCondition],
+        speeds: ServerSpeeds,
         has_queued_requests: Callable[[], bool],
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         on_relay_ready: Callable[[], None],
@@ -56,6 +56,8 @@
     ) -> None:
         """``condition`` returns what this router observes of a server.
 
+        ``speeds`` are reported to the leader and updated with its replies.
+
         ``forward`` handles a request that another router relays to this one, and
         ``on_relay_ready`` is called when this one can relay requests itself.
         """
@@ -113,7 +115,7 @@
             lambda: report_handler.notify_waiters(),
             clock,
         )
-        report_handler = ReportHandler(
+        self._report_handler = report_handler = ReportHandler(
             self._key_load,
             self._ownership,
             self._store_sync,
@@ -171,6 +173,7 @@
             lease.check_soon,
             has_queued_requests,
             self._direct_reads,
+            speeds,
             self._link_client.send,
             clock,
         )
@@ -241,13 +244,16 @@
         return self._link.counted_routers
 
     def _condition_of(self, server: BackendServer) -> ServerCondition:
-        """Return the condition of a server, with a limit that any router was told."""
-        condition = self._condition(server)
-        if condition.limit_per_s is not None:
-            return condition
+        """Return the condition of a server, by what all routers observed.
+
+        Used while this router leads.
+        """
         incarnation = (server.server, server.started_ms)
-        limit_per_s = self._reservations.schedule.limit_per_s(incarnation)
-        return msgspec.structs.replace(condition, limit_per_s=limit_per_s)
+        return combined_condition(
+            self._condition(server),
+            self._report_handler.speeds.slowdown(incarnation),
+            self._reservations.schedule.limit_per_s(incarnation),
+        )
 
     def _peer_urls(self, report_handler: ReportHandler) -> list[str] | None:
         """Return the routers that reach servers, or None if this one does not lead."""
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -181,7 +181,7 @@
     def condition(self, server: BackendServer) -> ServerCondition:
         """Return what this router observes of a server beside its load."""
         return ServerCondition(
-            self._loads.stats(server).slowdown, self._limits.limit_per_s(server)
+            self._loads.slowdown(server), self._limits.limit_per_s(server)
         )
 
     def describe(self, server: BackendServer) -> str:
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -23,6 +23,8 @@
     RouterState,
 )
 from .ownership import Ownership
+from .serverspeed import ServerSpeeds
+from .speedsums import SpeedSums
 from .suspectlink import SuspectLink
 from .tablefollower import Role, StoreSync
 from .tablestore import TableRead
@@ -93,6 +95,7 @@
         """Time of each router's last report, by boot id."""
         self._peer_urls: dict[str, str] = {}
         """URLs of the routers that reach servers, by boot id."""
+        self._speeds = SpeedSums(clock)
         self._update_event = asyncio.Event()
         ownership.changes.subscribe(lambda _: self.notify_waiters())
         store_sync.changes.subscribe(lambda _: self.notify_waiters())
@@ -140,9 +143,15 @@
         """Whether the store answers this router, as last checked."""
         return self._is_store_reachable
 
+    @property
+    def speeds(self) -> SpeedSums:
+        """Speeds of the servers, summed over all routers in this router's term."""
+        return self._speeds
+
     def set_leading(self, is_leader: bool) -> None:
         """Record that a term of this router begins or ends."""
         self._leading_since_ms = self._clock() if is_leader else None
+        self._speeds = SpeedSums(self._clock)
 
     def notify_waiters(self) -> None:
         """Make waiting reports check whether there is newer data for them."""
@@ -167,6 +176,7 @@
         """
         arrived_ms = self._clock()
         self._load.add_report(report.requested)
+        self._speeds.add_report(report.speeds)
         self._reported_ms[report.boot_id] = arrived_ms
         for incarnation in report.state.leaving:
             self._record_leaving(incarnation)
@@ -187,6 +197,9 @@
                 known_after_ms,
                 known_after_ms,
                 updates.unsent,
+                self._speeds.changes_since(
+                    report.speeds.sums_id, report.speeds.version
+                ),
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -239,6 +252,7 @@
         on_leader_lost: Callable[[], None],
         has_queued_requests: Callable[[], bool],
         direct_reads: DirectReads,
+        speeds: ServerSpeeds,
         send: SendReport,
         clock: Clock,
     ) -> None:
@@ -253,6 +267,7 @@
         self._on_leader_lost = on_leader_lost
         self._has_queued_requests = has_queued_requests
         self._direct_reads = direct_reads
+        self._speeds = speeds
         self._send = send
         self._clock = clock
         self._is_store_reachable = True
@@ -281,11 +296,13 @@
                 self._report_handler.check_store()
                 self._record_leader_store(self._report_handler.is_store_reachable)
                 self._set_count(self._report_handler.counted_routers)
+                self._exchange_own_speeds()
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
             notice = self._ownership.leader_notice
             if notice is None or notice.boot_id in ("", self._boot_id):
                 self._load.pop_report()
+                self._speeds.discard_report()
                 self._store_sync.set_role(Role.STANDALONE)
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
@@ -300,6 +317,7 @@
                 self._suspects.applied_version,
                 self._describe_self(),
                 self._direct_reads.reported,
+                self._speeds.pop_report(),
             )
             sent_ms = self._clock()
             leader_reply = await self._send(notice.link_url, report)
@@ -313,6 +331,15 @@
                 continue
             self._apply_reply(leader_reply, sent_ms)
 
+    def _exchange_own_speeds(self) -> None:
+        """Add this router's observations to its own sums while it leads."""
+        sums = self._report_handler.speeds
+        report = self._speeds.pop_report()
+        sums.add_report(report)
+        sums.publish_due()
+        changes = sums.changes_since(report.sums_id, report.version)
+        self._speeds.apply_changes(changes, self._clock())
+
     def _report_period_ms(self) -> float:
         """Return the time until the next report, unless there is newer data.
 
@@ -344,6 +371,7 @@
             self._direct_reads.request(table)
         self._ownership.apply_changes(leader_reply.ranges)
         self._suspects.apply_changes(leader_reply.suspects)
+        self._speeds.apply_changes(leader_reply.speeds, sent_ms)
         self._record_leader_store(leader_reply.is_store_reachable)
         known_after_ms = leader_reply.servers_known_after_report_ms
         if known_after_ms is not None:
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -145,6 +145,7 @@
         return web.Response(body=msgspec.msgpack.encode(urls))
 
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
+        speeds = leader_reply.speeds
         sent = (
             tuple((update.table, update.version) for update in leader_reply.tables),
             tuple((change.service, change.version) for change in leader_reply.ranges),
@@ -153,11 +154,13 @@
             leader_reply.suspects.version,
             leader_reply.servers_known_after_report_ms,
             leader_reply.unsent_tables,
+            None if speeds is None else (speeds.sums_id, speeds.version),
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
             tuple(sorted(report.range_versions.items())),
             report.suspects_version,
+            (report.speeds.sums_id, report.speeds.version),
         )
         body = self._cached_bodies.get((reported_versions, sent))
         if body is None:
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -22,6 +22,7 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import ServerState
 
+from .speedmessages import SpeedChanges, SpeedReport
 from .tablemirror import TableUpdate
 
 LAST_KEY = 65535
@@ -375,6 +376,7 @@
     None in reports of older builds, and if the follower could not read a table: the
     leader then has to send all updates.
     """
+    speeds: SpeedReport = SpeedReport()
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -421,3 +423,8 @@
     """
     unsent_tables: tuple[str, ...] = ()
     """Tables with newer rows that the follower has to read from the store."""
+    speeds: SpeedChanges | None = None
+    """Changed speeds of servers; they do not make the leader reply earlier.
+
+    None in replies of older builds, and before the leader knows any.
+    """
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -15,11 +15,14 @@
 from .machineload import NORMAL_PERCENT, cost_factor
 from .messages import BackendServer, LoadReport
 from .sendwindow import SendWindow
+from .serverspeed import OwnSlowdown, ServerSpeeds
 
 LOAD_HALF_LIFE_MS = 400.0
 """Half-life of the estimated load of other routers."""
-SLOWDOWN_WEIGHT = 0.15
-"""Weight of the newest response in the moving average of a server's slowdown."""
+LATENCY_WEIGHT = 0.15
+"""Weight of the newest response in the moving average of a server's latency."""
+MAX_RATIO = 8.0
+"""Upper bound of one response's latency, relative to the usual, in the slowdown."""
 MAX_QUEUED_AT_KEY_OWNER = 4.0
 """Requests with keys that may wait at a server beyond its slots."""
 MAX_QUEUED_AT_SERVER = 2.0
@@ -61,7 +64,7 @@
         self.load_reported_ms = float("-inf")
         self.usual_ms = INITIAL_LATENCY_MS
         """Moving average of the time from send to response, of all routes."""
-        self.slowdown = 1.0
+        self.own_slowdown = OwnSlowdown()
         """Latency relative to what is usual for the request's route."""
         self.window = window
         """Limits the requests in flight."""
@@ -87,6 +90,7 @@
         self._clock = clock
         self._on_capacity = on_capacity
         self._stats: dict[ServerId, ServerStats] = {}
+        self._speeds = ServerSpeeds(clock)
         self._latencies: dict[str, float] = {}
         self._last_send_id = 0
 
@@ -95,6 +99,17 @@
         """Servers of which there are observations."""
         return set(self._stats)
 
+    @property
+    def speeds(self) -> ServerSpeeds:
+        """Speeds that this router reports to the leader and gets from it."""
+        return self._speeds
+
+    def slowdown(self, server: BackendServer) -> float:
+        """Return the latency of a server relative to what is usual for a route."""
+        shared = self._speeds.slowdown((server.server, server.started_ms))
+        own = self.stats(server).own_slowdown
+        return own.combined_with(shared, self._clock())
+
     def latency_ms(self, route: str) -> float:
         """Return the moving average of the time from send to response of a route."""
         return self._latencies.get(route, INITIAL_LATENCY_MS)
@@ -160,7 +175,7 @@
         """
         stats = self.stats(server)
         state = f"{server.server}/{stats.in_flight}of{self.window_size(server):.2f}"
-        state += f"/load{self.expected_load(server):.1f}/x{stats.slowdown:.1f}"
+        state += f"/load{self.expected_load(server):.1f}/x{self.slowdown(server):.1f}"
         if self.is_ejected(server):
             state += "/ejected"
         if self.is_unresponsive(server):
@@ -208,7 +223,7 @@
         """Return the expected queueing and service time, relative to other servers."""
         stats = self.stats(server)
         load = self.expected_load(server)
-        cost = stats.slowdown * max(1.0, (load + 1.0) / server.slots)
+        cost = self.slowdown(server) * max(1.0, (load + 1.0) / server.slots)
         report_age_ms = self._clock() - stats.load_reported_ms
         cost *= cost_factor(stats.work_percent, report_age_ms)
         if self._clock() < stats.slow_start_ends_ms:
@@ -223,7 +238,7 @@
         stats.window.record_sent()
         now_ms = self._clock()
         stats.sent_ms[self._last_send_id] = now_ms
-        overdue_ms = OVERDUE_FACTOR * stats.slowdown * self.latency_ms(route)
+        overdue_ms = OVERDUE_FACTOR * self.slowdown(server) * self.latency_ms(route)
         stats.overdue_ms[self._last_send_id] = now_ms + max(MIN_OVERDUE_MS, overdue_ms)
         return self._last_send_id
 
@@ -272,11 +287,15 @@
         stats.ejections = 0
         usual_ms = self.latency_ms(route)
         stats.window.record_response(load, usual_ms)
-        stats.usual_ms += SLOWDOWN_WEIGHT * (latency_ms - stats.usual_ms)
+        stats.usual_ms += LATENCY_WEIGHT * (latency_ms - stats.usual_ms)
         if load is None or not load.waiting:
-            ratio = min(8.0, latency_ms / max(1.0, usual_ms))
-            stats.slowdown += SLOWDOWN_WEIGHT * (ratio - stats.slowdown)
-            stats.slowdown = max(0.2, stats.slowdown)
+            # A router that uses few servers must not take their speed for the usual.
+            route_ms = self._speeds.usual_ms(route) or usual_ms
+            ratio = min(MAX_RATIO, latency_ms / max(1.0, route_ms))
+            incarnation = (server.server, server.started_ms)
+            shared = self._speeds.slowdown(incarnation)
+            stats.own_slowdown.record(ratio, shared, self._clock())
+            self._speeds.record(incarnation, route, latency_ms, ratio)
         self._latencies[route] = usual_ms + 0.05 * (latency_ms - usual_ms)
 
     def pause(self, server: BackendServer, for_ms: float) -> None:
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -97,7 +97,7 @@
             latency_ms = loads.end_request(server, send_id, report)
             loads.record_response(server, "listing", latency_ms, report, False)
         assert loads.cost(servers[1]) > 2 * loads.cost(servers[0])
-        assert loads.stats(servers[1]).slowdown == loads.stats(servers[0]).slowdown
+        assert loads.slowdown(servers[1]) == loads.slowdown(servers[0])
         await asyncio.sleep(0.5)
         assert loads.cost(servers[1]) == loads.cost(servers[0])
 
