Merge load reports of four figures and shared speeds of servers

Cause: load reports with four figures were discarded, and one router sees too few responses of a server to know its speed.

--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -22,6 +22,7 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import ServerState
 
+from .speedmessages import SpeedChanges, SpeedReport
 from .tablemirror import TableUpdate
 from .viewage import VersionRead
 
@@ -129,6 +130,11 @@
     running: int
     waiting: int
     slots: int
+    work_percent: int = 100
+    """How long work takes on the server's machine now; 100 is normal.
+
+    It changes many times a second, so it must not enter averages over seconds.
+    """
 
 
 class EdgeRequest(msgspec.Struct, frozen=True):
@@ -378,6 +384,7 @@
 
     None in reports of older builds, which read no such rows.
     """
+    speeds: SpeedReport = SpeedReport()
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -436,3 +443,8 @@
     """
     early: list[TableUpdate] = []
     """Small rows of tables of which the follower lacks larger rows as well."""
+    speeds: SpeedChanges | None = None
+    """Changed speeds of servers; they do not make the leader reply earlier.
+
+    None in replies of older builds, and before the leader knows any.
+    """
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -12,13 +12,23 @@
 from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.logs import log_event
 
+from .machineload import NORMAL_PERCENT, cost_factor
 from .messages import BackendServer, LoadReport
+from .routelatency import (
+    MIN_OVERDUE_MS,
+    OVERDUE_FACTOR,
+    RouteLatency,
+    overdue_after_mean_ms,
+)
 from .sendwindow import SendWindow
+from .serverspeed import OwnSlowdown, ServerSpeeds
 
 LOAD_HALF_LIFE_MS = 400.0
 """Half-life of the estimated load of other routers."""
-SLOWDOWN_WEIGHT = 0.15
-"""Weight of the newest response in the moving average of a server's slowdown."""
+LATENCY_WEIGHT = 0.15
+"""Weight of the newest response in the moving average of a server's latency."""
+MAX_RATIO = 8.0
+"""Upper bound of one response's latency, relative to the usual, in the slowdown."""
 MAX_QUEUED_AT_KEY_OWNER = 4.0
 """Requests with keys that may wait at a server beyond its slots."""
 MAX_QUEUED_AT_SERVER = 2.0
@@ -30,15 +40,17 @@
 MAX_EJECTION_MS = 4000.0
 SLOW_START_COST_FACTOR = 2.0
 """Factor on the cost of a server during its slow start."""
-OVERDUE_FACTOR = 4.0
-"""Multiple of the usual latency after which a request in flight is overdue."""
-MIN_OVERDUE_MS = 400.0
-"""Minimum time in flight after which a request is overdue.
-
-Also the time without any response after which a server may count as unresponsive.
-"""
 INITIAL_LATENCY_MS = 150.0
 """Assumed latency of a route before its first response."""
+INITIAL_REST_MS = 100.0
+"""Pause of a server that was found full; each further time it is twice as long."""
+MAX_REST_MS = 800.0
+"""Longest such pause. Below a second, as a full server has room again soon."""
+RESETS_TO_EJECT = 8
+"""Resets without a response in between after which a server counts as failed.
+
+The pauses between them take 3.9 s in total, in which a full server has room at times.
+"""
 
 
 class ServerStats:
@@ -55,15 +67,19 @@
         """Requests of this router at the server."""
         self.other_load = 0.0
         """Requests of other routers at the server, as of the last load report."""
+        self.work_percent = NORMAL_PERCENT
+        """How long work took on the server's machine at the last load report."""
         self.load_reported_ms = float("-inf")
         self.usual_ms = INITIAL_LATENCY_MS
         """Moving average of the time from send to response, of all routes."""
-        self.slowdown = 1.0
+        self.own_slowdown = OwnSlowdown()
         """Latency relative to what is usual for the request's route."""
         self.window = window
         """Limits the requests in flight."""
         self.failures = 0
         """Consecutive failures."""
+        self.full_signs = 0
+        """Resets and overdue requests since the last response."""
         self.ejections = 0
         """Ejections since the last success."""
         self.ejected_until_ms = float("-inf")
@@ -84,7 +100,8 @@
         self._clock = clock
         self._on_capacity = on_capacity
         self._stats: dict[ServerId, ServerStats] = {}
-        self._latencies: dict[str, float] = {}
+        self._speeds = ServerSpeeds(clock)
+        self._latencies: dict[str, RouteLatency] = {}
         self._last_send_id = 0
 
     @property
@@ -92,9 +109,34 @@
         """Servers of which there are observations."""
         return set(self._stats)
 
+    @property
+    def speeds(self) -> ServerSpeeds:
+        """Speeds that this router reports to the leader and gets from it."""
+        return self._speeds
+
+    def slowdown(self, server: BackendServer) -> float:
+        """Return the latency of a server relative to what is usual for a route."""
+        shared = self._speeds.slowdown((server.server, server.started_ms))
+        own = self.stats(server).own_slowdown
+        return own.combined_with(shared, self._clock())
+
     def latency_ms(self, route: str) -> float:
         """Return the moving average of the time from send to response of a route."""
-        return self._latencies.get(route, INITIAL_LATENCY_MS)
+        known = self._latencies.get(route)
+        return INITIAL_LATENCY_MS if known is None else known.mean_ms
+
+    def overdue_after_ms(self, server: BackendServer, route: str) -> float | None:
+        """Return when a response of a server that is not silent has certainly begun.
+
+        None before it is known, here or from the leader, what is usual for the route.
+        """
+        known = self._latencies.get(route)
+        slowdown = self.slowdown(server)
+        after_ms = None if known is None else known.overdue_after_ms(slowdown)
+        shared_ms = self._speeds.usual_ms(route)
+        if after_ms is None and shared_ms is not None:
+            return overdue_after_mean_ms(shared_ms, slowdown)
+        return after_ms
 
     def stats(self, server: BackendServer) -> ServerStats:
         """Return the observations of this incarnation of a server."""
@@ -157,7 +199,7 @@
         """
         stats = self.stats(server)
         state = f"{server.server}/{stats.in_flight}of{self.window_size(server):.2f}"
-        state += f"/load{self.expected_load(server):.1f}/x{stats.slowdown:.1f}"
+        state += f"/load{self.expected_load(server):.1f}/x{self.slowdown(server):.1f}"
         if self.is_ejected(server):
             state += "/ejected"
         if self.is_unresponsive(server):
@@ -205,7 +247,9 @@
         """Return the expected queueing and service time, relative to other servers."""
         stats = self.stats(server)
         load = self.expected_load(server)
-        cost = stats.slowdown * max(1.0, (load + 1.0) / server.slots)
+        cost = self.slowdown(server) * max(1.0, (load + 1.0) / server.slots)
+        report_age_ms = self._clock() - stats.load_reported_ms
+        cost *= cost_factor(stats.work_percent, report_age_ms)
         if self._clock() < stats.slow_start_ends_ms:
             cost *= SLOW_START_COST_FACTOR
         return cost + load / (4.0 * server.slots)
@@ -218,7 +262,7 @@
         stats.window.record_sent()
         now_ms = self._clock()
         stats.sent_ms[self._last_send_id] = now_ms
-        overdue_ms = OVERDUE_FACTOR * stats.slowdown * self.latency_ms(route)
+        overdue_ms = OVERDUE_FACTOR * self.slowdown(server) * self.latency_ms(route)
         stats.overdue_ms[self._last_send_id] = now_ms + max(MIN_OVERDUE_MS, overdue_ms)
         return self._last_send_id
 
@@ -240,6 +284,7 @@
             stats.other_load = max(
                 0.0, load.running + load.waiting - stats.in_flight - 1
             )
+            stats.work_percent = load.work_percent
             stats.load_reported_ms = now_ms
         self._on_capacity()
         return now_ms - sent_ms
@@ -264,14 +309,21 @@
             return
         stats.failures = 0
         stats.ejections = 0
+        stats.full_signs = 0
         usual_ms = self.latency_ms(route)
         stats.window.record_response(load, usual_ms)
-        stats.usual_ms += SLOWDOWN_WEIGHT * (latency_ms - stats.usual_ms)
+        stats.usual_ms += LATENCY_WEIGHT * (latency_ms - stats.usual_ms)
         if load is None or not load.waiting:
-            ratio = min(8.0, latency_ms / max(1.0, usual_ms))
-            stats.slowdown += SLOWDOWN_WEIGHT * (ratio - stats.slowdown)
-            stats.slowdown = max(0.2, stats.slowdown)
-        self._latencies[route] = usual_ms + 0.05 * (latency_ms - usual_ms)
+            # A router that uses few servers must not take their speed for the usual.
+            route_ms = self._speeds.usual_ms(route) or usual_ms
+            ratio = min(MAX_RATIO, latency_ms / max(1.0, route_ms))
+            incarnation = (server.server, server.started_ms)
+            shared = self._speeds.slowdown(incarnation)
+            stats.own_slowdown.record(ratio, shared, self._clock())
+            self._speeds.record(incarnation, route, latency_ms, ratio)
+        if route not in self._latencies:
+            self._latencies[route] = RouteLatency(usual_ms)
+        self._latencies[route].record(latency_ms)
 
     def pause(self, server: BackendServer, for_ms: float) -> None:
         """Send no requests to a server for some time, as it asks for."""
@@ -290,6 +342,34 @@
         stats.last_response_ms = self._clock()
         stats.window.record_refusal(stats.usual_ms)
 
+    def record_reset(self, server: BackendServer) -> None:
+        """Record that a server ended a connection instead of responding.
+
+        A full server does so, and has room again soon; one that has crashed refuses
+        the next connection. So it is not ejected before many resets in a row.
+        """
+        self._rest(server)
+        stats = self.stats(server)
+        if stats.full_signs >= RESETS_TO_EJECT:
+            stats.failures = max(stats.failures, FAILURES_TO_EJECT - 1)
+            self.record_failure(server, "resets in a row")
+
+    def record_overdue(self, server: BackendServer) -> None:
+        """Record that a request in flight is overdue: the server may be full."""
+        self._rest(server)
+
+    def _rest(self, server: BackendServer) -> None:
+        """Shrink the window and let a server rest, longer after each time in a row.
+
+        Requests sent before the rest show nothing more while it lasts.
+        """
+        stats = self.stats(server)
+        stats.window.record_refusal(stats.usual_ms)
+        if stats.window.is_closed:
+            return
+        stats.window.close_for(min(MAX_REST_MS, INITIAL_REST_MS * 2**stats.full_signs))
+        stats.full_signs = min(RESETS_TO_EJECT, stats.full_signs + 1)
+
     def record_failure(self, server: BackendServer, detail: str) -> None:
         """Record a failure; several in a row eject the server for some time."""
         stats = self.stats(server)
