Wait longer before the first reserved time at a cold server

With 20 requests per second before it turned cold, a server got 14 requests within a second in one of 40 simulated starts: those of routers that had not read its entry yet, and the first reserved times. The first time is now 0.8 s after the first request for it, instead of 0.5 s. A server whose entry is removed and comes back without a statement counts as cold, and an entry of another incarnation does not end what was known before.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -396,6 +396,7 @@
 
     def _remove(self, server: ServerId) -> None:
         entry = self._servers.pop(server, None)
+        self._cold.record_removal(server)
         if entry is not None:
             log_event("server_gone", server=server, service=entry.service)
 
--- a/packages/edge/mulberryrelay_edge/coldservers.py
+++ b/packages/edge/mulberryrelay_edge/coldservers.py
@@ -23,6 +23,8 @@
 """Time for which a server may be cold if the configuration does not state it."""
 SETTLED_MS = 1000.0
 """Time after which responses that a server sent before a statement have arrived."""
+UNKNOWN_STARTED_MS = -1
+"""Start time of a server without an entry."""
 MAX_STATES = 4096
 """Servers of which it is remembered how long they are cold."""
 PLANNED_SHARE = 0.75
@@ -116,9 +118,10 @@
         state = self._states.get(entry.server)
         is_same = state is not None and state.started_ms == entry.started_ms
         if state is None or not is_same:
-            suspected_ms = state.suspected_until_ms if state is not None else -inf
+            until_ms = state.until_ms if state is not None else -inf
             state = self._remember(entry)
-            state.suspected_until_ms = suspected_ms
+            # The row may have been written before the last failure, or be an old one.
+            state.suspected_until_ms = until_ms
         elif version == state.version:
             return
         left_ms = entry.slow_start_left_ms
@@ -131,6 +134,12 @@
         state.version = version
         self._state_until(entry, state, until_ms)
 
+    def record_removal(self, server: ServerId) -> None:
+        """Record that an entry was removed; the server may restart until it is back."""
+        state = self._states.get(server)
+        if state is not None:
+            state.started_ms = UNKNOWN_STARTED_MS
+
     def record_response(self, server: BackendServer, cold_ms: float) -> None:
         """Record that a response states how long the server stays cold; 0 if warm."""
         now_ms = self._clock()
--- a/packages/edge/mulberryrelay_edge/sendschedule.py
+++ b/packages/edge/mulberryrelay_edge/sendschedule.py
@@ -20,10 +20,11 @@
 """Requests that may be sent at once after a pause."""
 MAX_RETURN_MS = 1000.0
 """Time until which refused callers are told to return, at most."""
-COLD_DELAY_MS = 500.0
+COLD_DELAY_MS = 800.0
 """Time from the first request for a cold server until the first reserved time.
 
-In it, routers that do not know yet that the server is cold may still send to it.
+In it, routers that do not know yet that the server is cold may still send to it. With
+500 ms and 20 requests per second before, 65 routers sent up to 14 within a second.
 """
 COLD_PAUSE_MS = 2000.0
 """Time without a request for a cold server after which this delay applies again."""
