Prefer a cold server at which a time is reserved

A router now uses the time, and reserves none in another data centre, where the server costs more, unless no other server has room.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -32,6 +32,12 @@
 """Queued requests of one service; further ones are refused at once."""
 REMOTE_DATA_CENTRE_COST = 0.8
 """Cost added to a server in another data centre."""
+COLD_COST_FACTOR = 0.25
+"""Factor on the cost of a cold server at which a time is reserved.
+
+An unused time is lost for all routers. So routers in other data centres, to which the
+server costs more, reserve times there only if no other server has room.
+"""
 MAX_LIMIT_WAIT_MS = 200.0
 """Time ahead for which a send to one of several servers is reserved."""
 DISPATCH_PERIOD_S = 0.02
@@ -314,6 +320,7 @@
             return owner if self._loads.has_capacity_for_key(owner) else None
         best: BackendServer | None = None
         best_cost = float("inf")
+        cold_elsewhere: list[BackendServer] = []
         healthy = [s for s in candidates if not self._loads.is_ejected(s)]
         # If more than half of the servers are ejected, the cause is elsewhere.
         eligible = healthy if 2 * len(healthy) >= len(candidates) else candidates
@@ -322,10 +329,16 @@
                 continue
             if self._loads.is_unresponsive(server):
                 continue
+            is_cold = self._limits.is_cold(server)
             if not self._limits.is_open(server):
-                self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
+                if is_cold and server.data_centre != self._data_centre:
+                    cold_elsewhere.append(server)
+                else:
+                    self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
                 continue
             cost = self._loads.cost(server)
+            if is_cold and server.slow_start_left_ms > 0:
+                cost *= COLD_COST_FACTOR
             if server.server in queued.avoided:
                 # Exceeds the cost of every server that is not avoided.
                 cost += 100.0
@@ -333,6 +346,9 @@
                 cost += REMOTE_DATA_CENTRE_COST
             if cost < best_cost:
                 best, best_cost = server, cost
+        if best is None:
+            for server in cold_elsewhere:
+                self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
         if best is not None and best_cost >= 100.0 and len(eligible) > 1:
             # Wait for a server that is not avoided.
             return None
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -180,7 +180,7 @@
 
         The server may have turned cold since, or the permit may be old.
         """
-        if self._cold_limit_per_s(server) is None:
+        if not self.is_cold(server):
             return True
         self._drop_old_permits()
         if send_id in self._cold_permits_ms:
@@ -238,9 +238,13 @@
         if limit.is_ask_due and self._reserving is None:
             self._reserving = asyncio.create_task(self._run_reserving())
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Return whether a server is held to the rate of cold servers."""
+        return self._cold_limit_per_s(server) is not None
+
     def count_held(self, server: BackendServer) -> bool:
         """Count a request that has to wait if the server is cold; return whether so."""
-        is_held = self._cold_limit_per_s(server) is not None
+        is_held = self.is_cold(server)
         self._held_requests += is_held
         return is_held
 
