--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -148,6 +148,7 @@
                 loads.record_refusal(server)
         elif result.is_reset:
             loads.record_reset(server)
+            self._metrics.count("server_reset")
         elif not result.is_withheld:
             loads.record_failure(server, result.detail)
         if _is_failure(result) and (
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -195,13 +195,16 @@
         """Return a server's state for a log line.
 
         The parts are the requests in flight and the window, the expected load, the
-        slowdown, and whether the server is ejected or unresponsive ("silent").
+        slowdown, and whether the server is ejected, resting after it was found full, or
+        unresponsive ("silent").
         """
         stats = self.stats(server)
         state = f"{server.server}/{stats.in_flight}of{self.window_size(server):.2f}"
         state += f"/load{self.expected_load(server):.1f}/x{self.slowdown(server):.1f}"
         if self.is_ejected(server):
             state += "/ejected"
+        if self.stats(server).window.is_closed:
+            state += "/resting"
         if self.is_unresponsive(server):
             state += "/silent"
         return state
--- a/packages/edge/mulberryrelay_edge/speedsums.py
+++ b/packages/edge/mulberryrelay_edge/speedsums.py
@@ -8,6 +8,7 @@
 import uuid
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.logs import log_event
 
 from .serverspeed import MAX_RATIO, MAX_REPORTED_ROUTES, Incarnation
 from .speedmessages import ServerSpeed, SpeedChanges, SpeedReport
@@ -40,6 +41,8 @@
 
 All routers have reported to it by then.
 """
+LOGGED_SLOWDOWN = 2.0
+"""Published slowdown whose crossing is logged."""
 REMOVAL_TTL_MS = 30_000.0
 """Time for which the leader tells followers that it no longer knows a speed."""
 
@@ -160,7 +163,10 @@
         if known.responses >= MIN_RESPONSES or (
             known.published is not None and known.responses >= FORGOTTEN_RESPONSES
         ):
-            return known.publish(PRIOR_RESPONSES, 1.0, version)
+            before = known.published or 1.0
+            is_changed = known.publish(PRIOR_RESPONSES, 1.0, version)
+            _log_crossing(key, before, known.published or 1.0)
+            return is_changed
         if known.published is not None:
             known.withdraw(version, now_ms)
             return True
@@ -192,3 +198,13 @@
             if known.version > version and known.published is not None
         }
         return SpeedChanges(self._id, self._version, is_complete, servers, routes_ms)
+
+
+def _log_crossing(incarnation: Incarnation, before: float, after: float) -> None:
+    """Log that a server became slow, or is slow no longer."""
+    is_slow = after >= LOGGED_SLOWDOWN
+    if is_slow is (before >= LOGGED_SLOWDOWN):
+        return
+    server, started_ms = incarnation
+    event = "server_slow" if is_slow else "server_no_longer_slow"
+    log_event(event, server=server, born_ms=started_ms, slowdown=round(after, 2))
