Test that the end of the grace is checked at the write

Nothing showed that a request which waits for its connection is withheld when the bound of an evacuation passes meanwhile.

--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable, Coroutine
 from typing import Any
 from unittest.mock import patch
@@ -17,9 +18,12 @@
 )
 from mulberryrelay_edge.tablestore import TableRead, TableRow
 from mulberryrelay_edge.viewage import SEND_MARGIN_MS
+from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
 from mulberryrelay_platform.entries import decode_evacuation
+from mulberryrelay_platform.names import HEADERS
 
+from .fixtures import async_test
 from .fixtures.edgefleet import (
     EVACUATION_MS,
     EVACUATION_PREFIX,
@@ -31,7 +35,9 @@
     backend,
     followers_of,
 )
+from .fixtures.edgerouter import edge_response, edge_router
 from .fixtures.followingcatalog import FollowingCatalog
+from .fixtures.rawserver import RawRequest, raw_server
 
 SOON_S = 0.1
 """Time in which a row is known to a router whose poll is waiting."""
@@ -41,6 +47,12 @@
 """Period in which routers are asked whether they would send a request."""
 MOMENTS_S = (0.0, 0.3, 0.7, 1.2, 5.0)
 """Times for which a trouble has lasted when the row is written."""
+STALL_MS = 100.0
+"""Time before the bound at which a request arrives, and half of the time it waits."""
+STALL_STEPS = range(12)
+"""Steps of the event loop before it stands still; a request is written in one."""
+ROUNDING_MS = 1.0
+"""Difference of the time left that a request states to the time that is left."""
 TROUBLE_S = 2.0
 """Duration of a trouble that ends by itself."""
 POLL_TRAVEL_S = 0.8
@@ -242,6 +254,57 @@
             assert decode_evacuation(TableRow(key, value, 1)) == expected, key
 
 
+class _LateClock:
+    """The monotonic clock plus the time for which the event loop stood still."""
+
+    def __init__(self) -> None:
+        self.stall_ms = 0.0
+
+    def __call__(self) -> float:
+        return monotonic_ms() + self.stall_ms
+
+
+@async_test
+async def test_the_bound_is_checked_again_when_a_request_is_written() -> None:
+    """Guards against a request that waits between the choice of a server and its write.
+
+    The event loop stands still at each step from the arrival of a request on, and the
+    bound passes meanwhile.
+    """
+
+    async def respond(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(edge_response(request))
+
+    written = 0
+    for is_keyed, steps in itertools.product((True, False), STALL_STEPS):
+        clock = _LateClock()
+        async with (
+            raw_server(respond) as server,
+            edge_router(is_keyed, clock=clock) as router,
+        ):
+            owner = router.register_server(server)
+            router.assign_all_keys(owner)
+            router.evacuate(owner.data_centre)
+            bound_ms = clock() + BOUND_S * 1000
+            clock.stall_ms = BOUND_S * 1000 - STALL_MS
+            request = router.request(
+                key=0 if is_keyed else None, timeout_ms=4 * STALL_MS
+            )
+            sending = asyncio.ensure_future(router.send(request))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            clock.stall_ms += 2 * STALL_MS
+            response = await sending
+            assert response.status == (200 if server.received else 503)
+            for received in server.received:
+                # A request states the time left until its deadline when it is written.
+                left_ms = int(received.headers[HEADERS.deadline_ms.lower()])
+                late_ms = request.deadline_ms - left_ms - bound_ms
+                assert late_ms <= ROUNDING_MS, (is_keyed, steps, late_ms)
+            written += len(server.received)
+    assert 0 < written < 2 * len(STALL_STEPS), written
+
+
 async def _late_senders(fleet: Fleet) -> dict[str, float]:
     """Return the routers that would send to a data centre evacuated just now.
 
