--- a/tests/test_edge_evacuation_moves.py
+++ b/tests/test_edge_evacuation_moves.py
@@ -40,6 +40,11 @@
 """Time after the write from which on owners there get no requests."""
 MOVED_S = (SPREAD_MS + 2 * STEP_MS) / 1000
 """Time after the write in which all keys are moved if nothing fails."""
+MAX_UNKNOWN_S = 1.2
+"""Time before the read of a row in which it may have been written, as a router knows.
+
+The leader reads the servers every 0.4 s, and followers hear of it every 0.6 s.
+"""
 MAX_PAUSE_S = 0.2
 """Time for which a key may have no owner in a move with a hand-over."""
 TAKEOVER_S = 12.0
@@ -198,6 +203,8 @@
             if server.entry.data_centre == "a"
         }
         assert max(owned.values()) <= 1.3 * 65536 / len(NEAR), owned
+        await asyncio.sleep(BOUND_S - MAX_UNKNOWN_S - MOVED_S)
+        assert len(_senders(fleet)) == ROUTERS
         # No keys go there while it is evacuated, and without load none go back.
         fleet.start_server(backend(9, data_centre=DataCentre("b")))
         await asyncio.sleep(BOUND_S)
