--- a/packages/edge/mulberryrelay_edge/evacuationplan.py
+++ b/packages/edge/mulberryrelay_edge/evacuationplan.py
@@ -9,11 +9,16 @@
 from bisect import bisect_left
 from collections.abc import Sequence
 
-from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
+from mulberryrelay_kernel.logs import log_event
 
 from .capacity import Capacity
+from .catalog import Catalog
+from .evacuations import Evacuation
 from .messages import LAST_KEY, KeyRange
 from .rangeedits import PlannedMove, Ranges
+from .rebalance import max_ranges
 
 SPREAD_MS = 1600.0
 """Time in which the moves out of a data centre begin.
@@ -29,6 +34,71 @@
 """Minimum load of a piece, as a share of the mean that a server gets in a step."""
 
 
+class EvacuationPlanner:
+    """Plans the steps of all evacuations during one term of the leader."""
+
+    def __init__(self, catalog: Catalog, clock: Clock) -> None:
+        self._catalog = catalog
+        self._clock = clock
+        self._planned_ms: dict[tuple[ServiceName, DataCentre], float] = {}
+        """Time of the last step of each service's evacuation of a data centre."""
+
+    def leaving(self, ranges: Ranges) -> dict[DataCentre, list[KeyRange]]:
+        """Return the ranges of each evacuated data centre that have yet to move."""
+        leaving: dict[DataCentre, list[KeyRange]] = {}
+        if not self._catalog.evacuations.data_centres:
+            return leaving
+        for key_range in ranges:
+            entry = self._catalog.server(key_range.owner)
+            if key_range.is_moving or entry is None:
+                continue
+            if self._catalog.evacuations.is_evacuated(entry.data_centre):
+                leaving.setdefault(entry.data_centre, []).append(key_range)
+        return leaving
+
+    def plan(
+        self,
+        service: ServiceName,
+        leaving: dict[DataCentre, list[KeyRange]],
+        ranges: Ranges,
+        samples: Sequence[int],
+        targets: Sequence[Capacity],
+    ) -> list[PlannedMove]:
+        """Return the next moves out of a data centre for which a step is due."""
+        now_ms = self._clock()
+        for name, leaving_ranges in leaving.items():
+            evacuation = self._catalog.evacuations.evacuation(name)
+            last_ms = self._planned_ms.get((service, name), float("-inf"))
+            if evacuation is None or now_ms - last_ms < STEP_MS:
+                continue
+            self._planned_ms[service, name] = now_ms
+            steps = self._steps_left(evacuation)
+            max_splits = max_ranges(len(targets)) - len(ranges)
+            moves = plan_evacuation(
+                leaving_ranges, ranges, samples, targets, steps, max_splits
+            )
+            log_event(
+                "evacuation_planned",
+                service=service,
+                data_centre=name,
+                ranges=len(leaving_ranges),
+                moves=len(moves),
+                steps_left=steps,
+                targets=len(targets),
+            )
+            return moves
+        return []
+
+    def _steps_left(self, evacuation: Evacuation) -> int:
+        """Return in how many steps to move the keys out of a data centre.
+
+        Once its servers get no requests, keys are better at a full server than there.
+        """
+        if self._catalog.evacuations.is_grace_over(evacuation.data_centre):
+            return 1
+        return steps_left(self._clock() - evacuation.seen_ms)
+
+
 def steps_left(since_seen_ms: float) -> int:
     """Return the number of steps left, this one included, after a time."""
     return max(1, 1 + math.floor((SPREAD_MS - since_seen_ms) / STEP_MS))
--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import DataCentre, ServiceName
+from mulberryrelay_kernel.ids import ServiceName
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.states import ServerState
 from mulberryrelay_kernel.supervision import log_failure
@@ -19,8 +19,7 @@
 from .adapter import CommandRefused
 from .capacity import Capacity, ServerCondition, capacities
 from .catalog import Catalog
-from .evacuationplan import STEP_MS, plan_evacuation, steps_left
-from .evacuations import Evacuation
+from .evacuationplan import EvacuationPlanner
 from .grants import GrantManager, normal_grant_ttl_ms, renewal_period_ms
 from .keyload import KeyLoad
 from .lease import LeaderLease, TermEndedError
@@ -28,7 +27,6 @@
 from .messages import BackendServer, KeyRange
 from .rangeedits import (
     PlannedMove,
-    Ranges,
     begin_moves,
     complete_move,
     first_fence,
@@ -119,8 +117,7 @@
         )
         self._planned_ms: dict[ServiceName, float] = {}
         """Time of the last rebalancing plan of each service."""
-        self._evacuated_ms: dict[tuple[ServiceName, DataCentre], float] = {}
-        """Time of the last step of each service's evacuation of a data centre."""
+        self._evacuation_planner = EvacuationPlanner(catalog, clock)
         self._plan_failed_ms: dict[ServiceName, float] = {}
         """Time of the last plan of each service that failed with an error."""
         self._planning: set[ServiceName] = set()
@@ -348,9 +345,12 @@
         if unowned:
             keys = self._load.sample(service).keys
             return place_unowned_ranges(unowned, ranges, keys, targets)
-        leaving = self._leaving(ranges)
+        leaving = self._evacuation_planner.leaving(ranges)
         if leaving and targets:
-            return self._plan_evacuation(service, leaving, targets)
+            keys = self._load.sample(service).keys
+            return self._evacuation_planner.plan(
+                service, leaving, ranges, keys, targets
+            )
         now_ms = self._clock()
         # An older move waits for the grants of an unreachable owner to expire; other
         # moves need not wait for it.
@@ -387,64 +387,6 @@
             return True
         return self._grants.is_lost((key_range.owner, key_range.owner_started_ms))
 
-    def _leaving(self, ranges: Ranges) -> dict[DataCentre, list[KeyRange]]:
-        """Return the ranges of each evacuated data centre that have yet to move."""
-        leaving: dict[DataCentre, list[KeyRange]] = {}
-        if not self._catalog.evacuations.data_centres:
-            return leaving
-        for key_range in ranges:
-            entry = self._catalog.server(key_range.owner)
-            if key_range.is_moving or entry is None:
-                continue
-            if self._catalog.evacuations.is_evacuated(entry.data_centre):
-                leaving.setdefault(entry.data_centre, []).append(key_range)
-        return leaving
-
-    def _plan_evacuation(
-        self,
-        service: ServiceName,
-        leaving: dict[DataCentre, list[KeyRange]],
-        targets: list[Capacity],
-    ) -> list[PlannedMove]:
-        """Return the next moves out of a data centre for which a step is due."""
-        now_ms = self._clock()
-        ranges = self._ranges.ranges(service)
-        for name, leaving_ranges in leaving.items():
-            evacuation = self._catalog.evacuations.evacuation(name)
-            last_ms = self._evacuated_ms.get((service, name), float("-inf"))
-            if evacuation is None or now_ms - last_ms < STEP_MS:
-                continue
-            self._evacuated_ms[service, name] = now_ms
-            steps = self._steps_left(evacuation)
-            moves = plan_evacuation(
-                leaving_ranges,
-                ranges,
-                self._load.sample(service).keys,
-                targets,
-                steps,
-                max_ranges(len(targets)) - len(ranges),
-            )
-            log_event(
-                "evacuation_planned",
-                service=service,
-                data_centre=name,
-                ranges=len(leaving_ranges),
-                moves=len(moves),
-                steps_left=steps,
-                targets=len(targets),
-            )
-            return moves
-        return []
-
-    def _steps_left(self, evacuation: Evacuation) -> int:
-        """Return in how many steps to move the keys out of a data centre.
-
-        Once its servers get no requests, keys are better at a full server than there.
-        """
-        if self._catalog.evacuations.is_grace_over(evacuation.data_centre):
-            return 1
-        return steps_left(self._clock() - evacuation.seen_ms)
-
     def _targets(self, service: ServiceName) -> list[Capacity]:
         """Return the servers that may get keys, with their capacities."""
         servers = [
