Treat a response with an invalid status as lost

Cause: a failing server sent status 000, which both routers passed on to the caller. The parser accepts any three digits. Change: ServerConnection, which both routers use, closes the connection at once when a status is not in 100 to 599; 1xx was already dropped as interim. The reader gets InvalidStatusError, a ClientPayloadError as for a body that was cut off, so that idempotent requests are repeated and others get 502. Result: test_status_codes before the change: 3 of 3 tests failed; 000, 001, 099, 600 and 999 were passed on at both routers, other numbers of digits and final 1xx were not. After: 3 passed. test_edge_endless, test_forward, test_peers, test_edge_requests, test_callers: 51 passed.

--- a/packages/kernel/mulberryrelay_kernel/httpclient.py
+++ b/packages/kernel/mulberryrelay_kernel/httpclient.py
@@ -36,6 +36,10 @@
     """A peer sent more than a response may have."""
 
 
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """A peer sent a status that no response may have, RFC 9110 section 15."""
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the body of a response.
 
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -2,8 +2,8 @@
 
 A faulty server may send bytes without end: in a head, in a body, as interim responses,
 or on a connection that waits in the pool. ``ServerConnection`` closes the connection at
-once in each of these cases. ``ResponseBuffer`` bounds the bytes that all responses
-together may hold in memory.
+once in each of these cases, and when a response has an invalid status.
+``ResponseBuffer`` bounds the bytes that all responses together may hold in memory.
 """
 
 import asyncio
@@ -18,11 +18,13 @@
 from multidict import istr
 
 from mulberryrelay_kernel.clock import boottime_ms
-from mulberryrelay_kernel.httpclient import ResponseTooLongError
+from mulberryrelay_kernel.httpclient import InvalidStatusError, ResponseTooLongError
 from mulberryrelay_kernel.logs import log_event
 
 MAX_INTERIM_RESPONSES = 8
 """Interim responses (1xx) that a server may send before its response."""
+MAX_STATUS = 599
+"""Largest status of a response, RFC 9110 section 15."""
 MAX_UNREAD_RESPONSES = 4
 """Responses that may wait on a connection.
 
@@ -43,7 +45,7 @@
     """A connection that is closed when its server sends more than it may.
 
     Interim responses are dropped. The reader of the response gets a
-    ``ResponseTooLongError``.
+    ``ResponseTooLongError``, or an ``InvalidStatusError`` if its status is not valid.
     """
 
     def __init__(
@@ -90,7 +92,12 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         message, _ = data
-        if 100 <= message.code < 200:
+        if not 100 <= message.code <= MAX_STATUS:
+            # Its length may be as wrong as its status, so the body is not read.
+            reason = f"the invalid status {message.code:03}"
+            self.reject(reason, InvalidStatusError(reason))
+            return
+        if message.code < 200:
             self._interim_responses += 1
             if self._interim_responses > MAX_INTERIM_RESPONSES or message.code == 101:
                 self.reject("interim responses without end, or an unrequested upgrade")
@@ -104,14 +111,17 @@
             self._idle_limit_s = parse_idle_limit_s(message.headers[KEEP_ALIVE_HEADER])
         super().feed_data(data, size)
 
-    def reject(self, reason: str) -> None:
-        """Close the connection; its reader gets a ``ResponseTooLongError``."""
+    def reject(self, reason: str, error: Exception | None = None) -> None:
+        """Close the connection; its reader gets ``error``.
+
+        By default it is a ``ResponseTooLongError``.
+        """
         transport = self.transport
         if transport is None or transport.is_closing():
             return
         peer = transport.get_extra_info("peername")
         log_event("response_rejected", peer=peer, reason=reason)
-        error = ResponseTooLongError(reason)
+        error = error or ResponseTooLongError(reason)
         if self._payload is not None:
             self._payload.set_exception(error)
         self.set_exception(error)
