Bound what callers may take of an edge router process

Cause: a caller could hold 8 MB of a head on each connection and 32 waiting requests of any length, and callers could open connections until no descriptor was left. Change: limitedconnections bounds the bytes and the time of a head (431, 408) and stops reading while complete heads wait; clientlimits bounds all connections and the bytes that they hold. Beyond the limit of connections it closes idle ones, then those whose responses nobody reads; then one with further requests behind the one in progress ends after its response. A connection with a request in progress and nothing behind it is never closed for another. At most 16 connections are accepted before those that are too many are closed; the backlog of the listener stays the same.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -131,7 +131,7 @@
             edge_response = await self._respond(request, connection.arrived_ms)
         response = self._build_response(request, edge_response)
         # The responses to requests that are already forwarded are written as well.
-        if self._shutdown.is_begun and not connection.has_forwarded:
+        if self._is_ending(connection) and not connection.has_forwarded:
             response.force_close()
         return response
 
@@ -140,7 +140,7 @@
     ) -> EdgeRequest | None:
         """Return the request to forward now, or None if it has to wait its turn."""
         routes = self._catalog.routes
-        if routes is None or self._shutdown.is_begun:
+        if routes is None or self._is_ending(request.protocol):
             return None
         if not self._is_concurrent(request):
             return None
@@ -191,6 +191,11 @@
             hold.close()
             self._in_flight -= 1
 
+    def _is_ending(self, connection: web.RequestHandler) -> bool:
+        """Return whether no further requests of a connection are forwarded."""
+        assert isinstance(connection, PipelinedConnection)
+        return self._shutdown.is_begun or connection.is_finishing
+
     def _is_concurrent(self, request: web.BaseRequest) -> bool:
         """Return whether a request and those around it may run at the same time."""
         routes = self._catalog.routes
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -12,15 +12,15 @@
 
 from aiohttp import web
 
-from mulberryrelay_kernel.callerconnections import (
-    CallerConnectionServer,
-    drain_connections,
-)
+from mulberryrelay_kernel.callerconnections import drain_connections
+from mulberryrelay_kernel.clientlimits import ClientLimiter
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.limitedconnections import LimitedConnectionServer
 from mulberryrelay_kernel.logs import log_event
 
 from .adapter import Adapter
 from .callerhandler import CallerHandler
+from .callerlimits import head_limits
 from .catalog import Catalog
 from .forwarder import RequestForwarder
 from .options import EdgeOptions
@@ -29,6 +29,11 @@
 IDLE_TIMEOUT_S = 60.0
 """Time after which an idle connection is closed, unless operators permit more."""
 LISTEN_BACKLOG = 1024
+ACCEPT_BATCH = 16
+"""Connections accepted before those that are too many are closed.
+
+asyncio accepts as many at once as its backlog has, before it tells of any of them.
+"""
 READ_AHEAD_BYTES = 65_536
 """Bytes read from a connection whose body waits for room in memory."""
 MAX_HEADER_BYTES = 65_536
@@ -60,24 +65,30 @@
 """Time to cancel each request whose body has not arrived; 0 would be no limit."""
 
 
-class _ConnectionServer(CallerConnectionServer):
+class _ConnectionServer(LimitedConnectionServer):
     """Gives each connection the idle timeout that is in force when it is opened."""
 
     def __init__(
         self,
         idle_timeout_s: Callable[[], float],
+        limiter: ClientLimiter,
         handler: CallerHandler,
         clock: Clock,
         **options: Any,
     ) -> None:
-        super().__init__(handler.handle, **options)
+        super().__init__(limiter, handler.handle, **options)
         self._idle_timeout_s = idle_timeout_s
         self._handler = handler
         self._clock = clock
 
     def __call__(self) -> web.RequestHandler:
         connection = PipelinedConnection(
-            self, self._handler, self._clock, loop=self._loop, **self._kwargs
+            self,
+            self._handler,
+            self._clock,
+            limiter=self.limiter,
+            loop=self._loop,
+            **self._kwargs,
         )
         # aiohttp has no public way to set it for a connection.
         connection._keepalive_timeout = self._idle_timeout_s()
@@ -99,6 +110,11 @@
         self._catalog = catalog
         self._clock = clock
         self._handler = CallerHandler(adapter, catalog, forwarder, clock)
+        self._limiter = ClientLimiter(
+            self._options.max_caller_connections,
+            self._options.max_caller_bytes,
+            lambda: head_limits(catalog.routes, MAX_HEADER_BYTES),
+        )
         self._runner: web.ServerRunner | None = None
         self._listener: socket.socket | None = None
         self._site: web.SockSite | None = None
@@ -109,6 +125,11 @@
         """Number of requests that are being read or processed."""
         return self._handler.in_flight
 
+    @property
+    def limiter(self) -> ClientLimiter:
+        """What all connections of callers together may take."""
+        return self._limiter
+
     @property
     def port(self) -> int:
         """Port on which callers connect, once the server is started."""
@@ -119,6 +140,7 @@
         """Listen for callers and for readiness checks."""
         server = _ConnectionServer(
             self._idle_timeout_s,
+            self._limiter,
             self._handler,
             self._clock,
             handler_cancellation=True,
@@ -135,8 +157,9 @@
             (options.host, options.caller_port), backlog=LISTEN_BACKLOG
         )
         self._listener.setblocking(False)
-        self._site = web.SockSite(self._runner, self._listener, backlog=LISTEN_BACKLOG)
+        self._site = web.SockSite(self._runner, self._listener, backlog=ACCEPT_BATCH)
         await self._site.start()
+        self._listener.listen(LISTEN_BACKLOG)
         app = web.Application()
         app.router.add_get(self._adapter.ready_path, self._check_ready)
         self._ready_runner = web.AppRunner(app, access_log=None)
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -159,6 +159,7 @@
             "routes_version": control.catalog.version,
             "evacuated_data_centres": control.catalog.evacuated_data_centres,
             "store_silent_ms": control.catalog.store_unreachable_ms,
+            **callers.limiter.gauges(),
         },
         lambda: control.status.snapshot(callers.in_flight, dispatcher.queue_length),
     )
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -82,6 +82,8 @@
     body_bytes: int
     idle_ms: float = 0.0
     """Time for which a caller may leave its connection idle."""
+    header_ms: float = 0.0
+    """Time that operators give a caller for a head; 0 if they state none."""
 
 
 class RouteTable(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -50,3 +50,7 @@
     """Multiple of the rate of a cold server that it may get within any second."""
     cold_slack: float = 8.0
     """Requests that a cold server may get beyond that within any second."""
+    max_caller_connections: int = 2048
+    """Connections of callers; the longest idle ones are closed for further ones."""
+    max_caller_bytes: int = 25_000_000
+    """Bytes of heads and unread responses that all callers together may hold."""
--- a/packages/edge/mulberryrelay_edge/pipelining.py
+++ b/packages/edge/mulberryrelay_edge/pipelining.py
@@ -16,8 +16,8 @@
 from aiohttp.http import RawRequestMessage, StreamWriter
 from aiohttp.streams import StreamReader
 
-from mulberryrelay_kernel.callerconnections import CallerConnection
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.limitedconnections import LimitedConnection
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_router.serverconnection import ResponseHold
 
@@ -67,7 +67,7 @@
     forwarding: "asyncio.Task[EarlyResponse] | None" = None
 
 
-class PipelinedConnection(CallerConnection):
+class PipelinedConnection(LimitedConnection):
     """A connection whose idempotent requests without a body run concurrently.
 
     aiohttp bounds the number of parsed requests that wait, by reading no more from the
@@ -90,6 +90,12 @@
         """Number of requests that were put in ``_waiting``."""
         self._is_malformed = False
         self._has_ended = False
+        self._is_finishing = False
+
+    @property
+    def is_finishing(self) -> bool:
+        """Whether it is closed once all forwarded requests have responses."""
+        return self._is_finishing
 
     @property
     def arrived_ms(self) -> float:
@@ -131,6 +137,10 @@
         finally:
             self._end()
 
+    def finish(self) -> None:
+        self._is_finishing = True
+        self.stop_reading()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
         self._end()
