Share servers among routers and pace full key owners by the leader

Cause: each of 65 routers sends 0.1 to 0.2 requests a second to each server, so what it knows of the load is seconds old. Windows of at least 0.05 requests a router still allow 3 in flight at a server with 2 slots. Ruled out: pacing every request by the leader (a call for each), pacing by one router's estimate (other routers go on to fill the queue), corrections by the queue alone without a base rate (the rate oscillates). Change: followers report how many requests callers send to them; the leader divides the servers of services without keys among the routers in proportion, by data centre, slots and speed, where there are more than 4 routers a slot. The owner of a key whose queue is long is paced: all routers reserve times in the leader's schedule, whose rate follows the queue that responses report. Refused callers return early enough to be on time.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -35,8 +35,10 @@
 from .ownership import RANGES_TABLE, Ownership
 from .relay import Relay, RelayReceiver
 from .reservations import ReservationSource
+from .routershares import RouterShares
 from .serverreach import PROBE_TIMEOUT_S, ServerReach
 from .serverspeed import ServerSpeeds
+from .sharetable import ShareTable
 from .status import StatusSource
 from .suspectlink import SuspectLink
 from .tablefollower import FollowedTable, StoreSync, follow_table
@@ -51,6 +53,7 @@
         boot_id: str,
         condition: Callable[[BackendServer], ServerCondition],
         speeds: ServerSpeeds,
+        shares: RouterShares,
         has_queued_requests: Callable[[], bool],
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         on_relay_ready: Callable[[], None],
@@ -58,7 +61,7 @@
     ) -> None:
         """``condition`` returns what this router observes of a server.
 
-        ``speeds`` are reported to the leader and updated with its replies.
+        ``speeds`` and ``shares`` are updated with the leader's replies to the reports.
 
         ``forward`` handles a request that another router relays to this one, and
         ``on_relay_ready`` is called when this one can relay requests itself.
@@ -138,6 +141,14 @@
             lambda: lease.stored_ms,
             BulkUpdates([adapter.route_source.table], options.link_bytes_per_s, clock),
             clock,
+            ShareTable(
+                lambda: self._catalog.routes,
+                self._catalog.serving,
+                self._key_load.service_ms,
+                lambda server: self._condition_of(server).slowdown,
+                clock,
+            ),
+            lambda: self._reservations.schedule.paced(),
         )
         lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(self._suspects.set_leading)
@@ -190,6 +201,9 @@
             speeds,
             self._link_client.send,
             clock,
+            shares,
+            self._catalog.server,
+            options.data_centre,
         )
         self._status = StatusSource(
             options.instance,
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -14,7 +14,7 @@
 from mulberryrelay_kernel.logs import log_event
 
 from .capacity import ServerCondition
-from .messages import BackendServer, EdgeRequest
+from .messages import BackendServer, EdgeRequest, LoadReport
 from .queuedrequest import (
     RETRY_AFTER_S,
     Candidates,
@@ -24,7 +24,13 @@
     SendPermit,
     count_ahead,
 )
-from .queuewait import expected_wait_ms, max_wait_ms, retry_after_s
+from .queuewait import (
+    expected_wait_ms,
+    max_wait_ms,
+    on_time_return_s,
+    retry_after_s,
+)
+from .routershares import RouterShares
 from .serverlimits import ColdLimit, Reserve, ServerLimits, no_cold_limit
 from .serverload import ServerLoads
 
@@ -38,8 +44,15 @@
 An unused time is lost for all routers. So routers in other data centres, to which the
 server costs more, reserve times there only if no other server has room.
 """
+SMALL_SHARE_COST = 0.5
+"""Cost added to a server of which this router has nearly no share."""
 MAX_LIMIT_WAIT_MS = 200.0
 """Time ahead for which a send to one of several servers is reserved."""
+PACED_WAIT_SHARE = 0.6
+"""Part of the wait that its target allows for which a request may wait to be paced.
+
+The server's queue, which the schedule keeps short but not empty, needs the rest.
+"""
 DISPATCH_PERIOD_S = 0.02
 """Period in which the queues are checked even without an event."""
 MAX_LOGGED_CANDIDATES = 4
@@ -64,6 +77,7 @@
         )
         self._queues: dict[ServiceName, list[QueuedRequest]] = {}
         self._is_dispatch_scheduled = False
+        self._shares = RouterShares(self._limits, clock)
 
     @property
     def loads(self) -> ServerLoads:
@@ -75,6 +89,11 @@
         """Limits that servers state."""
         return self._limits
 
+    @property
+    def shares(self) -> RouterShares:
+        """This router's shares of servers without keys."""
+        return self._shares
+
     @property
     def queue_length(self) -> int:
         """Number of queued requests of all services."""
@@ -93,6 +112,8 @@
         The request waits until ``queue_deadline_ms`` at most. A server in ``avoided``
         is chosen only if it is the only one left.
         """
+        if not is_keyed:
+            candidates = self._prefer_own(request.service, candidates, avoided)
         queued = QueuedRequest(
             request, candidates, is_keyed, queue_deadline_ms, avoided
         )
@@ -198,6 +219,13 @@
             self._loads.slowdown(server), self._limits.limit_per_s(server)
         )
 
+    def record_owner_load(
+        self, server: BackendServer, route: str, load: LoadReport
+    ) -> None:
+        """Record the load of a key's owner, which is paced if its queue is long."""
+        per_s = server.slots * 1000.0 / self._loads.latency_ms(route)
+        self._limits.record_queue(server, load.waiting, per_s)
+
     def has_room_beside(
         self, tried: Collection[ServerId], candidates: Sequence[BackendServer]
     ) -> bool:
@@ -301,11 +329,13 @@
             queued.is_held = self._limits.count_held(owner)
         position = held_back[owner.server]
         allowed_ms = self._allowed_wait_ms(queued)
+        if self._limits.is_paced(owner):
+            allowed_ms *= PACED_WAIT_SHARE
         wait_ms = self._limits.wait_ms(owner, position)
         if wait_ms is not None and wait_ms > allowed_ms:
             refusal = QueueRefusal(
                 RefusalReason.SERVER_LIMIT,
-                retry_after_s(self._limits.return_in_ms(owner)),
+                self._return_s(queued, owner),
             )
             queued.permit.set_result(refusal)
             return
@@ -313,6 +343,21 @@
         held_back[owner.server] = position + 1
         self._limits.want(owner, position + 1, allowed_ms)
 
+    def _return_s(self, queued: QueuedRequest, owner: BackendServer) -> float:
+        """Return when the caller of a request that a limit refuses should return.
+
+        At the owner of a hot key there is no room before the demand falls. An early
+        return gives the caller another chance to be served on time.
+        """
+        return_s = retry_after_s(self._limits.return_in_ms(owner))
+        if not self._limits.is_paced(owner):
+            return return_s
+        route = queued.request.route
+        on_time_s = on_time_return_s(
+            route.target_latency_ms, self._loads.latency_ms(route.name)
+        )
+        return min(return_s, on_time_s)
+
     def _try_admit(self, queued: QueuedRequest) -> SendPermit | None:
         server = self._choose_server(queued)
         if server is None:
@@ -331,6 +376,9 @@
             owner = candidates[0]
             if not self._limits.is_open(owner):
                 return None
+            if self._limits.is_paced(owner):
+                # The schedule accounts for the requests of all routers.
+                return owner
             return owner if self._loads.has_capacity_for_key(owner) else None
         best: BackendServer | None = None
         best_cost = float("inf")
@@ -338,6 +386,7 @@
         healthy = [s for s in candidates if not self._loads.is_ejected(s)]
         # If more than half of the servers are ejected, the cause is elsewhere.
         eligible = healthy if 2 * len(healthy) >= len(candidates) else candidates
+        shares = self._shares.shares(queued.request.service)
         for server in eligible:
             if not self._loads.has_capacity(server):
                 continue
@@ -351,6 +400,8 @@
                     self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
                 continue
             cost = self._loads.cost(server)
+            if shares:
+                cost += SMALL_SHARE_COST * (1.0 - shares.get(server.server, 0.0))
             if is_cold and server.slow_start_left_ms > 0:
                 cost *= COLD_COST_FACTOR
             if server.server in queued.avoided:
@@ -368,6 +419,37 @@
             return None
         return best
 
+    def _prefer_own(
+        self,
+        service: ServiceName,
+        candidates: Candidates,
+        avoided: Collection[ServerId],
+    ) -> Candidates:
+        """Return the candidates of which this router has a share, where it has any.
+
+        A request waits for one of them even if it has no room: the others are other
+        routers' share, and their load is not known here. All are candidates if none of
+        the own ones responds, or if the request was tried there.
+        """
+
+        def own_candidates() -> Sequence[BackendServer]:
+            servers = candidates()
+            shares = self._shares.shares(service)
+            if not shares:
+                return servers
+            own = [
+                server
+                for server in servers
+                if server.server in shares
+                and server.server not in avoided
+                and not self._loads.is_ejected(server)
+                and not self._loads.is_unresponsive(server)
+                and not self._loads.pause_ms(server) > 0
+            ]
+            return own or servers
+
+        return own_candidates
+
     def _expire(self, queued: QueuedRequest) -> None:
         if queued.permit.done():
             return
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -141,6 +141,8 @@
         is_keyed = self._catalog.is_keyed(request)
         if is_keyed:
             self._key_load.record_request(request)
+        else:
+            self._dispatcher.shares.demand.record(request.service)
         candidates = self._candidates(request, is_keyed)
         self._budget.record_request(request.service)
         with self._budget.open(request.service) as budget:
--- a/packages/edge/mulberryrelay_edge/keyload.py
+++ b/packages/edge/mulberryrelay_edge/keyload.py
@@ -87,10 +87,13 @@
         if keys:
             # A new leader has not observed requests for the whole window yet.
             window_ms = min(window_ms, max(MIN_WINDOW_MS, now_ms - keys[0][0]))
-        service_times = self._service_times.get(service, ServiceTimeSum(0, 0.0))
-        service_ms = service_times.mean_ms
+        service_ms = self.service_ms(service)
         return KeySample(sorted(recent), service_ms / window_ms, service_ms)
 
+    def service_ms(self, service: ServiceName) -> float:
+        """Return the mean service time on an average server; 0 before any response."""
+        return self._service_times.get(service, ServiceTimeSum(0, 0.0)).mean_ms
+
     def record_service_time(self, service: ServiceName, latency_ms: float) -> None:
         """Record the service time of a request at this router."""
         unreported = self._unreported_service_times.get(service, ServiceTimeSum(0, 0.0))
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -11,19 +11,25 @@
 from math import floor, isinf
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 
 from .bulkupdates import BulkUpdates, DividedUpdates
 from .directreads import DirectReads
 from .keyload import KeyLoad
 from .messages import (
+    BackendServer,
     LeaderNoticeRow,
     LeaderReply,
+    PacedServer,
     RouterReport,
     RouterState,
 )
 from .ownership import Ownership
+from .routershares import RouterShares
+from .servershares import Shares
 from .serverspeed import ServerSpeeds
+from .sharetable import ShareTable
 from .speedsums import SpeedSums
 from .suspectlink import SuspectLink
 from .tablefollower import Role, StoreSync
@@ -55,6 +61,8 @@
 A router that has no leader looks for one in the same period.
 """
 
+UNKNOWN_DATA_CENTRE = DataCentre("")
+
 SendReport = Callable[[str, RouterReport], Awaitable[LeaderReply | None]]
 """Sends a report to a leader's URL; returns None if it gets no reply from a leader."""
 
@@ -74,6 +82,8 @@
         store_answered_ms: Callable[[], float],
         bulk_updates: BulkUpdates,
         clock: Clock,
+        share_table: ShareTable | None = None,
+        paced: Callable[[], tuple[PacedServer, ...]] = tuple,
     ) -> None:
         """``record_leaving`` records that a server told a follower that it drains.
 
@@ -96,6 +106,8 @@
         """Time of each router's last report, by boot id."""
         self._peer_urls: dict[str, str] = {}
         """URLs of the routers that reach servers, by boot id."""
+        self._share_table = share_table
+        self._paced = paced
         self._speeds = SpeedSums(clock)
         self._update_event = asyncio.Event()
         ownership.changes.subscribe(lambda _: self.notify_waiters())
@@ -144,6 +156,16 @@
         """Whether the store answers this router, as last checked."""
         return self._is_store_reachable
 
+    @property
+    def share_table(self) -> ShareTable | None:
+        """The division of servers among the routers, if servers are divided."""
+        return self._share_table
+
+    @property
+    def paced(self) -> tuple[PacedServer, ...]:
+        """Servers to which all routers pace their requests."""
+        return self._paced()
+
     @property
     def speeds(self) -> SpeedSums:
         """Speeds of the servers, summed over all routers in this router's term."""
@@ -153,6 +175,8 @@
         """Record that a term of this router begins or ends."""
         self._leading_since_ms = self._clock() if is_leader else None
         self._speeds = SpeedSums(self._clock)
+        if self._share_table is not None:
+            self._share_table.clear()
 
     def notify_waiters(self) -> None:
         """Make waiting reports check whether there is newer data for them."""
@@ -178,6 +202,10 @@
         arrived_ms = self._clock()
         self._load.add_report(report.requested)
         self._speeds.add_report(report.speeds)
+        if self._share_table is not None and report.requests_per_s is not None:
+            self._share_table.record(
+                report.boot_id, report.data_centre, report.requests_per_s
+            )
         self._reported_ms[report.boot_id] = arrived_ms
         for incarnation in report.state.leaving:
             self._record_leaving(incarnation)
@@ -209,6 +237,8 @@
                 self._speeds.changes_since(
                     report.speeds.sums_id, report.speeds.version
                 ),
+                self._paced(),
+                self._shares_for(report, updates),
             )
             left_ms = end_ms - self._clock()
             is_store_state_new = (
@@ -237,6 +267,14 @@
         updates = self._store_sync.updates_since(report.table_versions)
         return self._bulk_updates.divide(updates, store_reads, report.early_versions)
 
+    def _shares_for(
+        self, report: RouterReport, updates: DividedUpdates
+    ) -> dict[ServiceName, Shares] | None:
+        """Return the follower's shares, unless the reply has rows for several ones."""
+        if self._share_table is None or report.requests_per_s is None or updates.sent:
+            return None
+        return self._share_table.shares_of(report.boot_id)
+
     def _known_after_ms(self, view_age: ViewAge, arrived_ms: float) -> float | None:
         """Return ``LeaderReply.servers_known_after_report_ms``, or that of routes."""
         after_ms = view_age.informed_until_ms - arrived_ms
@@ -274,7 +312,11 @@
         speeds: ServerSpeeds,
         send: SendReport,
         clock: Clock,
+        shares: RouterShares | None = None,
+        find_server: Callable[[ServerId], BackendServer | None] = lambda _: None,
+        data_centre: DataCentre = UNKNOWN_DATA_CENTRE,
     ) -> None:
+        """``find_server`` returns the entry of a server for its shares and pacing."""
         self._load = load
         self._ownership = ownership
         self._store_sync = store_sync
@@ -289,6 +331,10 @@
         self._speeds = speeds
         self._send = send
         self._clock = clock
+        self._shares = shares
+        self._find_server = find_server
+        self._data_centre = data_centre
+        self._shares_exchanged_ms = float("-inf")
         self._is_store_reachable = True
         """Whether the store answers the leader, according to its last reply."""
         self._routers = 0
@@ -316,6 +362,7 @@
                 self._record_leader_store(self._report_handler.is_store_reachable)
                 self._set_count(self._report_handler.counted_routers)
                 self._exchange_own_speeds()
+                self._exchange_own_shares()
                 await asyncio.sleep(CHECK_PERIOD_S)
                 continue
             notice = self._ownership.leader_notice
@@ -338,6 +385,8 @@
                 self._direct_reads.reported,
                 self._store_sync.early_versions,
                 self._speeds.pop_report(),
+                self._data_centre,
+                self._shares.demand.pop_rates() if self._shares is not None else None,
             )
             sent_ms = self._clock()
             leader_reply = await self._send(notice.link_url, report)
@@ -351,6 +400,19 @@
                 continue
             self._apply_reply(leader_reply, sent_ms)
 
+    def _exchange_own_shares(self) -> None:
+        """Divide the servers also for this router while it leads."""
+        table = self._report_handler.share_table
+        now_ms = self._clock()
+        is_due = now_ms - self._shares_exchanged_ms >= MAX_REPORT_PERIOD_MS
+        if self._shares is None or table is None or not is_due:
+            return
+        self._shares_exchanged_ms = now_ms
+        rates = self._shares.demand.pop_rates()
+        table.record(self._boot_id, self._data_centre, rates)
+        self._shares.apply_shares(table.shares_of(self._boot_id))
+        self._shares.apply_paced(self._report_handler.paced, self._find_server)
+
     def _exchange_own_speeds(self) -> None:
         """Add this router's observations to its own sums while it leads."""
         sums = self._report_handler.speeds
@@ -394,6 +456,8 @@
         self._ownership.apply_changes(leader_reply.ranges)
         self._suspects.apply_changes(leader_reply.suspects)
         self._speeds.apply_changes(leader_reply.speeds, sent_ms)
+        if self._shares is not None:
+            self._shares.apply_reply(leader_reply, self._find_server)
         self._record_leader_store(leader_reply.is_store_reachable)
         known_after_ms = leader_reply.servers_known_after_report_ms
         if known_after_ms is not None:
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -145,6 +145,9 @@
         return web.Response(body=msgspec.msgpack.encode(urls))
 
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
+        if leader_reply.shares is not None:
+            # Shares are of one router, and a reply with them has no rows.
+            return _compress_body(msgspec.msgpack.encode(leader_reply))
         speeds = leader_reply.speeds
         sent = (
             tuple((update.table, update.version) for update in leader_reply.tables),
@@ -158,6 +161,7 @@
             leader_reply.store_read,
             tuple((update.table, update.version) for update in leader_reply.early),
             None if speeds is None else (speeds.sums_id, speeds.version),
+            leader_reply.paced,
         )
         reported_versions = (
             tuple(sorted(report.table_versions.items())),
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/measuredrate.py
@@ -0,0 +1,84 @@
+"""Finds the rate at which a server with a long queue takes requests.
+
+The owner of a hot key may get more requests than its slots can run. The leader then
+paces the requests of all routers to it (``sendschedule.py``). It starts with a router's
+estimate and corrects the rate by the queue that responses report: a long queue shows
+that the rate is too high, an empty one that slots may idle. It answers demand above the
+capacity of a key owner, from any number of routers.
+"""
+
+TARGET_QUEUE = 0.75
+"""Requests that are to wait at the server, so that no slot idles between two."""
+ADJUST_PERIOD_MS = 150.0
+"""Minimum time between two corrections, in which the previous one takes effect."""
+BASE_GAIN = 0.015
+"""Relative change of the base rate for each waiting request beyond the target."""
+MAX_BASE_CHANGE = 0.04
+"""Largest relative change of the base rate in one correction."""
+QUEUE_GAIN = 0.12
+"""Share of the base rate that is held back for each waiting request beyond the target.
+
+It empties a long queue without a change of the base rate.
+"""
+MIN_QUEUE_FACTOR = 0.4
+MAX_QUEUE_FACTOR = 1.1
+MIN_SHARE = 0.4
+"""Smallest base rate as a share of the first estimate."""
+MAX_SHARE = 3.0
+"""Largest base rate as a share of the first estimate."""
+LONG_QUEUE = 1.5
+"""Queue from which on pacing goes on."""
+HOLD_MS = 2000.0
+"""Time after the last sign of excess demand for which a server is paced."""
+
+
+class MeasuredRate:
+    """Requests per second that a server takes from all routers."""
+
+    def __init__(self, estimate_per_s: float, now_ms: float) -> None:
+        self._estimate_per_s = estimate_per_s
+        self._base_per_s = estimate_per_s
+        self._queue_factor = 1.0
+        self._adjusted_ms = now_ms
+        self._queue_sum = 0.0
+        self._reports = 0
+        self._needed_ms = now_ms
+
+    @property
+    def per_s(self) -> float:
+        """The rate in force."""
+        return self._base_per_s * self._queue_factor
+
+    def is_needed(self, now_ms: float) -> bool:
+        """Return whether the server was lately asked for more than it takes."""
+        return now_ms - self._needed_ms < HOLD_MS
+
+    def record_wait(self, now_ms: float) -> None:
+        """Record that a request has to wait for the server."""
+        self._needed_ms = now_ms
+
+    def record_queue(self, length: float, now_ms: float) -> None:
+        """Record the queue that a router observed, and correct the rate if due."""
+        if length >= LONG_QUEUE:
+            self._needed_ms = now_ms
+        self._queue_sum += length
+        self._reports += 1
+        if now_ms - self._adjusted_ms < ADJUST_PERIOD_MS:
+            return
+        excess = self._queue_sum / self._reports - TARGET_QUEUE
+        change = _clamp(-BASE_GAIN * excess, -MAX_BASE_CHANGE, MAX_BASE_CHANGE)
+        self._base_per_s = _clamp(
+            self._base_per_s * (1.0 + change),
+            MIN_SHARE * self._estimate_per_s,
+            MAX_SHARE * self._estimate_per_s,
+        )
+        self._queue_factor = _clamp(
+            1.0 - QUEUE_GAIN * excess, MIN_QUEUE_FACTOR, MAX_QUEUE_FACTOR
+        )
+        self._adjusted_ms = now_ms
+        self._queue_sum = 0.0
+        self._reports = 0
+
+
+def _clamp(value: float, smallest: float, largest: float) -> float:
+    return min(largest, max(smallest, value))
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -394,6 +394,13 @@
     None in reports of older builds, which read no such rows.
     """
     speeds: SpeedReport = SpeedReport()
+    data_centre: DataCentre = DataCentre("")
+    """Data centre of the follower; empty in reports of older builds."""
+    requests_per_s: dict[ServiceName, float] | None = None
+    """Requests without a key that callers sent to the follower since its last report.
+
+    None in reports of older builds, which get no shares of servers.
+    """
 
 
 class ReservationRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -411,6 +418,23 @@
 
     One schedule is then used for all incarnations of the server.
     """
+    is_estimate: bool = False
+    """Whether the server states no limit and ``limit_per_s`` is the router's estimate.
+
+    The schedule corrects it by ``queue_length``.
+    """
+    queue_length: float | None = None
+    """Mean queue in the responses of the server since the last request; None if there
+    were none."""
+
+
+class PacedServer(msgspec.Struct, frozen=True, array_like=True):
+    """A server with a long queue, to which all routers send by one schedule."""
+
+    server: ServerId
+    started_ms: int
+    per_s: float
+    """Requests per second that it takes from all routers together."""
 
 
 class Reservations(msgspec.Struct, frozen=True, array_like=True):
@@ -462,3 +486,11 @@
 
     None in replies of older builds, and before the leader knows any.
     """
+    paced: tuple[PacedServer, ...] = ()
+    """Servers to which requests are paced; empty in replies of older builds."""
+    shares: dict[ServiceName, dict[ServerId, float]] | None = None
+    """The follower's parts of servers without keys, where these are divided.
+
+    None in replies of older builds, and in those with rows of tables, which are encoded
+    once for several followers.
+    """
--- a/packages/edge/mulberryrelay_edge/queuewait.py
+++ b/packages/edge/mulberryrelay_edge/queuewait.py
@@ -14,6 +14,12 @@
 The rest allows for errors of the estimate.
 """
 MIN_RETRY_AFTER_S = 0.1
+MIN_ON_TIME_RETURN_S = 0.02
+ON_TIME_RETURN_SHARE = 0.25
+"""Share of the time that a request has to spare after which its caller may return.
+
+The rest is for the wait and the errors of the estimate.
+"""
 MAX_RETRY_AFTER_S = 1.0
 
 
@@ -48,3 +54,10 @@
     """
     seconds = excess_ms / 1000 * random.uniform(0.5, 1.5)
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
+
+
+def on_time_return_s(target_ms: float, latency_ms: float) -> float:
+    """Return when a refused caller should return to be served within its target."""
+    spare_s = max(0.0, target_ms - latency_ms) / 1000
+    seconds = ON_TIME_RETURN_SHARE * spare_s * random.uniform(0.5, 1.5)
+    return max(MIN_ON_TIME_RETURN_S, seconds)
--- a/packages/edge/mulberryrelay_edge/sendschedule.py
+++ b/packages/edge/mulberryrelay_edge/sendschedule.py
@@ -13,7 +13,8 @@
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import ScheduleId
 
-from .messages import ReservationRequest, Reservations
+from .measuredrate import MeasuredRate
+from .messages import PacedServer, ReservationRequest, Reservations
 from .unreachableservers import Incarnation
 
 MAX_BURST = 2.0
@@ -45,6 +46,8 @@
         self.asked_ms = free_ms
         """Time of the last request for reservations."""
         self.limit_per_s = 0.0
+        self.measured: MeasuredRate | None = None
+        """Rate of a server that states no limit."""
 
 
 class SendSchedule:
@@ -66,7 +69,7 @@
         times = self._servers.get(incarnation)
         if times is None or self._clock() - times.asked_ms > FORGET_MS:
             return None
-        return times.limit_per_s
+        return times.limit_per_s if times.measured is None else None
 
     def reserve(
         self,
@@ -81,10 +84,10 @@
         time at a cold server is before ``cold_from_ms``.
         """
         now_ms = self._clock()
-        interval_ms = 1000.0 / (request.limit_per_s * share)
-        times = self._times(request, interval_ms)
+        times = self._times(request, 1000.0 / (request.limit_per_s * share))
         times.asked_ms = now_ms
-        times.limit_per_s = request.limit_per_s
+        times.limit_per_s = _limit_in_force(times, request, now_ms)
+        interval_ms = 1000.0 / (times.limit_per_s * share)
         if request.is_cold:
             earliest_ms = max(now_ms, cold_from_ms)
         else:
@@ -97,6 +100,8 @@
                 break
             waits_ms.append(wait_ms)
             times.free_ms += interval_ms
+        if times.measured is not None and times.free_ms > now_ms + interval_ms:
+            times.measured.record_wait(now_ms)
         return_in_ms = 0.0
         refused = request.wanted - len(waits_ms)
         if refused:
@@ -112,6 +117,15 @@
             free_in_ms = min(free_in_ms, MAX_RETURN_MS)
         return Reservations(tuple(waits_ms), free_in_ms, return_in_ms, self._id)
 
+    def paced(self) -> tuple[PacedServer, ...]:
+        """Return the servers without a stated limit that are asked for too much."""
+        now_ms = self._clock()
+        return tuple(
+            PacedServer(*incarnation, times.measured.per_s)
+            for incarnation, times in self._servers.items()
+            if times.measured is not None and times.measured.is_needed(now_ms)
+        )
+
     def refuse(self) -> Reservations:
         """Reserve no times, since it is not known how many this schedule may use."""
         return Reservations((), MAX_RETURN_MS, MAX_RETURN_MS, self._id)
@@ -146,3 +160,17 @@
         for incarnation, times in list(self._servers.items()):
             if now_ms - times.asked_ms > FORGET_MS:
                 del self._servers[incarnation]
+
+
+def _limit_in_force(
+    times: _ServerTimes, request: ReservationRequest, now_ms: float
+) -> float:
+    """Return the limit of a server, which its queue corrects if it states none."""
+    if not request.is_estimate:
+        times.measured = None
+        return request.limit_per_s
+    if times.measured is None or not times.measured.is_needed(now_ms):
+        times.measured = MeasuredRate(request.limit_per_s, now_ms)
+    if request.queue_length is not None:
+        times.measured.record_queue(request.queue_length, now_ms)
+    return times.measured.per_s
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -38,6 +38,11 @@
 """Times that one router reserves at most in one request for them."""
 REMEMBERED_MS = 120_000.0
 """Time after the removal of its entry for which a server's limit is remembered."""
+PACED_QUEUE_SHARE = 0.75
+"""Queue at a key owner from which on requests to it are paced, as a share of its slots.
+"""
+PACING_HOLD_MS = 2000.0
+"""Time after the last sign of a long queue for which a server is paced."""
 COLD_PERMIT_TTL_MS = 600.0
 """Time after the permit to send to a cold server in which the request is written.
 
@@ -87,6 +92,12 @@
         """No time before this one can be reserved, as far as is known."""
         self.return_ms = float("-inf")
         """Time at which refused callers should return."""
+        self.is_estimate = False
+        """Whether the server states no limit, and is paced for its long queue."""
+        self.needed_ms = float("-inf")
+        """Time of the last sign that a server has to be paced."""
+        self.queue_lengths: list[float] = []
+        """Queues in the responses since the last request for times."""
         self.removed_ms: float | None = None
         """Time at which the server's entry was removed; None while it has one."""
 
@@ -116,7 +127,12 @@
     @property
     def limited_servers(self) -> int:
         """Number of servers that state a limit."""
-        return len(self._limits)
+        return len(self._limits) - self.paced_servers
+
+    @property
+    def paced_servers(self) -> int:
+        """Number of servers that are paced for their long queues."""
+        return sum(limit.is_estimate for limit in self._limits.values())
 
     @property
     def held_requests(self) -> int:
@@ -127,7 +143,7 @@
         """Record the limit that a response stated; None if it stated none."""
         limit = self._find_stated(server)
         if limit_per_s is None:
-            if limit is not None:
+            if limit is not None and not limit.is_estimate:
                 del self._limits[server.server]
                 log_event("server_limit_lifted", server=server.server)
                 self._on_change()
@@ -138,6 +154,7 @@
             log_event(
                 "server_limit_stated", server=server.server, limit_per_s=limit_per_s
             )
+        limit.is_estimate = False
         limit.limit_per_s = limit_per_s
         if limit_per_s < limit.reserved_per_s:
             _give_up_times(limit)
@@ -148,10 +165,49 @@
                 "server_limit_changed", server=server.server, limit_per_s=limit_per_s
             )
 
+    def record_queue(
+        self, server: BackendServer, length: int, estimate_per_s: float
+    ) -> None:
+        """Record the queue at the owner of a key, and pace requests while it is long.
+
+        ``estimate_per_s`` is what the server may take by what this router knows.
+        """
+        limit = self._find_stated(server)
+        if limit is None:
+            if length < PACED_QUEUE_SHARE * server.slots:
+                return
+            limit = self._start_pacing(server, estimate_per_s)
+        if not limit.is_estimate:
+            return
+        limit.queue_lengths.append(length)
+        if length >= PACED_QUEUE_SHARE * server.slots:
+            limit.needed_ms = self._clock()
+
+    def apply_paced(self, server: BackendServer, per_s: float) -> None:
+        """Pace requests to a server that the leader names, at about this rate."""
+        limit = self._find_stated(server)
+        if limit is None:
+            limit = self._start_pacing(server, per_s)
+        limit.needed_ms = self._clock()
+
+    def is_paced(self, server: BackendServer) -> bool:
+        """Return whether a server that states no limit is paced for its long queue."""
+        limit = self._find(server)
+        return limit is not None and limit.is_estimate
+
+    def _start_pacing(self, server: BackendServer, per_s: float) -> _Limit:
+        limit = self._limits[server.server] = _Limit(server, per_s)
+        limit.is_estimate = True
+        limit.needed_ms = self._clock()
+        log_event("server_paced", server=server.server, estimate_per_s=round(per_s, 1))
+        return limit
+
     def limit_per_s(self, server: BackendServer) -> float | None:
         """Return the limit that a server states, or None if it states none."""
         limit = self._find_stated(server)
-        return limit.limit_per_s if limit is not None else None
+        if limit is None or limit.is_estimate:
+            return None
+        return limit.limit_per_s
 
     def is_open(self, server: BackendServer) -> bool:
         """Return whether a request may be sent to a server now."""
@@ -302,6 +358,10 @@
         limit = self._limits.get(server.server)
         if limit is None or limit.server.started_ms != server.started_ms:
             return None
+        if limit.is_estimate and self._clock() - limit.needed_ms > PACING_HOLD_MS:
+            del self._limits[server.server]
+            log_event("server_pacing_ended", server=server.server)
+            return None
         return limit
 
     def _needs_confirmation(self, limit: _Limit) -> bool:
@@ -346,6 +406,8 @@
                     limit.asked,
                     limit.max_wait_ms,
                     limit.is_cold,
+                    limit.is_estimate,
+                    _pop_mean(limit.queue_lengths),
                 )
             )
         try:
@@ -409,3 +471,12 @@
         kept.append(time_ms)
     limit.reserved_ms = kept
     limit.reserved_per_s = limit.limit_per_s
+
+
+def _pop_mean(lengths: list[float]) -> float | None:
+    """Return the mean of a list and clear it; None if it is empty."""
+    if not lengths:
+        return None
+    mean = sum(lengths) / len(lengths)
+    lengths.clear()
+    return mean
