Let the leader find the owners that are overloaded

Cause: routers paced an owner once they saw a queue of 0.75 of its slots. Change: the leader compares the requests for each owner's keys, of all routers, with what its slots can run, and names the overloaded owners in its replies.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -140,7 +140,7 @@
             latency_ms = loads.end_request(server, send_id, load)
         self._record_statements(server, result)
         if result.load is not None and self._catalog.is_keyed(request):
-            self._dispatcher.record_owner_load(server, request.route.name, result.load)
+            self._dispatcher.limits.record_queue(server, result.load.waiting)
         if result.outcome is AttemptOutcome.COMPLETED:
             self._record_response(request, server, result, latency_ms)
         elif result.outcome is AttemptOutcome.NOT_RUN:
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -7,14 +7,14 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ServerId
+from mulberryrelay_kernel.ids import ServerId, ServiceName
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath
 from mulberryrelay_kernel.supervision import run_supervised
 from mulberryrelay_router.deaths import ProbeResult, is_unreachable, probe_address
 
 from .adapter import Adapter
 from .bulkupdates import BulkUpdates
-from .capacity import ServerCondition, combined_condition
+from .capacity import ServerCondition, capacities, combined_condition
 from .catalog import Catalog
 from .coldservers import ColdBound
 from .coordinator import Coordinator
@@ -32,6 +32,7 @@
     Reservations,
     RouterState,
 )
+from .owneroverload import KeyedLoad, OwnerOverload
 from .ownership import RANGES_TABLE, Ownership
 from .relay import Relay, RelayReceiver
 from .reservations import ReservationSource
@@ -148,7 +149,7 @@
                 lambda server: self._condition_of(server).slowdown,
                 clock,
             ),
-            lambda: self._reservations.schedule.paced(),
+            OwnerOverload(self._keyed_load, clock).paced,
         )
         lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(self._suspects.set_leading)
@@ -283,6 +284,22 @@
             self._reservations.schedule.limit_per_s(incarnation),
         )
 
+    def _keyed_load(self) -> dict[ServiceName, KeyedLoad]:
+        """Return what the leader knows of the load of keyed services."""
+        routes = self._catalog.routes
+        result: dict[ServiceName, KeyedLoad] = {}
+        for service in routes.services.values() if routes is not None else ():
+            if not service.is_keyed:
+                continue
+            sample = self._key_load.sample(service.name)
+            servers = [
+                (server, self._condition_of(server))
+                for server in self._catalog.servers(service.name)
+            ]
+            ranges = self._ownership.ranges(service.name)
+            result[service.name] = (ranges, sample, capacities(servers, sample))
+        return result
+
     def _peer_urls(self, report_handler: ReportHandler) -> list[str] | None:
         """Return the routers that reach servers, or None if this one does not lead."""
         if not self._lease.is_valid:
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -14,7 +14,7 @@
 from mulberryrelay_kernel.logs import log_event
 
 from .capacity import ServerCondition
-from .messages import BackendServer, EdgeRequest, LoadReport
+from .messages import BackendServer, EdgeRequest
 from .queuedrequest import (
     RETRY_AFTER_S,
     Candidates,
@@ -219,13 +219,6 @@
             self._loads.slowdown(server), self._limits.limit_per_s(server)
         )
 
-    def record_owner_load(
-        self, server: BackendServer, route: str, load: LoadReport
-    ) -> None:
-        """Record the load of a key's owner, which is paced if its queue is long."""
-        per_s = server.slots * 1000.0 / self._loads.latency_ms(route)
-        self._limits.record_queue(server, load.waiting, per_s)
-
     def has_room_beside(
         self, tried: Collection[ServerId], candidates: Sequence[BackendServer]
     ) -> bool:
--- a/packages/edge/mulberryrelay_edge/measuredrate.py
+++ b/packages/edge/mulberryrelay_edge/measuredrate.py
@@ -1,7 +1,7 @@
 """Finds the rate at which a server with a long queue takes requests.
 
 The owner of a hot key may get more requests than its slots can run. The leader then
-paces the requests of all routers to it (``sendschedule.py``). It starts with a router's
+paces the requests of all routers to it (``sendschedule.py``). It starts with an
 estimate and corrects the rate by the queue that responses report: a long queue shows
 that the rate is too high, an empty one that slots may idle. It answers demand above the
 capacity of a key owner, from any number of routers.
@@ -26,10 +26,6 @@
 """Smallest base rate as a share of the first estimate."""
 MAX_SHARE = 3.0
 """Largest base rate as a share of the first estimate."""
-LONG_QUEUE = 1.5
-"""Queue from which on pacing goes on."""
-HOLD_MS = 2000.0
-"""Time after the last sign of excess demand for which a server is paced."""
 
 
 class MeasuredRate:
@@ -42,25 +38,14 @@
         self._adjusted_ms = now_ms
         self._queue_sum = 0.0
         self._reports = 0
-        self._needed_ms = now_ms
 
     @property
     def per_s(self) -> float:
         """The rate in force."""
         return self._base_per_s * self._queue_factor
 
-    def is_needed(self, now_ms: float) -> bool:
-        """Return whether the server was lately asked for more than it takes."""
-        return now_ms - self._needed_ms < HOLD_MS
-
-    def record_wait(self, now_ms: float) -> None:
-        """Record that a request has to wait for the server."""
-        self._needed_ms = now_ms
-
     def record_queue(self, length: float, now_ms: float) -> None:
         """Record the queue that a router observed, and correct the rate if due."""
-        if length >= LONG_QUEUE:
-            self._needed_ms = now_ms
         self._queue_sum += length
         self._reports += 1
         if now_ms - self._adjusted_ms < ADJUST_PERIOD_MS:
--- a/packages/edge/mulberryrelay_edge/sendschedule.py
+++ b/packages/edge/mulberryrelay_edge/sendschedule.py
@@ -14,7 +14,7 @@
 from mulberryrelay_kernel.ids import ScheduleId
 
 from .measuredrate import MeasuredRate
-from .messages import PacedServer, ReservationRequest, Reservations
+from .messages import ReservationRequest, Reservations
 from .unreachableservers import Incarnation
 
 MAX_BURST = 2.0
@@ -100,8 +100,6 @@
                 break
             waits_ms.append(wait_ms)
             times.free_ms += interval_ms
-        if times.measured is not None and times.free_ms > now_ms + interval_ms:
-            times.measured.record_wait(now_ms)
         return_in_ms = 0.0
         refused = request.wanted - len(waits_ms)
         if refused:
@@ -117,15 +115,6 @@
             free_in_ms = min(free_in_ms, MAX_RETURN_MS)
         return Reservations(tuple(waits_ms), free_in_ms, return_in_ms, self._id)
 
-    def paced(self) -> tuple[PacedServer, ...]:
-        """Return the servers without a stated limit that are asked for too much."""
-        now_ms = self._clock()
-        return tuple(
-            PacedServer(*incarnation, times.measured.per_s)
-            for incarnation, times in self._servers.items()
-            if times.measured is not None and times.measured.is_needed(now_ms)
-        )
-
     def refuse(self) -> Reservations:
         """Reserve no times, since it is not known how many this schedule may use."""
         return Reservations((), MAX_RETURN_MS, MAX_RETURN_MS, self._id)
@@ -169,7 +158,7 @@
     if not request.is_estimate:
         times.measured = None
         return request.limit_per_s
-    if times.measured is None or not times.measured.is_needed(now_ms):
+    if times.measured is None:
         times.measured = MeasuredRate(request.limit_per_s, now_ms)
     if request.queue_length is not None:
         times.measured.record_queue(request.queue_length, now_ms)
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -38,11 +38,8 @@
 """Times that one router reserves at most in one request for them."""
 REMEMBERED_MS = 120_000.0
 """Time after the removal of its entry for which a server's limit is remembered."""
-PACED_QUEUE_SHARE = 0.75
-"""Queue at a key owner from which on requests to it are paced, as a share of its slots.
-"""
 PACING_HOLD_MS = 2000.0
-"""Time after the last sign of a long queue for which a server is paced."""
+"""Time after the last reply that names a server for which it is paced."""
 COLD_PERMIT_TTL_MS = 600.0
 """Time after the permit to send to a cold server in which the request is written.
 
@@ -93,9 +90,9 @@
         self.return_ms = float("-inf")
         """Time at which refused callers should return."""
         self.is_estimate = False
-        """Whether the server states no limit, and is paced for its long queue."""
+        """Whether the server states no limit, and is paced as it is overloaded."""
         self.needed_ms = float("-inf")
-        """Time of the last sign that a server has to be paced."""
+        """Time of the last reply of a leader that names the server as paced."""
         self.queue_lengths: list[float] = []
         """Queues in the responses since the last request for times."""
         self.removed_ms: float | None = None
@@ -131,7 +128,7 @@
 
     @property
     def paced_servers(self) -> int:
-        """Number of servers that are paced for their long queues."""
+        """Number of servers that are paced, as they are overloaded."""
         return sum(limit.is_estimate for limit in self._limits.values())
 
     @property
@@ -165,23 +162,11 @@
                 "server_limit_changed", server=server.server, limit_per_s=limit_per_s
             )
 
-    def record_queue(
-        self, server: BackendServer, length: int, estimate_per_s: float
-    ) -> None:
-        """Record the queue at the owner of a key, and pace requests while it is long.
-
-        ``estimate_per_s`` is what the server may take by what this router knows.
-        """
+    def record_queue(self, server: BackendServer, length: int) -> None:
+        """Record the queue of a server, which corrects the rate if it is paced."""
         limit = self._find_stated(server)
-        if limit is None:
-            if length < PACED_QUEUE_SHARE * server.slots:
-                return
-            limit = self._start_pacing(server, estimate_per_s)
-        if not limit.is_estimate:
-            return
-        limit.queue_lengths.append(length)
-        if length >= PACED_QUEUE_SHARE * server.slots:
-            limit.needed_ms = self._clock()
+        if limit is not None and limit.is_estimate:
+            limit.queue_lengths.append(length)
 
     def apply_paced(self, server: BackendServer, per_s: float) -> None:
         """Pace requests to a server that the leader names, at about this rate."""
@@ -191,7 +176,7 @@
         limit.needed_ms = self._clock()
 
     def is_paced(self, server: BackendServer) -> bool:
-        """Return whether a server that states no limit is paced for its long queue."""
+        """Return whether a server without a stated limit is paced."""
         limit = self._find(server)
         return limit is not None and limit.is_estimate
 
