Stream large responses of download routes

On routes of kind download, a response body above 64 KB was held as a whole at the router. Its head and the first 64 KB are checked and retried as before. The connection to the server, the request's place among those in flight and the bytes held belong to a ResponseStream, which is closed exactly once.

A connection that had handled a request forwarded its next one early although nothing was waiting; it now does so only while a request is handled.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -24,6 +24,7 @@
 from .messages import BackendServer, EdgeRequest
 from .overdue import OverdueWatch
 from .responses import had_free_slot
+from .responsestream import StreamEnd
 from .serverreach import ServerReach
 from .suspectruns import SuspectRuns
 
@@ -99,7 +100,7 @@
             raise
         if not is_final(request, result):
             self.log_failure(request, server, result)
-        elif result.outcome is AttemptOutcome.COMPLETED:
+        elif result.outcome is AttemptOutcome.COMPLETED and result.stream is None:
             self._suspect_runs.record_response(request)
         if result.outcome is AttemptOutcome.BROKEN:
             has_crashed = await self._suspect_runs.record_broken(request, server)
@@ -122,6 +123,9 @@
         def find_obstacle() -> Obstacle | None:
             return self._find_obstacle(request, server, send_id, is_probation)
 
+        if is_probation:
+            # The run is over only when the whole response has arrived.
+            request = msgspec.structs.replace(request, may_stream=False)
         loads = self._dispatcher.loads
         result: AttemptResult | None = None
         try:
@@ -137,7 +141,15 @@
             result = await exchange.run(self._pool)
         finally:
             load = result.load if result is not None else None
-            latency_ms = loads.end_request(server, send_id, load)
+            if result is not None and result.stream is not None:
+                latency_ms = loads.begin_body(server, send_id, load)
+                result.stream.call_on_end(
+                    lambda end, reason: self._end_stream(
+                        request, server, send_id, end, reason
+                    )
+                )
+            else:
+                latency_ms = loads.end_request(server, send_id, load)
         self._record_statements(server, result)
         if result.load is not None and self._catalog.is_keyed(request):
             self._dispatcher.record_owner_load(server, request.route.name, result.load)
@@ -187,6 +199,33 @@
 
         return OverdueWatch(after_ms, record, gives_up)
 
+    def _end_stream(
+        self,
+        request: EdgeRequest,
+        server: BackendServer,
+        send_id: int,
+        end: StreamEnd,
+        reason: str,
+    ) -> None:
+        """Record that no more bytes of a response are received."""
+        loads = self._dispatcher.loads
+        loads.end_request(server, send_id, None)
+        self._metrics.count(f"stream_{end.value}")
+        if end is StreamEnd.COMPLETED:
+            self._suspect_runs.record_response(request)
+            return
+        self._suspect_runs.record_abandoned(request, server)
+        if reason:
+            log_event(
+                "stream_broken",
+                request_id=request.request_id,
+                server=server.server,
+                verdict=end.value,
+                detail=reason,
+            )
+        if end is StreamEnd.BROKEN:
+            loads.record_failure(server, "broken response")
+
     def _find_obstacle(
         self,
         request: EdgeRequest,
--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from aiohttp import web
+from aiohttp.http import HttpVersion11
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict, istr
 
@@ -32,6 +33,7 @@
 from .requestbuffer import SMALL_BYTES, BodyHold, RequestBuffer
 from .responses import router_response
 from .routematcher import RouteMatcher
+from .streamedresponse import StreamedResponse
 
 DROPPED_HEADERS = (
     *HOP_BY_HOP_HEADERS,
@@ -129,10 +131,16 @@
         edge_response = await connection.early_response()
         if edge_response is None:
             edge_response = await self._respond(request, connection.arrived_ms)
-        response = self._build_response(request, edge_response)
+        response: web.StreamResponse
+        if edge_response.stream is not None:
+            response = StreamedResponse(edge_response, edge_response.stream)
+        else:
+            response = self._build_response(request, edge_response)
         # The responses to requests that are already forwarded are written as well.
         if self._is_ending(connection) and not connection.has_forwarded:
             response.force_close()
+        if isinstance(response, StreamedResponse):
+            await response.send(request)
         return response
 
     def read_early(
@@ -145,7 +153,7 @@
         if not self._is_concurrent(request):
             return None
         try:
-            return self._check(request, routes, b"", arrived_ms)
+            return self._check(request, routes, b"", arrived_ms, may_stream=False)
         except _RefusedError:
             return None
 
@@ -232,7 +240,7 @@
         if routes is None:
             raise _RefusedError(router_response(503))
         body = await self._read_body(request, routes.limits, hold)
-        return self._check(request, routes, body, arrived_ms)
+        return self._check(request, routes, body, arrived_ms, may_stream=True)
 
     def _check(
         self,
@@ -240,9 +248,12 @@
         routes: RouteTable,
         body: RequestBody,
         arrived_ms: float,
+        may_stream: bool,
     ) -> EdgeRequest:
         """Check a request whose body has been read.
 
+        ``may_stream`` states whether its response may be written at once.
+
         Raises:
             _RefusedError: it must not be forwarded.
         """
@@ -270,6 +281,7 @@
             arrived_ms=arrived_ms,
             deadline_ms=deadline_ms,
             caller_address=request.remote or "",
+            may_stream=may_stream and _may_stream(request, route),
         )
 
     def _match(self, request: web.BaseRequest, routes: RouteTable) -> Route | None:
@@ -360,6 +372,12 @@
         return _RefusedError(router_response(503))
 
 
+def _may_stream(request: web.BaseRequest, route: Route) -> bool:
+    """Return whether a response to a request is recognised as incomplete."""
+    is_chunkable = request.version >= HttpVersion11
+    return route.is_download and request.method == "GET" and is_chunkable
+
+
 def _disconnect(connection: web.RequestHandler) -> None:
     if connection.transport is not None:
         connection.transport.abort()
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from enum import Enum
-from math import nan
+from math import inf, nan
 
 import aiohttp
 import msgspec
@@ -24,7 +24,6 @@
 from mulberryrelay_router.attempts import (
     CONTENT_LENGTH_HEADER,
     HOP_BY_HOP_HEADERS,
-    TRANSFER_ENCODING_HEADER,
 )
 from mulberryrelay_router.pool import (
     NotSentError,
@@ -38,6 +37,12 @@
 from .messages import BackendServer, EdgeRequest, LoadReport, RequestBody
 from .overdue import OverdueWatch
 from .rangeedits import NO_SERVER
+from .responsestream import (
+    STREAMED_BYTES,
+    ResponseStream,
+    content_length,
+    is_unframed,
+)
 
 HOST_HEADER = istr("Host")
 CONTENT_ENCODING_HEADER = istr("Content-Encoding")
@@ -108,6 +113,8 @@
     """Whether the connection ended before the response began, as of a full server."""
     cold_ms: float | None = None
     """Time for which the server stays cold; None if unstated."""
+    stream: ResponseStream | None = None
+    """The body, instead of ``body``, of a response that is still being received."""
 
 
 class _WithheldError(NotSentError):
@@ -224,6 +231,7 @@
     async def _run(self, pool: Pool) -> AttemptResult:
         connection = await pool.open(self._server.host, self._server.port)
         is_reusable = False
+        stream: ResponseStream | None = None
         try:
             protocol = connection.protocol
             assert isinstance(protocol, ServerConnection)
@@ -237,12 +245,23 @@
             )
             writing = self._start_writing_body(writer)
             try:
-                message, body = await self._read(protocol, is_fresh)
+                message, body, rest = await self._read(protocol, is_fresh)
             finally:
                 is_written = writing is None or writing.done()
                 if writing is not None:
                     writing.cancel()
-            if _is_unframed(message):
+            if rest is not None:
+                result = self._classify(message, b"")
+                stream = ResponseStream(
+                    connection,
+                    rest,
+                    body,
+                    content_length(message),
+                    is_written and not message.should_close,
+                    self._response_buffer,
+                )
+                return msgspec.structs.replace(result, stream=stream)
+            if is_unframed(message):
                 if closed is not None:
                     # Raises if the connection was reset instead of closed.
                     await closed
@@ -258,7 +277,7 @@
         finally:
             if is_reusable:
                 connection.release()
-            else:
+            elif stream is None:
                 connection.close()
 
     def _start_writing_body(self, writer: StreamWriter) -> asyncio.Task[None] | None:
@@ -283,9 +302,12 @@
 
     async def _read(
         self, protocol: ServerConnection, is_fresh: bool
-    ) -> tuple[RawResponseMessage, bytes]:
+    ) -> tuple[RawResponseMessage, bytes, StreamReader | None]:
         """Return the response to this request; skip responses to earlier ones.
 
+        If it is to be streamed, only the first part of its body is read. The last item
+        is the reader of the rest.
+
         Raises:
             _InvalidResponseError: there is no response with this request's id.
         """
@@ -294,14 +316,22 @@
             message, payload = await protocol.read()
             self._record_response_begun()
             assert isinstance(payload, StreamReader)
-            body = await self._read_body(protocol, payload)
             response_id = message.headers.get(request_id, "")
+            may_stream = (
+                self._request.may_stream
+                and response_id == self._request.request_id
+                and 200 <= message.code < 300
+                and not is_unframed(message)
+            )
+            max_bytes = STREAMED_BYTES if may_stream else inf
+            body = await self._read_body(protocol, payload, max_bytes)
             if response_id == self._request.request_id:
-                return message, body
+                is_partial = may_stream and not payload.is_eof()
+                return message, body, payload if is_partial else None
             if not response_id and is_fresh:
                 # Refusals may lack the id. On a new connection there can be no response
                 # to an earlier request.
-                return message, body
+                return message, body, None
             log_event(
                 "response_id_mismatch",
                 request_id=self._request.request_id,
@@ -319,9 +349,12 @@
             self._overdue.stop()
 
     async def _read_body(
-        self, protocol: ServerConnection, payload: StreamReader
+        self, protocol: ServerConnection, payload: StreamReader, max_bytes: float
     ) -> bytes:
-        """Return a response's body; the connection closes if it is too long."""
+        """Return a response's body, or its beginning if it exceeds ``max_bytes``.
+
+        The connection closes if it is too long.
+        """
         chunks: list[bytes] = []
         hold = self._response_buffer.open(
             lambda: protocol.reject("all responses together exceed their limit")
@@ -330,6 +363,8 @@
             while chunk := await payload.readany():
                 chunks.append(chunk)
                 hold.add(len(chunk))
+                if hold.held_bytes > max_bytes and not payload.is_eof():
+                    break
             return b"".join(chunks)
         finally:
             self._response_buffer.close(hold)
@@ -415,13 +450,3 @@
     """
     if not ended.cancelled():
         ended.exception()
-
-
-def _is_unframed(message: RawResponseMessage) -> bool:
-    """Return whether the body ends when the connection does, RFC 9112 section 6.3."""
-    if message.chunked or message.code in (204, 304):
-        return False
-    return (
-        CONTENT_LENGTH_HEADER not in message.headers
-        and TRANSFER_ENCODING_HEADER not in message.headers
-    )
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -23,6 +23,7 @@
 from mulberryrelay_kernel.states import ServerState
 
 from .speedmessages import SpeedChanges, SpeedReport
+from .responsestream import ResponseStream
 from .tablemirror import TableUpdate
 from .viewage import VersionRead
 
@@ -167,6 +168,8 @@
     """Network address of the caller, without the port."""
     is_relayed: bool = False
     """Whether another router, which reaches no server, has passed it on."""
+    may_stream: bool = False
+    """Whether its caller may receive the response while it is still being read."""
 
     def fingerprint(self) -> Fingerprint:
         """Return a digest that a request has in common with its repetitions.
@@ -193,6 +196,8 @@
     body: bytes
     is_from_router: bool = False
     """Whether the router generated the response itself, rather than a server."""
+    stream: ResponseStream | None = None
+    """The body, instead of ``body``; it has to be closed."""
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/edge/mulberryrelay_edge/pipelining.py
+++ b/packages/edge/mulberryrelay_edge/pipelining.py
@@ -181,7 +181,8 @@
 
     def _forward_waiting(self) -> None:
         """Forward waiting requests, up to the first one that must wait its turn."""
-        if self._current is None or self._has_ended:
+        # aiohttp has a waiter while no request is handled.
+        if self._current is None or self._waiter is not None or self._has_ended:
             return
         running = 1
         previous = self._current
--- a/packages/edge/mulberryrelay_edge/responses.py
+++ b/packages/edge/mulberryrelay_edge/responses.py
@@ -42,4 +42,6 @@
 def server_response(result: AttemptResult) -> EdgeResponse:
     """Return the response that a server gave to an attempt."""
     assert result.headers is not None
-    return EdgeResponse(result.status, result.headers, result.body)
+    return EdgeResponse(
+        result.status, result.headers, result.body, stream=result.stream
+    )
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -292,6 +292,23 @@
         self._on_capacity()
         return now_ms - sent_ms
 
+    def begin_body(
+        self, server: BackendServer, send_id: int, load: LoadReport | None
+    ) -> float:
+        """Record that a response has begun; return the milliseconds since its send.
+
+        The request stays in flight until ``end_request``, but is not overdue any more.
+        """
+        stats = self.stats(server)
+        now_ms = self._clock()
+        if send_id not in stats.sent_ms:
+            return 0.0
+        stats.overdue_ms.pop(send_id, None)
+        if load is not None:
+            stats.other_load = max(0.0, load.running + load.waiting - stats.in_flight)
+            stats.load_reported_ms = now_ms
+        return now_ms - stats.sent_ms[send_id]
+
     def record_response(
         self,
         server: BackendServer,
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -223,6 +223,13 @@
         self._held_bytes += count
         self._buffer.enforce_limit()
 
+    def resize(self, held_bytes: int) -> None:
+        """Set what the response holds; evict the largest one if there is too much."""
+        is_growing = held_bytes > self._held_bytes
+        self._held_bytes = held_bytes
+        if is_growing:
+            self._buffer.enforce_limit()
+
     def close(self) -> None:
         """Release the response's bytes."""
         self._buffer.close(self)
--- a/tests/test_edge_pipelining.py
+++ b/tests/test_edge_pipelining.py
@@ -156,6 +156,16 @@
                 assert await caller.read() == (200, path.encode(), False)
 
 
+@async_test
+async def test_requests_sent_one_by_one_are_handled_in_their_turn() -> None:
+    """Guards against the cost of an early start for callers that do not pipeline."""
+    async with _pipeline() as (router, caller, _, _):
+        for path in _listings(3):
+            caller.writer.write(_request(path))
+            assert await caller.read() == (200, path.encode(), False)
+        assert "forwarded_early" not in router.metrics.counters
+
+
 @async_test
 async def test_the_concurrency_of_a_connection_is_bounded() -> None:
     """Guards against one caller that takes all slots of the servers."""
