--- a/tests/test_edge_streaming.py
+++ b/tests/test_edge_streaming.py
@@ -37,6 +37,8 @@
     def __init__(self) -> None:
         self.is_chunked = False
         self.may_finish = asyncio.Event()
+        self.waiting_path = ""
+        """The only path whose responses wait; all do if it is empty."""
         self.breaks_after: list[int | None] = []
         """Body length after which each of the first responses breaks off, if any."""
         self.more = f"{HEADERS.response_signature}: r\r\n"
@@ -56,7 +58,8 @@
             writer.close()
             return
         await self._send(writer, BODY[:SENT_FIRST])
-        await self.may_finish.wait()
+        if self.waiting_path in ("", request.path):
+            await self.may_finish.wait()
         await self._send(writer, BODY[SENT_FIRST:])
         for _ in range(self.length // len(BODY) - 1):
             await self._send(writer, BODY)
@@ -317,14 +320,47 @@
             pass
 
 
+@async_test
+async def test_a_stopping_router_completes_a_stream() -> None:
+    """Guards against files that are cut off by a planned stop."""
+    async with _download() as (router, caller, _, files):
+        caller.send()
+        assert await caller.read_head() == 200
+        stopping = asyncio.create_task(router.callers.stop())
+        await asyncio.sleep(0.1)
+        assert not stopping.done()
+        files.may_finish.set()
+        assert await caller.read_body() == BODY
+        assert await caller.reader.read() == b""
+        await stopping
+
+
+@async_test
+async def test_a_stream_that_is_dropped_is_no_failure_of_its_server() -> None:
+    """Guards against servers that are ejected for what slow callers hold."""
+    async with _download() as (router, caller, _, _):
+        caller.send()
+        assert await caller.read_head() == 200
+        buffer = router.forwarder.response_buffer
+        buffer._max_bytes = 1
+        buffer.enforce_limit()
+        await wait_until(lambda: not _in_flight(router))
+        assert not router.dispatcher.loads.stats(backend(0)).failures
+
+
 @async_test
 async def test_pipelined_downloads_keep_their_order() -> None:
-    """Guards against a response that is written into another one."""
-    async with _download() as (_, caller, server, files):
-        caller.send("/file/1")
-        caller.send("/listing/2")
-        caller.send("/file/3")
-        await wait_until(lambda: len(server.received) == 3)
+    """Guards against mixed responses, and servers that wait for an earlier response.
+
+    A response that waits for its turn is held as a whole.
+    """
+    async with _download() as (router, caller, _, files):
+        files.waiting_path = "/file/1"
+        for path in ("/file/1", "/listing/2", "/file/3"):
+            caller.send(path)
+        buffer = router.forwarder.response_buffer
+        await wait_until(lambda: buffer.held_bytes >= 2 * len(BODY))
+        assert _in_flight(router) == 1
         files.may_finish.set()
         for _ in range(3):
             assert await caller.read_head() == 200
