--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -22,8 +22,8 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import ServerState
 
-from .speedmessages import SpeedChanges, SpeedReport
 from .responsestream import ResponseStream
+from .speedmessages import SpeedChanges, SpeedReport
 from .tablemirror import TableUpdate
 from .viewage import VersionRead
 
