Give cold servers few keys of others, and none by rebalancing

The leader counted a cold server with its full capacity, so that a new one got the largest part of the keys of an evacuated data centre. Its rate while cold now limits what it gets of keys that need a new owner. Rebalancing leaves cold servers out: they keep their keys and get no more until they are warm. Without a configured rate nothing changes.

--- a/packages/edge/mulberryrelay_edge/leaderterm.py
+++ b/packages/edge/mulberryrelay_edge/leaderterm.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 from returns.result import Failure, Success
 
 from mulberryrelay_kernel.clock import Clock
@@ -338,15 +339,17 @@
     def _plan_moves(self, service: ServiceName) -> list[PlannedMove]:
         """Return moves of ranges that need a new owner, or else moves for balance."""
         ranges = self._ranges.ranges(service)
-        targets = self._targets(service)
+        targets = self._targets(service, self._condition)
         unowned = [
             key_range for key_range in ranges if self._needs_new_owner(key_range)
         ]
         if unowned:
             keys = self._load.sample(service).keys
+            targets = self._targets(service, self._condition_if_cold)
             return place_unowned_ranges(unowned, ranges, keys, targets)
         leaving = self._evacuation_planner.leaving(ranges)
         if leaving and targets:
+            targets = self._targets(service, self._condition_if_cold)
             keys = self._load.sample(service).keys
             return self._evacuation_planner.plan(
                 service, leaving, ranges, keys, targets
@@ -368,8 +371,14 @@
         is_recent = since_plan_ms < CALM_REBALANCE_MS
         min_utilisation = BUSY_UTILISATION if is_recent else CALM_UTILISATION
         sample = self._load.sample(service)
+        # Cold servers keep their keys and get no more until they are warm.
+        warm = [
+            target
+            for target in targets
+            if self._catalog.cold.limit_per_s(target.server) is None
+        ]
         moves = plan_moves(
-            ranges, sample.keys, targets, sample.slots_per_key, min_utilisation
+            ranges, sample.keys, warm, sample.slots_per_key, min_utilisation
         )
         if moves:
             self._planned_ms[service] = now_ms
@@ -387,10 +396,27 @@
             return True
         return self._grants.is_lost((key_range.owner, key_range.owner_started_ms))
 
-    def _targets(self, service: ServiceName) -> list[Capacity]:
+    def _condition_if_cold(self, server: BackendServer) -> ServerCondition:
+        """Return the condition of a server, with its limit while it is cold.
+
+        Only keys that need a new owner move to cold servers.
+        """
+        condition = self._condition(server)
+        cold_per_s = self._catalog.cold.limit_per_s(server)
+        if cold_per_s is None:
+            return condition
+        if condition.limit_per_s is not None:
+            cold_per_s = min(cold_per_s, condition.limit_per_s)
+        return msgspec.structs.replace(condition, limit_per_s=cold_per_s)
+
+    def _targets(
+        self,
+        service: ServiceName,
+        condition: Callable[[BackendServer], ServerCondition],
+    ) -> list[Capacity]:
         """Return the servers that may get keys, with their capacities."""
         servers = [
-            (server, self._condition(server))
+            (server, condition(server))
             for server in self._catalog.assignable(service)
             if not self._grants.is_unreachable((server.server, server.started_ms))
         ]
--- a/tests/test_edge_evacuation_moves.py
+++ b/tests/test_edge_evacuation_moves.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
+import msgspec
+
 from bench.virtual_time import run_virtual
 from mulberryrelay_edge.capacity import Capacity
 from mulberryrelay_edge.evacuationplan import (
@@ -17,6 +19,7 @@
     plan_evacuation,
     steps_left,
 )
+from mulberryrelay_edge.messages import KeyReport
 from mulberryrelay_edge.rangeedits import (
     Ranges,
     begin_moves,
@@ -30,9 +33,11 @@
 
 from .fixtures.edgefleet import (
     EVACUATION_MS,
+    ROUTES_TABLE,
     SERVICE,
     Fleet,
     backend,
+    route_table,
 )
 
 SEED = 20261206
@@ -49,6 +54,8 @@
 """Time for which a key may have no owner in a move with a hand-over."""
 TAKEOVER_S = 12.0
 """Time for another leader, and for moves that the last one began."""
+COLD_MS = 3000.0
+"""Time for which a server is cold."""
 ROUTERS = 5
 NEAR = (0, 1, 2, 3)
 FAR = (4, 5)
@@ -173,6 +180,15 @@
     )
 
 
+def _owned(fleet: Fleet) -> dict[str, int]:
+    """Return the number of keys that each server of data centre a owns."""
+    return {
+        server.entry.server: sum(g.last - g.first + 1 for g in server.grants)
+        for server in fleet.servers.incarnations
+        if server.entry.data_centre == "a"
+    }
+
+
 def _senders(fleet: Fleet) -> list[str]:
     """Return the routers that would send to a server of data centre b."""
     return [
@@ -197,11 +213,7 @@
         assert _granted_far(fleet) == 0
         assert fleet.servers.ungranted_share() == 0
         assert fleet.longest_pause_s <= MAX_PAUSE_S
-        owned = {
-            server.entry.server: sum(g.last - g.first + 1 for g in server.grants)
-            for server in fleet.servers.incarnations
-            if server.entry.data_centre == "a"
-        }
+        owned = _owned(fleet)
         assert max(owned.values()) <= 1.3 * 65536 / len(NEAR), owned
         await asyncio.sleep(BOUND_S - MAX_UNKNOWN_S - MOVED_S)
         assert len(_senders(fleet)) == ROUTERS
@@ -219,6 +231,39 @@
     _run(scenario)
 
 
+def test_cold_servers_get_few_keys_of_an_evacuated_data_centre() -> None:
+    """Guards against a server that crashes because it gets a share while it is cold."""
+
+    async def scenario(fleet: Fleet) -> None:
+        table = route_table(2)
+        service = msgspec.structs.replace(
+            table.services[SERVICE], cold_start_ms=COLD_MS, cold_per_s=3.6
+        )
+        table = msgspec.structs.replace(table, services={SERVICE: service})
+        fleet.tables.write(ROUTES_TABLE, "routes", msgspec.json.encode(table))
+        leader = fleet.leader
+        assert leader is not None
+        keys = list(range(0, 65536, 128))
+        for _ in range(10):
+            leader.load.record_service_time(SERVICE, 100.0)
+        leader.load.add_report(KeyReport({SERVICE: keys}, {}))
+        fleet.start_server(backend(7, slow_start_left_ms=COLD_MS))
+        # The cold server has no keys yet, so that it lacks most to its usual share.
+        await asyncio.sleep(0.1)
+        leader.load.add_report(KeyReport({SERVICE: keys}, {}))
+        owned_before = _owned(fleet)
+        fleet.evacuate("b")
+        await asyncio.sleep(MOVED_S)
+        assert _granted_far(fleet) == 0
+        gained = {
+            name: keys - owned_before[name] for name, keys in _owned(fleet).items()
+        }
+        moved = sum(keys for keys in gained.values() if keys > 0)
+        assert gained["server-7"] <= 0.05 * moved, gained
+
+    _run(scenario)
+
+
 def test_a_new_leader_ends_an_evacuation_that_the_last_one_began() -> None:
     """Guards against keys that stay because the leader was lost halfway."""
 
