Let the leader raise the load of returning servers

Where the leader divides servers among routers, it divided only those that it used itself so soon after an evacuation, and other routers left out part of what they got. It now divides all servers outside evacuated data centres, and counts returning ones with the part of their capacity that is in use.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -288,7 +288,10 @@
         return registered or usable
 
     def assignable(self, service: ServiceName) -> list[BackendServer]:
-        """Return the servers of a service that may get keys."""
+        """Return the servers of a service among which the leader divides the load.
+
+        None are in an evacuated data centre.
+        """
         usable = [
             s
             for s in self._active(service)
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -83,6 +83,7 @@
                 options.instance,
                 self._store_sync.write_times,
                 clock,
+                lambda service: bool(shares.shares(service)),
             ),
             clock,
             lambda: ColdBound(
@@ -143,10 +144,11 @@
             clock,
             ShareTable(
                 lambda: self._catalog.routes,
-                self._catalog.serving,
+                self._catalog.assignable,
                 self._key_load.service_ms,
                 lambda server: self._condition_of(server).slowdown,
                 clock,
+                self._catalog.evacuations.return_share,
             ),
             lambda: self._reservations.schedule.paced(),
         )
--- a/packages/edge/mulberryrelay_edge/evacuations.py
+++ b/packages/edge/mulberryrelay_edge/evacuations.py
@@ -7,13 +7,13 @@
 """
 
 import functools
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import xxhash
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
+from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
 
 from .messages import BackendServer
@@ -48,13 +48,19 @@
         instance: InstanceId,
         write_times: WriteTimes,
         clock: Clock,
+        are_servers_divided: Callable[[ServiceName], bool] = lambda service: False,
     ) -> None:
-        """``evacuation_ms`` is ``EdgeOptions.evacuation_ms``."""
+        """``evacuation_ms`` is ``EdgeOptions.evacuation_ms``.
+
+        ``are_servers_divided`` tells whether the leader divides the servers of a
+        service among the routers; it then lets the load of each one rise.
+        """
         self._source = source
         self._grace_ms = max(0.0, evacuation_ms - SEND_MARGIN_MS)
         self._instance = instance
         self._write_times = write_times
         self._clock = clock
+        self._are_servers_divided = are_servers_divided
         self._evacuations: dict[DataCentre, Evacuation] = {}
         self._row_versions: dict[DataCentre, int] = {}
         """Version of the newest row of each data centre, deletions included."""
@@ -118,6 +124,8 @@
 
         Each router uses other servers first, so that the load of each one rises evenly.
         """
+        if self._are_servers_divided(server.service):
+            return True
         share = self.return_share(server.data_centre)
         return share >= 1.0 or _position(self._instance, server.server) < share
 
--- a/packages/edge/mulberryrelay_edge/sharetable.py
+++ b/packages/edge/mulberryrelay_edge/sharetable.py
@@ -43,6 +43,11 @@
     reported_ms: float
 
 
+def _all_returned(data_centre: DataCentre) -> float:
+    """Return that servers get their full load."""
+    return 1.0
+
+
 class ShareTable:
     """Divides servers while this router leads."""
 
@@ -53,17 +58,20 @@
         service_ms: Callable[[ServiceName], float],
         slowdown: Callable[[BackendServer], float],
         clock: Clock,
+        return_share: Callable[[DataCentre], float] = _all_returned,
     ) -> None:
         """``serving`` returns the servers of a service that may get requests.
 
         ``service_ms`` returns the time of a request on an average server, 0 if unknown,
-        and ``slowdown`` a server's time relative to it.
+        and ``slowdown`` a server's time relative to it. ``return_share`` returns which
+        part of their load the servers of a data centre get after an evacuation.
         """
         self._routes = routes
         self._serving = serving
         self._service_ms = service_ms
         self._slowdown = slowdown
         self._clock = clock
+        self._return_share = return_share
         self._routers: dict[str, _Router] = {}
         self._planned_ms = float("-inf")
         self._shares: dict[str, dict[ServiceName, Shares]] = {}
@@ -140,7 +148,11 @@
         ]
         capacities = [
             ServerCapacity(
-                server.server, server.data_centre, server.slots / self._factor(server)
+                server.server,
+                server.data_centre,
+                server.slots
+                / self._factor(server)
+                * self._return_share(server.data_centre),
             )
             for server in servers
         ]
--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -14,10 +14,12 @@
 from mulberryrelay_edge.evacuations import (
     RETURN_FIRST_SHARE,
     RETURN_RAMP_MS,
+    Evacuations,
     _position,
 )
+from mulberryrelay_edge.sharetable import ShareTable
 from mulberryrelay_edge.tablestore import TableRead, TableRow
-from mulberryrelay_edge.viewage import SEND_MARGIN_MS
+from mulberryrelay_edge.viewage import SEND_MARGIN_MS, WriteTimes
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
 from mulberryrelay_platform.entries import decode_evacuation
@@ -33,7 +35,9 @@
     Fleet,
     FleetRouter,
     backend,
+    evacuation_source,
     followers_of,
+    route_table,
 )
 from .fixtures.edgerouter import edge_response, edge_router
 from .fixtures.followingcatalog import FollowingCatalog
@@ -241,6 +245,53 @@
     _run(scenario)
 
 
+def test_a_leader_that_divides_servers_lets_their_load_rise() -> None:
+    """Guards against routers that get returning servers as their only ones at once.
+
+    Each router then uses its servers as the leader divides them.
+    """
+    now_ms = 0.0
+    shares = {DataCentre("b"): RETURN_FIRST_SHARE}
+    servers = [backend(n, data_centre=DataCentre("aabb"[n])) for n in range(4)]
+    table = ShareTable(
+        lambda: route_table(is_keyed=False),
+        lambda service: servers,
+        lambda service: 100.0,
+        lambda server: 1.0,
+        lambda: now_ms,
+        lambda data_centre: shares.get(data_centre, 1.0),
+    )
+    routers = [f"{number:02}" for number in range(65)]
+    loads = []
+    for return_share in (RETURN_FIRST_SHARE, 0.5, 1.0):
+        shares[DataCentre("b")] = return_share
+        now_ms += 1000.0
+        for boot_id in routers:
+            table.record(boot_id, DataCentre("c"), {SERVICE: 1.0})
+        load = dict.fromkeys((server.server for server in servers), 0.0)
+        for boot_id in routers:
+            own = table.shares_of(boot_id)[SERVICE]
+            for name, share in own.items():
+                load[name] += share / sum(own.values()) / len(routers)
+        loads.append(load[servers[2].server] + load[servers[3].server])
+    assert loads[0] < 0.2 < loads[1] < 0.45 < loads[2], loads
+
+    known = Evacuations(
+        evacuation_source(),
+        0.0,
+        InstanceId("r"),
+        WriteTimes(),
+        lambda: now_ms,
+        lambda service: True,
+    )
+    row = TableRow(EVACUATION_PREFIX + "b", b"{}", 1)
+    known.apply(TableRead([row], 1, 0.0), False)
+    assert len(known.usable(servers)) == 2
+    known.apply(TableRead([TableRow(row.key, None, 2)], 2, 0.0), False)
+    assert known.usable(servers) == servers
+    assert known.return_share(DataCentre("b")) == RETURN_FIRST_SHARE
+
+
 def test_rows_of_evacuations_are_told_from_other_rows() -> None:
     """Guards against rows of later builds that are taken for evacuations."""
     rows = {
