Explain where a request would be sent now

Operators could see a router's state, but not why it sends a request to one server and not to another. `mulberryctl edge-explain` asks /explain on the port of the metrics and prints the decision for each service of the route, the queue, and for each server its load, limit and what is against it.

The dispatcher previews its choice with the code that makes it, without a permit or a reserved time.

--- a/packages/ctl/mulberryctl/formatting.py
+++ b/packages/ctl/mulberryctl/formatting.py
@@ -5,6 +5,9 @@
 
 from mulberryrelay_kernel.messages import (
     AdminError,
+    EdgeDecision,
+    EdgeExplanation,
+    EdgeServerExplanation,
     EdgeStatus,
     RouterStatus,
     RulesCheckResponse,
@@ -98,6 +101,60 @@
     return "\n".join(lines)
 
 
+def format_edge_explanation(explanation: EdgeExplanation) -> str:
+    """Return where an edge router would send a request, with a line per server."""
+    lines = [
+        f"router {explanation.instance}: route {explanation.route or 'none matches'}"
+        f" (routes version {explanation.routes_version},"
+        f" in force for {explanation.routes_age_ms / 1000:.1f} s)",
+        f"servers as of {explanation.view_age_ms / 1000:.1f} s ago",
+    ]
+    if explanation.store_unreachable_ms > 0:
+        silent_s = explanation.store_unreachable_ms / 1000
+        lines.append(f"store: unreachable for {silent_s:.1f} s")
+    if explanation.evacuated:
+        lines.append(f"evacuated: {', '.join(explanation.evacuated)}")
+    for decision in explanation.decisions:
+        lines.extend(_format_decision(decision))
+    return "\n".join(lines)
+
+
+def _format_decision(decision: EdgeDecision) -> list[str]:
+    target = f" to {decision.server}" if decision.server else ""
+    lines = [
+        f"{decision.service} (weight {decision.weight}): {decision.outcome}{target},"
+        f" {decision.reason}",
+        f"  {decision.queued} queued, expected wait {decision.expected_wait_ms:.0f} of"
+        f" {decision.allowed_wait_ms:.0f} ms",
+    ]
+    if decision.key is not None:
+        moving = f", moving to {decision.next_owner}" if decision.next_owner else ""
+        owner = decision.owner or "nobody"
+        lines.append(f"  key {decision.key} owned by {owner}{moving}")
+    ordered = sorted(
+        decision.servers, key=lambda s: (not s.is_chosen, not s.is_candidate, s.server)
+    )
+    lines.extend(_format_explained_server(server) for server in ordered)
+    return lines
+
+
+def _format_explained_server(server: EdgeServerExplanation) -> str:
+    mark = "*" if server.is_chosen else " "
+    age = "no report"
+    if server.load_age_ms is not None:
+        age = f"{server.load_age_ms / 1000:.1f} s old"
+    line = (
+        f" {mark} {server.server} ({server.data_centre}): load {server.load:.1f} of"
+        f" {server.slots} slots ({age}), {server.in_flight} of {server.window:.1f} in"
+        f" flight here, slowdown {server.slowdown:.1f}"
+    )
+    if server.limit_per_s is not None:
+        line += f", limit {server.limit_per_s:.1f}/s"
+    if server.is_cold:
+        line += ", cold"
+    return f"{line}: {'; '.join(server.reasons)}" if server.reasons else line
+
+
 def format_history(rows: Sequence[RulesRow]) -> str:
     """Return one line for each version of the rules."""
     return "\n".join(_format_version(row) for row in rows) or "no version was submitted"
--- a/packages/ctl/mulberryctl/main.py
+++ b/packages/ctl/mulberryctl/main.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, NoReturn, TextIO, TypeVar
+from urllib.parse import urlencode
 
 import click
 import msgspec
@@ -17,6 +18,7 @@
 from mulberryrelay_kernel.ids import RulesVersion
 from mulberryrelay_kernel.messages import (
     AdminError,
+    EdgeExplanation,
     EdgeStatus,
     RouterStatus,
     RulesCheckRequest,
@@ -33,6 +35,7 @@
 from .client import AdminClient, ApiFailure
 from .formatting import (
     format_check,
+    format_edge_explanation,
     format_edge_status,
     format_error,
     format_history,
@@ -232,6 +235,28 @@
     session.print(response, format_edge_status(response))
 
 
+@main.command("edge-explain")
+@click.argument("host")
+@click.argument("path")
+@click.option("--key", type=click.IntRange(0, 65535), help="Key of the request.")
+@common_options
+def edge_explain(session: Session, host: str, path: str, key: int | None) -> None:
+    """Show where an edge router would send a request for HOST and PATH now, and why.
+
+    Nothing is sent. The address is that of the router's metrics.
+    """
+    if session.address is None:
+        message = "--address is missing; expected the address of a router's metrics"
+        session.fail(ExitCode.USAGE, AdminError("settings", message))
+    access = Access(session.address, "")
+    query = {"host": host, "path": path}
+    if key is not None:
+        query["key"] = str(key)
+    url = f"/explain?{urlencode(query)}"
+    response = session.call(lambda c: c.get(url, EdgeExplanation), access)
+    session.print(response, format_edge_explanation(response))
+
+
 @main.command()
 @click.option("--limit", type=click.IntRange(1, 1000), default=20, show_default=True)
 @common_options
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -9,6 +9,8 @@
 from collections import Counter
 from collections.abc import Collection, Sequence
 
+import msgspec
+
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
 from mulberryrelay_kernel.logs import log_event
@@ -59,6 +61,20 @@
 """Servers described in the log line of a request whose wait in the queue timed out."""
 
 
+class Preview(msgspec.Struct, frozen=True):
+    """What would happen to a request that arrives now."""
+
+    server: ServerId | None
+    """Server that would get it, or None if it would have to wait."""
+    refusal: str
+    """Why it would be refused; empty if it would not be."""
+    queued: int
+    """Queued requests of its service."""
+    expected_wait_ms: float
+    allowed_wait_ms: float
+    """Wait with which it is still of full value to its caller."""
+
+
 class Dispatcher:
     """The request queues of all services."""
 
@@ -397,7 +413,7 @@
                 if is_cold and server.data_centre != self._data_centre:
                     cold_elsewhere.append(server)
                 else:
-                    self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
+                    self._want_time(queued, server)
                 continue
             cost = self._loads.cost(server)
             if shares:
@@ -413,7 +429,7 @@
                 best, best_cost = server, cost
         if best is None:
             for server in cold_elsewhere:
-                self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
+                self._want_time(queued, server)
         if best is not None and best_cost >= 100.0 and len(eligible) > 1:
             # Wait for a server that is not avoided.
             return None
@@ -450,6 +466,44 @@
 
         return own_candidates
 
+    def _want_time(self, queued: QueuedRequest, server: BackendServer) -> None:
+        if not queued.is_preview:
+            self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
+
+    def preview(
+        self, request: EdgeRequest, candidates: Candidates, is_keyed: bool
+    ) -> Preview:
+        """Return what would happen to a request now, without any effect on others."""
+        if not is_keyed:
+            candidates = self._prefer_own(request.service, candidates, frozenset())
+        queued = QueuedRequest(
+            request, candidates, is_keyed, request.deadline_ms, frozenset()
+        )
+        queued.is_preview = True
+        queue = self._queues.get(request.service, [])
+        chosen = self._choose_server(queued)
+        expected_ms = self._expected_wait_ms(queue, queued)
+        allowed_ms = self._allowed_wait_ms(queued)
+        refusal = self._refusal_by_pause(queued)
+        reason = refusal.reason.value if refusal is not None else ""
+        if len(queue) >= MAX_QUEUE_LENGTH:
+            reason = RefusalReason.QUEUE_FULL.value
+        elif not reason and expected_ms > allowed_ms:
+            reason = RefusalReason.OVERLOAD.value
+        elif not reason and chosen is None and is_keyed:
+            limit_waits_ms = [self._limits.wait_ms(s, 0) for s in candidates()]
+            if any(wait_ms and wait_ms > allowed_ms for wait_ms in limit_waits_ms):
+                reason = RefusalReason.SERVER_LIMIT.value
+        if chosen is not None and not queue:
+            reason = ""
+        return Preview(
+            chosen.server if chosen is not None else None,
+            reason,
+            len(queue),
+            expected_ms,
+            allowed_ms,
+        )
+
     def _expire(self, queued: QueuedRequest) -> None:
         if queued.permit.done():
             return
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -335,6 +335,11 @@
             request, result, refusal.reason.value, possibly_ran, refusal.retry_after_s
         )
 
+    def candidates(self, request: EdgeRequest) -> tuple[Candidates, bool]:
+        """Return the servers that may run a request, and whether its key matters."""
+        is_keyed = self._catalog.is_keyed(request)
+        return self._candidates(request, is_keyed), is_keyed
+
     def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
         if not is_keyed:
             return lambda: self._catalog.serving(request.service)
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -17,6 +17,7 @@
 from .callers import STOP_RESERVE_MS, CallerServer
 from .controlplane import ControlPlane
 from .dispatch import Dispatcher
+from .explain import ExplanationSource
 from .forwarder import RequestForwarder
 from .loopwatch import log_stalls
 from .monitoring import MonitoringServer
@@ -168,6 +169,14 @@
             **callers.limiter.gauges(),
         },
         lambda: control.status.snapshot(callers.in_flight, dispatcher.queue_length),
+        ExplanationSource(
+            options.instance,
+            control.catalog,
+            control.ownership,
+            dispatcher,
+            forwarder,
+            clock,
+        ).explain,
     )
     await monitoring.start(options.host, options.metrics_port)
     log_event("started", instance=options.instance, boot_id=boot_id)
--- a/packages/edge/mulberryrelay_edge/monitoring.py
+++ b/packages/edge/mulberryrelay_edge/monitoring.py
@@ -10,15 +10,20 @@
 from aiohttp import web
 
 from mulberryrelay_kernel.logs import log_event
-from mulberryrelay_kernel.messages import EdgeStatus
+from mulberryrelay_kernel.messages import AdminError, EdgeExplanation, EdgeStatus
 from mulberryrelay_kernel.metrics import Metrics
 
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
+EXPLAIN_PATH = "/explain"
+MAX_KEY = 65535
+"""Highest key of a request."""
 PREFIX = "mulberryrelay"
 """Prefix of the names of all metrics."""
 Gauges = Callable[[], dict[str, float]]
 """Returns the current value of each gauge by its name without the prefix."""
+Explain = Callable[[str, str, int | None], EdgeExplanation]
+"""Explains where a request with a host, path and key would be sent now."""
 
 
 def render_metrics(metrics: Metrics, gauges: Gauges) -> bytes:
@@ -76,11 +81,16 @@
     """HTTP server for the metrics and the status."""
 
     def __init__(
-        self, metrics: Metrics, gauges: Gauges, status: Callable[[], EdgeStatus]
+        self,
+        metrics: Metrics,
+        gauges: Gauges,
+        status: Callable[[], EdgeStatus],
+        explain: Explain | None = None,
     ) -> None:
         self._metrics = metrics
         self._gauges = gauges
         self._status = status
+        self._explain = explain
         self._runner: web.AppRunner | None = None
 
     @property
@@ -94,6 +104,8 @@
         app = web.Application()
         app.router.add_get(METRICS_PATH, self._serve_metrics)
         app.router.add_get(STATUS_PATH, self._serve_status)
+        if self._explain is not None:
+            app.router.add_get(EXPLAIN_PATH, self._serve_explanation)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         try:
@@ -110,6 +122,27 @@
         body = msgspec.json.encode(self._status())
         return web.Response(body=body, content_type="application/json")
 
+    async def _serve_explanation(self, request: web.Request) -> web.Response:
+        assert self._explain is not None
+        host, path = request.query.get("host"), request.query.get("path")
+        text = request.query.get("key")
+        key = int(text) if text is not None and _is_key(text) else None
+        if not host or not path or (text is not None and key is None):
+            detail = f"expected host, path and a key from 0 to {MAX_KEY} or none"
+            error = AdminError("bad-request", detail)
+            return web.Response(
+                status=400,
+                body=msgspec.json.encode(error),
+                content_type="application/json",
+            )
+        body = msgspec.json.encode(self._explain(host, path, key))
+        return web.Response(body=body, content_type="application/json")
+
     async def _serve_metrics(self, request: web.Request) -> web.Response:
         body = render_metrics(self._metrics, self._gauges)
         return web.Response(body=body, content_type="text/plain", charset="utf-8")
+
+
+def _is_key(text: str) -> bool:
+    is_number = text.isascii() and text.isdecimal() and len(text) <= len(str(MAX_KEY))
+    return is_number and int(text) <= MAX_KEY
--- a/packages/edge/mulberryrelay_edge/queuedrequest.py
+++ b/packages/edge/mulberryrelay_edge/queuedrequest.py
@@ -70,6 +70,8 @@
         self.is_keyed = is_keyed
         self.queue_deadline_ms = queue_deadline_ms
         self.avoided = avoided
+        self.is_preview = False
+        """Whether it is only to be explained, so that no times are reserved for it."""
         self.has_reservation = False
         """Whether a time at the owner of its key is reserved for it."""
         self.is_held = False
--- a/packages/kernel/mulberryrelay_kernel/messages.py
+++ b/packages/kernel/mulberryrelay_kernel/messages.py
@@ -485,3 +485,73 @@
     unreachable_servers: list[ServerId] = msgspec.field(name="silent_servers")
     """Servers that answer no commands, so that the leader sends them no grants."""
     services: list[EdgeServiceStatus]
+
+
+class EdgeServerExplanation(msgspec.Struct, frozen=True, kw_only=True):
+    """Why an edge router would send a request to a server, or not."""
+
+    server: ServerId
+    data_centre: DataCentre
+    is_candidate: bool
+    """Whether the request may go there, apart from load and limits."""
+    is_chosen: bool
+    reasons: list[str]
+    """Why it would not get the request; empty if another server is better."""
+    in_flight: int
+    """Requests of this router at the server."""
+    window: float
+    """Requests of this router that may be at the server."""
+    slots: int
+    load: float
+    """Estimated requests of all routers at the server."""
+    load_age_ms: float | None
+    """Age of the last report of its load; None without one."""
+    slowdown: float
+    """Service time relative to what is usual."""
+    limit_per_s: float | None
+    """Requests per second that the server takes, if it states a limit."""
+    is_cold: bool
+
+
+class EdgeDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """Decision of an edge router on a request, if a service gets it."""
+
+    service: ServiceName
+    weight: int
+    """Weight of the service in the traffic split of the route."""
+    key: int | None
+    """Key of the request; None if it does not matter."""
+    owner: ServerId
+    """Owner of the key, or empty."""
+    next_owner: ServerId
+    """Server that the key is being moved to, or empty."""
+    outcome: str
+    """``sent``, ``queued`` or ``refused``."""
+    reason: str
+    server: ServerId
+    """Server that would get the request now, or empty."""
+    queued: int
+    """Queued requests of the service."""
+    expected_wait_ms: float
+    allowed_wait_ms: float
+    """Wait with which the request is still of full value to its caller."""
+    servers: list[EdgeServerExplanation]
+
+
+class EdgeExplanation(msgspec.Struct, frozen=True, kw_only=True):
+    """Where an edge router would send a request now, and why."""
+
+    instance: InstanceId
+    host: str
+    path: str
+    route: str
+    """Name of the route, or empty if none matches."""
+    routes_version: int
+    routes_age_ms: float
+    view_age_ms: float
+    """Time since all changes of the servers were known."""
+    store_unreachable_ms: float
+    evacuated: list[DataCentre]
+    """Evacuated data centres."""
+    decisions: list[EdgeDecision]
+    """One for each service of the route."""
