Test an evacuation under load, and the page on edge-explain

A test on sockets checks that no request fails or goes to the evacuated server while callers send 100 requests a second, and that it gets some again afterwards. Another one compares the example of edge-explain in OPERATIONS.md with what a router prints.

--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -41,7 +41,7 @@
 )
 from .fixtures.edgerouter import edge_response, edge_router
 from .fixtures.followingcatalog import FollowingCatalog
-from .fixtures.rawserver import RawRequest, raw_server
+from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
 
 SOON_S = 0.1
 """Time in which a row is known to a router whose poll is waiting."""
@@ -356,6 +356,49 @@
     assert 0 < written < 2 * len(STALL_STEPS), written
 
 
+@async_test
+async def test_load_moves_to_other_servers_and_comes_back() -> None:
+    """Guards against requests that fail, or go there, while a data centre is evacuated.
+
+    Callers send as much all the while as the server elsewhere can serve alone.
+    """
+    respond = respond_with(edge_response, delay_s=0.01)
+    statuses: list[int] = []
+    async with (
+        raw_server(respond) as near,
+        raw_server(respond) as far,
+        edge_router() as router,
+    ):
+        near_entry = router.register_server(near)
+        router.register(
+            backend(1, host=HOST, port=far.port, data_centre=DataCentre("b"))
+        )
+
+        async def play(for_s: float) -> tuple[int, int]:
+            """Send requests for some time; return how many came to each server."""
+            before = len(near.received), len(far.received)
+            calls = []
+            for _ in range(round(for_s / STEP_S)):
+                calls += [
+                    asyncio.ensure_future(router.send(router.request()))
+                    for _ in range(2)
+                ]
+                await asyncio.sleep(STEP_S)
+            statuses.extend(result.status for result in await asyncio.gather(*calls))
+            return len(near.received) - before[0], len(far.received) - before[1]
+
+        router.dispatcher.loads.pause(near_entry, 200.0)
+        assert (await play(0.2))[1] > 0
+        router.evacuate("b")
+        in_evacuation = await play(1.0)
+        assert in_evacuation == (100, 0), in_evacuation
+        router.end_evacuation("b")
+        router.dispatcher.loads.pause(near_entry, RETURN_RAMP_MS)
+        with patch.object(evacuations, "_position", lambda *names: 0.0):
+            assert (await play(0.3))[1] > 0
+    assert set(statuses) == {200}, statuses
+
+
 async def _late_senders(fleet: Fleet) -> dict[str, float]:
     """Return the routers that would send to a data centre evacuated just now.
 
--- a/tests/test_edge_explanation.py
+++ b/tests/test_edge_explanation.py
@@ -1,10 +1,14 @@
 """Where a router would send a request, as ``mulberryctl edge-explain`` shows it."""
 
 import asyncio
+import re
+import textwrap
+from pathlib import Path
 
 import msgspec
 from click.testing import CliRunner, Result
 
+from mulberryctl.formatting import format_edge_explanation
 from mulberryctl.main import main
 from mulberryrelay_edge.dispatch import Preview
 from mulberryrelay_edge.explain import (
@@ -16,7 +20,7 @@
 from mulberryrelay_edge.messages import BackendServer, KeyRange, ServiceShare
 from mulberryrelay_edge.monitoring import MonitoringServer
 from mulberryrelay_kernel.clock import monotonic_ms
-from mulberryrelay_kernel.ids import InstanceId, Tenant
+from mulberryrelay_kernel.ids import DataCentre, InstanceId, Tenant
 from mulberryrelay_kernel.messages import EdgeDecision, EdgeExplanation, EdgeStatus
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.states import ServerState
@@ -210,6 +214,29 @@
         assert decision.servers[0].limit_per_s == 1.0
 
 
+@async_test
+async def test_the_example_of_the_operators_page_is_what_a_router_prints() -> None:
+    """Guards against a page that shows an output which no router has."""
+    async with edge_router() as router:
+        entries = [backend(n, data_centre=DataCentre("aaabb"[n])) for n in range(5)]
+        for entry in entries:
+            router.register(entry)
+        router.evacuate("b")
+        router.dispatcher.loads.pause(entries[1], 800.0)
+        router.dispatcher.limits.record(entries[2], 2.5)
+        explanation = _source(router).explain("app.example", PATH, None)
+    # Times pass between the steps.
+    text = re.sub(
+        r"none for \d+ ms",
+        "none for 800 ms",
+        format_edge_explanation(
+            msgspec.structs.replace(explanation, routes_age_ms=0.0)
+        ),
+    )
+    page = (Path(__file__).parent.parent / "docs" / "OPERATIONS.md").read_text()
+    assert textwrap.indent(text, "    ") in page, text
+
+
 def _no_status() -> EdgeStatus:
     raise AssertionError("the status is not asked for")
 
@@ -255,4 +282,9 @@
         assert (await run("", PATH)).exit_code == 2
         assert (await run("app.example", PATH, "--key", "70000")).exit_code == 2
         await monitoring.close()
+        older = MonitoringServer(Metrics(Tenant("")), dict, _no_status)
+        await older.start(HOST, 0)
+        address = ("--address", f"http://{HOST}:{older.port}")
+        assert (await run("app.example", PATH)).exit_code == 4
+        await older.close()
     assert (await asyncio.to_thread(_run_ctl, "a", "/")).exit_code == 2
