--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -14,10 +14,12 @@
 from mulberryrelay_edge.evacuations import (
     RETURN_FIRST_SHARE,
     RETURN_RAMP_MS,
+    Evacuations,
     _position,
 )
+from mulberryrelay_edge.sharetable import ShareTable
 from mulberryrelay_edge.tablestore import TableRead, TableRow
-from mulberryrelay_edge.viewage import SEND_MARGIN_MS
+from mulberryrelay_edge.viewage import SEND_MARGIN_MS, WriteTimes
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
 from mulberryrelay_platform.entries import decode_evacuation
@@ -33,11 +35,13 @@
     Fleet,
     FleetRouter,
     backend,
+    evacuation_source,
     followers_of,
+    route_table,
 )
 from .fixtures.edgerouter import edge_response, edge_router
 from .fixtures.followingcatalog import FollowingCatalog
-from .fixtures.rawserver import RawRequest, raw_server
+from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
 
 SOON_S = 0.1
 """Time in which a row is known to a router whose poll is waiting."""
@@ -241,6 +245,53 @@
     _run(scenario)
 
 
+def test_a_leader_that_divides_servers_lets_their_load_rise() -> None:
+    """Guards against routers that get returning servers as their only ones at once.
+
+    Each router then uses its servers as the leader divides them.
+    """
+    now_ms = 0.0
+    shares = {DataCentre("b"): RETURN_FIRST_SHARE}
+    servers = [backend(n, data_centre=DataCentre("aabb"[n])) for n in range(4)]
+    table = ShareTable(
+        lambda: route_table(is_keyed=False),
+        lambda service: servers,
+        lambda service: 100.0,
+        lambda server: 1.0,
+        lambda: now_ms,
+        lambda data_centre: shares.get(data_centre, 1.0),
+    )
+    routers = [f"{number:02}" for number in range(65)]
+    loads = []
+    for return_share in (RETURN_FIRST_SHARE, 0.5, 1.0):
+        shares[DataCentre("b")] = return_share
+        now_ms += 1000.0
+        for boot_id in routers:
+            table.record(boot_id, DataCentre("c"), {SERVICE: 1.0})
+        load = dict.fromkeys((server.server for server in servers), 0.0)
+        for boot_id in routers:
+            own = table.shares_of(boot_id)[SERVICE]
+            for name, share in own.items():
+                load[name] += share / sum(own.values()) / len(routers)
+        loads.append(load[servers[2].server] + load[servers[3].server])
+    assert loads[0] < 0.2 < loads[1] < 0.45 < loads[2], loads
+
+    known = Evacuations(
+        evacuation_source(),
+        0.0,
+        InstanceId("r"),
+        WriteTimes(),
+        lambda: now_ms,
+        lambda service: True,
+    )
+    row = TableRow(EVACUATION_PREFIX + "b", b"{}", 1)
+    known.apply(TableRead([row], 1, 0.0), False)
+    assert len(known.usable(servers)) == 2
+    known.apply(TableRead([TableRow(row.key, None, 2)], 2, 0.0), False)
+    assert known.usable(servers) == servers
+    assert known.return_share(DataCentre("b")) == RETURN_FIRST_SHARE
+
+
 def test_rows_of_evacuations_are_told_from_other_rows() -> None:
     """Guards against rows of later builds that are taken for evacuations."""
     rows = {
@@ -305,6 +356,49 @@
     assert 0 < written < 2 * len(STALL_STEPS), written
 
 
+@async_test
+async def test_load_moves_to_other_servers_and_comes_back() -> None:
+    """Guards against requests that fail, or go there, while a data centre is evacuated.
+
+    Callers send as much all the while as the server elsewhere can serve alone.
+    """
+    respond = respond_with(edge_response, delay_s=0.01)
+    statuses: list[int] = []
+    async with (
+        raw_server(respond) as near,
+        raw_server(respond) as far,
+        edge_router() as router,
+    ):
+        near_entry = router.register_server(near)
+        router.register(
+            backend(1, host=HOST, port=far.port, data_centre=DataCentre("b"))
+        )
+
+        async def play(for_s: float) -> tuple[int, int]:
+            """Send requests for some time; return how many came to each server."""
+            before = len(near.received), len(far.received)
+            calls = []
+            for _ in range(round(for_s / STEP_S)):
+                calls += [
+                    asyncio.ensure_future(router.send(router.request()))
+                    for _ in range(2)
+                ]
+                await asyncio.sleep(STEP_S)
+            statuses.extend(result.status for result in await asyncio.gather(*calls))
+            return len(near.received) - before[0], len(far.received) - before[1]
+
+        router.dispatcher.loads.pause(near_entry, 200.0)
+        assert (await play(0.2))[1] > 0
+        router.evacuate("b")
+        in_evacuation = await play(1.0)
+        assert in_evacuation == (100, 0), in_evacuation
+        router.end_evacuation("b")
+        router.dispatcher.loads.pause(near_entry, RETURN_RAMP_MS)
+        with patch.object(evacuations, "_position", lambda *names: 0.0):
+            assert (await play(0.3))[1] > 0
+    assert set(statuses) == {200}, statuses
+
+
 async def _late_senders(fleet: Fleet) -> dict[str, float]:
     """Return the routers that would send to a data centre evacuated just now.
 
