Give cold servers few keys without emptying them

The leader's plan did not know that a server is cold, and the limit of a server in need would have moved its keys away and back within seconds.

One that is cold for at most 10 s more keeps the keys that it has, and does not count for the mean load of the others. One that is cold for longer is planned for as if it stated the limit.

--- a/packages/edge/mulberryrelay_edge/capacity.py
+++ b/packages/edge/mulberryrelay_edge/capacity.py
@@ -16,6 +16,11 @@
 
 The rest is for requests that arrive unevenly.
 """
+MAX_KEPT_COLD_MS = 10_000.0
+"""Time left of a server's coldness up to which it keeps its keys.
+
+Moving keys away and back would take longer, and each move interrupts their requests.
+"""
 MIN_SLOTS = 0.001
 """Lower bound of a capacity, so that any load relative to it is finite."""
 
@@ -27,6 +32,8 @@
     """Service time relative to what is usual."""
     limit_per_s: float | None = None
     """Requests per second that it takes from all routers, if it states a limit."""
+    cold_limit_per_s: float | None = None
+    """Requests per second that it takes for a short time, as it is cold."""
 
 
 def combined_condition(
@@ -43,6 +50,22 @@
     )
 
 
+def with_cold_limit(
+    condition: ServerCondition, cold_per_s: float | None, left_ms: float
+) -> ServerCondition:
+    """Return the condition of a server that is cold for some time.
+
+    ``cold_per_s`` is how many requests it takes, or None if it is warm.
+    """
+    if cold_per_s is None:
+        return condition
+    if left_ms <= MAX_KEPT_COLD_MS:
+        return msgspec.structs.replace(condition, cold_limit_per_s=cold_per_s)
+    if condition.limit_per_s is not None:
+        cold_per_s = min(cold_per_s, condition.limit_per_s)
+    return msgspec.structs.replace(condition, limit_per_s=cold_per_s)
+
+
 class Capacity(msgspec.Struct, frozen=True):
     """A server that may own keys, and its capacity."""
 
@@ -51,6 +74,8 @@
     """Load that it is to get, relative to other servers; above 0."""
     slots: float
     """Its capacity, as a number of slots of a server of average speed; above 0."""
+    keeps_keys: bool = False
+    """Whether it keeps the keys that it has, even if they exceed its share."""
 
 
 def capacities(
@@ -60,7 +85,8 @@
 
     While slots are free, fast servers get more than their proportional share of the
     load, because requests finish sooner there. A server that states a limit gets no
-    more than its limit permits, once it is known how long a request takes.
+    more than its limit permits, once it is known how long a request takes. One that is
+    cold for a short time gets few more keys, but keeps those that it has.
     """
     speeds = [_speed(condition) for _, condition in servers]
     slots = sum(
@@ -72,12 +98,19 @@
     for (server, condition), speed in zip(servers, speeds, strict=True):
         share = server.slots * speed**exponent
         max_slots = server.slots * speed
-        if condition.limit_per_s is not None and sample.service_ms > 0:
-            limited_slots = condition.limit_per_s * sample.service_ms / 1000
+        for limit_per_s in (condition.limit_per_s, condition.cold_limit_per_s):
+            if limit_per_s is None or sample.service_ms <= 0:
+                continue
+            limited_slots = limit_per_s * sample.service_ms / 1000
             max_slots = min(max_slots, limited_slots)
             share = min(share, USED_LIMIT_SHARE * limited_slots)
         result.append(
-            Capacity(server, max(MIN_SLOTS, share), max(MIN_SLOTS, max_slots))
+            Capacity(
+                server,
+                max(MIN_SLOTS, share),
+                max(MIN_SLOTS, max_slots),
+                condition.cold_limit_per_s is not None,
+            )
         )
     return result
 
--- a/packages/edge/mulberryrelay_edge/coldservers.py
+++ b/packages/edge/mulberryrelay_edge/coldservers.py
@@ -122,6 +122,11 @@
         cold_per_s = self._cold_per_s(server)
         return planned_per_s(cold_per_s, self._bound()) if cold_per_s else None
 
+    def left_ms(self, server: BackendServer) -> float:
+        """Return how long a server still counts as cold; 0 if it is warm."""
+        state = self._states.get(server.server)
+        return max(0.0, state.until_ms - self._clock()) if state is not None else 0.0
+
     @property
     def count(self) -> int:
         """Number of registered servers that are held to the rate of cold servers."""
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -14,7 +14,7 @@
 
 from .adapter import Adapter
 from .bulkupdates import BulkUpdates
-from .capacity import ServerCondition, combined_condition
+from .capacity import ServerCondition, combined_condition, with_cold_limit
 from .catalog import Catalog
 from .coldservers import ColdBound
 from .coordinator import Coordinator
@@ -283,11 +283,15 @@
         Used while this router leads.
         """
         incarnation = (server.server, server.started_ms)
-        return combined_condition(
+        condition = combined_condition(
             self._condition(server),
             self._report_handler.speeds.slowdown(incarnation),
             self._reservations.schedule.limit_per_s(incarnation),
         )
+        cold = self._catalog.cold
+        return with_cold_limit(
+            condition, cold.limit_per_s(server), cold.left_ms(server)
+        )
 
     def _peer_urls(self, report_handler: ReportHandler) -> list[str] | None:
         """Return the routers that reach servers, or None if this one does not lead."""
--- a/packages/edge/mulberryrelay_edge/rebalance.py
+++ b/packages/edge/mulberryrelay_edge/rebalance.py
@@ -10,8 +10,6 @@
 
 import msgspec
 
-from mulberryrelay_kernel.ids import ServerId
-
 from .capacity import Capacity
 from .messages import KeyRange
 from .rangeedits import MAX_RANGES, PlannedMove, Ranges
@@ -74,8 +72,9 @@
 
     ``samples`` are the sorted keys of recent requests; each request occupies
     ``slots_per_sample`` slots on average. Ranges of servers that are not in
-    ``targets`` are not moved, nor those of a server with a utilisation below
-    ``min_utilisation``. A key that is too busy for its server moves to a faster one.
+    ``targets`` are not moved, nor those of a server that keeps its keys or has a
+    utilisation below ``min_utilisation``. A key that is too busy for its server moves
+    to a faster one.
     """
     if len(targets) < 2 or len(samples) < MIN_SAMPLES:
         return []
@@ -88,11 +87,15 @@
         load.ranges.append(key_range)
         weight = _count(samples, key_range.first, key_range.last)
         load.samples += weight
-        counted += weight
-    mean = counted / sum(target.share for target in targets)
+        if not load.target.keeps_keys:
+            counted += weight
+    shares = [target.share for target in targets if not target.keeps_keys]
+    if not shares:
+        return []
+    mean = counted / sum(shares)
     moves: list[PlannedMove] = []
     max_moves = min(MAX_MOVES, max_ranges(len(targets)) - len(ranges))
-    unmovable: set[ServerId] = set()
+    unmovable = {name for name, load in loads.items() if load.target.keeps_keys}
     while len(moves) < max_moves:
         movable = [
             load
--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -12,17 +12,26 @@
 from aiohttp.connector import Connection
 
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge.capacity import (
+    MAX_KEPT_COLD_MS,
+    ServerCondition,
+    capacities,
+    with_cold_limit,
+)
 from mulberryrelay_edge.coldservers import ColdBound, ColdServers, planned_per_s
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult
+from mulberryrelay_edge.keyload import KeySample
 from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
 from mulberryrelay_edge.messages import (
     BackendServer,
+    KeyRange,
     LeaderNoticeRow,
     ReservationRequest,
     Reservations,
     ServerRefusal,
     Service,
 )
+from mulberryrelay_edge.rebalance import plan_moves
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.serverlimits import ServerLimits
 from mulberryrelay_edge.serverrefusals import ServerRefusals
@@ -360,7 +369,7 @@
 
     async def scenario() -> None:
         with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(SERVERS) as running:
+            async with overload(SERVERS, checks_writes=True) as running:
                 await play_cold_start(running, False, SERVERS * USUAL_PER_S, 6.5)
         cold_until_s = running.servers[0].arrivals_s[0] + COLD_START_MS / 1000
         arrivals_s = [t for t in running.servers[0].arrivals_s if t < cold_until_s]
@@ -379,7 +388,7 @@
 
     async def scenario() -> None:
         with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(1, is_keyed=True) as running:
+            async with overload(1, is_keyed=True, checks_writes=True) as running:
                 await play_cold_start(running, True, 2 * USUAL_PER_S, 9.0)
         arrivals_s = running.servers[0].arrivals_s
         cold_until_s = arrivals_s[0] + COLD_START_MS / 1000
@@ -484,3 +493,31 @@
         assert refusals.apply([b]) == {server}
 
     run_virtual(scenario())
+
+
+def test_a_server_keeps_its_keys_while_it_is_cold_for_a_short_time() -> None:
+    """Guards against keys that move away from each server that starts, and back.
+
+    A server that stays cold for long loses keys, and one that is cold gets few.
+    """
+    samples = [key * 64 for key in range(1024)]
+    sample = KeySample(samples, 0.004, 40.0)
+    servers = [backend(n) for n in range(3)]
+    half = KeyRange(0, 32767, servers[0].server, 0, 1)
+    others = KeyRange(32768, 65535, servers[1].server, 0, 1)
+
+    def moved(left_ms: float) -> dict[ServerId, int]:
+        cold = with_cold_limit(ServerCondition(), COLD_PER_S, left_ms)
+        conditions = [cold, ServerCondition(), cold]
+        targets = capacities(list(zip(servers, conditions, strict=True)), sample)
+        moves = plan_moves((half, others), samples, targets, sample.slots_per_key)
+        keys = dict.fromkeys((server.server for server in servers), 0)
+        for move in moves:
+            keys[move.destination.server] += move.last - move.first + 1
+            assert left_ms > MAX_KEPT_COLD_MS or move.first > half.last
+        return keys
+
+    assert sum(moved(3000.0).values()) < 5000
+    assert moved(60_000.0)[servers[1].server] > 10_000
+    warm = with_cold_limit(ServerCondition(), None, 0.0)
+    assert warm == ServerCondition()
