Ask the leader less often for times at cold servers

When a data centre returns, many servers are cold, and each request of a caller could ask the leader for a time at them. A router now asks at most every 250 ms for such times, all in one message, and for a server that only may be cold only if no other server has room. A request whose deadline passed before it was sent no longer makes its server suspect; only a connection that could not be opened does.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -281,7 +281,7 @@
         return False
     if is_keyed:
         return result.is_refused
-    return result.is_reset or result.outcome is AttemptOutcome.NOT_SENT
+    return result.is_reset or result.is_unreached
 
 
 def is_final(request: EdgeRequest, result: AttemptResult) -> bool:
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -42,7 +42,8 @@
 """Factor on the cost of a cold server at which a time is reserved.
 
 An unused time is lost for all routers. So routers in other data centres, to which the
-server costs more, reserve times there only if no other server has room.
+server costs more, reserve times there only if no other server has room. The same holds
+for a server that only may be cold.
 """
 SMALL_SHARE_COST = 0.5
 """Cost added to a server of which this router has nearly no share."""
@@ -382,7 +383,7 @@
             return owner if self._loads.has_capacity_for_key(owner) else None
         best: BackendServer | None = None
         best_cost = float("inf")
-        cold_elsewhere: list[BackendServer] = []
+        other_cold: list[BackendServer] = []
         healthy = [s for s in candidates if not self._loads.is_ejected(s)]
         # If more than half of the servers are ejected, the cause is elsewhere.
         eligible = healthy if 2 * len(healthy) >= len(candidates) else candidates
@@ -393,16 +394,18 @@
             if self._loads.is_unresponsive(server):
                 continue
             is_cold = self._limits.is_cold(server)
+            states_cold = is_cold and server.slow_start_left_ms > 0
+            is_local = server.data_centre == self._data_centre
             if not self._limits.is_open(server):
-                if is_cold and server.data_centre != self._data_centre:
-                    cold_elsewhere.append(server)
+                if is_cold and not (states_cold and is_local):
+                    other_cold.append(server)
                 else:
                     self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
                 continue
             cost = self._loads.cost(server)
             if shares:
                 cost += SMALL_SHARE_COST * (1.0 - shares.get(server.server, 0.0))
-            if is_cold and server.slow_start_left_ms > 0:
+            if states_cold:
                 cost *= COLD_COST_FACTOR
             if server.server in queued.avoided:
                 # Exceeds the cost of every server that is not avoided.
@@ -412,7 +415,7 @@
             if cost < best_cost:
                 best, best_cost = server, cost
         if best is None:
-            for server in cold_elsewhere:
+            for server in other_cold:
                 self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
         if best is not None and best_cost >= 100.0 and len(eligible) > 1:
             # Wait for a server that is not avoided.
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -108,6 +108,8 @@
     """Whether the connection ended before the response began, as of a full server."""
     cold_ms: float | None = None
     """Time for which the server stays cold; None if unstated."""
+    is_unreached: bool = False
+    """Whether no connection to the server could be opened."""
     is_refused: bool = False
     """Whether no process listened at the server's address."""
 
@@ -201,7 +203,9 @@
                 and not self._has_response_begun
             )
             result = self._failure(AttemptOutcome.BROKEN, repr(error), is_reset)
-            return msgspec.structs.replace(result, is_refused=_is_refusal(error))
+            return msgspec.structs.replace(
+                result, is_unreached=not self._is_sent, is_refused=_is_refusal(error)
+            )
         except TimeoutError:
             if self._overdue is not None and self._overdue.is_given_up:
                 return self._failure(AttemptOutcome.OVERDUE, "overdue")
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -48,6 +48,12 @@
 
 Opening a connection takes up to 0.5 s.
 """
+COLD_ASK_PERIOD_MS = 250.0
+"""Minimum time between two requests of a router for times at cold servers.
+
+When a data centre returns, many servers are cold, and each request of a caller may want
+a time at one of them. 65 routers then ask the leader 260 times per second at most.
+"""
 LOGGED_CHANGE = 0.1
 """Change of a limit, as a share of it, from which on it is logged."""
 
@@ -122,6 +128,7 @@
         self._cold_permits_ms: dict[int, float] = {}
         """When each send to a cold server got its permit, by its number."""
         self._held_requests = 0
+        self._cold_asked_ms = float("-inf")
         self._reserving: asyncio.Task[None] | None = None
 
     @property
@@ -284,6 +291,8 @@
         if limit is None:
             return
         self._drop_expired(limit)
+        if limit.is_cold and not self._may_ask_for_cold():
+            return
         missing = waiting - len(limit.reserved_ms) - limit.asked
         if missing > 0 and limit.free_ms - self._clock() <= max_wait_ms:
             limit.wanted = min(MAX_WANTED, missing)
@@ -346,6 +355,9 @@
         limit.limit_per_s = cold_per_s
         return limit
 
+    def _may_ask_for_cold(self) -> bool:
+        return self._clock() - self._cold_asked_ms >= COLD_ASK_PERIOD_MS
+
     def _drop_old_permits(self) -> None:
         oldest_ms = self._clock() - COLD_PERMIT_TTL_MS
         while self._cold_permits_ms:
@@ -395,6 +407,8 @@
     async def _reserve_for(self, asking: list[_Limit]) -> None:
         requests = []
         asked_ms = self._clock()
+        if any(limit.is_cold for limit in asking):
+            self._cold_asked_ms = asked_ms
         for limit in asking:
             limit.asked, limit.wanted = limit.wanted, 0
             limit.is_ask_due = False
