Test what the platform states of cold servers

Covers invalid rates, the header of responses, entries without a statement, and the settings of the bound.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,7 +20,7 @@
 from mulberryrelay_edge.tablestore import TableRow
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
-from mulberryrelay_platform.adapter import parse_load
+from mulberryrelay_platform.adapter import parse_cold_ms, parse_load
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.entries import UnknownKindLog, decode_routes, decode_server
 from mulberryrelay_platform.names import HEADERS, SETTINGS_VARIABLE
@@ -180,6 +180,48 @@
         assert decode_routes(row(value)) is None, value
 
 
+INVALID_RATES: tuple[object, ...] = (0, -1, "3.6", True, [], 1e300, 10**400)
+
+
+def test_invalid_cold_rates_are_logged_and_change_nothing() -> None:
+    """Guards against a service without servers since one of its fields is invalid."""
+    columns = ["Name", "ColdStartS", "ColdPerS"]
+    cases: list[tuple[object, object, float, float, str]] = [
+        (3, 3.6, 3000.0, 3.6, ""),
+        (None, None, 0.0, 0.0, ""),
+        (3, None, 3000.0, 0.0, "no_cold_rate"),
+        *((3, value, 3000.0, 0.0, "invalid_cold_field") for value in INVALID_RATES),
+        ("x", 3.6, 0.0, 3.6, "invalid_cold_field"),
+    ]
+    for start_s, per_s, cold_start_ms, cold_per_s, event in cases:
+        services = {"Columns": columns, "Rows": [["s", start_s, per_s]]}
+        with recorded_lines() as lines:
+            table = decode_routes(row({**CONFIGURATION, "Services": services}))
+        assert table is not None, per_s
+        (service,) = table.services.values()
+        assert service.cold_start_ms == cold_start_ms, start_s
+        assert service.cold_per_s == cold_per_s, per_s
+        assert not event or any(event in line for line in lines), (per_s, lines)
+        assert event or not any("cold" in line for line in lines), (per_s, lines)
+
+
+def test_a_cold_time_is_read_from_entries_responses_and_settings() -> None:
+    """Guards against servers that get full load because their statement is not read."""
+    assert parse_cold_ms({str(HEADERS.cold_ms): "1200"}) == 1200.0
+    for text in ("", "x", "-1", "nan", "inf", "9" * 400):
+        assert parse_cold_ms({str(HEADERS.cold_ms): text}) is None, text
+    assert parse_cold_ms({}) is None
+    stated = decode_server(row(ENTRY, "i-1"))
+    assert stated is not None and stated.is_coldness_stated
+    status = {"State": "ready"}
+    unstated = decode_server(row({**ENTRY, "Status": status}, "i-1"))
+    assert unstated is not None and not unstated.is_coldness_stated
+    assert unstated.slow_start_left_ms == 0
+    bounds = "Bounds.ColdOvershoot=2\nBounds.ColdSlack=3\n"
+    options = parse_settings(SETTINGS + bounds, "boot.conf").options
+    assert (options.cold_overshoot, options.cold_slack) == (2.0, 3.0)
+
+
 def test_a_server_entry_is_decoded() -> None:
     """Guards against servers with a wrong address, state or start time."""
     server = decode_server(row(ENTRY, "i-1"))
