--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -14,7 +14,12 @@
 
 from .adapter import Adapter
 from .bulkupdates import BulkUpdates
-from .capacity import ServerCondition, capacities, combined_condition
+from .capacity import (
+    ServerCondition,
+    capacities,
+    combined_condition,
+    with_cold_limit,
+)
 from .catalog import Catalog
 from .coldservers import ColdBound
 from .coordinator import Coordinator
@@ -90,6 +95,7 @@
             lambda: ColdBound(
                 adapter.options.cold_overshoot, adapter.options.cold_slack
             ),
+            options.data_centre,
         )
         self._ownership = Ownership()
         self._reach = ServerReach(
@@ -152,6 +158,7 @@
                 self._catalog.evacuations.return_share,
             ),
             OwnerOverload(self._keyed_load, clock).paced,
+            cold=self._catalog.cold,
         )
         lease.changes.subscribe(report_handler.set_leading)
         lease.changes.subscribe(self._suspects.set_leading)
@@ -194,7 +201,10 @@
             report_handler,
             self._suspects,
             lambda: RouterState(
-                link_url, self._reach.is_cut_off, self._catalog.leaving
+                link_url,
+                self._reach.is_cut_off,
+                self._catalog.leaving,
+                self._catalog.cold.refusals.own,
             ),
             boot_id,
             lambda: lease.is_valid,
@@ -207,6 +217,7 @@
             shares,
             self._catalog.server,
             options.data_centre,
+            cold=self._catalog.cold,
         )
         self._status = StatusSource(
             options.instance,
@@ -280,11 +291,15 @@
         Used while this router leads.
         """
         incarnation = (server.server, server.started_ms)
-        return combined_condition(
+        condition = combined_condition(
             self._condition(server),
             self._report_handler.speeds.slowdown(incarnation),
             self._reservations.schedule.limit_per_s(incarnation),
         )
+        cold = self._catalog.cold
+        return with_cold_limit(
+            condition, cold.limit_per_s(server), cold.left_ms(server)
+        )
 
     def _keyed_load(self) -> dict[ServiceName, KeyedLoad]:
         """Return what the leader knows of the load of keyed services."""
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -115,6 +115,10 @@
     """Time for which the server stays cold; None if unstated."""
     stream: ResponseStream | None = None
     """The body, instead of ``body``, of a response that is still being received."""
+    is_unreached: bool = False
+    """Whether no connection to the server could be opened."""
+    is_refused: bool = False
+    """Whether no process listened at the server's address."""
 
 
 class _WithheldError(NotSentError):
@@ -205,7 +209,10 @@
                 isinstance(error, aiohttp.ClientConnectionError)
                 and not self._has_response_begun
             )
-            return self._failure(AttemptOutcome.BROKEN, repr(error), is_reset)
+            result = self._failure(AttemptOutcome.BROKEN, repr(error), is_reset)
+            return msgspec.structs.replace(
+                result, is_unreached=not self._is_sent, is_refused=_is_refusal(error)
+            )
         except TimeoutError:
             if self._overdue is not None and self._overdue.is_given_up:
                 return self._failure(AttemptOutcome.OVERDUE, "overdue")
@@ -450,3 +457,10 @@
     """
     if not ended.cancelled():
         ended.exception()
+
+
+def _is_refusal(error: aiohttp.ClientError) -> bool:
+    """Return whether a connection failed because no process listens."""
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        return False
+    return isinstance(error.os_error, ConnectionRefusedError)
