Take no request for overdue whose response may have arrived

Cause: after a stall of the process, timers come before the responses that arrived meanwhile, so that requests would be given up and run again; and a long body may still be on its way to the server.

A test of a fleet that loses its leader covers the speeds of servers.

--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -190,7 +190,8 @@
             raise _WithheldError(obstacle.value)
         headers[self._adapter.headers.deadline_ms] = str(left_ms)
         self._is_sent = True
-        if self._overdue is not None:
+        # How long the kernel takes to send a long body is unknown.
+        if self._overdue is not None and not has_long_body(self):
             self._overdue.start(self._abandon)
 
     def _abandon(self) -> None:
--- a/packages/edge/mulberryrelay_edge/overdue.py
+++ b/packages/edge/mulberryrelay_edge/overdue.py
@@ -8,6 +8,8 @@
 import asyncio
 from collections.abc import Callable
 
+STALL_GRACE_S = 0.02
+"""Time in which responses are read that arrived while this process stood still."""
 CHECK_PERIOD_S = 0.1
 """Period in which an overdue attempt that was not given up is checked again."""
 
@@ -41,7 +43,7 @@
     def start(self, abandon: Callable[[], None]) -> None:
         """Watch the attempt, which is written now; ``abandon`` ends it."""
         self._abandon = abandon
-        self._schedule(self._after_ms / 1000, self._report)
+        self._schedule(self._after_ms / 1000, self._wait_for_loop)
 
     def stop(self) -> None:
         """End the watch, since the response has begun or the attempt has ended."""
@@ -52,6 +54,10 @@
         # once and not only when the garbage collector runs.
         self._abandon = None
 
+    def _wait_for_loop(self) -> None:
+        """Let the event loop handle what arrived before; timers may come first."""
+        self._schedule(STALL_GRACE_S, self._report)
+
     def _report(self) -> None:
         self._on_overdue()
         if self._gives_up is not None:
--- a/tests/test_edge_full_servers.py
+++ b/tests/test_edge_full_servers.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 import sys
+import time
 from collections import Counter
 
 import msgspec
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge.messages import BackendServer, EdgeRequest, EdgeResponse
+from mulberryrelay_edge.overdue import OverdueWatch
 from mulberryrelay_edge.routelatency import (
     KNOWN_RESPONSES,
     MIN_OVERDUE_MS,
@@ -231,6 +233,45 @@
     assert steady.overdue_after_ms(2.0) == 2 * steady_ms
 
 
+@async_test
+async def test_a_response_that_arrived_while_the_router_stood_still_counts() -> None:
+    """Guards against requests given up because this process got no time to run."""
+    ours, theirs = socket.socketpair()
+    reader, writer = await asyncio.open_connection(sock=ours)
+    overdue: list[float] = []
+    watch = OverdueWatch(50.0, lambda: overdue.append(time.monotonic()), None)
+    watch.start(_ignore)
+
+    async def receive() -> None:
+        await reader.readexactly(1)
+        watch.stop()
+
+    receiving = asyncio.create_task(receive())
+    await asyncio.sleep(0.01)
+    theirs.send(b"x")
+    time.sleep(0.1)
+    await receiving
+    await asyncio.sleep(0.1)
+    writer.close()
+    theirs.close()
+    assert overdue == []
+
+
+@async_test
+async def test_the_time_to_write_a_long_body_does_not_make_a_request_overdue() -> None:
+    """Guards against uploads over narrow links that are given up and start again."""
+    slow = respond_with(edge_response, delay_s=2 * MIN_OVERDUE_MS / 1000)
+    async with raw_server(respond_ok) as server, edge_router() as router:
+        await warm_up(router, router.register_server(server))
+        server.respond = slow
+        for size, overdue in ((1 << 20, 0), (1 << 10, 1)):
+            request = msgspec.structs.replace(
+                router.request(timeout_ms=TIMEOUT_MS), method="POST", body=b"x" * size
+            )
+            assert (await router.send(request)).status == 200
+            assert router.metrics.counters.get("overdue", 0) == overdue
+
+
 class FullServer:
     """Runs a few requests at a time; while it is full, it drops connections."""
 
--- a/tests/test_edge_serverspeed.py
+++ b/tests/test_edge_serverspeed.py
@@ -271,6 +271,45 @@
     run_virtual(scenario())
 
 
+def test_a_fleet_that_loses_its_leader_finds_the_speeds_again() -> None:
+    """Guards against speeds of a lost leader, and routers that are left without any.
+
+    One of the followers does not reach the next leader.
+    """
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet()
+        server = backend(1)
+        incarnation = (server.server, server.started_ms)
+
+        async def observe(seconds: float, ratio: float) -> None:
+            for _ in range(round(10 * seconds)):
+                for router in fleet.routers:
+                    router.speeds.record(incarnation, "listing", 50.0, ratio)
+                await asyncio.sleep(0.1)
+
+        await observe(6.0, 3.0)
+        leader = fleet.leader
+        assert leader is not None
+        assert (leader.speeds.slowdown(incarnation) or 0.0) > 2.0
+        leader.kill()
+        fleet.routers.remove(leader)
+        cut_off = fleet.routers[0]
+        cut_off.is_unreachable = True
+        await observe(SHARED_TTL_MS / 1000 + 0.2, 1.0)
+        assert all(r.speeds.slowdown(incarnation) is None for r in fleet.routers)
+        await observe(8.0, 1.0)
+        for router in fleet.routers:
+            slowdown = router.speeds.slowdown(incarnation)
+            if router is cut_off and router is not fleet.leader:
+                assert slowdown is None
+            else:
+                assert 0.8 < (slowdown or 0.0) < 1.3, router.name
+        fleet.stop()
+
+    run_virtual(scenario())
+
+
 def test_routers_of_the_build_before_exchange_reports_with_this_one() -> None:
     """Guards against a leader and followers that do not understand each other."""
 
