Replace the work time of a machine when a streamed response begins

Cause: a streamed response renewed the time of the load report, so that the work time of an earlier report counted as new.

Change: ServerLoads.begin_body takes it from the report. The test fails without it.

Run: tests test_edge_dispatch, all passed.

--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -306,6 +306,7 @@
         stats.overdue_ms.pop(send_id, None)
         if load is not None:
             stats.other_load = max(0.0, load.running + load.waiting - stats.in_flight)
+            stats.work_percent = load.work_percent
             stats.load_reported_ms = now_ms
         return now_ms - stats.sent_ms[send_id]
 
--- a/tests/test_edge_dispatch.py
+++ b/tests/test_edge_dispatch.py
@@ -100,6 +100,14 @@
         assert loads.slowdown(servers[1]) == loads.slowdown(servers[0])
         await asyncio.sleep(0.5)
         assert loads.cost(servers[1]) == loads.cost(servers[0])
+        # A response that is streamed replaces the figure when it begins.
+        send_id = loads.begin_request(servers[1], "listing")
+        usual = LoadReport(1, 0, servers[1].slots)
+        loads.end_request(servers[1], send_id, LoadReport(1, 0, 4, 300))
+        send_id = loads.begin_request(servers[1], "listing")
+        loads.begin_body(servers[1], send_id, usual)
+        loads.end_request(servers[1], send_id, None)
+        assert loads.cost(servers[1]) < 2 * loads.cost(servers[0])
 
     run_virtual(scenario())
 
