Skip the work time in a server's cost where it is normal

Cause: each choice of a server asks for the cost of all servers.

Run: tests test_edge_dispatch test_edge_full_servers test_edge_serverspeed test_platform_adapter test_upgrade test_edge_leaderlink test_edge_bulkupdates test_platform_start, all passed.

--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -251,8 +251,9 @@
         stats = self.stats(server)
         load = self.expected_load(server)
         cost = self.slowdown(server) * max(1.0, (load + 1.0) / server.slots)
-        report_age_ms = self._clock() - stats.load_reported_ms
-        cost *= cost_factor(stats.work_percent, report_age_ms)
+        if stats.work_percent != NORMAL_PERCENT:
+            report_age_ms = self._clock() - stats.load_reported_ms
+            cost *= cost_factor(stats.work_percent, report_age_ms)
         if self._clock() < stats.slow_start_ends_ms:
             cost *= SLOW_START_COST_FACTOR
         return cost + load / (4.0 * server.slots)
