Rely on write times only while versions of the store rise

The time of the write of an evacuation follows from the versions in replies, which is wrong if a reply states the version of a table instead of that of the store. A router that sees a lower version in a later reply now knows no write times any more, and logs it.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -363,7 +363,7 @@
         started_ms = self._clock()
 
         def record(version: int) -> None:
-            self._store_sync.write_times.record_read(version, started_ms)
+            self._store_sync.write_times.record_read(version, started_ms, self._clock())
             record_reply(started_ms, version)
 
         return record
--- a/packages/edge/mulberryrelay_edge/viewage.py
+++ b/packages/edge/mulberryrelay_edge/viewage.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from mulberryrelay_kernel.logs import log_event
+
 SEND_MARGIN_MS = 500.0
 """Time that a request may take from its write to a server that must soon get none."""
 SILENT_MS = 1200.0
@@ -33,30 +35,47 @@
     """Earliest times at which rows may have been written, by their versions.
 
     All tables share the versions of the store. A row whose version is above that of a
-    read was written after the start of the read. Times are on the router's clock.
+    read was written after the start of the read. If a read contradicts that, no time is
+    known from then on. Times are on the router's clock.
     """
 
     def __init__(self) -> None:
         self._reads: deque[VersionRead] = deque(maxlen=MAX_READS)
         """Reads with rising versions and start times."""
+        self._highest = 0
+        self._highest_since_ms = inf
+        """Time from which on each read has to return the highest version or more."""
+        self._are_versions_shared = True
 
     @property
     def last_read(self) -> VersionRead | None:
         """The read with the highest version."""
-        return self._reads[-1] if self._reads else None
-
-    def record_read(self, version: int, started_ms: float) -> None:
-        """Record that the store had a version after a time."""
+        if not self._reads or not self._are_versions_shared:
+            return None
+        return self._reads[-1]
+
+    def record_read(
+        self, version: int, started_ms: float, ended_ms: float = inf
+    ) -> None:
+        """Record that the store had a version between two times."""
+        if version < self._highest and started_ms > self._highest_since_ms:
+            if self._are_versions_shared:
+                log_event("store_version_fell", version=version, highest=self._highest)
+            self._are_versions_shared = False
+        if version > self._highest:
+            self._highest = version
+            self._highest_since_ms = ended_ms
         while self._reads and self._reads[-1].started_ms <= started_ms:
             if self._reads[-1].version < version:
                 break
             self._reads.pop()
-        last = self.last_read
-        if last is None or last.started_ms < started_ms:
+        if not self._reads or self._reads[-1].started_ms < started_ms:
             self._reads.append(VersionRead(version, started_ms))
 
     def earliest_ms(self, version: int) -> float:
         """Return the earliest time of the write of a row; minus infinity if unknown."""
+        if not self._are_versions_shared:
+            return -inf
         for read in reversed(self._reads):
             if read.version < version:
                 return read.started_ms
--- a/packages/edge/mulberryrelay_edge/viewrefresh.py
+++ b/packages/edge/mulberryrelay_edge/viewrefresh.py
@@ -133,7 +133,9 @@
         read = result.unwrap()
         self._store_sync.apply_rows(self._table, read, is_complete)
         self._view_age.record_informed(started_ms)
-        self._store_sync.write_times.record_read(read.version, started_ms)
+        self._store_sync.write_times.record_read(
+            read.version, started_ms, self._clock()
+        )
         return True
 
     async def _wait_for_reply(
--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Coroutine
+from math import inf
 from typing import Any
 from unittest.mock import patch
 
@@ -19,7 +20,12 @@
 )
 from mulberryrelay_edge.sharetable import ShareTable
 from mulberryrelay_edge.tablestore import TableRead, TableRow
-from mulberryrelay_edge.viewage import SEND_MARGIN_MS, WriteTimes
+from mulberryrelay_edge.viewage import (
+    MAX_READS,
+    SEND_MARGIN_MS,
+    VersionRead,
+    WriteTimes,
+)
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre, InstanceId, ServerId
 from mulberryrelay_platform.entries import decode_evacuation
@@ -204,6 +210,25 @@
     _run(scenario)
 
 
+def test_the_earliest_time_of_a_write_follows_from_its_version() -> None:
+    """Guards against a bound that counts from a time after the write."""
+    times = WriteTimes()
+    assert times.earliest_ms(9) == -inf
+    # Replies come in another order than their calls started; some are older.
+    for version, started_ms in ((5, 10.0), (7, 30.0), (6, 20.0), (7, 40.0), (9, 35.0)):
+        times.record_read(version, started_ms, started_ms + 15.0)
+    earliest_ms = {version: times.earliest_ms(version) for version in (5, 6, 7, 8, 10)}
+    assert earliest_ms == {5: -inf, 6: 10.0, 7: 10.0, 8: 40.0, 10: 40.0}
+    assert times.last_read == VersionRead(7, 40.0)
+    for version in range(10, 10 + 2 * MAX_READS):
+        times.record_read(version, 100.0 * version, 100.0 * version)
+    assert times.earliest_ms(10) == -inf
+    # A store whose tables had versions of their own would state nothing.
+    times.record_read(8, 1e6, 1e6)
+    assert times.last_read is None
+    assert times.earliest_ms(10**6) == -inf
+
+
 def test_load_returns_in_steps() -> None:
     """Guards against routers that all use a returning server at the same moment."""
     instances = [InstanceId(f"router-{number}") for number in range(200)]
