Choose servers in a module of its own, and count limits in their division

Change: serverchoice.py has the choice of a server; the division counts no more than a server's limit permits.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -153,7 +153,7 @@
                 lambda: self._catalog.routes,
                 self._catalog.assignable,
                 self._key_load.service_ms,
-                lambda server: self._condition_of(server).slowdown,
+                self._condition_of,
                 clock,
                 self._catalog.evacuations.return_share,
             ),
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -33,24 +33,12 @@
     retry_after_s,
 )
 from .routershares import RouterShares
+from .serverchoice import ServerChooser
 from .serverlimits import ColdLimit, Reserve, ServerLimits, no_cold_limit
 from .serverload import ServerLoads
 
 MAX_QUEUE_LENGTH = 600
 """Queued requests of one service; further ones are refused at once."""
-REMOTE_DATA_CENTRE_COST = 0.8
-"""Cost added to a server in another data centre."""
-COLD_COST_FACTOR = 0.25
-"""Factor on the cost of a cold server at which a time is reserved.
-
-An unused time is lost for all routers. So routers in other data centres, to which the
-server costs more, reserve times there only if no other server has room. The same holds
-for a server that only may be cold.
-"""
-SMALL_SHARE_COST = 0.5
-"""Cost added to a server of which this router has nearly no share."""
-MAX_LIMIT_WAIT_MS = 200.0
-"""Time ahead for which a send to one of several servers is reserved."""
 SHARED_WAIT_SHARE = 0.6
 """Part of the wait that its target allows for which a request may wait here.
 
@@ -87,7 +75,6 @@
         clock: Clock,
         cold_limit_per_s: ColdLimit = no_cold_limit,
     ) -> None:
-        self._data_centre = data_centre
         self._clock = clock
         self._loads = ServerLoads(clock, self.schedule_dispatch)
         self._limits = ServerLimits(
@@ -96,6 +83,9 @@
         self._queues: dict[ServiceName, list[QueuedRequest]] = {}
         self._is_dispatch_scheduled = False
         self._shares = RouterShares(self._limits, clock)
+        self._chooser = ServerChooser(
+            data_centre, self._loads, self._limits, self._shares
+        )
 
     @property
     def loads(self) -> ServerLoads:
@@ -131,7 +121,7 @@
         is chosen only if it is the only one left.
         """
         if not is_keyed:
-            candidates = self._prefer_own(request.service, candidates, avoided)
+            candidates = self._chooser.prefer_own(request.service, candidates, avoided)
         queued = QueuedRequest(
             request, candidates, is_keyed, queue_deadline_ms, avoided
         )
@@ -378,7 +368,7 @@
         )
 
     def _try_admit(self, queued: QueuedRequest) -> SendPermit | None:
-        server = self._choose_server(queued)
+        server = self._chooser.choose(queued)
         if server is None:
             return None
         route = queued.request.route.name
@@ -386,107 +376,20 @@
         self._limits.consume(server, send_id)
         return SendPermit(server, send_id)
 
-    def _choose_server(self, queued: QueuedRequest) -> BackendServer | None:
-        """Return the server with the lowest cost, or None if all are at capacity."""
-        candidates = queued.candidates()
-        if queued.is_keyed:
-            if not candidates:
-                return None
-            owner = candidates[0]
-            if not self._limits.is_open(owner):
-                return None
-            if self._limits.is_paced(owner):
-                # The schedule accounts for the requests of all routers.
-                return owner
-            return owner if self._loads.has_capacity_for_key(owner) else None
-        best: BackendServer | None = None
-        best_cost = float("inf")
-        other_cold: list[BackendServer] = []
-        healthy = [s for s in candidates if not self._loads.is_ejected(s)]
-        # If more than half of the servers are ejected, the cause is elsewhere.
-        eligible = healthy if 2 * len(healthy) >= len(candidates) else candidates
-        shares = self._shares.shares(queued.request.service)
-        for server in eligible:
-            if not self._loads.has_capacity(server):
-                continue
-            if self._loads.is_unresponsive(server):
-                continue
-            is_cold = self._limits.is_cold(server)
-            states_cold = is_cold and server.slow_start_left_ms > 0
-            is_local = server.data_centre == self._data_centre
-            if not self._limits.is_open(server):
-                if is_cold and not (states_cold and is_local):
-                    other_cold.append(server)
-                else:
-                    self._want_time(queued, server)
-                continue
-            cost = self._loads.cost(server)
-            if shares:
-                cost += SMALL_SHARE_COST * (1.0 - shares.get(server.server, 0.0))
-            if states_cold:
-                cost *= COLD_COST_FACTOR
-            if server.server in queued.avoided:
-                # Exceeds the cost of every server that is not avoided.
-                cost += 100.0
-            if server.data_centre != self._data_centre:
-                cost += REMOTE_DATA_CENTRE_COST
-            if cost < best_cost:
-                best, best_cost = server, cost
-        if best is None:
-            for server in other_cold:
-                self._want_time(queued, server)
-        if best is not None and best_cost >= 100.0 and len(eligible) > 1:
-            # Wait for a server that is not avoided.
-            return None
-        return best
-
-    def _prefer_own(
-        self,
-        service: ServiceName,
-        candidates: Candidates,
-        avoided: Collection[ServerId],
-    ) -> Candidates:
-        """Return the candidates of which this router has a share, where it has any.
-
-        A request waits for one of them even if it has no room: the others are other
-        routers' share, and their load is not known here. All are candidates if none of
-        the own ones responds, or if the request was tried there.
-        """
-
-        def own_candidates() -> Sequence[BackendServer]:
-            servers = candidates()
-            shares = self._shares.shares(service)
-            if not shares:
-                return servers
-            own = [
-                server
-                for server in servers
-                if server.server in shares
-                and server.server not in avoided
-                and not self._loads.is_ejected(server)
-                and not self._loads.is_unresponsive(server)
-                and not self._loads.pause_ms(server) > 0
-            ]
-            return own or servers
-
-        return own_candidates
-
-    def _want_time(self, queued: QueuedRequest, server: BackendServer) -> None:
-        if not queued.is_preview:
-            self._limits.want(server, 1, MAX_LIMIT_WAIT_MS)
-
     def preview(
         self, request: EdgeRequest, candidates: Candidates, is_keyed: bool
     ) -> Preview:
         """Return what would happen to a request now, without any effect on others."""
         if not is_keyed:
-            candidates = self._prefer_own(request.service, candidates, frozenset())
+            candidates = self._chooser.prefer_own(
+                request.service, candidates, frozenset()
+            )
         queued = QueuedRequest(
             request, candidates, is_keyed, request.deadline_ms, frozenset()
         )
         queued.is_preview = True
         queue = self._queues.get(request.service, [])
-        chosen = self._choose_server(queued)
+        chosen = self._chooser.choose(queued)
         expected_ms = self._expected_wait_ms(queue, queued)
         allowed_ms = self._allowed_wait_ms(queued)
         refusal = self._refusal_by_pause(queued)
--- a/packages/edge/mulberryrelay_edge/sharetable.py
+++ b/packages/edge/mulberryrelay_edge/sharetable.py
@@ -14,6 +14,7 @@
 from mulberryrelay_kernel.ids import DataCentre, ServiceName
 from mulberryrelay_kernel.logs import log_event
 
+from .capacity import ServerCondition
 from .messages import BackendServer, RouteTable
 from .servershares import RouterDemand, ServerCapacity, Shares, divide_servers
 
@@ -33,6 +34,8 @@
 """Assumed time of a request before the first responses."""
 MIN_SLOWDOWN = 0.4
 MAX_SLOWDOWN = 4.0
+MIN_SLOTS = 0.01
+"""Lower bound of a server's capacity, so that it gets a request now and then."""
 
 
 class _Router(msgspec.Struct):
@@ -56,20 +59,21 @@
         routes: Callable[[], RouteTable | None],
         serving: Callable[[ServiceName], Sequence[BackendServer]],
         service_ms: Callable[[ServiceName], float],
-        slowdown: Callable[[BackendServer], float],
+        condition: Callable[[BackendServer], ServerCondition],
         clock: Clock,
         return_share: Callable[[DataCentre], float] = _all_returned,
     ) -> None:
         """``serving`` returns the servers of a service that may get requests.
 
         ``service_ms`` returns the time of a request on an average server, 0 if unknown,
-        and ``slowdown`` a server's time relative to it. ``return_share`` returns which
-        part of their load the servers of a data centre get after an evacuation.
+        and ``condition`` a server's speed and the limit that it is held to.
+        ``return_share`` returns which part of their load the servers of a data centre
+        get after an evacuation.
         """
         self._routes = routes
         self._serving = serving
         self._service_ms = service_ms
-        self._slowdown = slowdown
+        self._condition = condition
         self._clock = clock
         self._return_share = return_share
         self._routers: dict[str, _Router] = {}
@@ -148,15 +152,17 @@
         ]
         capacities = [
             ServerCapacity(
-                server.server,
-                server.data_centre,
-                server.slots
-                / self._factor(server)
-                * self._return_share(server.data_centre),
+                server.server, server.data_centre, self._slots(server, service_s)
             )
             for server in servers
         ]
         return divide_servers(routers, capacities)
 
-    def _factor(self, server: BackendServer) -> float:
-        return min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, self._slowdown(server)))
+    def _slots(self, server: BackendServer, service_s: float) -> float:
+        """Return a server's slots by its speed, or by its limit if that is less."""
+        condition = self._condition(server)
+        slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, condition.slowdown))
+        slots = server.slots / slowdown
+        if condition.limit_per_s is not None:
+            slots = min(slots, condition.limit_per_s * service_s)
+        return max(MIN_SLOTS, slots * self._return_share(server.data_centre))
--- a/tests/test_edge_evacuation.py
+++ b/tests/test_edge_evacuation.py
@@ -12,6 +12,7 @@
 
 from bench.virtual_time import run_virtual, virtual_clock
 from mulberryrelay_edge import catalog, evacuations
+from mulberryrelay_edge.capacity import ServerCondition
 from mulberryrelay_edge.evacuations import (
     RETURN_FIRST_SHARE,
     RETURN_RAMP_MS,
@@ -282,7 +283,7 @@
         lambda: route_table(is_keyed=False),
         lambda service: servers,
         lambda service: 100.0,
-        lambda server: 1.0,
+        lambda server: ServerCondition(),
         lambda: now_ms,
         lambda data_centre: shares.get(data_centre, 1.0),
     )
