Test cold servers with 65 routers that share servers

The default number of routers of the overload fixture is now an option, so that the tests ran with 10 routers; they run with 65 again, with and without a leader that shares the servers among them.

--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -38,7 +38,6 @@
 from mulberryrelay_kernel.ids import DataCentre, ServerId
 
 from .fixtures import async_test
-from .fixtures import overload as overload_fixture
 from .fixtures.edgefleet import (
     LINK_DELAY_S,
     SERVICE,
@@ -47,7 +46,7 @@
     start_settled_fleet,
 )
 from .fixtures.edgerouter import edge_response, edge_router
-from .fixtures.overload import Overload, overload
+from .fixtures.overload import Overload, OverloadOptions, overload
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 ROUTERS = 65
@@ -367,10 +366,10 @@
 def test_a_cold_server_is_used_beside_warm_ones() -> None:
     """Guards against a cold server that gets too much, or nothing, of normal load."""
 
-    async def scenario() -> None:
-        with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(SERVERS, checks_writes=True) as running:
-                await play_cold_start(running, False, SERVERS * USUAL_PER_S, 6.5)
+    async def scenario(has_leader: bool) -> None:
+        options = OverloadOptions(routers=ROUTERS, has_leader=has_leader)
+        async with overload(SERVERS, options=options, checks_writes=True) as running:
+            await play_cold_start(running, False, SERVERS * USUAL_PER_S, 6.5)
         cold_until_s = running.servers[0].arrivals_s[0] + COLD_START_MS / 1000
         arrivals_s = [t for t in running.servers[0].arrivals_s if t < cold_until_s]
         print(f"cold: {len(arrivals_s)}, {dict(running.results)}", file=sys.stderr)
@@ -380,16 +379,17 @@
         lost = results["failed"] + results["refused"]
         assert lost <= 0.01 * results.total(), results
 
-    run_virtual(scenario())
+    for has_leader in (False, True):
+        run_virtual(scenario(has_leader))
 
 
 def test_a_server_that_restarts_unnoticed_gets_no_more_than_it_may() -> None:
     """Guards against full load for a new process before its entry is read."""
 
     async def scenario() -> None:
-        with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(1, is_keyed=True, checks_writes=True) as running:
-                await play_cold_start(running, True, 2 * USUAL_PER_S, 9.0)
+        options = OverloadOptions(routers=ROUTERS)
+        async with overload(1, True, options=options, checks_writes=True) as running:
+            await play_cold_start(running, True, 2 * USUAL_PER_S, 9.0)
         arrivals_s = running.servers[0].arrivals_s
         cold_until_s = arrivals_s[0] + COLD_START_MS / 1000
         cold_s = [time_s for time_s in arrivals_s if time_s < cold_until_s]
