Prefer only servers that state that they are cold

The preference for a cold server with a reserved time went by the entry, which may still state the coldness of an earlier time. A server that may have restarted, and may as well be down, was then preferred and asked for.

Also tests that services without a cold rate are not limited.

--- a/packages/edge/mulberryrelay_edge/coldservers.py
+++ b/packages/edge/mulberryrelay_edge/coldservers.py
@@ -122,6 +122,11 @@
         cold_per_s = self._cold_per_s(server)
         return planned_per_s(cold_per_s, self._bound()) if cold_per_s else None
 
+    def states_cold(self, server: BackendServer) -> bool:
+        """Return whether a server is cold by its own statement."""
+        state = self._states.get(server.server)
+        return state is not None and self._clock() < state.stated_until_ms
+
     def left_ms(self, server: BackendServer) -> float:
         """Return how long a server still counts as cold; 0 if it is warm."""
         state = self._states.get(server.server)
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import msgspec
 
@@ -86,7 +86,9 @@
         reserve: Reserve,
         clock: Clock,
         cold_limit_per_s: ColdLimit = no_cold_limit,
+        states_cold: Callable[[BackendServer], bool] = lambda _: False,
     ) -> None:
+        """``states_cold`` returns whether a server is cold by its own statement."""
         self._data_centre = data_centre
         self._clock = clock
         self._loads = ServerLoads(clock, self.schedule_dispatch)
@@ -95,6 +97,7 @@
         )
         self._queues: dict[ServiceName, list[QueuedRequest]] = {}
         self._is_dispatch_scheduled = False
+        self._states_cold = states_cold
         self._shares = RouterShares(self._limits, clock)
 
     @property
@@ -412,7 +415,7 @@
             if self._loads.is_unresponsive(server):
                 continue
             is_cold = self._limits.is_cold(server)
-            states_cold = is_cold and server.slow_start_left_ms > 0
+            states_cold = is_cold and self._states_cold(server)
             is_local = server.data_centre == self._data_centre
             if not self._limits.is_open(server):
                 if is_cold and not (states_cold and is_local):
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -104,6 +104,7 @@
         lambda requests: control.reserve(requests),
         clock,
         lambda server: control.catalog.cold.limit_per_s(server),
+        lambda server: control.catalog.cold.states_cold(server),
     )
     control = ControlPlane(
         adapter,
--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -308,6 +308,7 @@
         assert cold.limit_per_s(restarted) is None
         cold.suspect(restarted, "refused")
         assert cold.limit_per_s(restarted) == COLD_PER_S
+        assert not cold.states_cold(restarted), "it may as well be down"
         await asyncio.sleep(1.5)
         cold.record_response(restarted, 0.0)
         assert cold.limit_per_s(restarted) is None, "it states that it is warm"
@@ -521,3 +522,19 @@
     assert moved(60_000.0)[servers[1].server] > 10_000
     warm = with_cold_limit(ServerCondition(), None, 0.0)
     assert warm == ServerCondition()
+
+
+def test_services_without_a_cold_rate_are_not_limited() -> None:
+    """Guards against limits in deployments that do not configure them."""
+
+    async def scenario() -> None:
+        for services in ({}, {SERVICE: Service(SERVICE, "/health", True, 3000.0)}):
+            cold = ColdServers(services.copy, list, lambda: BOUND, virtual_clock)
+            entry = backend(1, slow_start_left_ms=2000.0)
+            cold.record_entry(entry, 7, False)
+            cold.suspect(entry, "refused", is_refused=True)
+            cold.record_response(entry, 500.0)
+            assert cold.limit_per_s(entry) is None
+            assert not cold.refusals.own
+
+    run_virtual(scenario())
