Test routers without a leader beyond their interval

With the same phase in all routers, the 65 requests of routers without a leader fall within one second after 45 s, and the test ended before. It fails now without the random phase.

Run: test_a_cold_server_gets_no_more_while_leaders_change (passed; fails with the phase fixed).

--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -256,7 +256,8 @@
             simulation.lead(number)
             await simulation.run(simulation.rng.uniform(2.0, 3.0))
         simulation.is_leader_lost = True
-        await simulation.run(40.0)
+        # Longer than the interval of a router without a leader, which is 45 s.
+        await simulation.run(50.0)
         simulation.is_leader_lost = False
         simulation.lead(0)
         arrivals_s = await simulation.run(3.0)
