Tell a full server's resets from the end of its process

A reset connection made a server count as cold for 3.2 s. Full servers reset connections when load is high, and where servers are shared, a router has a quarter of a server's load, so each such server would have fallen to the rate of a cold one.

A reset now counts for 0.5 s. In that time the check for a crash finds out whether the server refuses connections; if so, it counts as refused, and all routers are told. Only connections that are idle and have carried a request count as lost.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -18,6 +18,7 @@
 
 from .adapter import Adapter
 from .catalog import Catalog
+from .coldservers import Evidence
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult, Exchange, Obstacle
 from .keyload import KeyLoad
@@ -104,6 +105,8 @@
             self._suspect_runs.record_response(request)
         if result.outcome is AttemptOutcome.BROKEN:
             has_crashed = await self._suspect_runs.record_broken(request, server)
+            if has_crashed:
+                self._catalog.cold.suspect(server, "crashed", Evidence.REFUSED)
             if has_crashed and result.is_reset:
                 self._dispatcher.loads.record_failure(server, result.detail)
         elif result.outcome in (AttemptOutcome.TIMED_OUT, AttemptOutcome.OVERDUE):
@@ -165,8 +168,9 @@
             self._metrics.count("server_reset")
         elif not result.is_withheld:
             loads.record_failure(server, result.detail)
-        if _may_have_restarted(result, self._catalog.is_keyed(request)):
-            self._catalog.cold.suspect(server, result.detail, result.is_refused)
+        evidence = _restart_evidence(result, self._catalog.is_keyed(request))
+        if evidence is not None:
+            self._catalog.cold.suspect(server, result.detail, evidence)
         if _is_failure(result) and (
             result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent()
         ):
@@ -309,18 +313,20 @@
     return not result.is_withheld
 
 
-def _may_have_restarted(result: AttemptResult, is_keyed: bool) -> bool:
-    """Return whether an attempt shows that its server may be a new, cold process.
+def _restart_evidence(result: AttemptResult, is_keyed: bool) -> Evidence | None:
+    """Return how an attempt shows that its server may be a new, cold process.
 
     The new process of an owner of keys has none, and refuses requests with a key until
     the leader grants it keys. So only a refused connection, which a full server does
     not cause, counts for such an owner.
     """
-    if result.is_withheld:
-        return False
+    if result.is_refused:
+        return Evidence.REFUSED
     if is_keyed:
-        return result.is_refused
-    return result.is_reset or result.outcome is AttemptOutcome.NOT_SENT
+        return None
+    if result.is_unreached:
+        return Evidence.CONNECTION_LOST
+    return Evidence.RESET if result.is_reset else None
 
 
 def is_final(request: EdgeRequest, result: AttemptResult) -> bool:
--- a/packages/edge/mulberryrelay_edge/coldservers.py
+++ b/packages/edge/mulberryrelay_edge/coldservers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from enum import Enum
 from math import inf
 
 import msgspec
@@ -31,6 +32,11 @@
 
 Requests are still sent at the rate of a cold server, and show sooner that it is down.
 """
+RESET_MS = 500.0
+"""Time after a reset connection until it is known whether the process has ended.
+
+Then the server refuses connections. A full server resets them, too, and goes on.
+"""
 UNKNOWN_DATA_CENTRE = DataCentre("")
 MAX_STATES = 4096
 """Servers of which it is remembered how long they are cold."""
@@ -45,6 +51,17 @@
 """
 
 
+class Evidence(Enum):
+    """How a failed connection shows that a server may have restarted."""
+
+    RESET = "reset"
+    """A connection in use was reset; a full server does that as well."""
+    CONNECTION_LOST = "connection-lost"
+    """An idle connection ended, or none could be opened in time."""
+    REFUSED = "refused"
+    """No process listens; one may start at any time."""
+
+
 class ColdBound(msgspec.Struct, frozen=True):
     """What a cold server may get within any second: a multiple of its rate and more."""
 
@@ -193,24 +210,25 @@
         self,
         server: BackendServer,
         reason: str,
-        is_refused: bool = False,
+        evidence: Evidence = Evidence.CONNECTION_LOST,
         is_own: bool = True,
     ) -> None:
         """Record that a server may have restarted, since a connection to it failed.
 
-        ``is_refused`` tells that no process listened, so that one may start later, and
-        ``is_own`` that this router observed it.
+        ``is_own`` tells that this router observed it.
         """
         if not self._cold_per_s(server):
             return
         now_ms = self._clock()
         state = self._states.get(server.server) or self._remember(server)
         until_ms = self._cold_until_ms(server)
-        if is_refused:
+        if evidence is Evidence.RESET:
+            until_ms = now_ms + RESET_MS
+        elif evidence is Evidence.REFUSED:
             until_ms += REFUSED_MS
             if is_own:
                 self._refusals.record(server.server)
-        if now_ms >= state.until_ms:
+        if now_ms >= state.until_ms and evidence is not Evidence.RESET:
             log_event(
                 "server_may_be_cold",
                 server=server.server,
@@ -230,7 +248,7 @@
             return
         for server in self._servers():
             if server.server in new:
-                self.suspect(server, "refused-others", is_refused=True, is_own=False)
+                self.suspect(server, "refused-others", Evidence.REFUSED, is_own=False)
 
     def record_lost_connection(self, host: str, port: int) -> None:
         """Suspect the server at an address, which ended an idle connection.
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -68,6 +68,7 @@
         self._default_idle_s = default_idle_s
         self._on_lost = on_lost
         self._has_ended_by_server = False
+        self._is_response_due = False
         self._last_response_header = last_response_header
         self._has_carried_request = False
         self._interim_responses = 0
@@ -94,6 +95,7 @@
     def expect_response(self, max_bytes: float) -> None:
         """Permit the next response; ``max_bytes`` bounds the bodies received for it."""
         self._has_carried_request = True
+        self._is_response_due = True
         self._interim_responses = 0
         self._bytes_left = max_bytes + MAX_HEAD_BYTES
 
@@ -111,8 +113,11 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         is_lost = exc is not None or self._has_ended_by_server
-        is_announced = self.should_close or self.is_closing_soon
-        if self._on_lost is not None and is_lost and not is_announced:
+        # A full server may reset a connection before it has carried a request.
+        is_idle = self._has_carried_request and not self._is_response_due
+        is_idle = is_idle and not self.should_close
+        is_unannounced = is_lost and is_idle and not self.is_closing_soon
+        if self._on_lost is not None and is_unannounced:
             peer = self.transport.get_extra_info("peername") if self.transport else None
             if peer is not None:
                 self._on_lost(peer[0], peer[1])
@@ -132,6 +137,7 @@
             if self._interim_responses > MAX_INTERIM_RESPONSES or message.code == 101:
                 self.reject("interim responses without end, or an unrequested upgrade")
             return
+        self._is_response_due = False
         if len(self) >= MAX_UNREAD_RESPONSES:
             self.reject("responses that nobody requested")
             return
--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -18,7 +18,13 @@
     capacities,
     with_cold_limit,
 )
-from mulberryrelay_edge.coldservers import ColdBound, ColdServers, planned_per_s
+from mulberryrelay_edge.coldservers import (
+    RESET_MS,
+    ColdBound,
+    ColdServers,
+    Evidence,
+    planned_per_s,
+)
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult
 from mulberryrelay_edge.keyload import KeySample
 from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
@@ -533,9 +539,33 @@
             cold = ColdServers(services.copy, list, lambda: BOUND, virtual_clock)
             entry = backend(1, slow_start_left_ms=2000.0)
             cold.record_entry(entry, 7, False)
-            cold.suspect(entry, "refused", is_refused=True)
+            cold.suspect(entry, "refused", Evidence.REFUSED)
             cold.record_response(entry, 500.0)
             assert cold.limit_per_s(entry) is None
             assert not cold.refusals.own
 
     run_virtual(scenario())
+
+
+@async_test
+async def test_a_reset_makes_a_server_suspect_only_if_its_process_has_ended() -> None:
+    """Guards against full servers held back as cold when load is high."""
+
+    async def reset(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if len(server.received) > 1:
+            if is_crash:
+                server.die()
+            writer.transport.abort()
+            return
+        writer.write(edge_response(request))
+
+    for is_crash in (False, True):
+        async with raw_server(reset) as server, edge_router() as router:
+            entry = router.register_server(server)
+            router.limit_cold_servers(COLD_START_MS, COLD_PER_S)
+            for _ in range(2):
+                await router.send(router.request(is_idempotent=False))
+            assert router.dispatcher.limits.is_cold(entry)
+            await asyncio.sleep(RESET_MS / 1000)
+            assert router.dispatcher.limits.is_cold(entry) is is_crash
+            assert bool(router.catalog.cold.refusals.own) is is_crash
