--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import msgspec
 
@@ -74,7 +74,9 @@
         reserve: Reserve,
         clock: Clock,
         cold_limit_per_s: ColdLimit = no_cold_limit,
+        states_cold: Callable[[BackendServer], bool] = lambda _: False,
     ) -> None:
+        """``states_cold`` returns whether a server is cold by its own statement."""
         self._clock = clock
         self._loads = ServerLoads(clock, self.schedule_dispatch)
         self._limits = ServerLimits(
@@ -84,7 +86,7 @@
         self._is_dispatch_scheduled = False
         self._shares = RouterShares(self._limits, clock)
         self._chooser = ServerChooser(
-            data_centre, self._loads, self._limits, self._shares
+            data_centre, self._loads, self._limits, self._shares, states_cold
         )
 
     @property
--- a/packages/edge/mulberryrelay_edge/serverchoice.py
+++ b/packages/edge/mulberryrelay_edge/serverchoice.py
@@ -4,7 +4,7 @@
 data centre, and those of which this router has a large share, are preferred.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from mulberryrelay_kernel.ids import DataCentre, ServerId, ServiceName
 
@@ -38,11 +38,14 @@
         loads: ServerLoads,
         limits: ServerLimits,
         shares: RouterShares,
+        states_cold: Callable[[BackendServer], bool],
     ) -> None:
+        """``states_cold`` returns whether a server is cold by its own statement."""
         self._data_centre = data_centre
         self._loads = loads
         self._limits = limits
         self._shares = shares
+        self._states_cold = states_cold
 
     def choose(self, queued: QueuedRequest) -> BackendServer | None:
         """Return the server with the lowest cost, or None if all are at capacity."""
@@ -62,7 +65,7 @@
             if self._loads.is_unresponsive(server):
                 continue
             is_cold = self._limits.is_cold(server)
-            states_cold = is_cold and server.slow_start_left_ms > 0
+            states_cold = is_cold and self._states_cold(server)
             is_local = server.data_centre == self._data_centre
             if not self._limits.is_open(server):
                 if is_cold and not (states_cold and is_local):
--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -18,7 +18,13 @@
     capacities,
     with_cold_limit,
 )
-from mulberryrelay_edge.coldservers import ColdBound, ColdServers, planned_per_s
+from mulberryrelay_edge.coldservers import (
+    RESET_MS,
+    ColdBound,
+    ColdServers,
+    Evidence,
+    planned_per_s,
+)
 from mulberryrelay_edge.exchange import AttemptOutcome, AttemptResult
 from mulberryrelay_edge.keyload import KeySample
 from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
@@ -38,7 +44,6 @@
 from mulberryrelay_kernel.ids import DataCentre, ServerId
 
 from .fixtures import async_test
-from .fixtures import overload as overload_fixture
 from .fixtures.edgefleet import (
     LINK_DELAY_S,
     SERVICE,
@@ -47,7 +52,7 @@
     start_settled_fleet,
 )
 from .fixtures.edgerouter import edge_response, edge_router
-from .fixtures.overload import Overload, overload
+from .fixtures.overload import Overload, OverloadOptions, overload
 from .fixtures.rawserver import RawRequest, raw_server, respond_with
 
 ROUTERS = 65
@@ -257,7 +262,8 @@
             simulation.lead(number)
             await simulation.run(simulation.rng.uniform(2.0, 3.0))
         simulation.is_leader_lost = True
-        await simulation.run(40.0)
+        # Longer than the interval of a router without a leader, which is 45 s.
+        await simulation.run(50.0)
         simulation.is_leader_lost = False
         simulation.lead(0)
         arrivals_s = await simulation.run(3.0)
@@ -309,6 +315,7 @@
         assert cold.limit_per_s(restarted) is None
         cold.suspect(restarted, "refused")
         assert cold.limit_per_s(restarted) == COLD_PER_S
+        assert not cold.states_cold(restarted), "it may as well be down"
         await asyncio.sleep(1.5)
         cold.record_response(restarted, 0.0)
         assert cold.limit_per_s(restarted) is None, "it states that it is warm"
@@ -367,10 +374,10 @@
 def test_a_cold_server_is_used_beside_warm_ones() -> None:
     """Guards against a cold server that gets too much, or nothing, of normal load."""
 
-    async def scenario() -> None:
-        with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(SERVERS, checks_writes=True) as running:
-                await play_cold_start(running, False, SERVERS * USUAL_PER_S, 6.5)
+    async def scenario(has_leader: bool) -> None:
+        options = OverloadOptions(routers=ROUTERS, has_leader=has_leader)
+        async with overload(SERVERS, options=options, checks_writes=True) as running:
+            await play_cold_start(running, False, SERVERS * USUAL_PER_S, 6.5)
         cold_until_s = running.servers[0].arrivals_s[0] + COLD_START_MS / 1000
         arrivals_s = [t for t in running.servers[0].arrivals_s if t < cold_until_s]
         print(f"cold: {len(arrivals_s)}, {dict(running.results)}", file=sys.stderr)
@@ -380,16 +387,17 @@
         lost = results["failed"] + results["refused"]
         assert lost <= 0.01 * results.total(), results
 
-    run_virtual(scenario())
+    for has_leader in (False, True):
+        run_virtual(scenario(has_leader))
 
 
 def test_a_server_that_restarts_unnoticed_gets_no_more_than_it_may() -> None:
     """Guards against full load for a new process before its entry is read."""
 
     async def scenario() -> None:
-        with patch.object(overload_fixture, "ROUTERS", ROUTERS):
-            async with overload(1, is_keyed=True, checks_writes=True) as running:
-                await play_cold_start(running, True, 2 * USUAL_PER_S, 9.0)
+        options = OverloadOptions(routers=ROUTERS)
+        async with overload(1, True, options=options, checks_writes=True) as running:
+            await play_cold_start(running, True, 2 * USUAL_PER_S, 9.0)
         arrivals_s = running.servers[0].arrivals_s
         cold_until_s = arrivals_s[0] + COLD_START_MS / 1000
         cold_s = [time_s for time_s in arrivals_s if time_s < cold_until_s]
@@ -521,3 +529,43 @@
     assert moved(60_000.0)[servers[1].server] > 10_000
     warm = with_cold_limit(ServerCondition(), None, 0.0)
     assert warm == ServerCondition()
+
+
+def test_services_without_a_cold_rate_are_not_limited() -> None:
+    """Guards against limits in deployments that do not configure them."""
+
+    async def scenario() -> None:
+        for services in ({}, {SERVICE: Service(SERVICE, "/health", True, 3000.0)}):
+            cold = ColdServers(services.copy, list, lambda: BOUND, virtual_clock)
+            entry = backend(1, slow_start_left_ms=2000.0)
+            cold.record_entry(entry, 7, False)
+            cold.suspect(entry, "refused", Evidence.REFUSED)
+            cold.record_response(entry, 500.0)
+            assert cold.limit_per_s(entry) is None
+            assert not cold.refusals.own
+
+    run_virtual(scenario())
+
+
+@async_test
+async def test_a_reset_makes_a_server_suspect_only_if_its_process_has_ended() -> None:
+    """Guards against full servers held back as cold when load is high."""
+
+    async def reset(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if len(server.received) > 1:
+            if is_crash:
+                server.die()
+            writer.transport.abort()
+            return
+        writer.write(edge_response(request))
+
+    for is_crash in (False, True):
+        async with raw_server(reset) as server, edge_router() as router:
+            entry = router.register_server(server)
+            router.limit_cold_servers(COLD_START_MS, COLD_PER_S)
+            for _ in range(2):
+                await router.send(router.request(is_idempotent=False))
+            assert router.dispatcher.limits.is_cold(entry)
+            await asyncio.sleep(RESET_MS / 1000)
+            assert router.dispatcher.limits.is_cold(entry) is is_crash
+            assert bool(router.catalog.cold.refusals.own) is is_crash
