Keep no response in the task of a pipelined request

The task that forwards a request before its turn had the response as its result. The response is now kept with the parsed request, and freed when it is written or its connection ends.

--- a/packages/edge/mulberryrelay_edge/pipelining.py
+++ b/packages/edge/mulberryrelay_edge/pipelining.py
@@ -64,7 +64,9 @@
     arrived_ms: float
     must_wait: bool = False
     """Whether it is handled in its turn only, and holds back those behind it."""
-    forwarding: "asyncio.Task[EarlyResponse] | None" = None
+    forwarding: "asyncio.Task[None] | None" = None
+    early: EarlyResponse | None = None
+    """Result of ``forwarding``. The task itself may outlive the connection."""
 
 
 class PipelinedConnection(LimitedConnection):
@@ -125,9 +127,10 @@
         assert current is not None
         if current.forwarding is None:
             return None
-        early = await current.forwarding
+        await current.forwarding
         # The connection may stay idle, and must not keep the response meanwhile.
-        current.forwarding = None
+        early, current.early, current.forwarding = current.early, None, None
+        assert early is not None
         early.hold.close()
         return early.response
 
@@ -214,11 +217,12 @@
         if edge_request is None:
             parsed.must_wait = True
             return
-        forwarding = asyncio.create_task(
-            self._forwarder.forward_early(edge_request, self)
-        )
-        forwarding.add_done_callback(lambda _: self._forward_waiting())
-        parsed.forwarding = forwarding
+
+        async def forward() -> None:
+            parsed.early = await self._forwarder.forward_early(edge_request, self)
+
+        parsed.forwarding = asyncio.create_task(forward())
+        parsed.forwarding.add_done_callback(lambda _: self._forward_waiting())
 
     def _end(self) -> None:
         """Cancel the requests whose responses will not be written."""
@@ -226,13 +230,11 @@
         current = [self._current] if self._current is not None else []
         cancelled = 0
         for parsed in (*current, *self._waiting):
-            forwarding = parsed.forwarding
-            if forwarding is None or forwarding.cancelled():
-                continue
-            if forwarding.cancel():
+            if parsed.forwarding is not None and parsed.forwarding.cancel():
                 cancelled += 1
-            elif forwarding.exception() is None:
-                forwarding.result().hold.close()
+            if parsed.early is not None:
+                parsed.early.hold.close()
+                parsed.early = None
         self._waiting.clear()
         if cancelled:
             log_event("pipelined_requests_cancelled", requests=cancelled)
