Relay requests for data centres behind hanging links

Cause: when two data centres cannot reach each other, connections to servers of the other one hang for 0.5 s each, and callers of one cannot use keys with owners in the other, though a third reaches both.

Change: a router probes a data centre after a connection or response of it hangs, and takes it for unreached if two rounds of probes get no answer while servers elsewhere respond. Requests without a key then use servers elsewhere. Requests for owners there are passed on once, through a router in a third data centre that reaches both; the leader lists where routers are and what they do not reach, from their reports. A router that receives such a request handles it only while it reaches the data centre, and handles at most 64 at a time.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -18,6 +18,7 @@
 
 from .adapter import Adapter
 from .catalog import Catalog
+from .datacentrereach import DataCentreReach
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult, Exchange, Obstacle
 from .keyload import KeyLoad
@@ -42,6 +43,7 @@
         metrics: Metrics,
         suspect_runs: SuspectRuns,
         reach: ServerReach,
+        data_centres: DataCentreReach,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -52,6 +54,7 @@
         self._metrics = metrics
         self._suspect_runs = suspect_runs
         self._reach = reach
+        self._data_centres = data_centres
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._unread_headers = UnreadHeaders(
@@ -171,6 +174,10 @@
             result.outcome is AttemptOutcome.NOT_SENT or loads.is_silent()
         ):
             self._reach.suspect()
+        if result.status:
+            self._data_centres.record_response(server.data_centre)
+        elif _hangs(result):
+            self._data_centres.suspect(server.data_centre)
         return result
 
     def _watch_overdue(
@@ -187,6 +194,7 @@
 
         def record() -> None:
             loads.record_overdue(server)
+            self._data_centres.suspect(server.data_centre)
             self._metrics.count("overdue")
             log_event(
                 "request_overdue",
@@ -309,6 +317,14 @@
     return not result.is_withheld
 
 
+def _hangs(result: AttemptResult) -> bool:
+    """Return whether no packet may have come back from the server's data centre."""
+    if result.outcome in (AttemptOutcome.TIMED_OUT, AttemptOutcome.OVERDUE):
+        return True
+    is_unsent = result.outcome is AttemptOutcome.NOT_SENT
+    return is_unsent and not result.is_withheld and not result.is_refused
+
+
 def _may_have_restarted(result: AttemptResult, is_keyed: bool) -> bool:
     """Return whether an attempt shows that its server may be a new, cold process.
 
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -23,6 +23,8 @@
 from .catalog import Catalog
 from .coldservers import ColdBound
 from .coordinator import Coordinator
+from .datacentrereach import DataCentreReach
+from .datacentrerelay import DataCentreRelay
 from .directreads import DirectReads, read_due_tables
 from .evacuations import Evacuations
 from .keyload import KeyLoad
@@ -35,6 +37,7 @@
     EdgeResponse,
     ReservationRequest,
     Reservations,
+    RouterPeer,
     RouterState,
 )
 from .owneroverload import KeyedLoad, OwnerOverload
@@ -63,6 +66,7 @@
         has_queued_requests: Callable[[], bool],
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         on_relay_ready: Callable[[], None],
+        on_data_centre_relay_ready: Callable[[], None],
         clock: Clock,
     ) -> None:
         """``condition`` returns what this router observes of a server.
@@ -70,7 +74,8 @@
         ``speeds`` and ``shares`` are updated with the leader's replies to the reports.
 
         ``forward`` handles a request that another router relays to this one, and
-        ``on_relay_ready`` is called when this one can relay requests itself.
+        ``on_relay_ready`` is called when this one can relay requests itself, and
+        ``on_data_centre_relay_ready`` when it can relay those for a data centre.
         """
         options = adapter.options
         self._adapter = adapter
@@ -99,7 +104,12 @@
         )
         self._ownership = Ownership()
         self._reach = ServerReach(
-            self._catalog.all_servers, _accepts_connections, clock
+            lambda: self._data_centre_reach.usable(self._catalog.all_servers()),
+            _accepts_connections,
+            clock,
+        )
+        self._data_centre_reach = DataCentreReach(
+            self._catalog.all_servers, _answers_connections, clock
         )
         self._key_load = KeyLoad(clock)
         link_url = self._link_url = (
@@ -164,7 +174,11 @@
         lease.changes.subscribe(self._suspects.set_leading)
         lease.changes.subscribe(lambda _: report_handler.notify_waiters())
         self._relay_receiver = RelayReceiver(
-            lambda: self._catalog.routes, self._reach, forward, clock
+            lambda: self._catalog.routes,
+            self._reach,
+            forward,
+            clock,
+            self._data_centre_reach.is_unreached,
         )
         self._reservations = ReservationSource(
             boot_id,
@@ -183,6 +197,7 @@
             self._suspects,
             self._relay_receiver,
             lambda: self._peer_urls(report_handler),
+            lambda: self._routers(report_handler),
         )
         self._relay = Relay(
             self._reach,
@@ -193,6 +208,17 @@
             on_relay_ready,
             clock,
         )
+        self._data_centre_relay = DataCentreRelay(
+            self._data_centre_reach,
+            options.data_centre,
+            self._catalog.all_servers,
+            lambda: lease.is_valid,
+            lambda: self._ownership.leader_notice,
+            lambda: report_handler.peers,
+            self._link_client,
+            on_data_centre_relay_ready,
+            clock,
+        )
         self._direct_reads = DirectReads()
         self._link = LeaderLink(
             self._key_load,
@@ -205,6 +231,7 @@
                 self._reach.is_cut_off,
                 self._catalog.leaving,
                 self._catalog.cold.refusals.own,
+                self._data_centre_reach.unreached,
             ),
             boot_id,
             lambda: lease.is_valid,
@@ -265,6 +292,11 @@
         """Passes requests on to other routers while this one reaches no server."""
         return self._relay
 
+    @property
+    def data_centre_relay(self) -> DataCentreRelay:
+        """Passes requests for unreached data centres on to other routers."""
+        return self._data_centre_relay
+
     @property
     def relay_receiver(self) -> RelayReceiver:
         """Handles the requests that other routers relay to this one."""
@@ -324,6 +356,17 @@
         own = [] if self._reach.is_cut_off else [self._link_url]
         return own + report_handler.peer_urls
 
+    def _routers(self, report_handler: ReportHandler) -> list[RouterPeer] | None:
+        """Return where routers are, or None if this one does not lead."""
+        if not self._lease.is_valid:
+            return None
+        own = RouterPeer(
+            self._link_url,
+            self._adapter.options.data_centre,
+            self._data_centre_reach.unreached,
+        )
+        return [*([] if self._reach.is_cut_off else [own]), *report_handler.peers]
+
     async def _is_lost(self, death: ServerDeath) -> bool:
         """Return whether a server process that was reported lost is not up."""
         server = self._catalog.server(ServerId(death.server))
@@ -363,6 +406,8 @@
             run_supervised("link", self._link.run),
             run_supervised("reach", self._reach.run),
             run_supervised("relay", self._relay.run),
+            run_supervised("data centres", self._data_centre_reach.run),
+            run_supervised("data centre relay", self._data_centre_relay.run),
         ]
 
     async def close(self) -> None:
@@ -374,3 +419,9 @@
 async def _accepts_connections(server: BackendServer) -> bool:
     result = await probe_address(server.entry, PROBE_TIMEOUT_S)
     return result is ProbeResult.ACCEPTED
+
+
+async def _answers_connections(server: BackendServer) -> bool:
+    """Return whether a server's address accepts or refuses a connection."""
+    result = await probe_address(server.entry, PROBE_TIMEOUT_S)
+    return result is not ProbeResult.SILENT
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import msgspec
 
@@ -62,6 +62,10 @@
 """Servers described in the log line of a request whose wait in the queue timed out."""
 
 
+IsAffected = Callable[[Sequence[BackendServer]], bool]
+"""Returns whether none of a request's candidates are reached."""
+
+
 class Preview(msgspec.Struct, frozen=True):
     """What would happen to a request that arrives now."""
 
@@ -254,11 +258,11 @@
         """Return the load and the limit of a server for a log line."""
         return self._loads.describe(server) + self._limits.describe(server)
 
-    def release_queued(self) -> None:
-        """Refuse all queued requests, since no server is reached any more."""
+    def release_queued(self, is_affected: IsAffected = lambda _: True) -> None:
+        """Refuse all queued requests whose candidates are not reached any more."""
         for queue in self._queues.values():
             for queued in queue:
-                if not queued.permit.done():
+                if not queued.permit.done() and is_affected(queued.candidates()):
                     refusal = QueueRefusal(RefusalReason.CUT_OFF, RETRY_AFTER_S)
                     queued.permit.set_result(refusal)
 
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import RequestClass, ServerId
+from mulberryrelay_kernel.ids import DataCentre, RequestClass, ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_router.pool import Pool
@@ -21,6 +21,7 @@
 from .adapter import Adapter
 from .attemptsender import AttemptSender, is_final
 from .catalog import Catalog
+from .datacentrerelay import DataCentreRelay
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult
 from .keyload import KeyLoad
@@ -85,6 +86,7 @@
         suspects: Suspects,
         reach: ServerReach,
         relay: Relay,
+        data_centres: DataCentreRelay,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -95,6 +97,7 @@
         self._metrics = metrics
         self._reach = reach
         self._relay = relay
+        self._data_centres = data_centres
         self._clock = clock
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
@@ -106,6 +109,7 @@
             metrics,
             self._suspect_runs,
             reach,
+            data_centres.reach,
             clock,
         )
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
@@ -138,12 +142,13 @@
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
         if self._relay.is_needed and not request.is_relayed:
             return await self._relay_request(request, set())
-        is_keyed = self._catalog.is_keyed(request)
+        candidates, is_keyed = self.candidates(request)
+        if target := self._data_centres.target(request, candidates):
+            return await self._relay_request(request, set(), target)
         if is_keyed:
             self._key_load.record_request(request)
         else:
             self._dispatcher.shares.demand.record(request.service)
-        candidates = self._candidates(request, is_keyed)
         self._budget.record_request(request.service)
         with self._budget.open(request.service) as budget:
             return await self._forward_here(request, candidates, is_keyed, budget)
@@ -171,8 +176,12 @@
                     return response
             if self._relay.is_needed and not request.is_relayed:
                 return await self._relay_request(request, possibly_ran)
+            if target := self._data_centres.target(request, candidates):
+                return await self._relay_request(request, possibly_ran, target)
             permit = await self._acquire(request, candidates, is_keyed, tried)
             if isinstance(permit, QueueRefusal):
+                if self._data_centres.target(request, candidates):
+                    continue
                 if await self._must_relay(request):
                     continue
                 return self._refuse(request, result, permit, possibly_ran)
@@ -251,12 +260,24 @@
         return await self._relay.wait_needed(request.deadline_ms)
 
     async def _relay_request(
-        self, request: EdgeRequest, possibly_ran: set[ServerId]
+        self,
+        request: EdgeRequest,
+        possibly_ran: set[ServerId],
+        target: DataCentre | None = None,
     ) -> EdgeResponse:
-        """Pass a request on to another router, as this one reaches no server."""
-        relaying = self._relay.forward(
-            request, lambda: self._budget.try_consume(request.service)
-        )
+        """Pass a request on to another router, as this one reaches no server for it.
+
+        ``target`` is the unreached data centre of its servers, None if all are.
+        """
+
+        def may_repeat() -> bool:
+            return self._budget.try_consume(request.service)
+
+        if target is None:
+            relaying = self._relay.forward(request, may_repeat)
+        else:
+            relaying = self._data_centres.forward(request, target, may_repeat)
+            self._metrics.count("relayed_data_centre")
         if not request.route.is_idempotent:
             # As with a server: it is not cancelled if its caller disconnects.
             response = await asyncio.shield(asyncio.ensure_future(relaying))
@@ -342,7 +363,9 @@
 
     def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
         if not is_keyed:
-            return lambda: self._catalog.serving(request.service)
+            return lambda: self._data_centres.reach.usable(
+                self._catalog.serving(request.service)
+            )
         key = request.key
         assert key is not None
 
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -114,6 +114,9 @@
         lambda: dispatcher.queue_length > 0,
         lambda request: forwarder.forward(request),
         dispatcher.release_queued,
+        lambda: dispatcher.release_queued(
+            control.data_centre_relay.reach.are_unreached
+        ),
         clock,
     )
 
@@ -144,6 +147,7 @@
         Suspects(control.suspects, options.instance, BootId(boot_id), EDGE_POLICY),
         control.reach,
         control.relay,
+        control.data_centre_relay,
         clock,
     )
     callers = CallerServer(adapter, control.catalog, forwarder, clock)
@@ -163,6 +167,8 @@
             "leader": float(control.lease.is_valid),
             "linked": float(control.store_sync.role is Role.FOLLOWER),
             "servers_unreachable": float(control.reach.is_cut_off),
+            "data_centres_unreached": len(control.data_centre_relay.reach.unreached),
+            "data_centre_requests": control.data_centre_relay.passed_on,
             "blocked_requests": control.suspects.blocked,
             "routes_version": control.catalog.version,
             "evacuated_data_centres": control.catalog.evacuated_data_centres,
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -24,6 +24,7 @@
     LeaderReply,
     PacedServer,
     Refusals,
+    RouterPeer,
     RouterReport,
     RouterState,
 )
@@ -110,6 +111,8 @@
         """Time of each router's last report, by boot id."""
         self._peer_urls: dict[str, str] = {}
         """URLs of the routers that reach servers, by boot id."""
+        self._peers: dict[str, RouterPeer] = {}
+        """Where the same routers are and what they reach, by boot id."""
         self._share_table = share_table
         self._paced = paced
         self._speeds = SpeedSums(clock)
@@ -128,6 +131,7 @@
             if reported_ms < oldest_ms:
                 del self._reported_ms[boot_id]
                 self._peer_urls.pop(boot_id, None)
+                self._peers.pop(boot_id, None)
         return 1 + len(self._reported_ms)
 
     @property
@@ -158,6 +162,12 @@
             if self._reported_ms.get(boot_id, float("-inf")) >= latest_ms
         ]
 
+    @property
+    def peers(self) -> list[RouterPeer]:
+        """The followers of ``peer_urls``, with what they reach."""
+        urls = set(self.peer_urls)
+        return [peer for peer in self._peers.values() if peer.url in urls]
+
     @property
     def is_store_reachable(self) -> bool:
         """Whether the store answers this router, as last checked."""
@@ -219,8 +229,12 @@
         if self._cold is not None:
             self._cold.apply_refusals(report.state.refusals)
         self._peer_urls.pop(report.boot_id, None)
+        self._peers.pop(report.boot_id, None)
         if report.state.link_url and not report.state.is_cut_off:
             self._peer_urls[report.boot_id] = report.state.link_url
+            self._peers[report.boot_id] = RouterPeer(
+                report.state.link_url, report.data_centre, report.state.unreached
+            )
         end_ms = arrived_ms + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
             update_event = self._update_event
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -25,6 +25,7 @@
     RelayedResponse,
     ReservationRequest,
     Reservations,
+    RouterPeer,
     RouterReport,
     SuspectReport,
 )
@@ -37,6 +38,7 @@
 PROBATION_PATH = "/probation"
 RELAY_PATH = "/relay"
 PEERS_PATH = "/peers"
+ROUTERS_PATH = "/routers"
 RESERVE_TIMEOUT_S = 0.2
 """Time that the leader may take to reserve times at servers."""
 REPLY_TIMEOUT_S = 0.5
@@ -73,8 +75,10 @@
         suspects: SuspectLink,
         relays: RelayReceiver,
         peer_urls: Callable[[], Sequence[str] | None],
+        routers: Callable[[], Sequence[RouterPeer] | None] = lambda: None,
     ) -> None:
-        """``peer_urls`` returns None if this router does not lead."""
+        """``peer_urls`` and ``routers`` return None if this router does not lead."""
+        self._routers = routers
         self._report_handler = report_handler
         self._reserve_for_all = reserve_for_all
         self._suspects = suspects
@@ -93,6 +97,7 @@
         app.router.add_post(PROBATION_PATH, self._handle_probation)
         app.router.add_post(RELAY_PATH, self._handle_relayed)
         app.router.add_get(PEERS_PATH, self._list_peers)
+        app.router.add_get(ROUTERS_PATH, self._list_routers)
         # A relayed request ends when the router that has sent it gives it up.
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
@@ -144,6 +149,12 @@
             return web.Response(status=409)
         return web.Response(body=msgspec.msgpack.encode(urls))
 
+    async def _list_routers(self, request: web.Request) -> web.Response:
+        routers = self._routers()
+        if routers is None:
+            return web.Response(status=409)
+        return web.Response(body=msgspec.msgpack.encode(routers))
+
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
         if leader_reply.shares is not None:
             # Shares are of one router, and a reply with them has no rows.
@@ -269,14 +280,24 @@
 
     async def find_peers(self, url: str) -> list[str] | None:
         """Return the URLs of routers that reach servers, from the leader's URL."""
+        return await self._get_list(url, PEERS_PATH, list[str])
+
+    async def list_routers(self, url: str) -> list[RouterPeer] | None:
+        """Return where routers are and what they reach, from the leader's URL."""
+        return await self._get_list(url, ROUTERS_PATH, list[RouterPeer])
+
+    async def _get_list(
+        self, url: str, path: str, list_type: type[Message]
+    ) -> Message | None:
+        """Return a list from the leader, or None without one."""
         timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
-        target = URL(url).with_path(PEERS_PATH)
+        target = URL(url).with_path(path)
         try:
             async with self._session.get(target, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
                 content = await read_body(reply, MAX_REPLY_BYTES)
-                return decode_msgpack(content, list[str])
+                return decode_msgpack(content, list_type)
         except (
             aiohttp.ClientError,
             TimeoutError,
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -330,6 +330,8 @@
     """Time until its deadline."""
     caller_address: str
     is_idempotent: bool
+    data_centre: DataCentre = DataCentre("")
+    """Data centre that the router does not reach; empty if it reaches no server."""
 
 
 class RelayedResponse(msgspec.Struct, frozen=True, array_like=True):
@@ -386,6 +388,17 @@
     """Servers, by id and start time, that told the follower that they drain."""
     refusals: tuple[ServerRefusal, ...] = ()
     """Servers that lately refused connections of the follower."""
+    unreached: tuple[DataCentre, ...] = ()
+    """Data centres that the follower does not reach, while it reaches others."""
+
+
+class RouterPeer(msgspec.Struct, frozen=True, array_like=True):
+    """Where a router is, and what it reaches, as the leader lists it."""
+
+    url: str
+    data_centre: DataCentre
+    unreached: tuple[DataCentre, ...] = ()
+    """Data centres that the router does not reach, while it reaches others."""
 
 
 class RouterReport(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -16,6 +16,7 @@
 from multidict import CIMultiDict
 
 from mulberryrelay_kernel.clock import Clock
+from mulberryrelay_kernel.ids import DataCentre
 from mulberryrelay_kernel.logs import log_event
 
 from .messages import (
@@ -33,9 +34,13 @@
 """Period in which a router that is cut off asks the leader which others are not."""
 MAX_RELAY_ATTEMPTS = 5
 """Routers to which one request is sent, if those before did not get it."""
+MAX_FOR_DATA_CENTRES = 64
+"""Requests that one router handles at a time for others that miss a data centre."""
 REPLY_RESERVE_MS = 20.0
 """Part of a request's time that is left for the way back of the response."""
 
+NO_DATA_CENTRE = DataCentre("")
+
 
 class RelayFailure(Enum):
     """Why a relayed request brought no response."""
@@ -130,37 +135,13 @@
         server; it counts the repetition.
         """
         peers = random.sample(self._peers, min(MAX_RELAY_ATTEMPTS, len(self._peers)))
-        failure = RelayFailure.NOT_SENT
-        result: RelayedResponse | RelayFailure = RelayFailure.NOT_SENT
-        for peer in peers:
-            left_ms = request.deadline_ms - self._clock()
-            if left_ms <= REPLY_RESERVE_MS:
-                break
-            if result is RelayFailure.UNKNOWN and not may_repeat():
-                break
-            result = await self._calls.relay(peer, _relayed(request, left_ms))
-            log_event(
-                "request_relayed",
-                request_id=request.request_id,
-                peer=peer,
-                left_ms=round(left_ms),
-                result=result.value
-                if isinstance(result, RelayFailure)
-                else result.status,
-            )
-            if isinstance(result, RelayedResponse):
-                is_refused = result.is_from_router and result.status == 503
-                if is_refused and failure is RelayFailure.UNKNOWN:
-                    # The router before may have run it.
-                    return failure
-                return _response(result)
-            if peer in self._peers:
-                self._peers.remove(peer)
-            if failure is RelayFailure.NOT_SENT:
-                failure = result
-            if result is RelayFailure.UNKNOWN and not request.route.is_idempotent:
-                break
-        return failure
+        return await pass_on(
+            request, peers, self._calls, may_repeat, self._remove, self._clock
+        )
+
+    def _remove(self, peer: str) -> None:
+        if peer in self._peers:
+            self._peers.remove(peer)
 
     def _on_reach_change(self, is_cut_off: bool) -> None:
         if is_cut_off:
@@ -179,6 +160,51 @@
         return await self._calls.find_peers(notice.link_url)
 
 
+async def pass_on(
+    request: EdgeRequest,
+    peers: Sequence[str],
+    calls: RelayCalls,
+    may_repeat: Callable[[], bool],
+    on_failure: Callable[[str], None],
+    clock: Clock,
+    data_centre: DataCentre = NO_DATA_CENTRE,
+) -> EdgeResponse | RelayFailure:
+    """Send a request to other routers, one after the other, until one responds.
+
+    ``on_failure`` is called with the URL of a router that brought no response.
+    ``data_centre`` is ``RelayedRequest.data_centre``.
+    """
+    failure = RelayFailure.NOT_SENT
+    result: RelayedResponse | RelayFailure = RelayFailure.NOT_SENT
+    for peer in peers:
+        left_ms = request.deadline_ms - clock()
+        if left_ms <= REPLY_RESERVE_MS:
+            break
+        if result is RelayFailure.UNKNOWN and not may_repeat():
+            break
+        result = await calls.relay(peer, _relayed(request, left_ms, data_centre))
+        log_event(
+            "request_relayed",
+            request_id=request.request_id,
+            peer=peer,
+            left_ms=round(left_ms),
+            result=result.value if isinstance(result, RelayFailure) else result.status,
+            data_centre=data_centre,
+        )
+        if isinstance(result, RelayedResponse):
+            is_refused = result.is_from_router and result.status == 503
+            if is_refused and failure is RelayFailure.UNKNOWN:
+                # The router before may have run it.
+                return failure
+            return _response(result)
+        on_failure(peer)
+        if failure is RelayFailure.NOT_SENT:
+            failure = result
+        if result is RelayFailure.UNKNOWN and not request.route.is_idempotent:
+            break
+    return failure
+
+
 class RelayReceiver:
     """Handles requests that other routers relay to this one."""
 
@@ -188,7 +214,12 @@
         reach: ServerReach,
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         clock: Clock,
+        is_unreached: Callable[[DataCentre], bool] = lambda _: False,
     ) -> None:
+        """``is_unreached`` returns whether this router does not reach a data centre."""
+        self._is_unreached = is_unreached
+        self._for_data_centres = 0
+        """Requests in flight for data centres that their routers do not reach."""
         self._routes = routes
         self._reach = reach
         self._forward = forward
@@ -202,6 +233,10 @@
         routes = self._routes()
         if self._is_stopping or self._reach.is_cut_off or routes is None:
             return None
+        if relayed.data_centre:
+            is_full = self._for_data_centres >= MAX_FOR_DATA_CENTRES
+            if is_full or self._is_unreached(relayed.data_centre):
+                return None
         path = relayed.target.partition("?")[0]
         route = self._matcher.match(routes, relayed.host, path)
         if route is None:
@@ -228,6 +263,9 @@
         task = asyncio.ensure_future(self._forward(request))
         self._in_flight.add(task)
         task.add_done_callback(self._in_flight.discard)
+        if relayed.data_centre:
+            self._for_data_centres += 1
+            task.add_done_callback(self._record_end)
         response = await task
         return RelayedResponse(
             response.status,
@@ -236,6 +274,9 @@
             response.is_from_router,
         )
 
+    def _record_end(self, task: "asyncio.Task[EdgeResponse]") -> None:
+        self._for_data_centres -= 1
+
     async def stop(self, timeout_s: float) -> None:
         """Accept no more requests, and wait for those in flight."""
         self._is_stopping = True
@@ -243,7 +284,9 @@
             await asyncio.wait(self._in_flight, timeout=timeout_s)
 
 
-def _relayed(request: EdgeRequest, left_ms: float) -> RelayedRequest:
+def _relayed(
+    request: EdgeRequest, left_ms: float, data_centre: DataCentre
+) -> RelayedRequest:
     return RelayedRequest(
         request.request_id,
         request.method,
@@ -255,6 +298,7 @@
         left_ms - REPLY_RESERVE_MS,
         request.caller_address,
         request.route.is_idempotent,
+        data_centre,
     )
 
 
