Call the leader through a router in a third data centre

Cause: a follower whose data centre does not reach the leader's got no replies from it, so it had no shares, speeds and reserved times, and its list of routers to relay requests to grew too old after a minute.

Change: while the leader's data centre is unreached, reports, reservations, suspects and the list of routers go through a router in a third data centre that reaches both. The times in replies are relative to the arrival of the report at the leader, so a follower never takes a relayed reply for newer than it is. A data centre is suspected when the leader in it does not reply. The choice of the way of a request moves to requestrelay.py.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -29,6 +29,7 @@
 from .evacuations import Evacuations
 from .keyload import KeyLoad
 from .leaderlink import LeaderLink, ReportHandler
+from .leaderproxy import LeaderProxy
 from .lease import LeaderLease
 from .linkhttp import LINK_PATH, LinkClient, LinkServer
 from .messages import (
@@ -137,7 +138,9 @@
             boot_id,
             clock,
         )
-        self._link_client = LinkClient()
+        self._link_client = LinkClient(
+            lambda url: self._data_centre_relay.find_via(url)
+        )
         self._suspects = SuspectLink(
             options.instance,
             boot_id,
@@ -191,6 +194,11 @@
             lambda: self._link.routers,
         )
         lease.changes.subscribe(self._reservations.set_leading)
+        self._leader_proxy = LeaderProxy(
+            lambda: self._ownership.leader_notice,
+            lambda url: self._data_centre_relay.is_router_unreached(url),
+            self._link_client.pass_on,
+        )
         self._link_server = LinkServer(
             report_handler,
             self._reservations.reserve_for_all,
@@ -198,6 +206,7 @@
             self._relay_receiver,
             lambda: self._peer_urls(report_handler),
             lambda: self._routers(report_handler),
+            self._leader_proxy.forward,
         )
         self._relay = Relay(
             self._reach,
@@ -235,7 +244,7 @@
             ),
             boot_id,
             lambda: lease.is_valid,
-            lease.check_soon,
+            self._on_leader_lost,
             has_queued_requests,
             self._direct_reads,
             speeds,
@@ -297,6 +306,11 @@
         """Passes requests for unreached data centres on to other routers."""
         return self._data_centre_relay
 
+    @property
+    def leader_proxy(self) -> LeaderProxy:
+        """Passes calls of other routers on to the leader."""
+        return self._leader_proxy
+
     @property
     def relay_receiver(self) -> RelayReceiver:
         """Handles the requests that other routers relay to this one."""
@@ -356,6 +370,11 @@
         own = [] if self._reach.is_cut_off else [self._link_url]
         return own + report_handler.peer_urls
 
+    def _on_leader_lost(self) -> None:
+        """Find out why the leader does not reply."""
+        self._lease.check_soon()
+        self._data_centre_relay.suspect_leader()
+
     def _routers(self, report_handler: ReportHandler) -> list[RouterPeer] | None:
         """Return where routers are, or None if this one does not lead."""
         if not self._lease.is_valid:
--- a/packages/edge/mulberryrelay_edge/datacentrereach.py
+++ b/packages/edge/mulberryrelay_edge/datacentrereach.py
@@ -53,6 +53,8 @@
         """Set while a data centre is suspected or unreached."""
         self._failed_rounds: dict[DataCentre, int] = {}
         """Rounds of probes without an answer, of each suspected data centre."""
+        self._suspected_ms: dict[DataCentre, float] = {}
+        """Time of the last hint on each data centre that was not ignored."""
         self._unreached_ms: dict[DataCentre, float] = {}
         """Since when each unreached data centre is."""
         self._ignores_hints_until_ms: dict[DataCentre, float] = {}
@@ -95,9 +97,10 @@
         now_ms = self._clock()
         if now_ms < self._ignores_hints_until_ms.get(data_centre, float("-inf")):
             return
-        if self._has_responded(data_centre):
+        if now_ms - self._last_response_ms(data_centre) < ANSWERED_MS:
             return
         self._failed_rounds[data_centre] = 0
+        self._suspected_ms[data_centre] = now_ms
         self._hint.set()
 
     def record_response(self, data_centre: DataCentre) -> None:
@@ -170,15 +173,14 @@
         until_ms = self._clock() + HINT_PERIOD_MS
         self._ignores_hints_until_ms[data_centre] = until_ms
 
-    def _has_responded(self, data_centre: DataCentre) -> bool:
-        """Return whether a server of a data centre has responded just now."""
-        responded_ms = self._responded_ms.get(data_centre, float("-inf"))
-        return self._clock() - responded_ms < ANSWERED_MS
+    def _last_response_ms(self, data_centre: DataCentre) -> float:
+        return self._responded_ms.get(data_centre, float("-inf"))
 
     async def _reaches_elsewhere(self, data_centre: DataCentre) -> bool:
         """Return whether servers of other data centres are reached."""
         others = {s.data_centre for s in self._servers()} - {data_centre}
-        if any(self._has_responded(other) for other in others):
+        since_ms = self._suspected_ms[data_centre]
+        if any(self._last_response_ms(other) > since_ms for other in others):
             return True
         others -= {*self._unreached_ms, *self._failed_rounds}
         return await self._reaches_any(self._choose(PROBED_ELSEWHERE, *others))
--- a/packages/edge/mulberryrelay_edge/datacentrerelay.py
+++ b/packages/edge/mulberryrelay_edge/datacentrerelay.py
@@ -80,6 +80,7 @@
         self._listed_ms = float("-inf")
         self._rests_until_ms: dict[str, float] = {}
         self._passed_on = 0
+        self._is_leader_relayed = False
         self._reach_changed = asyncio.Event()
         reach.changes.subscribe(lambda _: self._on_reach_change())
 
@@ -121,7 +122,37 @@
             and now_ms >= self._rests_until_ms.get(peer.url, float("-inf"))
         ]
 
-    def data_centre_of(self, url: str) -> DataCentre | None:
+    @property
+    def is_leader_relayed(self) -> bool:
+        """Whether calls for the leader go through another router."""
+        return self._is_leader_relayed
+
+    def find_via(self, leader_url: str) -> str | None:
+        """Return the router through which to call the leader; None if directly."""
+        data_centre = self._data_centre_of(leader_url)
+        urls: list[str] = []
+        if data_centre is not None and self._reach.is_unreached(data_centre):
+            urls = self.routers_for(data_centre)
+        via = random.choice(urls) if urls else None
+        if (via is not None) is not self._is_leader_relayed:
+            self._is_leader_relayed = via is not None
+            event = "leader_relayed" if via is not None else "leader_direct"
+            log_event(event, leader=leader_url, via=via or "")
+        return via
+
+    def is_router_unreached(self, url: str) -> bool:
+        """Return whether a router is in an unreached data centre."""
+        data_centre = self._data_centre_of(url)
+        return data_centre is not None and self._reach.is_unreached(data_centre)
+
+    def suspect_leader(self) -> None:
+        """Probe the leader's data centre, because the leader does not reply."""
+        notice = self._leader_notice()
+        data_centre = self._data_centre_of(notice.link_url) if notice else None
+        if data_centre is not None:
+            self._reach.suspect(data_centre)
+
+    def _data_centre_of(self, url: str) -> DataCentre | None:
         """Return the data centre of the router with this URL, or None if unknown."""
         for peer in self._peers:
             if peer.url == url and peer.data_centre:
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -36,6 +36,7 @@
 )
 from .rangeedits import NO_SERVER
 from .relay import Relay, RelayFailure
+from .requestrelay import RequestRelay
 from .responses import (
     had_free_slot,
     may_have_run,
@@ -95,9 +96,7 @@
         self._dispatcher = dispatcher
         self._key_load = key_load
         self._metrics = metrics
-        self._reach = reach
-        self._relay = relay
-        self._data_centres = data_centres
+        self._data_centre_reach = data_centres.reach
         self._clock = clock
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
@@ -113,6 +112,7 @@
             clock,
         )
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
+        self._relays = RequestRelay(reach, relay, data_centres, self._budget, metrics)
 
     @property
     def response_buffer(self) -> ResponseBuffer:
@@ -140,10 +140,10 @@
         return response
 
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
-        if self._relay.is_needed and not request.is_relayed:
+        if self._relays.is_cut_off(request):
             return await self._relay_request(request, set())
         candidates, is_keyed = self.candidates(request)
-        if target := self._data_centres.target(request, candidates):
+        if target := self._relays.target(request, candidates):
             return await self._relay_request(request, set(), target)
         if is_keyed:
             self._key_load.record_request(request)
@@ -174,15 +174,13 @@
                 )
                 if response is not None:
                     return response
-            if self._relay.is_needed and not request.is_relayed:
+            if self._relays.is_cut_off(request):
                 return await self._relay_request(request, possibly_ran)
-            if target := self._data_centres.target(request, candidates):
+            if target := self._relays.target(request, candidates):
                 return await self._relay_request(request, possibly_ran, target)
             permit = await self._acquire(request, candidates, is_keyed, tried)
             if isinstance(permit, QueueRefusal):
-                if self._data_centres.target(request, candidates):
-                    continue
-                if await self._must_relay(request):
+                if await self._relays.must_relay(request, candidates):
                     continue
                 return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
@@ -248,17 +246,6 @@
             return False
         return budget.try_consume_early()
 
-    async def _must_relay(self, request: EdgeRequest) -> bool:
-        """Return whether a refused request has to be relayed instead.
-
-        Servers look congested when the links to them are lost.
-        """
-        if request.is_relayed:
-            return False
-        if not self._reach.is_suspected and not self._reach.is_cut_off:
-            return False
-        return await self._relay.wait_needed(request.deadline_ms)
-
     async def _relay_request(
         self,
         request: EdgeRequest,
@@ -269,21 +256,7 @@
 
         ``target`` is the unreached data centre of its servers, None if all are.
         """
-
-        def may_repeat() -> bool:
-            return self._budget.try_consume(request.service)
-
-        if target is None:
-            relaying = self._relay.forward(request, may_repeat)
-        else:
-            relaying = self._data_centres.forward(request, target, may_repeat)
-            self._metrics.count("relayed_data_centre")
-        if not request.route.is_idempotent:
-            # As with a server: it is not cancelled if its caller disconnects.
-            response = await asyncio.shield(asyncio.ensure_future(relaying))
-        else:
-            response = await relaying
-        self._metrics.count("relayed")
+        response = await self._relays.send(request, target)
         if isinstance(response, EdgeResponse):
             if response.is_from_router and response.status == 503 and possibly_ran:
                 return router_response(502)
@@ -363,7 +336,7 @@
 
     def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
         if not is_keyed:
-            return lambda: self._data_centres.reach.usable(
+            return lambda: self._data_centre_reach.usable(
                 self._catalog.serving(request.service)
             )
         key = request.key
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -169,6 +169,8 @@
             "servers_unreachable": float(control.reach.is_cut_off),
             "data_centres_unreached": len(control.data_centre_relay.reach.unreached),
             "data_centre_requests": control.data_centre_relay.passed_on,
+            "leader_relayed": float(control.data_centre_relay.is_leader_relayed),
+            "leader_calls": control.leader_proxy.calls,
             "blocked_requests": control.suspects.blocked,
             "routes_version": control.catalog.version,
             "evacuated_data_centres": control.catalog.evacuated_data_centres,
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -18,7 +18,8 @@
 from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.logs import log_event
 
-from .leaderlink import ReportHandler
+from .leaderlink import MAX_WAIT_MS, ReportHandler
+from .leaderproxy import CallLeader, no_proxy
 from .messages import (
     LeaderReply,
     RelayedRequest,
@@ -39,6 +40,9 @@
 RELAY_PATH = "/relay"
 PEERS_PATH = "/peers"
 ROUTERS_PATH = "/routers"
+FOR_LEADER_PATH = "/leader"
+"""Prefix of the paths of calls that another router passes on to the leader."""
+LEADER_PATHS = (LINK_PATH, RESERVE_PATH, SUSPECTS_PATH, PROBATION_PATH, ROUTERS_PATH)
 RESERVE_TIMEOUT_S = 0.2
 """Time that the leader may take to reserve times at servers."""
 REPLY_TIMEOUT_S = 0.5
@@ -76,9 +80,14 @@
         relays: RelayReceiver,
         peer_urls: Callable[[], Sequence[str] | None],
         routers: Callable[[], Sequence[RouterPeer] | None] = lambda: None,
+        call_leader: CallLeader = no_proxy,
     ) -> None:
-        """``peer_urls`` and ``routers`` return None if this router does not lead."""
+        """``peer_urls`` and ``routers`` return None if this router does not lead.
+
+        ``call_leader`` passes a call of another router on to the leader.
+        """
         self._routers = routers
+        self._call_leader = call_leader
         self._report_handler = report_handler
         self._reserve_for_all = reserve_for_all
         self._suspects = suspects
@@ -97,7 +106,9 @@
         app.router.add_post(PROBATION_PATH, self._handle_probation)
         app.router.add_post(RELAY_PATH, self._handle_relayed)
         app.router.add_get(PEERS_PATH, self._list_peers)
-        app.router.add_get(ROUTERS_PATH, self._list_routers)
+        app.router.add_post(ROUTERS_PATH, self._list_routers)
+        for path in LEADER_PATHS:
+            app.router.add_post(FOR_LEADER_PATH + path, self._pass_to_leader)
         # A relayed request ends when the router that has sent it gives it up.
         self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await self._runner.setup()
@@ -155,6 +166,14 @@
             return web.Response(status=409)
         return web.Response(body=msgspec.msgpack.encode(routers))
 
+    async def _pass_to_leader(self, request: web.Request) -> web.Response:
+        path = request.path.removeprefix(FOR_LEADER_PATH)
+        leader_url = request.query.get("leader", "")
+        reply = await self._call_leader(leader_url, path, await request.read())
+        if reply is None:
+            return web.Response(status=409)
+        return web.Response(body=reply)
+
     def _encode_reply(self, report: RouterReport, leader_reply: LeaderReply) -> bytes:
         if leader_reply.shares is not None:
             # Shares are of one router, and a reply with them has no rows.
@@ -195,16 +214,24 @@
 class LinkClient:
     """HTTP client that sends reports to the leader."""
 
-    def __init__(self) -> None:
+    def __init__(self, find_via: Callable[[str], str | None] = lambda _: None) -> None:
+        """``find_via`` returns the URL of a router through which to call a leader.
+
+        None if the leader is called directly.
+        """
+        self._find_via = find_via
         self._session = create_client_session()
 
     async def send(self, url: str, report: RouterReport) -> LeaderReply | None:
         """Send a report to a leader's URL; implements ``SendReport``."""
         body = msgspec.msgpack.encode(report)
         timeout_s = report.wait_ms / 1000 + REPLY_TIMEOUT_S
+        target = self._leader_target(url, URL(url).path)
+        if target.path.startswith(FOR_LEADER_PATH):
+            timeout_s += REPLY_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=REPLY_TIMEOUT_S)
         try:
-            async with self._session.post(url, data=body, timeout=timeout) as reply:
+            async with self._session.post(target, data=body, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
                 content = await read_body(reply, MAX_REPLY_BYTES)
@@ -224,7 +251,7 @@
         """
         body = msgspec.msgpack.encode(requests)
         timeout = aiohttp.ClientTimeout(total=RESERVE_TIMEOUT_S)
-        reserve_url = URL(url).with_path(RESERVE_PATH)
+        reserve_url = self._leader_target(url, RESERVE_PATH)
         try:
             async with self._session.post(
                 reserve_url, data=body, timeout=timeout
@@ -280,24 +307,14 @@
 
     async def find_peers(self, url: str) -> list[str] | None:
         """Return the URLs of routers that reach servers, from the leader's URL."""
-        return await self._get_list(url, PEERS_PATH, list[str])
-
-    async def list_routers(self, url: str) -> list[RouterPeer] | None:
-        """Return where routers are and what they reach, from the leader's URL."""
-        return await self._get_list(url, ROUTERS_PATH, list[RouterPeer])
-
-    async def _get_list(
-        self, url: str, path: str, list_type: type[Message]
-    ) -> Message | None:
-        """Return a list from the leader, or None without one."""
         timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
-        target = URL(url).with_path(path)
+        target = URL(url).with_path(PEERS_PATH)
         try:
             async with self._session.get(target, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
                 content = await read_body(reply, MAX_REPLY_BYTES)
-                return decode_msgpack(content, list_type)
+                return decode_msgpack(content, list[str])
         except (
             aiohttp.ClientError,
             TimeoutError,
@@ -307,17 +324,46 @@
             log_event("peers_unknown", url=str(target), error=repr(error))
         return None
 
+    async def list_routers(self, url: str) -> list[RouterPeer] | None:
+        """Return where routers are and what they reach, from the leader's URL."""
+        content = await self._post(url, ROUTERS_PATH, b"")
+        if content is None:
+            return None
+        try:
+            return decode_msgpack(content, list[RouterPeer])
+        except msgspec.MsgspecError as error:
+            log_event("bad_router_list", url=url, error=str(error))
+        return None
+
+    async def pass_on(self, url: str, path: str, body: bytes) -> bytes | None:
+        """Pass a call of another router on to the leader; return the reply's body."""
+        timeout = aiohttp.ClientTimeout(
+            total=MAX_WAIT_MS / 1000 + REPLY_TIMEOUT_S, sock_connect=REPLY_TIMEOUT_S
+        )
+        return await self._post_to(URL(url).with_path(path), body, timeout)
+
+    def _leader_target(self, url: str, path: str) -> URL:
+        """Return where to send a call for a leader."""
+        via = self._find_via(url)
+        if via is None:
+            return URL(url).with_path(path)
+        return URL(via).with_path(FOR_LEADER_PATH + path).with_query(leader=url)
+
     async def _post(self, url: str, path: str, body: bytes) -> bytes | None:
-        """Return the leader's reply about suspects, or None without one."""
+        """Return the leader's reply to a call, or None without one."""
         timeout = aiohttp.ClientTimeout(total=SUSPECTS_TIMEOUT_S)
-        target = URL(url).with_path(path)
+        return await self._post_to(self._leader_target(url, path), body, timeout)
+
+    async def _post_to(
+        self, target: URL, body: bytes, timeout: aiohttp.ClientTimeout
+    ) -> bytes | None:
         try:
             async with self._session.post(target, data=body, timeout=timeout) as reply:
                 if reply.status != 200:
                     return None
                 return await read_body(reply, MAX_REPLY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            log_event("suspect_call_failed", url=str(target), error=repr(error))
+            log_event("leader_call_failed", url=str(target), error=repr(error))
         return None
 
     async def close(self) -> None:
--- a/tests/test_edge_data_centres.py
+++ b/tests/test_edge_data_centres.py
@@ -4,24 +4,29 @@
 import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from unittest.mock import patch
 
 import msgspec
 
 from bench.virtual_time import run_virtual, virtual_clock
+from mulberryrelay_edge import leaderproxy
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.datacentrereach import DataCentreReach
 from mulberryrelay_edge.datacentrerelay import REST_MS, DataCentreRelay
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaderlink import ReportHandler
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
+from mulberryrelay_edge.leaderproxy import LeaderProxy
+from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
 from mulberryrelay_edge.messages import (
     BackendServer,
     KeyReport,
+    LeaderNoticeRow,
     RouterPeer,
     RouterReport,
     RouterState,
 )
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.relay import RelayReceiver
 from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre
@@ -43,7 +48,12 @@
     raw_server,
     respond_with,
 )
-from .fixtures.relays import link_server_to
+from .fixtures.relays import (
+    link_server_of,
+    link_server_to,
+    no_request,
+    unused_reach,
+)
 from .fixtures.suspects import leaders_suspects
 
 HERE, THIRD, FAR = DataCentre("a"), DataCentre("b"), DataCentre("c")
@@ -52,6 +62,8 @@
 RETURN_S = 1.5
 """Time in which it notices that the data centre is reached again."""
 CONNECT_TIMEOUT_S = 0.5
+CALL_DELAY_S = 0.2
+"""Time that a call for the leader takes at the router between."""
 REQUESTS = 20
 
 
@@ -185,17 +197,13 @@
     run_virtual(scenario())
 
 
-@async_test
-async def test_the_leader_lists_where_routers_are_and_what_they_miss() -> None:
-    """Guards against requests that are relayed to routers which cannot help.
-
-    Routers of earlier builds and those that reach no server are told apart.
-    """
+def _leader(store_sync: StoreSync) -> LinkServer:
+    """Return the link server of a leader."""
     suspects = leaders_suspects(monotonic_ms)
     handler = ReportHandler(
         KeyLoad(monotonic_ms),
         Ownership(),
-        StoreSync(),
+        store_sync,
         suspects,
         lambda incarnation: None,
         lambda: True,
@@ -204,7 +212,121 @@
         BulkUpdates([], LINK_BYTES_PER_S, monotonic_ms),
         monotonic_ms,
     )
-    server = link_server_to(handler, suspects, monotonic_ms)
+    return link_server_to(handler, suspects, monotonic_ms)
+
+
+@async_test
+async def test_reports_reach_the_leader_through_a_third_data_centre() -> None:
+    """Guards against followers without a leader behind hanging links.
+
+    Also against a reply that looks newer than it is, after a delay on its way, against
+    calls to other addresses, and against calls without a bound.
+    """
+
+    async def call(url: str, path: str, body: bytes) -> bytes | None:
+        await asyncio.sleep(CALL_DELAY_S)
+        return await client.pass_on(leader_url, path, body)
+
+    store_sync = StoreSync()
+    leader = _leader(store_sync)
+    client = LinkClient()
+    unreached = False
+    with silent_address() as silent_port:
+        known_url = f"http://{HOST}:{silent_port}{LINK_PATH}"
+        notice = LeaderNoticeRow(1, "leader", known_url)
+        proxy = LeaderProxy(lambda: notice, lambda url: unreached, call)
+        third = link_server_of(
+            RelayReceiver(
+                lambda: None, unused_reach(monotonic_ms), no_request, monotonic_ms
+            ),
+            monotonic_ms,
+            proxy.forward,
+        )
+        third_url = f"http://{HOST}:{await third.start(HOST, 0)}{LINK_PATH}"
+        follower = LinkClient(lambda url: third_url)
+        leader_url = f"http://{HOST}:{await leader.start(HOST, 0)}{LINK_PATH}"
+        state = RouterState("http://a", unreached=(FAR,))
+        report = RouterReport("a", KeyReport({}, {}), {}, {}, True, 0.0, state=state)
+        try:
+            assert await client.send(known_url, report) is None, "the link hangs"
+            informed_ms = monotonic_ms()
+            store_sync.view_age.record_informed(informed_ms)
+            sent_ms = monotonic_ms()
+            reply = await follower.send(known_url, report)
+            assert reply is not None
+            known_after_ms = reply.servers_known_after_report_ms
+            assert known_after_ms is not None
+            assert sent_ms + known_after_ms <= informed_ms
+            listed = await follower.list_routers(known_url)
+            assert listed == [RouterPeer("http://a", DataCentre(""), (FAR,))]
+            assert await follower.send(leader_url, report) is None, "unknown leader"
+            with patch.object(leaderproxy, "MAX_CALLS", 0):
+                assert await follower.send(known_url, report) is None, "too many"
+            unreached = True
+            assert await follower.send(known_url, report) is None, "relayed twice"
+            assert proxy.calls == 0
+        finally:
+            await asyncio.gather(follower.close(), client.close())
+            await asyncio.gather(leader.close(), third.close())
+
+
+def test_the_leader_is_called_through_a_router_only_while_it_is_unreached() -> None:
+    """Guards against detours without the fault, and reports that hang with it."""
+
+    async def scenario() -> None:
+        answering = {HERE, THIRD, FAR}
+
+        async def probe(server: BackendServer) -> bool:
+            return server.data_centre in answering
+
+        reach = DataCentreReach(_servers, probe, virtual_clock)
+        peers = [RouterPeer("http://far", FAR), RouterPeer("http://third", THIRD)]
+        relay = DataCentreRelay(
+            reach,
+            HERE,
+            _servers,
+            lambda: False,
+            lambda: LeaderNoticeRow(1, "leader", "http://far"),
+            list,
+            _ListedPeers(peers),
+            lambda: None,
+            virtual_clock,
+        )
+        tasks = [asyncio.ensure_future(run()) for run in (reach.run, relay.run)]
+        await asyncio.sleep(0.1)
+        assert relay.find_via("http://far") is None
+        answering.discard(FAR)
+        relay.suspect_leader()
+        await asyncio.sleep(NOTICED_S)
+        assert relay.find_via("http://far") == "http://third"
+        assert relay.find_via("http://third") is None
+        assert relay.is_router_unreached("http://far")
+        answering.add(FAR)
+        await asyncio.sleep(RETURN_S)
+        assert relay.find_via("http://far") is None
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(scenario())
+
+
+class _ListedPeers(LinkClient):
+    """Calls of which only the list of routers gets a reply."""
+
+    def __init__(self, peers: list[RouterPeer]) -> None:
+        self._peers = peers
+
+    async def list_routers(self, url: str) -> list[RouterPeer] | None:
+        return self._peers
+
+
+@async_test
+async def test_the_leader_lists_where_routers_are_and_what_they_miss() -> None:
+    """Guards against requests that are relayed to routers which cannot help.
+
+    Routers of earlier builds and those that reach no server are told apart.
+    """
+    server = _leader(StoreSync())
     client = LinkClient()
     try:
         url = f"http://{HOST}:{await server.start(HOST, 0)}{LINK_PATH}"
