--- a/packages/edge/mulberryrelay_edge/datacentrerelay.py
+++ b/packages/edge/mulberryrelay_edge/datacentrerelay.py
@@ -28,10 +28,13 @@
 
 MIN_DATA_CENTRES = 3
 """Data centres from which on one of them can stand between two others."""
-REFRESH_PERIOD_S = 10.0
-"""Period in which the list of routers is read while all data centres are reached."""
-BUSY_REFRESH_PERIOD_S = 0.5
-"""The same while a data centre is unreached."""
+REFRESH_PERIOD_S = 20.0
+"""Period in which the list of routers is read while all data centres are reached.
+
+The list has 3 KB with 68 routers, and the leader sends it to all of them.
+"""
+BUSY_REFRESH_PERIOD_S = 2.0
+"""The same while a data centre is unreached, or there is no list yet."""
 LIST_TTL_MS = 60_000.0
 """Age from which a list of routers is not used."""
 REST_MS = 1000.0
@@ -192,12 +195,10 @@
             self._reach_changed.clear()
             data_centres = {server.data_centre for server in self._servers()}
             period_s = REFRESH_PERIOD_S
-            if not data_centres or self._reach.unreached:
-                period_s = BUSY_REFRESH_PERIOD_S
             if len(data_centres) >= MIN_DATA_CENTRES:
                 await self._refresh()
-                if self._listed_ms == float("-inf"):
-                    period_s = BUSY_REFRESH_PERIOD_S
+            if self._listed_ms == float("-inf") or self._reach.unreached:
+                period_s = BUSY_REFRESH_PERIOD_S
             try:
                 async with asyncio.timeout(period_s):
                     await self._reach_changed.wait()
