--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import RequestClass, ServerId
+from mulberryrelay_kernel.ids import DataCentre, RequestClass, ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_router.pool import Pool
@@ -21,6 +21,7 @@
 from .adapter import Adapter
 from .attemptsender import AttemptSender, is_final
 from .catalog import Catalog
+from .datacentrerelay import DataCentreRelay
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult
 from .keyload import KeyLoad
@@ -35,6 +36,7 @@
 )
 from .rangeedits import NO_SERVER
 from .relay import Relay, RelayFailure
+from .requestrelay import RequestRelay
 from .responses import (
     had_free_slot,
     may_have_run,
@@ -85,6 +87,7 @@
         suspects: Suspects,
         reach: ServerReach,
         relay: Relay,
+        data_centres: DataCentreRelay,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -93,8 +96,7 @@
         self._dispatcher = dispatcher
         self._key_load = key_load
         self._metrics = metrics
-        self._reach = reach
-        self._relay = relay
+        self._data_centre_reach = data_centres.reach
         self._clock = clock
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
@@ -106,9 +108,11 @@
             metrics,
             self._suspect_runs,
             reach,
+            data_centres.reach,
             clock,
         )
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
+        self._relays = RequestRelay(reach, relay, data_centres, self._budget, metrics)
 
     @property
     def response_buffer(self) -> ResponseBuffer:
@@ -136,14 +140,15 @@
         return response
 
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
-        if self._relay.is_needed and not request.is_relayed:
+        if self._relays.is_cut_off(request):
             return await self._relay_request(request, set())
-        is_keyed = self._catalog.is_keyed(request)
+        candidates, is_keyed = self.candidates(request)
+        if target := self._relays.target(request, candidates):
+            return await self._relay_request(request, set(), target)
         if is_keyed:
             self._key_load.record_request(request)
         else:
             self._dispatcher.shares.demand.record(request.service)
-        candidates = self._candidates(request, is_keyed)
         self._budget.record_request(request.service)
         with self._budget.open(request.service) as budget:
             return await self._forward_here(request, candidates, is_keyed, budget)
@@ -169,11 +174,13 @@
                 )
                 if response is not None:
                     return response
-            if self._relay.is_needed and not request.is_relayed:
+            if self._relays.is_cut_off(request):
                 return await self._relay_request(request, possibly_ran)
+            if target := self._relays.target(request, candidates):
+                return await self._relay_request(request, possibly_ran, target)
             permit = await self._acquire(request, candidates, is_keyed, tried)
             if isinstance(permit, QueueRefusal):
-                if await self._must_relay(request):
+                if await self._relays.must_relay(request, candidates):
                     continue
                 return self._refuse(request, result, permit, possibly_ran)
             server = permit.server
@@ -239,30 +246,17 @@
             return False
         return budget.try_consume_early()
 
-    async def _must_relay(self, request: EdgeRequest) -> bool:
-        """Return whether a refused request has to be relayed instead.
-
-        Servers look congested when the links to them are lost.
-        """
-        if request.is_relayed:
-            return False
-        if not self._reach.is_suspected and not self._reach.is_cut_off:
-            return False
-        return await self._relay.wait_needed(request.deadline_ms)
-
     async def _relay_request(
-        self, request: EdgeRequest, possibly_ran: set[ServerId]
+        self,
+        request: EdgeRequest,
+        possibly_ran: set[ServerId],
+        target: DataCentre | None = None,
     ) -> EdgeResponse:
-        """Pass a request on to another router, as this one reaches no server."""
-        relaying = self._relay.forward(
-            request, lambda: self._budget.try_consume(request.service)
-        )
-        if not request.route.is_idempotent:
-            # As with a server: it is not cancelled if its caller disconnects.
-            response = await asyncio.shield(asyncio.ensure_future(relaying))
-        else:
-            response = await relaying
-        self._metrics.count("relayed")
+        """Pass a request on to another router, as this one reaches no server for it.
+
+        ``target`` is the unreached data centre of its servers, None if all are.
+        """
+        response = await self._relays.send(request, target)
         if isinstance(response, EdgeResponse):
             if response.is_from_router and response.status == 503 and possibly_ran:
                 return router_response(502)
@@ -342,7 +336,9 @@
 
     def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
         if not is_keyed:
-            return lambda: self._catalog.serving(request.service)
+            return lambda: self._data_centre_reach.usable(
+                self._catalog.serving(request.service)
+            )
         key = request.key
         assert key is not None
 
