Bound heads and unread responses at the router of mulberryrelay

Cause: its connections had the same gap as those of the edge router: heads without end are kept until the header time has passed, and only the first head of a connection has such a time. Change: its listener uses limitedconnections as well, with limits.header_bytes and limits.header_timeout_ms for each head, a bound on what callers hold, and the longest deadline as the time without progress. Its own limit of connections stays.

--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -20,7 +20,7 @@
 
 from .adapter import Adapter
 from .callerhandler import CallerHandler
-from .callerlimits import head_limits
+from .callerlimits import MAX_LINE_BYTES, caller_head_limits
 from .catalog import Catalog
 from .forwarder import RequestForwarder
 from .options import EdgeOptions
@@ -36,11 +36,6 @@
 """
 READ_AHEAD_BYTES = 65_536
 """Bytes read from a connection whose body waits for room in memory."""
-MAX_HEADER_BYTES = 65_536
-"""Limit of aiohttp for one line and one header field.
-
-The limit for all headers together is in the routes.
-"""
 DEREGISTRATION_S = 2.6
 """Time for which a stopping router still accepts connections.
 
@@ -113,7 +108,7 @@
         self._limiter = ClientLimiter(
             self._options.max_caller_connections,
             self._options.max_caller_bytes,
-            lambda: head_limits(catalog.routes, MAX_HEADER_BYTES),
+            lambda: caller_head_limits(catalog.routes),
         )
         self._runner: web.ServerRunner | None = None
         self._listener: socket.socket | None = None
@@ -146,8 +141,8 @@
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
             read_bufsize=READ_AHEAD_BYTES,
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=1.0)
--- a/packages/kernel/mulberryrelay_kernel/limitedconnections.py
+++ b/packages/kernel/mulberryrelay_kernel/limitedconnections.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -13,7 +13,7 @@
 from aiohttp.web_protocol import _ErrInfo
 
 from .callerconnections import CallerConnection, CallerConnectionServer
-from .clientlimits import ClientLimiter, DisconnectReason
+from .clientlimits import ClientLimiter, DisconnectReason, HeadLimits
 
 READ_BYTES = 32_768
 """Bytes read from a connection at once.
@@ -26,12 +26,32 @@
 """A caller may send some before a head; they begin none, RFC 9112 section 2.2."""
 BODY_STALL_S = 10.0
 """Time without a byte of a body after which its connection may be closed for others."""
+MAX_FIELDS = 128
+"""Number of header fields that the parser accepts."""
+FIELD_OVERHEAD_BYTES = 4
+"""Bytes of a header line beside its name and value: a colon, a space and its end."""
+QUEUED_HEADS = 4
+"""Heads of maximum length that may wait on one connection before reading stops."""
 REFUSED_STATUSES = {
     DisconnectReason.HEAD_TOO_LONG: 431,
     DisconnectReason.HEAD_TOO_SLOW: 408,
 }
 
 
+def head_limits(
+    header_bytes: int, request_line_bytes: int, timeout_s: float
+) -> HeadLimits:
+    """Return limits that no head exceeds whose fields and request line are permitted.
+
+    ``header_bytes`` counts names and values of all fields. A head that is longer than
+    permitted, but within these limits, is refused by its handler once it is complete.
+    """
+    fields_bytes = header_bytes + MAX_FIELDS * FIELD_OVERHEAD_BYTES
+    return HeadLimits(
+        request_line_bytes + fields_bytes, timeout_s, QUEUED_HEADS * fields_bytes
+    )
+
+
 class LimitedConnection(CallerConnection):
     """A connection of a caller, known to a ``ClientLimiter`` as long as it is open."""
 
@@ -99,12 +119,13 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._client_transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        if hasattr(transport, "max_size"):
+        # Transports of uvloop are no subclass.
+        client_transport = cast(asyncio.Transport, transport)
+        self._client_transport = client_transport
+        client_transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        if hasattr(client_transport, "max_size"):
             # asyncio has no public way to set it; uvloop has no such bound.
-            transport.max_size = READ_BYTES
+            client_transport.max_size = READ_BYTES
         super().connection_made(transport)
         self._limiter.open(self)
 
--- a/packages/router/mulberryrelay_router/listener.py
+++ b/packages/router/mulberryrelay_router/listener.py
@@ -1,16 +1,19 @@
 """HTTP listener for callers, and its shutdown without cutting off requests."""
 
 import asyncio
+from math import inf
 from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from mulberryrelay_kernel.callerconnections import (
-    CallerConnectionServer,
-    drain_connections,
-)
+from mulberryrelay_kernel.callerconnections import drain_connections
+from mulberryrelay_kernel.clientlimits import ClientLimiter, HeadLimits
 from mulberryrelay_kernel.clock import monotonic_ms
+from mulberryrelay_kernel.limitedconnections import (
+    LimitedConnectionServer,
+    head_limits,
+)
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.options import Options
 
@@ -23,7 +26,11 @@
 CONNECTION_POLL_S = 0.01
 
 
-class CallerServer(CallerConnectionServer):
+MAX_CALLER_BYTES = 268_435_456
+"""Bytes of heads and unread responses that all callers together may hold."""
+
+
+class CallerServer(LimitedConnectionServer):
     """Limits the number of connections and the time until their first headers arrive.
 
     aiohttp has a single time limit for idle connections and for slow headers. A limit
@@ -31,8 +38,13 @@
     """
 
     def __init__(self, options: Options, handler: Handler, **settings: Any) -> None:
-        super().__init__(self._handle, **settings)
         self._limits = options.limits
+        # This class limits the connections, as it tells no idle ones from others. A
+        # request may last until its deadline, and so may its response.
+        limiter = ClientLimiter(
+            inf, MAX_CALLER_BYTES, self._head_limits, self._limits.deadline_ms / 1000
+        )
+        super().__init__(limiter, self._handle, **settings)
         self._request_handler = handler
         self._header_timers: dict[RequestHandler, asyncio.TimerHandle] = {}
         self._is_full = False
@@ -63,6 +75,11 @@
         self._cancel_header_timer(handler)
         super().connection_lost(handler, exc)
 
+    def _head_limits(self) -> HeadLimits:
+        limits = self._limits
+        timeout_s = limits.header_timeout_ms / 1000
+        return head_limits(limits.header_bytes, MAX_HEADER_LINE_BYTES, timeout_s)
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self._cancel_header_timer(request.protocol)
         return await self._request_handler(request)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -105,6 +105,27 @@
         writer.close()
 
 
+@async_test
+async def test_heads_that_do_not_end_are_refused() -> None:
+    """Guards against heads that are kept until the time for them has passed."""
+    filler = b"X-Filler: " + b"x" * 8000 + b"\r\n"
+    start = f"{PAY} HTTP/1.1\r\nHost: r\r\n".encode()
+    first = start + b"Content-Length: 0\r\n\r\n"
+    cases = [start + filler * 40, b"\r\n" * 100_000, first + start + filler * 40]
+    async with (
+        raw_server() as server,
+        running_router(
+            [server.entry()], limits={"header_timeout_ms": 60_000}
+        ) as router,
+    ):
+        for request in cases:
+            reader, writer = await asyncio.open_connection("127.0.0.1", router.port)
+            writer.write(request)
+            async with asyncio.timeout(10):
+                await read_rest(reader)
+            writer.close()
+
+
 async def read_rest(reader: asyncio.StreamReader) -> bytes:
     """Return the bytes that arrive until the connection ends; empty after a reset."""
     try:
--- a/tests/test_edge_client_limits.py
+++ b/tests/test_edge_client_limits.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from mulberryrelay_edge.callerlimits import head_limits
-from mulberryrelay_edge.callers import MAX_HEADER_BYTES
+from mulberryrelay_edge.callerlimits import caller_head_limits
 from mulberryrelay_edge.pipelining import MAX_CONCURRENT_REQUESTS
 from mulberryrelay_kernel.clientlimits import ClientLimiter
 from mulberryrelay_platform.names import HEADERS
@@ -99,7 +98,7 @@
         edge_router() as router,
     ):
         router.register_server(server)
-        limits = head_limits(router.routes, MAX_HEADER_BYTES)
+        limits = caller_head_limits(router.routes)
         short = type(limits)(limits.max_bytes, 0.2, limits.max_queued_bytes)
         router.callers.limiter._head_limits = lambda: short
         await router.callers.start()
