Test the limit of callers' connections that follows from the settings

Cause: no test covered how Limits.MaxFds and Limits.MemoryMb are used. Change: a test of the derived limit, with the figures of both deployments.

--- a/tests/test_edge_client_limits.py
+++ b/tests/test_edge_client_limits.py
@@ -6,6 +6,7 @@
 from mulberryrelay_edge.pipelining import MAX_CONCURRENT_REQUESTS
 from mulberryrelay_kernel.clientlimits import ClientLimiter
 from mulberryrelay_platform.names import HEADERS
+from mulberryrelay_platform.settings import parse_settings
 
 from .fixtures import async_test, wait_until
 from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router
@@ -219,3 +220,20 @@
         assert limiter.gauges()["clients_refused_response_unread"] == 1
         writer.close()
         await router.callers.stop()
+
+
+def test_connections_follow_from_descriptors_and_memory() -> None:
+    """Guards against a process that accepts more than its machine can hold."""
+    base = (
+        "Listen.Front=127.0.0.1:1\nListen.Ready=127.0.0.1:2\nNode=a\nZone=b\n"
+        "Provider.Address=127.0.0.1:3\nInternalPorts=4\n"
+    )
+    cases = {
+        "": 1250,
+        "Limits.MaxFds=1638\nLimits.MemoryMb=160": 819,
+        "Limits.MaxFds=8192\nLimits.MemoryMb=200": 1250,
+        "Limits.MaxFds=1": 1,
+    }
+    for lines, connections in cases.items():
+        options = parse_settings(base + lines, "settings").options
+        assert options.max_caller_connections == connections, lines
