Refuse no request and hold back no owner of keys for a short rest

Cause: a reset made a server rest for 0.1 to 0.4 s. Change: only requests that other servers can run avoid a resting server, and the wait by which requests are refused leaves the rest out.

--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -228,7 +228,7 @@
 
     def _first_wait_ms(self, server: BackendServer, is_keyed: bool) -> float:
         """Return the expected time until the next request is sent to a server."""
-        wait_ms = self._loads.wait_ms(server)
+        wait_ms = self._loads.room_wait_ms(server)
         if is_keyed:
             return wait_ms
         return max(wait_ms, self._limits.wait_ms(server, 0) or 0.0)
--- a/packages/edge/mulberryrelay_edge/sendwindow.py
+++ b/packages/edge/mulberryrelay_edge/sendwindow.py
@@ -67,10 +67,10 @@
     def wait_ms(self, in_flight: int, latency_ms: float) -> float:
         """Return the expected time until one more request may be sent."""
         closed_ms = max(0.0, self._closed_until_ms - self._clock())
-        return max(closed_ms, self._turn_ms(in_flight, latency_ms))
+        return max(closed_ms, self.room_wait_ms(in_flight, latency_ms))
 
-    def _turn_ms(self, in_flight: int, latency_ms: float) -> float:
-        """Return the time until there is room in the window."""
+    def room_wait_ms(self, in_flight: int, latency_ms: float) -> float:
+        """Return the expected time until there is room, also while it is closed."""
         size = self.size(latency_ms)
         if size >= 1.0:
             return 0.0 if in_flight < size else latency_ms / size
--- a/packages/edge/mulberryrelay_edge/serverload.py
+++ b/packages/edge/mulberryrelay_edge/serverload.py
@@ -211,22 +211,22 @@
 
     def has_capacity(self, server: BackendServer) -> bool:
         """Return whether one more request without a key may be sent to a server."""
-        return self._has_room(server, MAX_QUEUED_AT_SERVER)
+        stats = self.stats(server)
+        if self.pause_ms(server) > 0:
+            return False
+        if not stats.window.is_open(stats.in_flight, stats.usual_ms):
+            return False
+        return self.expected_load(server) < server.slots + MAX_QUEUED_AT_SERVER
 
     def has_capacity_for_key(self, server: BackendServer) -> bool:
         """Return whether one more request may be sent to the owner of its key.
 
-        No other server can run it, so that more requests may wait there.
+        No other server can run it, so that more requests may wait there, also while
+        the server rests.
         """
-        return self._has_room(server, MAX_QUEUED_AT_KEY_OWNER)
-
-    def _has_room(self, server: BackendServer, max_queued: float) -> bool:
-        stats = self.stats(server)
-        if self.pause_ms(server) > 0:
+        if self.room_wait_ms(server) > 0:
             return False
-        if not stats.window.is_open(stats.in_flight, stats.usual_ms):
-            return False
-        return self.expected_load(server) < server.slots + max_queued
+        return self.expected_load(server) < server.slots + MAX_QUEUED_AT_KEY_OWNER
 
     def window_size(self, server: BackendServer) -> float:
         """Return how many requests this router may have in flight at a server."""
@@ -240,6 +240,15 @@
             return True
         return stats.window.is_congested(stats.usual_ms)
 
+    def room_wait_ms(self, server: BackendServer) -> float:
+        """Return the expected time until a server takes a request, without its rest.
+
+        A rest is short, so that requests wait for it rather than being refused.
+        """
+        stats = self.stats(server)
+        wait_ms = stats.window.room_wait_ms(stats.in_flight, stats.usual_ms)
+        return max(wait_ms, self.pause_ms(server))
+
     def wait_ms(self, server: BackendServer) -> float:
         """Return the expected time until a request may be sent to a server."""
         stats = self.stats(server)
