Take no old rows of a restored store for new statements

After a restore all rows have new versions. A row that states the coldness of a start long ago then made its server count as cold again, at all routers together, and an older row ended the coldness of a server.

A row that is unchanged across a restore now states nothing new, and the first row of a restored store does not shorten the coldness.

--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -437,7 +437,9 @@
             listed.add(server)
             self._missing.pop(server, None)
             self._log_entry_change(entry, row.version, stored_from_ms)
-            self._cold.record_entry(entry, row.version, not self._has_read_servers)
+            self._cold.record_entry(
+                entry, row.version, not self._has_read_servers, row.value or b""
+            )
             self._apply_entry(entry, stored_from_ms)
         self._has_read_servers = True
         if is_complete:
--- a/packages/edge/mulberryrelay_edge/coldservers.py
+++ b/packages/edge/mulberryrelay_edge/coldservers.py
@@ -18,6 +18,7 @@
 
 from .messages import BackendServer, ServerRefusal, Service
 from .serverrefusals import ServerRefusals
+from .storeversion import restores_of
 
 COLD_MARGIN_MS = 200.0
 """Time added to the end of coldness, for clocks that run at different speeds."""
@@ -88,6 +89,8 @@
         """Start time of the incarnation of the last entry."""
         self.version: int | None = None
         """Version of the row of the last entry."""
+        self.value = b""
+        """Content of that row."""
         self.stated_ms = -inf
         """Time of the last statement."""
         self.stated_until_ms = -inf
@@ -155,12 +158,17 @@
         return sum(self.limit_per_s(server) is not None for server in self._servers())
 
     def record_entry(
-        self, entry: BackendServer, version: int, is_first_read: bool
+        self,
+        entry: BackendServer,
+        version: int,
+        is_first_read: bool,
+        value: bytes = b"",
     ) -> None:
         """Record what the row of a server states, in this version of the row.
 
-        A row that is read again states nothing new. ``is_first_read`` tells whether
-        the router has read no entries before, so that the server may have run for long.
+        A row that is read again states nothing new, nor does one that a restored store
+        has from before, with the same ``value``. ``is_first_read`` tells whether the
+        router has read no entries before, so that the server may have run for long.
         """
         now_ms = self._clock()
         state = self._states.get(entry.server)
@@ -172,14 +180,22 @@
             state.suspected_until_ms = min(until_ms, self._cold_until_ms(entry))
         elif version == state.version:
             return
+        is_restored = state.version is not None and (
+            restores_of(version) != restores_of(state.version)
+        )
+        if is_restored and value == state.value:
+            state.version = version
+            return
         left_ms = entry.slow_start_left_ms
         is_new = not is_same and not is_first_read
         if is_new and not entry.is_coldness_stated and self._cold_per_s(entry):
             left_ms = self._cold_start_ms(entry)
         until_ms = now_ms + left_ms + COLD_MARGIN_MS if left_ms > 0 else -inf
-        if state.version is not None and version < state.version:
+        is_older = state.version is not None and version < state.version
+        if is_older or is_restored:
             until_ms = max(until_ms, state.stated_until_ms)
         state.version = version
+        state.value = value
         self._state_until(entry, state, until_ms)
 
     def record_removal(self, server: ServerId) -> None:
--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -41,6 +41,7 @@
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.serverlimits import ServerLimits
 from mulberryrelay_edge.serverrefusals import ServerRefusals
+from mulberryrelay_edge.storeversion import store_version
 from mulberryrelay_kernel.ids import DataCentre, ServerId
 
 from .fixtures import async_test
@@ -569,3 +570,23 @@
             await asyncio.sleep(RESET_MS / 1000)
             assert router.dispatcher.limits.is_cold(entry) is is_crash
             assert bool(router.catalog.cold.refusals.own) is is_crash
+
+
+def test_a_restored_store_ends_no_coldness_and_begins_none() -> None:
+    """Guards against all servers held back, or a cold one loaded, after a restore."""
+
+    async def scenario() -> None:
+        cold = ColdServers(lambda: SERVICES, list, lambda: BOUND, virtual_clock)
+        entry = backend(1, slow_start_left_ms=2000.0)
+        cold.record_entry(entry, 7, False, b"7")
+        await asyncio.sleep(2.5)
+        cold.record_entry(entry, store_version(1, 7), False, b"7")
+        assert cold.limit_per_s(entry) is None, "the row was known before"
+        cold.record_entry(entry, store_version(1, 8), False, b"8")
+        assert cold.limit_per_s(entry) == COLD_PER_S
+        cold.record_entry(backend(1), store_version(2, 5), False, b"5")
+        assert cold.limit_per_s(entry) == COLD_PER_S, "the row is an older one"
+        cold.record_entry(backend(1), store_version(2, 9), False, b"9")
+        assert cold.limit_per_s(entry) is None
+
+    run_virtual(scenario())
