--- a/tests/test_edge_cold_servers.py
+++ b/tests/test_edge_cold_servers.py
@@ -590,3 +590,26 @@
         assert cold.limit_per_s(entry) is None
 
     run_virtual(scenario())
+
+
+def test_all_routers_soon_learn_that_a_server_is_cold() -> None:
+    """Guards against routers that send as before for longer than is planned for.
+
+    Other entries change all the time, as when a data centre returns.
+    """
+
+    async def scenario() -> None:
+        fleet = await start_settled_fleet(routers=ROUTERS)
+        entry, other = (server.entry for server in fleet.servers.incarnations[:2])
+        for change in range(1, 6):
+            for slots in range(1, 9):
+                fleet.register(msgspec.structs.replace(other, slots=slots))
+                await asyncio.sleep(0.05)
+            fleet.register(msgspec.structs.replace(entry, slow_start_left_ms=change))
+            await asyncio.sleep(MAX_NEWS_S)
+            for router in fleet.routers:
+                known = router.catalog.server(entry.server)
+                assert known is not None and known.slow_start_left_ms == change
+        fleet.stop()
+
+    run_virtual(scenario())
