End the pause before a retry at the deadline

Cause: a request with a key pauses 0.05 s times its retries before the next one, also beyond its deadline. A router that relayed the request then gets "not run" too late and has to respond 502 instead of 503.

Change: the pause is at most the time that is left.

--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -221,7 +221,8 @@
             if is_keyed:
                 # Only the owner can run the request, so retry there after a pause.
                 tried.clear()
-                await asyncio.sleep(RETRY_BACKOFF_S * retries)
+                left_s = (request.deadline_ms - self._clock()) / 1000
+                await asyncio.sleep(min(RETRY_BACKOFF_S * retries, left_s))
             elif len(tried) >= len(candidates()):
                 tried.clear()
                 await asyncio.sleep(RETRY_BACKOFF_S)
