Notice connections that hang before they time out

Probes were also made with servers in one data centre only, where they show nothing.

Change: an attempt that is not written within 0.15 s is a hint on its data centre; hints are ignored without servers elsewhere.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -29,6 +29,9 @@
 from .serverreach import ServerReach
 from .suspectruns import SuspectRuns
 
+SLOW_CONNECT_S = 0.15
+"""Time without a connection after which its data centre may not be reached."""
+
 
 class AttemptSender:
     """Sends the attempts of one router."""
@@ -123,7 +126,12 @@
     ) -> AttemptResult:
         """Send an attempt whose crashes the calling code watches for."""
 
+        hint = asyncio.get_running_loop().call_later(
+            SLOW_CONNECT_S, self._data_centres.suspect, server.data_centre
+        )
+
         def find_obstacle() -> Obstacle | None:
+            hint.cancel()
             return self._find_obstacle(request, server, send_id, is_probation)
 
         if is_probation:
@@ -143,6 +151,7 @@
             )
             result = await exchange.run(self._pool)
         finally:
+            hint.cancel()
             load = result.load if result is not None else None
             if result is not None and result.stream is not None:
                 latency_ms = loads.begin_body(server, send_id, load)
--- a/packages/edge/mulberryrelay_edge/datacentrereach.py
+++ b/packages/edge/mulberryrelay_edge/datacentrereach.py
@@ -99,6 +99,9 @@
             return
         if now_ms - self._last_response_ms(data_centre) < ANSWERED_MS:
             return
+        if all(s.data_centre == data_centre for s in self._servers()):
+            # No server elsewhere can show that the fault is between data centres.
+            return
         self._failed_rounds[data_centre] = 0
         self._suspected_ms[data_centre] = now_ms
         self._hint.set()
