Keep the requests of restricted routes in their regions

A route may state AllowedRegions, but requests went to any server, and to any router when they were passed on.

Decode the list from the route's record, and the regions of data centres and of this machine from the settings. An invalid or empty list allows no region; an invalid region in the settings is unknown. Filter candidates, refuse requests whose owner is elsewhere at once with 503, check again at the write, and pass such requests on only to routers that state an allowed region. A full region holds no requests for others back in the queue.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -25,6 +25,7 @@
 from .keyload import KeyLoad
 from .messages import BackendServer, EdgeRequest
 from .overdue import OverdueWatch
+from .regions import RegionRules
 from .responses import had_free_slot
 from .responsestream import StreamEnd
 from .serverreach import ServerReach
@@ -45,6 +46,7 @@
         suspect_runs: SuspectRuns,
         reach: ServerReach,
         data_centres: DataCentreReach,
+        regions: RegionRules,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -56,6 +58,7 @@
         self._suspect_runs = suspect_runs
         self._reach = reach
         self._data_centres = data_centres
+        self._regions = regions
         self._clock = clock
         self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
         self._unread_headers = UnreadHeaders(
@@ -251,6 +254,9 @@
         """
         if not self._catalog.may_send_to(server):
             return Obstacle.MAY_HAVE_LEFT
+        current = self._catalog.server(server.server) or server
+        if not self._regions.may_get(request, current):
+            return Obstacle.REGION
         if self._dispatcher.loads.pause_ms(server) > 0:
             return Obstacle.WANTS_NONE
         if not self._dispatcher.limits.may_write(server, send_id):
--- a/packages/edge/mulberryrelay_edge/catalog.py
+++ b/packages/edge/mulberryrelay_edge/catalog.py
@@ -277,14 +277,23 @@
         """Return the registered servers of all services."""
         return list(self._servers.values())
 
-    def serving(self, service: ServiceName) -> list[BackendServer]:
+    def serving(
+        self,
+        service: ServiceName,
+        is_allowed: Callable[[BackendServer], bool] | None = None,
+    ) -> list[BackendServer]:
         """Return the servers of a service that get requests without a key.
 
+        With ``is_allowed``, only those servers count for which it returns True.
+
         They do not drain, and are not in an evacuated data centre if there are others.
         Those whose registration is missing are returned only if there are no others,
         and none while the view is too old.
         """
-        usable = self._evacuations.usable(self._active(service))
+        active = self._active(service)
+        if is_allowed is not None:
+            active = [s for s in active if is_allowed(s)]
+        usable = self._evacuations.usable(active)
         registered = [s for s in usable if s.server not in self._missing]
         return registered or usable
 
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -43,6 +43,7 @@
 )
 from .owneroverload import KeyedLoad, OwnerOverload
 from .ownership import RANGES_TABLE, Ownership
+from .regions import RegionRules, own_region
 from .relay import Relay, RelayReceiver
 from .reservations import ReservationSource
 from .routershares import RouterShares
@@ -182,6 +183,7 @@
             forward,
             clock,
             self._data_centre_reach.is_unreached,
+            lambda: own_region(adapter.options),
         )
         self._reservations = ReservationSource(
             boot_id,
@@ -208,6 +210,7 @@
             lambda: self._routers(report_handler),
             self._leader_proxy.forward,
         )
+        regions = RegionRules(lambda: adapter.options, lambda: self._catalog.routes)
         self._relay = Relay(
             self._reach,
             lambda: lease.is_valid,
@@ -216,6 +219,7 @@
             self._link_client,
             on_relay_ready,
             clock,
+            lambda url: self._data_centre_relay.region_of(url),
         )
         self._data_centre_relay = DataCentreRelay(
             self._data_centre_reach,
@@ -227,6 +231,7 @@
             self._link_client,
             on_data_centre_relay_ready,
             clock,
+            lambda: regions.has_restricted_routes,
         )
         self._direct_reads = DirectReads()
         self._link = LeaderLink(
@@ -241,6 +246,7 @@
                 self._catalog.leaving,
                 self._catalog.cold.refusals.own,
                 self._data_centre_reach.unreached,
+                own_region(adapter.options),
             ),
             boot_id,
             lambda: lease.is_valid,
@@ -383,6 +389,7 @@
             self._link_url,
             self._adapter.options.data_centre,
             self._data_centre_reach.unreached,
+            own_region(self._adapter.options),
         )
         return [*([] if self._reach.is_cut_off else [own]), *report_handler.peers]
 
--- a/packages/edge/mulberryrelay_edge/datacentrerelay.py
+++ b/packages/edge/mulberryrelay_edge/datacentrerelay.py
@@ -24,6 +24,7 @@
     RouterPeer,
 )
 from .queuedrequest import Candidates
+from .regions import AllowedRegions, is_allowed
 from .relay import MAX_RELAY_ATTEMPTS, RelayCalls, RelayFailure, pass_on
 
 MIN_DATA_CENTRES = 3
@@ -64,12 +65,15 @@
         calls: PeerCalls,
         on_ready: Callable[[], None],
         clock: Clock,
+        needs_regions: Callable[[], bool] = lambda: False,
     ) -> None:
         """``data_centre`` is the one of this router.
 
         ``own_peers`` returns the routers that report to this one while it leads.
         ``on_ready`` is called when queued requests may have to be passed on.
+        ``needs_regions`` returns whether the regions of other routers matter.
         """
+        self._needs_regions = needs_regions
         self._reach = reach
         self._data_centre = data_centre
         self._servers = servers
@@ -108,10 +112,16 @@
         if not self._reach.are_unreached(servers):
             return None
         target = servers[0].data_centre
-        return target if self.routers_for(target) else None
+        allowed = request.route.allowed_regions
+        return target if self.routers_for(target, allowed) else None
 
-    def routers_for(self, data_centre: DataCentre) -> list[str]:
-        """Return URLs of routers in third data centres that reach both."""
+    def routers_for(
+        self, data_centre: DataCentre, allowed: AllowedRegions = None
+    ) -> list[str]:
+        """Return URLs of routers in third data centres that reach both.
+
+        They are in one of the allowed regions.
+        """
         now_ms = self._clock()
         if now_ms - self._listed_ms > LIST_TTL_MS:
             return []
@@ -119,12 +129,22 @@
             peer.url
             for peer in self._peers
             if peer.data_centre not in ("", self._data_centre, data_centre)
+            and is_allowed(peer.region, allowed)
             and data_centre not in peer.unreached
             and self._data_centre not in peer.unreached
             and not self._reach.is_unreached(peer.data_centre)
             and now_ms >= self._rests_until_ms.get(peer.url, float("-inf"))
         ]
 
+    def region_of(self, url: str) -> str:
+        """Return the region of the router with this URL; empty if unknown."""
+        if self._clock() - self._listed_ms > LIST_TTL_MS:
+            return ""
+        for peer in self._peers:
+            if peer.url == url:
+                return peer.region
+        return ""
+
     @property
     def is_leader_relayed(self) -> bool:
         """Whether calls for the leader go through another router."""
@@ -175,7 +195,7 @@
         if self._passed_on >= MAX_PASSED_ON:
             log_event("relay_full", request_id=request.request_id, data_centre=target)
             return RelayFailure.NOT_SENT
-        urls = self.routers_for(target)
+        urls = self.routers_for(target, request.route.allowed_regions)
         urls = random.sample(urls, min(MAX_RELAY_ATTEMPTS, len(urls)))
         self._passed_on += 1
         try:
@@ -195,7 +215,7 @@
             self._reach_changed.clear()
             data_centres = {server.data_centre for server in self._servers()}
             period_s = REFRESH_PERIOD_S
-            if len(data_centres) >= MIN_DATA_CENTRES:
+            if len(data_centres) >= MIN_DATA_CENTRES or self._needs_regions():
                 await self._refresh()
             if self._listed_ms == float("-inf") or self._reach.unreached:
                 period_s = BUSY_REFRESH_PERIOD_S
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -32,6 +32,7 @@
     on_time_return_s,
     retry_after_s,
 )
+from .regions import AllowedRegions
 from .routershares import RouterShares
 from .serverchoice import ServerChooser
 from .serverlimits import ColdLimit, Reserve, ServerLimits, no_cold_limit
@@ -301,7 +302,8 @@
 
         full: set[ServerId] = set()
         held_back: Counter[ServerId] = Counter()
-        are_all_full = False
+        full_regions: set[AllowedRegions] = set()
+        """Restrictions of requests without a key for which no server has room."""
         for queued in sorted(queue, key=sort_key):
             if queued.permit.done():
                 continue
@@ -318,7 +320,7 @@
                     continue
                 if owners[0].server in full:
                     continue
-            elif are_all_full:
+            elif queued.request.route.allowed_regions in full_regions:
                 continue
             permit = self._try_admit(queued)
             if permit is not None:
@@ -327,9 +329,10 @@
             if queued.is_keyed:
                 full.add(owners[0].server)
             elif not queued.avoided:
-                # No later request without a key can be sent either. The owner of a key
-                # may still have capacity, as more requests may wait there.
-                are_all_full = True
+                # No later request without a key that may go to the same regions can be
+                # sent either. The owner of a key may still have capacity, as more
+                # requests may wait there.
+                full_regions.add(queued.request.route.allowed_regions)
 
     def _wait_for_limit(
         self, queued: QueuedRequest, owner: BackendServer, held_back: Counter[ServerId]
--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -84,6 +84,7 @@
     WANTS_NONE = "server-paused"
     MAY_CRASH = "request-may-crash-servers"
     COLD = "server-cold"
+    REGION = "region-not-allowed"
 
 
 FindObstacle = Callable[[], Obstacle | None]
--- a/packages/edge/mulberryrelay_edge/explain.py
+++ b/packages/edge/mulberryrelay_edge/explain.py
@@ -24,6 +24,7 @@
 from .forwarder import RequestForwarder
 from .messages import BackendServer, EdgeRequest, KeyRange, Route, ServiceShare
 from .ownership import Ownership
+from .queuedrequest import RefusalReason
 from .routematcher import RouteMatcher
 
 MAX_EXPLAINED_SERVERS = 500
@@ -61,6 +62,8 @@
     is_limit_open: bool
     limit_wait_ms: float | None
     """Time until the next reserved time; None if it is not known."""
+    is_region_allowed: bool = True
+    """Whether the route allows the region of the server."""
 
 
 class ServiceFacts(msgspec.Struct, frozen=True, kw_only=True):
@@ -161,6 +164,8 @@
         key_range is None or not key_range.is_owned_by(facts.server)
     ):
         reasons.append("not the owner of the key")
+    if not facts.is_region_allowed:
+        reasons.append("outside the allowed regions")
     if not reasons and not facts.is_candidate:
         reasons.append("not registered, or the view is too old")
     if facts.share == 0.0:
@@ -244,6 +249,10 @@
             deadline_ms=now_ms + route.timeout_ms,
         )
         candidates, is_keyed = self._forwarder.candidates(request)
+        preview = self._dispatcher.preview(request, candidates, is_keyed)
+        if self._forwarder.is_outside_regions(request):
+            refusal = RefusalReason.REGION.value
+            preview = msgspec.structs.replace(preview, refusal=refusal)
         names = {server.server for server in candidates()}
         return ServiceFacts(
             share=share,
@@ -251,17 +260,26 @@
             key_range=self._find_range(share.service, key if is_keyed else None),
             is_view_usable=self._catalog.is_view_usable,
             servers=[
-                self._collect_server(server, server.server in names, is_keyed)
+                self._collect_server(
+                    server,
+                    server.server in names,
+                    is_keyed,
+                    self._forwarder.regions.may_get(request, server),
+                )
                 for server in self._catalog.servers(share.service)
             ][:MAX_EXPLAINED_SERVERS],
-            preview=self._dispatcher.preview(request, candidates, is_keyed),
+            preview=preview,
         )
 
     def _find_range(self, service: ServiceName, key: int | None) -> KeyRange | None:
         return self._ownership.find(service, key) if key is not None else None
 
     def _collect_server(
-        self, server: BackendServer, is_candidate: bool, is_keyed: bool
+        self,
+        server: BackendServer,
+        is_candidate: bool,
+        is_keyed: bool,
+        is_region_allowed: bool,
     ) -> ServerFacts:
         loads, limits = self._dispatcher.loads, self._dispatcher.limits
         evacuations = self._catalog.evacuations
@@ -292,4 +310,5 @@
             is_cold=limits.is_cold(server),
             is_limit_open=limits.is_open(server),
             limit_wait_ms=limits.wait_ms(server, 0),
+            is_region_allowed=is_region_allowed,
         )
--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -35,6 +35,7 @@
     SendPermit,
 )
 from .rangeedits import NO_SERVER
+from .regions import RegionRules
 from .relay import Relay, RelayFailure
 from .requestrelay import RequestRelay
 from .responses import (
@@ -66,6 +67,12 @@
 
 A request without a key pauses for this time whenever all servers were tried.
 """
+REGION_RETRY_AFTER_S = 5.0
+"""Time after which a request may come again that no server may get.
+
+Only operators, a move of its key or another server change that.
+"""
+REGION_REFUSAL = QueueRefusal(RefusalReason.REGION, REGION_RETRY_AFTER_S)
 
 
 class RequestForwarder:
@@ -98,6 +105,7 @@
         self._metrics = metrics
         self._data_centre_reach = data_centres.reach
         self._clock = clock
+        self._regions = RegionRules(lambda: adapter.options, lambda: catalog.routes)
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
             adapter,
@@ -109,16 +117,24 @@
             self._suspect_runs,
             reach,
             data_centres.reach,
+            self._regions,
             clock,
         )
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
-        self._relays = RequestRelay(reach, relay, data_centres, self._budget, metrics)
+        self._relays = RequestRelay(
+            reach, relay, data_centres, self._budget, self._regions, metrics
+        )
 
     @property
     def response_buffer(self) -> ResponseBuffer:
         """The bytes of the responses that are being received or sent."""
         return self._sender.response_buffer
 
+    @property
+    def regions(self) -> RegionRules:
+        """Which regions may get a request."""
+        return self._regions
+
     @property
     def metrics(self) -> Metrics:
         """Counts of the requests and of the decisions on them."""
@@ -140,6 +156,8 @@
         return response
 
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
+        if self.is_outside_regions(request):
+            return self._refuse(request, None, REGION_REFUSAL, set())
         if self._relays.is_cut_off(request):
             return await self._relay_request(request, set())
         candidates, is_keyed = self.candidates(request)
@@ -174,6 +192,8 @@
                 )
                 if response is not None:
                     return response
+            if self.is_outside_regions(request):
+                return self._refuse(request, result, REGION_REFUSAL, possibly_ran)
             if self._relays.is_cut_off(request):
                 return await self._relay_request(request, possibly_ran)
             if target := self._relays.target(request, candidates):
@@ -336,9 +356,7 @@
 
     def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
         if not is_keyed:
-            return lambda: self._data_centre_reach.usable(
-                self._catalog.serving(request.service)
-            )
+            return lambda: self._data_centre_reach.usable(self._serving(request))
         key = request.key
         assert key is not None
 
@@ -347,10 +365,42 @@
             if key_range is None or key_range.is_moving:
                 return []
             server = self._catalog.serving_owner(key_range)
-            return [server] if server is not None else []
+            if server is None or not self._regions.may_get(request, server):
+                return []
+            return [server]
 
         return owner
 
+    def _serving(self, request: EdgeRequest) -> list[BackendServer]:
+        """Return the servers that may run a request without a key."""
+        allowed = self._regions.allowed(request)
+        if allowed is None:
+            return self._catalog.serving(request.service)
+        return self._catalog.serving(
+            request.service, lambda s: self._regions.is_server_allowed(s, allowed)
+        )
+
+    def is_outside_regions(self, request: EdgeRequest) -> bool:
+        """Return whether no server that could run a request may get it.
+
+        If no server is registered, or a key has no owner, there may soon be one.
+        """
+        allowed = self._regions.allowed(request)
+        if allowed is None:
+            return False
+        if not allowed:
+            return True
+        servers = self._catalog.servers(request.service)
+        if self._catalog.is_keyed(request):
+            assert request.key is not None
+            key_range = self._ownership.find(request.service, request.key)
+            if key_range is None or key_range.is_moving:
+                return False
+            servers = [s for s in servers if key_range.is_owned_by(s)]
+        return bool(servers) and not any(
+            self._regions.is_server_allowed(server, allowed) for server in servers
+        )
+
     def _give_up(
         self,
         request: EdgeRequest,
--- a/packages/edge/mulberryrelay_edge/leaderlink.py
+++ b/packages/edge/mulberryrelay_edge/leaderlink.py
@@ -233,7 +233,10 @@
         if report.state.link_url and not report.state.is_cut_off:
             self._peer_urls[report.boot_id] = report.state.link_url
             self._peers[report.boot_id] = RouterPeer(
-                report.state.link_url, report.data_centre, report.state.unreached
+                report.state.link_url,
+                report.data_centre,
+                report.state.unreached,
+                report.state.region,
             )
         end_ms = arrived_ms + min(report.wait_ms, MAX_WAIT_MS)
         while self._is_leader():
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -61,6 +61,8 @@
     """Priority class of the requests; 0 is the most important."""
     is_download: bool = False
     """Whether responses may be so large that they are not held as a whole."""
+    allowed_regions: tuple[str, ...] | None = None
+    """Regions that its requests may be sent to; None if they may go anywhere."""
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -332,6 +334,8 @@
     is_idempotent: bool
     data_centre: DataCentre = DataCentre("")
     """Data centre that the router does not reach; empty if it reaches no server."""
+    allowed_regions: tuple[str, ...] | None = None
+    """Regions that it may be sent to, by the routes of the router that passes it on."""
 
 
 class RelayedResponse(msgspec.Struct, frozen=True, array_like=True):
@@ -390,6 +394,8 @@
     """Servers that lately refused connections of the follower."""
     unreached: tuple[DataCentre, ...] = ()
     """Data centres that the follower does not reach, while it reaches others."""
+    region: str = ""
+    """Region of the follower; empty if unknown, and from builds that ignore regions."""
 
 
 class RouterPeer(msgspec.Struct, frozen=True, array_like=True):
@@ -399,6 +405,8 @@
     data_centre: DataCentre
     unreached: tuple[DataCentre, ...] = ()
     """Data centres that the router does not reach, while it reaches others."""
+    region: str = ""
+    """Region of the router; empty if unknown, and from builds that ignore regions."""
 
 
 class RouterReport(msgspec.Struct, frozen=True):
--- a/packages/edge/mulberryrelay_edge/options.py
+++ b/packages/edge/mulberryrelay_edge/options.py
@@ -54,3 +54,7 @@
     """Connections of callers; the longest idle ones are closed for further ones."""
     max_caller_bytes: int = 25_000_000
     """Bytes of heads and unread responses that all callers together may hold."""
+    region: str = ""
+    """Region of this machine; empty if it is that of its data centre, or unknown."""
+    regions: dict[DataCentre, str] = {}
+    """Regions of data centres, as far as they are known."""
--- a/packages/edge/mulberryrelay_edge/queuedrequest.py
+++ b/packages/edge/mulberryrelay_edge/queuedrequest.py
@@ -9,6 +9,7 @@
 from mulberryrelay_kernel.ids import ServerId
 
 from .messages import BackendServer, EdgeRequest
+from .regions import are_disjoint
 
 Candidates = Callable[[], Sequence[BackendServer]]
 """Returns the servers that may run a request now.
@@ -41,6 +42,8 @@
     """The owner of its key takes no more requests in the time that it may wait."""
     SERVER_PAUSED = "server-paused"
     """All servers that may run it want no requests for longer than it may wait."""
+    REGION = "region-not-allowed"
+    """No server that may run it is in a region that its route allows."""
     CUT_OFF = "cut-off"
     """The router has lost its links to all servers."""
     NO_ROOM = "no-room"
@@ -90,6 +93,10 @@
             continue
         if other.request.route.rank > queued.request.route.rank:
             continue
+        if are_disjoint(
+            other.request.route.allowed_regions, queued.request.route.allowed_regions
+        ):
+            continue
         if queued.is_keyed and list(other.candidates()) != list(servers):
             continue
         ahead += 1
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -27,6 +27,7 @@
     RelayedResponse,
     RouteTable,
 )
+from .regions import intersection, is_allowed
 from .routematcher import RouteMatcher
 from .serverreach import ServerReach
 
@@ -75,11 +76,14 @@
         calls: RelayCalls,
         on_ready: Callable[[], None],
         clock: Clock,
+        region_of: Callable[[str], str] = lambda _: "",
     ) -> None:
         """``own_peers`` returns the routers that reach servers, at the leader.
 
-        ``on_ready`` is called once requests can be relayed.
+        ``on_ready`` is called once requests can be relayed. ``region_of`` returns the
+        region of the router with a URL, empty if it is unknown.
         """
+        self._region_of = region_of
         self._reach = reach
         self._is_leader = is_leader
         self._leader_notice = leader_notice
@@ -134,7 +138,11 @@
         ``may_repeat`` is asked before it is sent again though it may have reached a
         server; it counts the repetition.
         """
-        peers = random.sample(self._peers, min(MAX_RELAY_ATTEMPTS, len(self._peers)))
+        allowed = request.route.allowed_regions
+        peers = self._peers
+        if allowed is not None:
+            peers = [p for p in peers if is_allowed(self._region_of(p), allowed)]
+        peers = random.sample(peers, min(MAX_RELAY_ATTEMPTS, len(peers)))
         return await pass_on(
             request, peers, self._calls, may_repeat, self._remove, self._clock
         )
@@ -215,8 +223,13 @@
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         clock: Clock,
         is_unreached: Callable[[DataCentre], bool] = lambda _: False,
+        region: Callable[[], str] = lambda: "",
     ) -> None:
-        """``is_unreached`` returns whether this router does not reach a data centre."""
+        """``is_unreached`` returns whether this router does not reach a data centre.
+
+        ``region`` returns the region of this router, empty if it is unknown.
+        """
+        self._region = region
         self._is_unreached = is_unreached
         self._for_data_centres = 0
         """Requests in flight for data centres that their routers do not reach."""
@@ -241,10 +254,22 @@
         route = self._matcher.match(routes, relayed.host, path)
         if route is None:
             return None
+        # The routers may have different versions of the routes.
+        allowed = intersection(route.allowed_regions, relayed.allowed_regions)
+        if not is_allowed(self._region(), allowed):
+            log_event(
+                "relayed_outside_regions",
+                request_id=relayed.request_id,
+                route=route.name,
+                region=self._region(),
+            )
+            return None
         now_ms = self._clock()
         # A route may have changed its kind between the versions of the two routers.
         is_idempotent = route.is_idempotent and relayed.is_idempotent
-        route = msgspec.structs.replace(route, is_idempotent=is_idempotent)
+        route = msgspec.structs.replace(
+            route, is_idempotent=is_idempotent, allowed_regions=allowed
+        )
         request = EdgeRequest(
             relayed.request_id,
             relayed.method,
@@ -299,6 +324,7 @@
         request.caller_address,
         request.route.is_idempotent,
         data_centre,
+        request.route.allowed_regions,
     )
 
 
--- a/packages/edge/mulberryrelay_edge/requestrelay.py
+++ b/packages/edge/mulberryrelay_edge/requestrelay.py
@@ -12,6 +12,7 @@
 from .datacentrerelay import DataCentreRelay
 from .messages import EdgeRequest, EdgeResponse
 from .queuedrequest import Candidates
+from .regions import RegionRules
 from .relay import Relay, RelayFailure
 from .retrybudget import RetryBudget
 from .serverreach import ServerReach
@@ -26,12 +27,14 @@
         relay: Relay,
         data_centres: DataCentreRelay,
         budget: RetryBudget,
+        regions: RegionRules,
         metrics: Metrics,
     ) -> None:
         self._reach = reach
         self._relay = relay
         self._data_centres = data_centres
         self._budget = budget
+        self._regions = regions
         self._metrics = metrics
 
     def is_cut_off(self, request: EdgeRequest) -> bool:
@@ -40,7 +43,7 @@
 
     def target(self, request: EdgeRequest, candidates: Candidates) -> DataCentre | None:
         """Return the unreached data centre because of which it is passed on."""
-        return self._data_centres.target(request, candidates)
+        return self._data_centres.target(self._regions.restricted(request), candidates)
 
     async def must_relay(self, request: EdgeRequest, candidates: Candidates) -> bool:
         """Return whether a refused request has to be passed on instead.
@@ -63,6 +66,7 @@
         def may_repeat() -> bool:
             return self._budget.try_consume(request.service)
 
+        request = self._regions.restricted(request)
         if target is None:
             relaying = self._relay.forward(request, may_repeat)
         else:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,7 +20,11 @@
 from mulberryrelay_edge.tablestore import TableRow
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.states import ServerState
-from mulberryrelay_platform.adapter import parse_cold_ms, parse_load
+from mulberryrelay_platform.adapter import (
+    PlatformAdapter,
+    parse_cold_ms,
+    parse_load,
+)
 from mulberryrelay_platform.commands import PlatformCommands
 from mulberryrelay_platform.entries import UnknownKindLog, decode_routes, decode_server
 from mulberryrelay_platform.names import HEADERS, SETTINGS_VARIABLE
@@ -167,6 +171,79 @@
     assert "routes_version=21" in logged[0] and "routes_version=22" in logged[1]
 
 
+def test_regions_of_routes_are_decoded_and_invalid_ones_allow_none() -> None:
+    """Guards against restricted requests that go anywhere after a typing error.
+
+    Also against routes that are lost with it, and a log line each time it is read.
+    """
+    routes = CONFIGURATION["Routes"]
+    assert isinstance(routes, dict)
+    first = routes["Rows"][0]
+    cases: tuple[tuple[object, tuple[str, ...] | None], ...] = (
+        (None, None),
+        (["eu", "us", "eu"], ("eu", "us")),
+        ([], ()),
+        ("eu", ()),
+        ({"eu": 1}, ()),
+        (False, ()),
+        (["eu", 3], ()),
+        (["eu", ""], ()),
+        (["e u"], ()),
+        (["e" * 65], ()),
+        ([["eu"]], ()),
+    )
+    value = {
+        **CONFIGURATION,
+        "Version": "r31",
+        "Routes": {
+            "Columns": [*routes["Columns"], "AllowedRegions"],
+            "Rows": [[*first, given] for given, _ in cases] + [first],
+        },
+    }
+    log = UnknownKindLog()
+    with recorded_lines() as lines:
+        decode_routes(row(value), log)
+        table = decode_routes(row(value), log)
+    assert table is not None
+    decoded = [route.allowed_regions for route in table.routes]
+    assert decoded == [expected for _, expected in cases] + [None]
+    logged = [line for line in lines if "invalid_allowed_regions" in line]
+    assert len(logged) == 1 and "routes=9" in logged[0], logged
+
+
+def test_regions_of_data_centres_are_read_and_invalid_ones_unknown() -> None:
+    """Guards against a router that does not start, or guesses, without a region."""
+    options = parse_settings(SETTINGS, "boot.conf").options
+    assert options.region == "" and options.regions == {}
+    text = f"{SETTINGS}Region=eu\nZones.a=eu\nZones.b.1=us\nZones.c=\nZones.=eu\n"
+    text += "Zones.d=e u\n"
+    settings = parse_settings(text, "boot.conf")
+    assert settings.options.region == "eu"
+    assert settings.options.regions == {"a": "eu", "b.1": "us"}
+    assert settings.invalid_regions == ("Zones.c", "Zones.", "Zones.d")
+    settings = parse_settings(f"{SETTINGS}Region=\n", "boot.conf")
+    assert settings.options.region == "" and settings.invalid_regions == ("Region",)
+
+
+@async_test
+async def test_invalid_regions_are_logged_once() -> None:
+    """Guards against a log line each time that the settings are read again."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "boot.conf"
+        path.write_text(f"{SETTINGS}Zones.c=\n")
+        with recorded_lines() as lines:
+            adapter = PlatformAdapter(path)
+            assert not adapter.reload()
+            path.write_text(f"{SETTINGS}Zones.c=eu\nRegion=\n")
+            assert adapter.reload()
+        await adapter.store.close()
+        await adapter.commands.close()
+    assert adapter.options.regions == {"c": "eu"}
+    logged = [line for line in lines if "invalid_regions" in line]
+    assert len(logged) == 2, logged
+    assert "Zones.c" in logged[0] and "Region" in logged[1]
+
+
 def test_an_invalid_configuration_is_ignored() -> None:
     """Guards against a faulty configuration that ends the process or removes routes."""
     invalid = [
