--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -25,7 +25,7 @@
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult
 from .keyload import KeyLoad
-from .messages import BackendServer, EdgeRequest, EdgeResponse
+from .messages import EdgeRequest, EdgeResponse
 from .ownership import Ownership
 from .queuedrequest import (
     RETRY_AFTER_S,
@@ -37,6 +37,7 @@
 from .rangeedits import NO_SERVER
 from .regions import RegionRules
 from .relay import Relay, RelayFailure
+from .requestcandidates import RequestCandidates
 from .requestrelay import RequestRelay
 from .responses import (
     had_free_slot,
@@ -68,10 +69,7 @@
 A request without a key pauses for this time whenever all servers were tried.
 """
 REGION_RETRY_AFTER_S = 5.0
-"""Time after which a request may come again that no server may get.
-
-Only operators, a move of its key or another server change that.
-"""
+"""``Retry-After`` of a request that no server may get before operators or moves act."""
 REGION_REFUSAL = QueueRefusal(RefusalReason.REGION, REGION_RETRY_AFTER_S)
 
 
@@ -103,9 +101,11 @@
         self._dispatcher = dispatcher
         self._key_load = key_load
         self._metrics = metrics
-        self._data_centre_reach = data_centres.reach
         self._clock = clock
         self._regions = RegionRules(lambda: adapter.options, lambda: catalog.routes)
+        self._candidates = RequestCandidates(
+            catalog, ownership, data_centres.reach, self._regions
+        )
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
             adapter,
@@ -351,55 +351,11 @@
 
     def candidates(self, request: EdgeRequest) -> tuple[Candidates, bool]:
         """Return the servers that may run a request, and whether its key matters."""
-        is_keyed = self._catalog.is_keyed(request)
-        return self._candidates(request, is_keyed), is_keyed
-
-    def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
-        if not is_keyed:
-            return lambda: self._data_centre_reach.usable(self._serving(request))
-        key = request.key
-        assert key is not None
-
-        def owner() -> list[BackendServer]:
-            key_range = self._ownership.find(request.service, key)
-            if key_range is None or key_range.is_moving:
-                return []
-            server = self._catalog.serving_owner(key_range)
-            if server is None or not self._regions.may_get(request, server):
-                return []
-            return [server]
-
-        return owner
-
-    def _serving(self, request: EdgeRequest) -> list[BackendServer]:
-        """Return the servers that may run a request without a key."""
-        allowed = self._regions.allowed(request)
-        if allowed is None:
-            return self._catalog.serving(request.service)
-        return self._catalog.serving(
-            request.service, lambda s: self._regions.is_server_allowed(s, allowed)
-        )
+        return self._candidates.find(request)
 
     def is_outside_regions(self, request: EdgeRequest) -> bool:
-        """Return whether no server that could run a request may get it.
-
-        If no server is registered, or a key has no owner, there may soon be one.
-        """
-        allowed = self._regions.allowed(request)
-        if allowed is None:
-            return False
-        if not allowed:
-            return True
-        servers = self._catalog.servers(request.service)
-        if self._catalog.is_keyed(request):
-            assert request.key is not None
-            key_range = self._ownership.find(request.service, request.key)
-            if key_range is None or key_range.is_moving:
-                return False
-            servers = [s for s in servers if key_range.is_owned_by(s)]
-        return bool(servers) and not any(
-            self._regions.is_server_allowed(server, allowed) for server in servers
-        )
+        """Return whether no server that could run a request may get it."""
+        return self._candidates.are_outside_regions(request)
 
     def _give_up(
         self,
