--- a/packages/edge/mulberryrelay_edge/forwarder.py
+++ b/packages/edge/mulberryrelay_edge/forwarder.py
@@ -25,7 +25,7 @@
 from .dispatch import Dispatcher
 from .exchange import AttemptOutcome, AttemptResult
 from .keyload import KeyLoad
-from .messages import BackendServer, EdgeRequest, EdgeResponse
+from .messages import EdgeRequest, EdgeResponse
 from .ownership import Ownership
 from .queuedrequest import (
     RETRY_AFTER_S,
@@ -35,7 +35,9 @@
     SendPermit,
 )
 from .rangeedits import NO_SERVER
+from .regions import RegionRules
 from .relay import Relay, RelayFailure
+from .requestcandidates import RequestCandidates
 from .requestrelay import RequestRelay
 from .responses import (
     had_free_slot,
@@ -66,6 +68,9 @@
 
 A request without a key pauses for this time whenever all servers were tried.
 """
+REGION_RETRY_AFTER_S = 5.0
+"""``Retry-After`` of a request that no server may get before operators or moves act."""
+REGION_REFUSAL = QueueRefusal(RefusalReason.REGION, REGION_RETRY_AFTER_S)
 
 
 class RequestForwarder:
@@ -96,8 +101,11 @@
         self._dispatcher = dispatcher
         self._key_load = key_load
         self._metrics = metrics
-        self._data_centre_reach = data_centres.reach
         self._clock = clock
+        self._regions = RegionRules(lambda: adapter.options, lambda: catalog.routes)
+        self._candidates = RequestCandidates(
+            catalog, ownership, data_centres.reach, self._regions
+        )
         self._suspect_runs = SuspectRuns(suspects, catalog, metrics, clock)
         self._sender = AttemptSender(
             adapter,
@@ -109,16 +117,24 @@
             self._suspect_runs,
             reach,
             data_centres.reach,
+            self._regions,
             clock,
         )
         self._budget = RetryBudget(lambda: adapter.options, routers, clock)
-        self._relays = RequestRelay(reach, relay, data_centres, self._budget, metrics)
+        self._relays = RequestRelay(
+            reach, relay, data_centres, self._budget, self._regions, metrics
+        )
 
     @property
     def response_buffer(self) -> ResponseBuffer:
         """The bytes of the responses that are being received or sent."""
         return self._sender.response_buffer
 
+    @property
+    def regions(self) -> RegionRules:
+        """Which regions may get a request."""
+        return self._regions
+
     @property
     def metrics(self) -> Metrics:
         """Counts of the requests and of the decisions on them."""
@@ -140,6 +156,8 @@
         return response
 
     async def _forward(self, request: EdgeRequest) -> EdgeResponse:
+        if self.is_outside_regions(request):
+            return self._refuse(request, None, REGION_REFUSAL, set())
         if self._relays.is_cut_off(request):
             return await self._relay_request(request, set())
         candidates, is_keyed = self.candidates(request)
@@ -174,6 +192,8 @@
                 )
                 if response is not None:
                     return response
+            if self.is_outside_regions(request):
+                return self._refuse(request, result, REGION_REFUSAL, possibly_ran)
             if self._relays.is_cut_off(request):
                 return await self._relay_request(request, possibly_ran)
             if target := self._relays.target(request, candidates):
@@ -332,25 +352,11 @@
 
     def candidates(self, request: EdgeRequest) -> tuple[Candidates, bool]:
         """Return the servers that may run a request, and whether its key matters."""
-        is_keyed = self._catalog.is_keyed(request)
-        return self._candidates(request, is_keyed), is_keyed
-
-    def _candidates(self, request: EdgeRequest, is_keyed: bool) -> Candidates:
-        if not is_keyed:
-            return lambda: self._data_centre_reach.usable(
-                self._catalog.serving(request.service)
-            )
-        key = request.key
-        assert key is not None
-
-        def owner() -> list[BackendServer]:
-            key_range = self._ownership.find(request.service, key)
-            if key_range is None or key_range.is_moving:
-                return []
-            server = self._catalog.serving_owner(key_range)
-            return [server] if server is not None else []
+        return self._candidates.find(request)
 
-        return owner
+    def is_outside_regions(self, request: EdgeRequest) -> bool:
+        """Return whether no server that could run a request may get it."""
+        return self._candidates.are_outside_regions(request)
 
     def _give_up(
         self,
