Split the leader's replies and the reserved times into modules of their own

Change: reporthandler.py has the leader's side of the reports, reservedtimes.py the times of one server; the type of a route's regions no longer has the name of a platform's field. No logic is changed.

--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -28,7 +28,7 @@
 from .directreads import DirectReads, read_due_tables
 from .evacuations import Evacuations
 from .keyload import KeyLoad
-from .leaderlink import LeaderLink, ReportHandler
+from .leaderlink import LeaderLink
 from .leaderproxy import LeaderProxy
 from .lease import LeaderLease
 from .linkhttp import LINK_PATH, LinkClient, LinkServer
@@ -45,6 +45,7 @@
 from .ownership import RANGES_TABLE, Ownership
 from .regions import RegionRules, own_region
 from .relay import Relay, RelayReceiver
+from .reporthandler import ReportHandler
 from .reservations import ReservationSource
 from .routershares import RouterShares
 from .serverreach import PROBE_TIMEOUT_S, ServerReach
--- a/packages/edge/mulberryrelay_edge/datacentrerelay.py
+++ b/packages/edge/mulberryrelay_edge/datacentrerelay.py
@@ -24,7 +24,7 @@
     RouterPeer,
 )
 from .queuedrequest import Candidates
-from .regions import AllowedRegions, is_allowed
+from .regions import PermittedRegions, is_allowed
 from .relay import MAX_RELAY_ATTEMPTS, RelayCalls, RelayFailure, pass_on
 
 MIN_DATA_CENTRES = 3
@@ -116,7 +116,7 @@
         return target if self.routers_for(target, allowed) else None
 
     def routers_for(
-        self, data_centre: DataCentre, allowed: AllowedRegions = None
+        self, data_centre: DataCentre, allowed: PermittedRegions = None
     ) -> list[str]:
         """Return URLs of routers in third data centres that reach both.
 
--- a/packages/edge/mulberryrelay_edge/dispatch.py
+++ b/packages/edge/mulberryrelay_edge/dispatch.py
@@ -32,7 +32,7 @@
     on_time_return_s,
     retry_after_s,
 )
-from .regions import AllowedRegions
+from .regions import PermittedRegions
 from .routershares import RouterShares
 from .serverchoice import ServerChooser
 from .serverlimits import ColdLimit, Reserve, ServerLimits, no_cold_limit
@@ -302,7 +302,7 @@
 
         full: set[ServerId] = set()
         held_back: Counter[ServerId] = Counter()
-        full_regions: set[AllowedRegions] = set()
+        full_regions: set[PermittedRegions] = set()
         """Restrictions of requests without a key for which no server has room."""
         for queued in sorted(queue, key=sort_key):
             if queued.permit.done():
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -18,7 +18,6 @@
 from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.logs import log_event
 
-from .leaderlink import MAX_WAIT_MS, ReportHandler
 from .leaderproxy import CallLeader, no_proxy
 from .messages import (
     LeaderReply,
@@ -31,6 +30,7 @@
     SuspectReport,
 )
 from .relay import RelayFailure, RelayReceiver
+from .reporthandler import MAX_WAIT_MS, ReportHandler
 from .suspectlink import SuspectLink
 
 LINK_PATH = "/link"
--- a/packages/edge/mulberryrelay_edge/regions.py
+++ b/packages/edge/mulberryrelay_edge/regions.py
@@ -13,16 +13,16 @@
 from .messages import BackendServer, EdgeRequest, RouteTable
 from .options import EdgeOptions
 
-AllowedRegions = tuple[str, ...] | None
+PermittedRegions = tuple[str, ...] | None
 """Names of regions; None for all regions, also for unknown ones."""
 
 
-def is_allowed(region: str, allowed: AllowedRegions) -> bool:
+def is_allowed(region: str, allowed: PermittedRegions) -> bool:
     """Return whether something in a region, empty if unknown, may get requests."""
     return allowed is None or (bool(region) and region in allowed)
 
 
-def intersection(first: AllowedRegions, second: AllowedRegions) -> AllowedRegions:
+def intersection(first: PermittedRegions, second: PermittedRegions) -> PermittedRegions:
     """Return the regions that both allow."""
     if first is None:
         return second
@@ -31,7 +31,7 @@
     return tuple(region for region in first if region in second)
 
 
-def are_disjoint(first: AllowedRegions, second: AllowedRegions) -> bool:
+def are_disjoint(first: PermittedRegions, second: PermittedRegions) -> bool:
     """Return whether no region is allowed by both."""
     return intersection(first, second) == ()
 
@@ -52,7 +52,7 @@
         self._options = options
         self._routes = routes
         self._table: RouteTable | None = None
-        self._restricted: dict[str, AllowedRegions] = {}
+        self._restricted: dict[str, PermittedRegions] = {}
         """Allowed regions of the restricted routes in ``_table``, by name."""
 
     @property
@@ -60,7 +60,7 @@
         """Whether any route is restricted."""
         return bool(self._current())
 
-    def allowed(self, request: EdgeRequest) -> AllowedRegions:
+    def allowed(self, request: EdgeRequest) -> PermittedRegions:
         """Return where a request may be sent, by its own route and the current one.
 
         The operators may have restricted the route since the request arrived.
@@ -80,14 +80,16 @@
         """Return whether a server may get a request."""
         return self.is_server_allowed(server, self.allowed(request))
 
-    def is_server_allowed(self, server: BackendServer, allowed: AllowedRegions) -> bool:
+    def is_server_allowed(
+        self, server: BackendServer, allowed: PermittedRegions
+    ) -> bool:
         """Return whether a server is in one of the allowed regions."""
         return is_allowed(self._region_of(server.data_centre), allowed)
 
     def _region_of(self, data_centre: DataCentre) -> str:
         return self._options().regions.get(data_centre, "")
 
-    def _current(self) -> dict[str, AllowedRegions]:
+    def _current(self) -> dict[str, PermittedRegions]:
         table = self._routes()
         if table is not self._table:
             self._table = table
--- a/packages/edge/mulberryrelay_edge/serverlimits.py
+++ b/packages/edge/mulberryrelay_edge/serverlimits.py
@@ -6,17 +6,16 @@
 """
 
 import asyncio
-import random
 from bisect import insort
-from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 
 from mulberryrelay_kernel.clock import Clock
-from mulberryrelay_kernel.ids import ScheduleId, ServerId
+from mulberryrelay_kernel.ids import ServerId
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.supervision import log_failure
 
 from .messages import BackendServer, ReservationRequest, Reservations
+from .reservedtimes import ReservedTimes, drop_times, give_up_times, pop_mean
 
 MIN_LIMIT_PER_S = 0.1
 """Smallest limit that is kept to.
@@ -65,46 +64,6 @@
     return None
 
 
-class _Limit:
-    """The limit of one incarnation of a server, and the reserved times."""
-
-    def __init__(
-        self, server: BackendServer, limit_per_s: float, is_cold: bool = False
-    ) -> None:
-        self.server = server
-        self.is_cold = is_cold
-        """Whether it is the limit of a cold server, not one that the server states."""
-        self.limit_per_s = limit_per_s
-        self.logged_per_s = limit_per_s
-        self.reserved_ms: deque[float] = deque()
-        """Times at which a request may be sent, in ascending order."""
-        self.reserved_per_s = limit_per_s
-        """Limit under which these times were reserved."""
-        self.wanted = 0
-        """Requests that wait for a reserved time and have not asked for one yet."""
-        self.asked = 0
-        """Requests for which a time is being reserved."""
-        self.schedule = ScheduleId("")
-        """Schedule in which the times are reserved."""
-        self.confirmed_ms = float("-inf")
-        """Time of the last request to which this schedule replied."""
-        self.is_ask_due = False
-        """Whether the schedule has to be asked for times, or to confirm them."""
-        self.max_wait_ms = 0.0
-        self.free_ms = float("-inf")
-        """No time before this one can be reserved, as far as is known."""
-        self.return_ms = float("-inf")
-        """Time at which refused callers should return."""
-        self.is_estimate = False
-        """Whether the server states no limit, and is paced as it is overloaded."""
-        self.needed_ms = float("-inf")
-        """Time of the last reply of a leader that names the server as paced."""
-        self.queue_lengths: list[float] = []
-        """Queues in the responses since the last request for times."""
-        self.removed_ms: float | None = None
-        """Time at which the server's entry was removed; None while it has one."""
-
-
 class ServerLimits:
     """The limits that servers state, and the times reserved for this router."""
 
@@ -120,8 +79,8 @@
         self._on_change = on_change
         self._clock = clock
         self._cold_limit_per_s = cold_limit_per_s
-        self._limits: dict[ServerId, _Limit] = {}
-        self._cold_limits: dict[ServerId, _Limit] = {}
+        self._limits: dict[ServerId, ReservedTimes] = {}
+        self._cold_limits: dict[ServerId, ReservedTimes] = {}
         self._cold_permits_ms: dict[int, float] = {}
         """When each send to a cold server got its permit, by its number."""
         self._held_requests = 0
@@ -154,14 +113,14 @@
             return
         limit_per_s = max(MIN_LIMIT_PER_S, limit_per_s)
         if limit is None:
-            limit = self._limits[server.server] = _Limit(server, limit_per_s)
+            limit = self._limits[server.server] = ReservedTimes(server, limit_per_s)
             log_event(
                 "server_limit_stated", server=server.server, limit_per_s=limit_per_s
             )
         limit.is_estimate = False
         limit.limit_per_s = limit_per_s
         if limit_per_s < limit.reserved_per_s:
-            _give_up_times(limit)
+            give_up_times(limit)
         change = abs(limit_per_s - limit.logged_per_s)
         if change > LOGGED_CHANGE * limit.logged_per_s:
             limit.logged_per_s = limit_per_s
@@ -187,8 +146,8 @@
         limit = self._find(server)
         return limit is not None and limit.is_estimate
 
-    def _start_pacing(self, server: BackendServer, per_s: float) -> _Limit:
-        limit = self._limits[server.server] = _Limit(server, per_s)
+    def _start_pacing(self, server: BackendServer, per_s: float) -> ReservedTimes:
+        limit = self._limits[server.server] = ReservedTimes(server, per_s)
         limit.is_estimate = True
         limit.needed_ms = self._clock()
         log_event("server_paced", server=server.server, estimate_per_s=round(per_s, 1))
@@ -323,7 +282,7 @@
             if now_ms - limit.removed_ms > REMEMBERED_MS:
                 del self._limits[name]
 
-    def _find(self, server: BackendServer) -> _Limit | None:
+    def _find(self, server: BackendServer) -> ReservedTimes | None:
         """Return the limit of a server, which is the lower one if it has two."""
         stated = self._find_stated(server)
         cold_per_s = self._cold_limit_per_s(server)
@@ -336,7 +295,9 @@
             cold_per_s = min(cold_per_s, stated.limit_per_s)
         limit = self._cold_limits.get(server.server)
         if limit is None or limit.server.started_ms != server.started_ms:
-            limit = self._cold_limits[server.server] = _Limit(server, cold_per_s, True)
+            limit = self._cold_limits[server.server] = ReservedTimes(
+                server, cold_per_s, True
+            )
         limit.limit_per_s = cold_per_s
         return limit
 
@@ -351,7 +312,7 @@
                 break
             del self._cold_permits_ms[send_id]
 
-    def _find_stated(self, server: BackendServer) -> _Limit | None:
+    def _find_stated(self, server: BackendServer) -> ReservedTimes | None:
         limit = self._limits.get(server.server)
         if limit is None or limit.server.started_ms != server.started_ms:
             return None
@@ -361,14 +322,14 @@
             return None
         return limit
 
-    def _needs_confirmation(self, limit: _Limit) -> bool:
+    def _needs_confirmation(self, limit: ReservedTimes) -> bool:
         if not limit.reserved_ms:
             return False
         return self._clock() - limit.confirmed_ms >= CONFIRM_PERIOD_MS
 
-    def _drop_expired(self, limit: _Limit) -> None:
+    def _drop_expired(self, limit: ReservedTimes) -> None:
         if self._clock() - limit.confirmed_ms > UNCONFIRMED_TTL_MS:
-            _drop_times(limit, "unconfirmed")
+            drop_times(limit, "unconfirmed")
         oldest_ms = self._clock() - RESERVATION_TTL_MS
         while limit.reserved_ms and limit.reserved_ms[0] < oldest_ms:
             limit.reserved_ms.popleft()
@@ -389,7 +350,7 @@
         finally:
             self._reserving = None
 
-    async def _reserve_for(self, asking: list[_Limit]) -> None:
+    async def _reserve_for(self, asking: list[ReservedTimes]) -> None:
         requests = []
         asked_ms = self._clock()
         if any(limit.is_cold for limit in asking):
@@ -406,7 +367,7 @@
                     limit.max_wait_ms,
                     limit.is_cold,
                     limit.is_estimate,
-                    _pop_mean(limit.queue_lengths),
+                    pop_mean(limit.queue_lengths),
                 )
             )
         try:
@@ -418,14 +379,14 @@
             self._apply(limit, reservations, asked_ms)
             limit.reserved_per_s = max(limit.reserved_per_s, request.limit_per_s)
             if limit.limit_per_s < limit.reserved_per_s:
-                _give_up_times(limit)
+                give_up_times(limit)
 
     def _apply(
-        self, limit: _Limit, reservations: Reservations, asked_ms: float
+        self, limit: ReservedTimes, reservations: Reservations, asked_ms: float
     ) -> None:
         now_ms = self._clock()
         if reservations.schedule != limit.schedule:
-            _drop_times(limit, "schedule-changed")
+            drop_times(limit, "schedule-changed")
             limit.schedule = reservations.schedule
         limit.confirmed_ms = asked_ms
         loop = asyncio.get_running_loop()
@@ -438,44 +399,3 @@
         limit.free_ms = now_ms + reservations.free_in_ms
         if reservations.return_in_ms:
             limit.return_ms = now_ms + reservations.return_in_ms
-
-
-def _drop_times(limit: _Limit, reason: str) -> None:
-    """Drop all reserved times, since their schedule may no longer be in use."""
-    if not limit.reserved_ms:
-        return
-    log_event(
-        "reserved_times_dropped",
-        server=limit.server.server,
-        times=len(limit.reserved_ms),
-        schedule=limit.schedule,
-        reason=reason,
-    )
-    limit.reserved_ms.clear()
-
-
-def _give_up_times(limit: _Limit) -> None:
-    """Give up so many reserved times that the others are within a lowered limit.
-
-    The random start lets routers with one time each give up their part together.
-    """
-    share = limit.limit_per_s / limit.reserved_per_s
-    kept: deque[float] = deque()
-    credit = random.random()
-    for time_ms in limit.reserved_ms:
-        credit += share
-        if credit < 1:
-            continue
-        credit -= 1
-        kept.append(time_ms)
-    limit.reserved_ms = kept
-    limit.reserved_per_s = limit.limit_per_s
-
-
-def _pop_mean(lengths: list[float]) -> float | None:
-    """Return the mean of a list and clear it; None if it is empty."""
-    if not lengths:
-        return None
-    mean = sum(lengths) / len(lengths)
-    lengths.clear()
-    return mean
--- a/tests/test_edge_bulkupdates.py
+++ b/tests/test_edge_bulkupdates.py
@@ -19,10 +19,10 @@
     BulkUpdates,
 )
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, _compress_body
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_edge.tablefollower import FollowedTable, Role, StoreSync
 from mulberryrelay_edge.tablemirror import TableUpdate
 from mulberryrelay_edge.tablestore import TableFailure, TableRead, TableRow
--- a/tests/test_edge_data_centres.py
+++ b/tests/test_edge_data_centres.py
@@ -14,7 +14,6 @@
 from mulberryrelay_edge.datacentrereach import DataCentreReach
 from mulberryrelay_edge.datacentrerelay import REST_MS, DataCentreRelay
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.leaderproxy import LeaderProxy
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, LinkServer
 from mulberryrelay_edge.messages import (
@@ -27,6 +26,7 @@
 )
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.relay import RelayReceiver
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import DataCentre
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -12,10 +12,9 @@
 from returns.result import Result
 
 from bench.virtual_time import run_virtual, virtual_clock
-from mulberryrelay_edge import leaderlink
+from mulberryrelay_edge import reporthandler
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.leaserow import LEADER_TABLE
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
 from mulberryrelay_edge.messages import (
@@ -38,6 +37,7 @@
     patch_ranges,
     raise_all_fences,
 )
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_edge.retrybudget import RetryBudget
 from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_edge.tablemirror import TableMirror
@@ -472,7 +472,7 @@
         assert reply is not None and reply.ranges == []
         assert reply.routers == 0, "not counted yet"
         report_handler.set_leading(True)
-        with patch.object(leaderlink, "COUNT_SETTLE_MS", 0.0):
+        with patch.object(reporthandler, "COUNT_SETTLE_MS", 0.0):
             reply = await client.send(url, current)
         assert reply is not None and reply.routers == 2, "a count of an earlier reply"
         is_leader = False
--- a/tests/test_edge_regions.py
+++ b/tests/test_edge_regions.py
@@ -14,7 +14,7 @@
 from mulberryrelay_edge.messages import RouterPeer
 from mulberryrelay_edge.queuedrequest import QueuedRequest, count_ahead
 from mulberryrelay_edge.regions import (
-    AllowedRegions,
+    PermittedRegions,
     RegionRules,
     intersection,
     is_allowed,
@@ -104,7 +104,7 @@
 
     Each case: the allowed regions, and the data centres that may get requests.
     """
-    cases: tuple[tuple[AllowedRegions, set[str]], ...] = (
+    cases: tuple[tuple[PermittedRegions, set[str]], ...] = (
         (("west",), {"b"}),
         (("east", "west"), {"a", "b"}),
         (("north",), set()),
@@ -220,7 +220,7 @@
             for server in (full, free):
                 report_load(dispatcher, server, 6)
 
-            def queued(allowed: AllowedRegions) -> QueuedRequest:
+            def queued(allowed: PermittedRegions) -> QueuedRequest:
                 request = msgspec.structs.replace(
                     router.request(), route=route(allowed_regions=allowed)
                 )
--- a/tests/test_edge_server_limit.py
+++ b/tests/test_edge_server_limit.py
@@ -13,7 +13,6 @@
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.capacity import ServerCondition
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.linkhttp import RESERVE_TIMEOUT_S
 from mulberryrelay_edge.messages import (
     LAST_KEY,
@@ -27,6 +26,7 @@
 )
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.rangeedits import PlannedMove
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_edge.reservations import ReservationSource
 from mulberryrelay_edge.sendschedule import SendSchedule
 from mulberryrelay_edge.serverlimits import Reserve, ServerLimits
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,10 +20,10 @@
 
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_edge.tablefollower import StoreSync
 from mulberryrelay_edge.tablestore import TableRow
 from mulberryrelay_kernel.clock import monotonic_ms
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from bench.virtual_time import run_virtual
-from mulberryrelay_edge.leaderlink import ReportHandler
 from mulberryrelay_edge.messages import LeaderReply, RouterReport
+from mulberryrelay_edge.reporthandler import ReportHandler
 from mulberryrelay_kernel.states import ServerState
 
 from .fixtures.edgefleet import SERVICE, Fleet, followers_of
