--- a/packages/edge/mulberryrelay_edge/measuredrate.py
+++ b/packages/edge/mulberryrelay_edge/measuredrate.py
@@ -11,15 +11,24 @@
 """Requests that are to wait at the server, so that no slot idles between two."""
 ADJUST_PERIOD_MS = 150.0
 """Minimum time between two corrections, in which the previous one takes effect."""
-BASE_GAIN = 0.015
-"""Relative change of the base rate for each waiting request beyond the target."""
-MAX_BASE_CHANGE = 0.04
-"""Largest relative change of the base rate in one correction."""
-QUEUE_GAIN = 0.12
+BASE_DECREASE = 0.015
+"""Relative decrease of the base rate for each waiting request beyond the target."""
+BASE_INCREASE = 0.04
+"""Relative increase of the base rate for each request that the queue is too short by.
+
+Larger than the decrease: slots that idle show at once that the estimate is too low.
+"""
+MAX_BASE_DECREASE = 0.04
+MAX_BASE_INCREASE = 0.04
+"""Largest relative changes of the base rate in one correction."""
+LONG_QUEUE_GAIN = 0.12
 """Share of the base rate that is held back for each waiting request beyond the target.
 
 It empties a long queue without a change of the base rate.
 """
+SHORT_QUEUE_GAIN = 0.12
+"""Share of the base rate that is added for each request that the queue is too short by.
+"""
 MIN_QUEUE_FACTOR = 0.4
 MAX_QUEUE_FACTOR = 1.1
 MIN_SHARE = 0.4
@@ -51,15 +60,18 @@
         if now_ms - self._adjusted_ms < ADJUST_PERIOD_MS:
             return
         excess = self._queue_sum / self._reports - TARGET_QUEUE
-        change = _clamp(-BASE_GAIN * excess, -MAX_BASE_CHANGE, MAX_BASE_CHANGE)
+        if excess > 0:
+            change = -min(MAX_BASE_DECREASE, BASE_DECREASE * excess)
+            factor = 1.0 - LONG_QUEUE_GAIN * excess
+        else:
+            change = min(MAX_BASE_INCREASE, -BASE_INCREASE * excess)
+            factor = 1.0 - SHORT_QUEUE_GAIN * excess
         self._base_per_s = _clamp(
             self._base_per_s * (1.0 + change),
             MIN_SHARE * self._estimate_per_s,
             MAX_SHARE * self._estimate_per_s,
         )
-        self._queue_factor = _clamp(
-            1.0 - QUEUE_GAIN * excess, MIN_QUEUE_FACTOR, MAX_QUEUE_FACTOR
-        )
+        self._queue_factor = _clamp(factor, MIN_QUEUE_FACTOR, MAX_QUEUE_FACTOR)
         self._adjusted_ms = now_ms
         self._queue_sum = 0.0
         self._reports = 0
