--- a/tests/test_edge_serverspeed.py
+++ b/tests/test_edge_serverspeed.py
@@ -1,6 +1,7 @@
 """The speed of servers, summed over all routers by the leader.
 
-The decision code runs without a network, under a load like that of deployment B.
+The decision code runs without a network, under a load like that of deployment B in
+docs/design/hard-load.md.
 """
 
 import asyncio
