--- a/review/lib2/stage2.py
+++ b/review/lib2/stage2.py
@@ -281,6 +281,20 @@
         """Return what the process has printed."""
         return self._log.read_text(errors="replace")
 
+    def has_socket(self, port: int, peer_port: int) -> bool:
+        """Return whether a connection between two local ports is one of its own."""
+        inode = ""
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            ports = [int(fields[n].partition(":")[2], 16) for n in (1, 2)]
+            if ports == [port, peer_port]:
+                inode = f"socket:[{fields[9]}]"
+        for descriptor in Path(f"/proc/{self.pid}/fd").glob("*"):
+            with suppress(OSError):
+                if inode and os.readlink(descriptor) == inode:
+                    return True
+        return False
+
     def peak_memory_mb(self) -> float:
         """Return the largest resident size so far, in megabytes of 10^6 bytes."""
         status = Path(f"/proc/{self.pid}/status").read_text()
