--- a/review/lib2/stage2.py
+++ b/review/lib2/stage2.py
@@ -24,6 +24,7 @@
 
 from aiohttp import web
 
+from mulberryrelay_platform.names import HEADERS, READY_PATH, SETTINGS_VARIABLE
 from standins.tables import Tables
 from standins.tableserver import TableServer
 
@@ -71,14 +72,14 @@
     @property
     def request_id(self) -> str:
         """Id that the client gave the attempt; empty if there is none."""
-        return self.headers.get("mulberryrelay-attempt-id", "")
+        return self.headers.get(HEADERS.request_id.lower(), "")
 
 
 def answer(request: Request, body: bytes = b"ok", more: str = "") -> bytes:
     """Return a complete success of a server."""
     return (
-        f"HTTP/1.1 200 OK\r\nMulberryrelay-Attempt-Id: {request.request_id}\r\n"
-        f"Mulberryrelay-Response-Signature: s.{request.request_id}\r\n{more}"
+        f"HTTP/1.1 200 OK\r\n{HEADERS.request_id}: {request.request_id}\r\n"
+        f"{HEADERS.response_signature}: s.{request.request_id}\r\n{more}"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
@@ -140,7 +141,7 @@
 
     def load(self) -> str:
         """Return the header with the load."""
-        return f"Mulberryrelay-Backend-Load: {self.running},0,{self.slots}\r\n"
+        return f"{HEADERS.load}: {self.running},0,{self.slots}\r\n"
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -157,11 +158,11 @@
                 request = Request(method, target, headers, body)
                 if target == "/health":
                     writer.write(
-                        f"HTTP/1.1 200 OK\r\nMulberryrelay-Instance-Id: {self.name}\r\n"
+                        f"HTTP/1.1 200 OK\r\n{HEADERS.server}: {self.name}\r\n"
                         f"{self.load()}Content-Length: 0\r\n\r\n".encode()
                     )
                     continue
-                expected = headers.get("mulberryrelay-expect-instance", self.name)
+                expected = headers.get(HEADERS.expected_server.lower(), self.name)
                 if expected != self.name:
                     writer.write(self.refusal(request, 421))
                     continue
@@ -176,9 +177,9 @@
     def refusal(self, request: Request, status: int) -> bytes:
         """Return a refusal of a request that was not run."""
         return (
-            f"HTTP/1.1 {status} Refused\r\nMulberryrelay-Not-Executed: 1\r\n"
-            f"Mulberryrelay-Instance-Id: {self.name}\r\n"
-            f"Mulberryrelay-Attempt-Id: {request.request_id}\r\n"
+            f"HTTP/1.1 {status} Refused\r\n{HEADERS.not_run}: 1\r\n"
+            f"{HEADERS.server}: {self.name}\r\n"
+            f"{HEADERS.request_id}: {request.request_id}\r\n"
             f"{self.load()}Content-Length: 0\r\n\r\n"
         ).encode()
 
@@ -238,7 +239,7 @@
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        environment["MULBERRYRELAY_CONFIG"] = str(self._settings)
+        environment[SETTINGS_VARIABLE] = str(self._settings)
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 command,
@@ -307,8 +308,8 @@
             head = await fetch(
                 self.address,
                 READY_PORT,
-                b"GET /mulberryrelay/ready HTTP/1.1\r\n"
-                b"Host: r\r\nConnection: close\r\n\r\n",
+                f"GET {READY_PATH} HTTP/1.1\r\n"
+                "Host: r\r\nConnection: close\r\n\r\n".encode(),
                 1.0,
             )
         except (OSError, TimeoutError):
@@ -471,8 +472,8 @@
     """Return the head of a client's request."""
     return (
         f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"Mulberryrelay-Attempt-Id: {request_id}\r\n"
-        f"Mulberryrelay-Deadline-Ms: {deadline_ms}\r\n{more}\r\n"
+        f"{HEADERS.request_id}: {request_id}\r\n"
+        f"{HEADERS.deadline_ms}: {deadline_ms}\r\n{more}\r\n"
     ).encode()
 
 
