--- /dev/null
+++ b/tests/test_edge_client_bodies.py
@@ -0,0 +1,184 @@
+"""Callers that send long bodies without their end, or read long responses slowly.
+
+A router process with little memory meets a crowd of them. It must live on, stay within
+its memory and its descriptors, and answer an ordinary request beside them. The bounds
+are the settings ``Limits.MemoryMb`` and ``Limits.MaxFds``.
+"""
+
+from collections.abc import Iterable
+from contextlib import AbstractAsyncContextManager
+from typing import Any
+
+from .fixtures import async_test
+from .fixtures.crowd import (
+    BUFFER_BYTES,
+    BYTES_PER_MB,
+    Crowd,
+    Pieces,
+    attacked_router,
+)
+from .fixtures.routerprocess import (
+    LONG_PATH,
+    body_pieces,
+    request_head,
+    router_process,
+)
+
+MEMORY_MB = 80
+MAX_FDS = 1000
+BODY_BYTES = 16 << 20
+"""Largest legal body; a body of 64 MB takes as much of a machine with 160 MB."""
+MEDIUM_BYTES = 1 << 20
+SHORT_BYTES = 16_000
+"""Length of a body that was not counted."""
+LONG_BYTES = 1_200_000
+"""Length of a long response, which the router still holds as a whole."""
+TIMEOUT_S = 60.0
+"""Timeout of the route, so that requests end by no deadline while the crowd plays."""
+LIMITS: dict[str, Any] = {
+    "MaxHeaderBytes": 16_384,
+    "MaxBodyBytes": BODY_BYTES,
+    "HeaderTimeoutS": 1.0,
+    "IdleTimeoutS": 2.0,
+}
+LARGEST_BODY_BYTES = 64 << 20
+"""Largest legal body of the deployments."""
+SMALLEST_MACHINE_MB = 160
+"""Memory of the smallest machine of the deployments."""
+LONG_BODIES = 60
+MEDIUM_BODIES = 200
+SHORT_BODIES = 300
+SLOW_READERS = 100
+PIPELINED_REQUESTS = 5
+"""Long responses that each slow reader requests at once."""
+
+
+def _attacked_router() -> AbstractAsyncContextManager[Crowd]:
+    return attacked_router(
+        MEMORY_MB, MAX_FDS, LIMITS, long_bytes=LONG_BYTES, timeout_s=TIMEOUT_S
+    )
+
+
+def _long_responses() -> Iterable[bytes]:
+    """Yield requests whose long responses are read slowly, sent at once."""
+    yield request_head("GET", LONG_PATH) * PIPELINED_REQUESTS
+
+
+def _body(length: int, missing_bytes: int = 0) -> Pieces:
+    """Return the pieces of a request with a body that lacks its last bytes."""
+
+    def pieces() -> Iterable[bytes]:
+        yield request_head("POST", "/listing/1", f"Content-Length: {length}\r\n")
+        yield from body_pieces(length - missing_bytes)
+
+    return pieces
+
+
+def _endless_body(length: int) -> Pieces:
+    """Return the pieces of a request whose chunked body lacks its last chunk."""
+
+    def pieces() -> Iterable[bytes]:
+        yield request_head("POST", "/listing/1", "Transfer-Encoding: chunked\r\n")
+        yield from body_pieces(length, is_chunked=True)
+
+    return pieces
+
+
+def _pipelined_bodies() -> Iterable[bytes]:
+    """Yield requests with bodies, sent at once, of which the last lacks a byte."""
+    head = request_head("POST", "/listing/1", f"Content-Length: {SHORT_BYTES}\r\n")
+    yield (head + bytes(SHORT_BYTES)) * 30
+    yield head + bytes(SHORT_BYTES - 1)
+
+
+def _add(crowd: Crowd, count: int, pieces: Pieces) -> None:
+    """Add callers that send all they have and then read slowly, if anything comes."""
+    crowd.add(count, pieces, read_bytes=BUFFER_BYTES)
+
+
+@async_test
+async def test_long_bodies_that_lack_a_byte_take_bounded_memory() -> None:
+    """Guards against callers that stop just short of the end of a body and stay."""
+    async with _attacked_router() as crowd:
+        _add(crowd, LONG_BODIES, _body(BODY_BYTES, missing_bytes=1))
+
+
+@async_test
+async def test_chunked_bodies_without_an_end_take_bounded_memory() -> None:
+    """Guards against bodies of unknown length that never end."""
+    async with _attacked_router() as crowd:
+        _add(crowd, LONG_BODIES, _endless_body(BODY_BYTES - 1))
+
+
+@async_test
+async def test_many_medium_bodies_that_lack_a_byte_take_bounded_memory() -> None:
+    """Guards against what the connections of bodies hold that wait for room."""
+    async with _attacked_router() as crowd:
+        _add(crowd, MEDIUM_BODIES, _body(MEDIUM_BYTES, missing_bytes=1))
+
+
+@async_test
+async def test_callers_of_medium_bodies_that_return_take_bounded_memory() -> None:
+    """Guards against room that is not given back when callers leave and return."""
+    async with _attacked_router() as crowd:
+        crowd.add_returning(MEDIUM_BODIES, _body(MEDIUM_BYTES))
+
+
+@async_test
+async def test_a_long_body_is_served_after_a_crowd_has_left() -> None:
+    """Guards against room for bodies that is lost for good."""
+    async with _attacked_router() as crowd:
+        crowd.add_returning(MEDIUM_BODIES, _body(MEDIUM_BYTES))
+        await crowd.play()
+        await crowd.close()
+        assert await crowd.router.get() == 200
+        assert await crowd.router.post(BODY_BYTES) == 200, crowd.router.recent_log
+
+
+@async_test
+async def test_pipelined_short_bodies_take_bounded_memory() -> None:
+    """Guards against short bodies that wait behind others and are not counted."""
+    async with _attacked_router() as crowd:
+        _add(crowd, SHORT_BODIES, _pipelined_bodies)
+
+
+@async_test
+async def test_long_responses_that_are_read_slowly_take_bounded_memory() -> None:
+    """Guards against copies of long responses that wait for slow callers."""
+    async with _attacked_router() as crowd:
+        _add(crowd, SLOW_READERS, _long_responses)
+
+
+@async_test
+async def test_bodies_and_long_responses_together_take_bounded_memory() -> None:
+    """Guards against holders that keep to their own bounds and not to the memory."""
+    async with _attacked_router() as crowd:
+        _add(crowd, SLOW_READERS, _long_responses)
+        _add(crowd, LONG_BODIES, _body(BODY_BYTES, missing_bytes=1))
+        _add(crowd, LONG_BODIES, _endless_body(BODY_BYTES - 1))
+        _add(crowd, MEDIUM_BODIES, _body(MEDIUM_BYTES, missing_bytes=1))
+        _add(crowd, SLOW_READERS, _pipelined_bodies)
+
+
+async def _check_largest_body_is_served(is_chunked: bool) -> None:
+    limits = LIMITS | {"MaxBodyBytes": LARGEST_BODY_BYTES}
+    async with router_process(
+        SMALLEST_MACHINE_MB, MAX_FDS, limits, timeout_s=TIMEOUT_S
+    ) as router:
+        status = await router.post(LARGEST_BODY_BYTES, is_chunked)
+        assert status == 200, router.recent_log
+        assert router.is_running
+        peak_mb = router.peak_memory_bytes() / BYTES_PER_MB
+        assert peak_mb <= SMALLEST_MACHINE_MB, f"{peak_mb} MB"
+
+
+@async_test
+async def test_the_largest_body_is_served_in_calm() -> None:
+    """Guards against limits that refuse a single request within those of operators."""
+    await _check_largest_body_is_served(is_chunked=False)
+
+
+@async_test
+async def test_the_largest_chunked_body_is_served_in_calm() -> None:
+    """Guards against bodies that are refused because their length is not known."""
+    await _check_largest_body_is_served(is_chunked=True)
