Free the bytes of responses that break off at once

Callers saw: slow readers of long, pipelined responses took a router past its memory; the process is killed there. Cause: a connection to a server keeps the error that ended its response. The error was raised, so that its traceback kept the frames of the attempt, and these the connection and the body: a cycle that waits for the collector. With the collector off, 218 MB of such bodies were found after 60 callers. A cancelled early request kept its caller's connection in the same way. Ruled out: the bytes that ResponseBuffer counts stayed within its bound. Change: the traceback is dropped where the attempt and the stream handle the error; a connection that has ended forgets its tasks.

--- a/packages/edge/mulberryrelay_edge/exchange.py
+++ b/packages/edge/mulberryrelay_edge/exchange.py
@@ -205,7 +205,7 @@
         try:
             async with asyncio.timeout(max(0.0, self.left_ms) / 1000) as timeout:
                 self._timeout = timeout
-                return await self._run(pool)
+                return await self._run_without_cycle(pool)
         except (aiohttp.ClientConnectionError, aiohttp.ClientPayloadError) as error:
             is_reset = (
                 isinstance(error, aiohttp.ClientConnectionError)
@@ -238,6 +238,22 @@
             if self._overdue is not None:
                 self._overdue.stop()
 
+    async def _run_without_cycle(self, pool: Pool) -> AttemptResult:
+        """Send the request; free what was received of a response that broke off.
+
+        The connection keeps the error, and the traceback of the error would keep the
+        connection and the body.
+        """
+        try:
+            return await self._run(pool)
+        except (
+            aiohttp.ClientError,
+            HttpProcessingError,
+            OSError,
+            asyncio.CancelledError,
+        ) as error:
+            raise error.with_traceback(None) from error.__cause__
+
     async def _run(self, pool: Pool) -> AttemptResult:
         connection = await pool.open(self._server.host, self._server.port)
         is_reusable = False
--- a/packages/edge/mulberryrelay_edge/pipelining.py
+++ b/packages/edge/mulberryrelay_edge/pipelining.py
@@ -232,6 +232,8 @@
         for parsed in (*current, *self._waiting):
             if parsed.forwarding is not None and parsed.forwarding.cancel():
                 cancelled += 1
+            # A cancelled task keeps what it referred to, this connection included.
+            parsed.forwarding = None
             if parsed.early is not None:
                 parsed.early.hold.close()
                 parsed.early = None
--- a/packages/edge/mulberryrelay_edge/responsestream.py
+++ b/packages/edge/mulberryrelay_edge/responsestream.py
@@ -121,7 +121,8 @@
             # TimeoutError is an OSError.
             if not self._is_evicted:
                 self._end = StreamEnd.BROKEN
-            raise StreamBrokenError(repr(error)) from error
+            # The payload keeps the error; its traceback would keep the payload.
+            raise StreamBrokenError(repr(error)) from error.with_traceback(None)
         self._read_bytes += len(piece)
         if not piece:
             self._end = StreamEnd.COMPLETED
