Keep room that is granted as the wait for it ends

Callers saw: after bursts of long bodies an idle router refused a body of the largest legal size with 503, for good. Cause: if a wait for room timed out in the same turn of the event loop in which its room was granted, the room belonged to nobody. Evidence: the new test puts both in one turn; it failed before (the reservation is refused) and passes now. Change: the wait ends with the room that was granted.

--- a/packages/edge/mulberryrelay_edge/requestbuffer.py
+++ b/packages/edge/mulberryrelay_edge/requestbuffer.py
@@ -64,7 +64,8 @@
             async with asyncio.timeout(timeout_s):
                 await granted
         except TimeoutError:
-            return False
+            # The room may be granted in the same turn of the event loop.
+            return granted.done() and not granted.cancelled()
         except asyncio.CancelledError:
             if granted.done() and not granted.cancelled():
                 self.give_back(count)
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -183,3 +183,20 @@
     assert await late.reserve(500_000, 0.01), "a longer one while no other is held"
     late.close()
     assert buffer.held_bytes == 0
+
+
+@async_test
+async def test_room_that_is_granted_as_the_wait_ends_is_not_lost() -> None:
+    """Guards against room that nobody has, after which idle routers refuse bodies."""
+    buffer = RequestBuffer(100_000)
+    first = buffer.open()
+    assert await first.reserve(80_000, 1.0)
+    second = buffer.open()
+    waiting = asyncio.create_task(second.reserve(50_000, 2 * WORK_S))
+    await asyncio.sleep(0)
+    asyncio.get_running_loop().call_later(WORK_S, first.close)
+    # Both the release and the end of the wait are due in the next turn of the loop.
+    time.sleep(3 * WORK_S)
+    assert await waiting
+    second.close()
+    assert buffer.held_bytes == 0
