Let a chunked body grow as long as one with a length

Callers saw: a body of 60 MB or more in chunks, inside MaxBodyBytes, got 503 from an idle router of 300 MB, and one of 32 MB from one of 160 MB; with a length it was served. Cause: a body beyond the bound has room while no other is held, but its own first bytes counted as another one's. Change: a growing body is compared with what the others hold. The test of the buffer covers growth alone and beside another body.

--- a/packages/edge/mulberryrelay_edge/requestbuffer.py
+++ b/packages/edge/mulberryrelay_edge/requestbuffer.py
@@ -41,9 +41,12 @@
         """Return a hold for one body, which has to be closed."""
         return BodyHold(self)
 
-    def try_take(self, count: int) -> bool:
-        """Take room at once, before bodies that wait; return whether there is any."""
-        if not self._has_room(count):
+    def try_take(self, count: int, own_bytes: int = 0) -> bool:
+        """Take room at once, before bodies that wait; return whether there is any.
+
+        ``own_bytes`` is what the same body has taken before.
+        """
+        if not self._has_room(count, own_bytes):
             return False
         self._held_bytes += count
         return True
@@ -81,8 +84,10 @@
         self._held_bytes -= count
         self._grant_waiting()
 
-    def _has_room(self, count: int) -> bool:
-        return not self._held_bytes or self._held_bytes + count <= self._max_bytes
+    def _has_room(self, count: int, own_bytes: int = 0) -> bool:
+        """Return whether a body may take more bytes than its own; always if alone."""
+        is_alone = self._held_bytes == own_bytes
+        return is_alone or self._held_bytes + count <= self._max_bytes
 
     def _grant_waiting(self) -> None:
         while self._waiting and self._has_room(self._waiting[0].count):
@@ -117,7 +122,7 @@
         missing = length - self._taken_bytes
         if length <= SMALL_BYTES or missing <= 0:
             return True
-        if not self._buffer.try_take(missing):
+        if not self._buffer.try_take(missing, self._taken_bytes):
             return False
         self._taken_bytes += missing
         return True
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -182,6 +182,9 @@
     assert buffer.held_bytes == 0
     assert await late.reserve(500_000, 0.01), "a longer one while no other is held"
     late.close()
+    assert late.grow_to(60_000) and late.grow_to(500_000), "the same as it grows"
+    assert not first.grow_to(20_000), "another beside it"
+    late.close()
     assert buffer.held_bytes == 0
 
 
