Count the bodies that connections of callers hold

Callers saw: hundreds of callers with pipelined bodies of 16 KB, or with bodies of 1 MB that waited for room, took a router far past its memory. Cause: ClientLimiter counted heads and unread responses only. Bodies that waited behind other requests, what was read ahead of a body that waited (160 KB a connection), short bodies of requests in progress, and request lines were not. Change: a connection counts all of them, so that the limiter closes those that hold most; requests wait up to the bytes of four heads, bodies included; half as much as 16 KB for 64 KB is read ahead; an ended connection drops its bodies. The other tests of callers and connections pass.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -130,7 +130,7 @@
         connection.begin(self._is_concurrent(request))
         edge_response = await connection.early_response()
         if edge_response is None:
-            edge_response = await self._respond(request, connection.arrived_ms)
+            edge_response = await self._respond(request, connection)
         response: web.StreamResponse
         if edge_response.stream is not None:
             response = StreamedResponse(edge_response, edge_response.stream)
@@ -179,13 +179,14 @@
         return await self._forwarder.forward(request)
 
     async def _respond(
-        self, request: web.BaseRequest, arrived_ms: float
+        self, request: web.BaseRequest, connection: PipelinedConnection
     ) -> EdgeResponse:
         """Forward a request in its turn, or refuse it."""
         self._in_flight += 1
         hold = self._bodies.open()
         try:
-            edge_request = await self._read(request, arrived_ms, hold)
+            edge_request = await self._read(request, connection.arrived_ms, hold)
+            connection.hold_body(len(edge_request.body) - hold.taken_bytes)
             return await self.forward(edge_request)
         except _RefusedError as refused:
             return refused.response
@@ -197,6 +198,7 @@
             return router_response(500)
         finally:
             hold.close()
+            connection.hold_body(0)
             self._in_flight -= 1
 
     def _is_ending(self, connection: web.RequestHandler) -> bool:
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -34,8 +34,8 @@
 
 asyncio accepts as many at once as its backlog has, before it tells of any of them.
 """
-READ_AHEAD_BYTES = 65_536
-"""Bytes read from a connection whose body waits for room in memory."""
+READ_AHEAD_BYTES = 16_384
+"""Half of the bytes that are read from a connection whose body waits for room."""
 DEREGISTRATION_S = 2.6
 """Time for which a stopping router still accepts connections.
 
--- a/packages/edge/mulberryrelay_edge/requestbuffer.py
+++ b/packages/edge/mulberryrelay_edge/requestbuffer.py
@@ -105,6 +105,11 @@
         self._buffer = buffer
         self._taken_bytes = 0
 
+    @property
+    def taken_bytes(self) -> int:
+        """Bytes for which the body has room; 0 for a short one."""
+        return self._taken_bytes
+
     async def reserve(self, length: int, timeout_s: float) -> bool:
         """Wait for room for a body of known length; return whether there was any."""
         if length <= SMALL_BYTES:
--- a/packages/kernel/mulberryrelay_kernel/clientlimits.py
+++ b/packages/kernel/mulberryrelay_kernel/clientlimits.py
@@ -50,7 +50,7 @@
     timeout_s: float
     """Time from the first byte of a head until it is complete."""
     max_queued_bytes: int
-    """Bytes of complete heads that may wait on one connection before reading stops."""
+    """Bytes of requests that may wait on one connection before reading stops."""
 
 
 class Client(Protocol):
@@ -58,7 +58,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of received heads and of unread responses."""
+        """Bytes of received requests and of unread responses."""
 
     @property
     def unsent_bytes(self) -> int:
--- a/packages/kernel/mulberryrelay_kernel/limitedconnections.py
+++ b/packages/kernel/mulberryrelay_kernel/limitedconnections.py
@@ -31,7 +31,10 @@
 FIELD_OVERHEAD_BYTES = 4
 """Bytes of a header line beside its name and value: a colon, a space and its end."""
 QUEUED_HEADS = 4
-"""Heads of maximum length that may wait on one connection before reading stops."""
+"""Heads of maximum length that may wait on one connection before reading stops.
+
+Requests with a body may wait as long as they take no more bytes than these.
+"""
 REFUSED_STATUSES = {
     DisconnectReason.HEAD_TOO_LONG: 431,
     DisconnectReason.HEAD_TOO_SLOW: 408,
@@ -65,6 +68,8 @@
         self._partial_bytes = 0
         """Bytes received since a head was complete and its body ended."""
         self._last_payload: StreamReader | None = None
+        """Body that arrives after the last complete head."""
+        self._body_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._received_s = 0.0
         self._is_refused = False
@@ -83,8 +88,9 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of heads, partial or waiting, and of unread responses."""
-        return self._partial_bytes + self._queued_bytes + self.unsent_bytes
+        """Bytes of heads, of bodies that nobody else counts, and unread responses."""
+        received = self._partial_bytes + self._queued_bytes + self._unread_body_bytes
+        return received + self._body_bytes + self.unsent_bytes
 
     @property
     def awaits_client(self) -> bool:
@@ -110,13 +116,29 @@
 
     @property
     def _queued_bytes(self) -> int:
-        """Bytes of complete heads that wait to be handled."""
-        return sum(
-            len(name) + len(value)
-            for message, _ in self._messages
-            if not isinstance(message, _ErrInfo)
-            for name, value in message.raw_headers
-        )
+        """Bytes of complete heads that wait to be handled, and of their bodies."""
+        queued = 0
+        for message, payload in self._messages:
+            if isinstance(message, _ErrInfo):
+                continue
+            queued += len(message.method) + len(message.path) + payload.total_bytes
+            for name, value in message.raw_headers:
+                queued += len(name) + len(value)
+        return queued
+
+    @property
+    def _unread_body_bytes(self) -> int:
+        """Bytes of the body of the request in progress that its handler has not read.
+
+        Those of a request that waits belong to ``_queued_bytes``.
+        """
+        payload = self._last_payload
+        if payload is None or not payload.total_bytes:
+            return 0
+        if self._messages and self._messages[-1][1] is payload:
+            return 0
+        # aiohttp has no public way to read it.
+        return payload._size
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Transports of uvloop are no subclass.
@@ -133,6 +155,10 @@
         self._client_transport = None
         self._cancel_head_timer()
         self._limiter.close(self)
+        # Bodies refer to their connection; without the cycle they are freed at once.
+        self._last_payload = None
+        if self._waiter is None:
+            self._messages.clear()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -148,6 +174,11 @@
             self._check_partial_head(data)
         self._record_held()
 
+    def hold_body(self, body_bytes: int) -> None:
+        """Count a body that was read, until it is called again with 0."""
+        self._body_bytes = body_bytes
+        self._record_held()
+
     def pause_writing(self) -> None:
         super().pause_writing()
         self._record_held()
