Return the memory of long buffers when they are freed

Callers saw: chunked bodies that never end took a router past its memory. Cause: glibc raises its threshold for buffers with pages of their own when one is freed. Growing bodies then live in the common heap, are copied as they grow, and leave holes there. Ruled out: objects that wait for the collector (no bytes of bodies among them after the crowd), and the account of bodies, which stayed within its bound.

--- a/packages/router/mulberryrelay_router/main.py
+++ b/packages/router/mulberryrelay_router/main.py
@@ -8,6 +8,7 @@
 
 import click
 
+from mulberryrelay_kernel.allocator import return_long_buffers
 from mulberryrelay_kernel.errors import FindingsError
 from mulberryrelay_kernel.logs import log_library_records, write_lines_to
 from mulberryrelay_kernel.options import Options
@@ -54,6 +55,7 @@
 
     write_lines_to(sys.stdout)
     log_library_records()
+    return_long_buffers()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run_instance(options))
 
