Write long responses in pieces as their callers read

Callers saw: with long responses that are read slowly, a router held more than its bound for responses. Cause: a body was written in one step. aiohttp copied it behind its head, and asyncio copied what was not sent at once, while the body itself was still held: three copies of which one was counted.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -1,6 +1,5 @@
 """Handles the requests of callers: reads and checks each one, and forwards it."""
 
-import weakref
 from math import isnan, nan
 from typing import Any
 
@@ -15,11 +14,12 @@
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.supervision import log_failure
 from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER, HOP_BY_HOP_HEADERS
-from mulberryrelay_router.serverconnection import ResponseBuffer, ResponseHold
+from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .adapter import Adapter
 from .catalog import Catalog
 from .forwarder import RequestForwarder
+from .heldresponse import HeldResponse
 from .messages import (
     LAST_KEY,
     CallerLimits,
@@ -75,24 +75,6 @@
         self.response = response
 
 
-class _HeldResponse(web.Response):
-    """A response whose body counts as held until it is written."""
-
-    def __init__(self, hold: ResponseHold, **options: Any) -> None:
-        super().__init__(**options)
-        self._hold = hold
-        # If the caller has left, the response is never written.
-        weakref.finalize(self, hold.close)
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        try:
-            await super().write_eof(data)
-        finally:
-            self._hold.close()
-            # aiohttp keeps the last response of each open connection.
-            self._body = None
-
-
 class CallerHandler:
     """Handles requests and counts those that it is reading or processing."""
 
@@ -220,15 +202,14 @@
         options: dict[str, Any] = {
             "status": edge_response.status,
             "headers": edge_response.headers,
-            "body": edge_response.body,
         }
-        if len(edge_response.body) <= SMALL_BYTES:
-            return web.Response(**options)
+        body = edge_response.body
+        if len(body) <= SMALL_BYTES:
+            return web.Response(body=body, **options)
         connection = request.protocol
         hold = self._responses.open(lambda: _disconnect(connection))
-        response = _HeldResponse(hold, **options)
-        hold.add(len(edge_response.body))
-        return response
+        hold.add(len(body))
+        return HeldResponse(hold, body, **options)
 
     async def _read(
         self, request: web.BaseRequest, arrived_ms: float, hold: BodyHold
