Let bodies that make no progress give way, and end them at the deadline

Callers saw: callers that sent a head, or all but a byte of a body, kept the room for bodies for as long as they wanted; others got 503 after half of their time. Their connections had no end: a body had no deadline. Cause: room is reserved at the head and was given back with the response only. Change: a body without progress for 1 s (a 64th of its length, or 4 KB if its length is unknown) gives way if another one needs its room, the one that held most for longest first. A body that is complete never does. A request whose body is incomplete at its deadline gets 408, which promises that it did not run, and a request without a route gets 404 before its body. Ruled out: a limit on the rate of a body that nobody waits for, which a slow caller inside the limits could meet.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -1,5 +1,6 @@
 """Handles the requests of callers: reads and checks each one, and forwards it."""
 
+import asyncio
 from math import isnan, nan
 from typing import Any
 
@@ -42,10 +43,9 @@
     istr("Expect"),
 )
 """Request headers that are not passed on to a server."""
-DEFAULT_TIMEOUT_MS = 2000.0
-"""Time that a caller is taken to wait if it does not state it and has no route yet."""
 ROOM_WAIT_SHARE = 0.5
 """Share of a request's time for which its body may wait for room in memory."""
+BODY_TOO_SLOW_STATUS = 408
 STOPPING_RETRY_AFTER_S = 0.05
 """Time after which a caller should return to another router."""
 RESPONSE_RESERVE_MS = 200.0
@@ -121,6 +121,8 @@
         # The responses to requests that are already forwarded are written as well.
         if self._is_ending(connection) and not connection.has_forwarded:
             response.force_close()
+        if response.status == BODY_TOO_SLOW_STATUS and not request.content.is_eof():
+            response.force_close()
         if isinstance(response, StreamedResponse):
             await response.send(request)
         return response
@@ -222,7 +224,10 @@
         routes = self._catalog.routes
         if routes is None:
             raise _RefusedError(router_response(503))
-        body = await self._read_body(request, routes.limits, hold)
+        route = self._find_route(request, routes)
+        timeout_ms = min(self._timeout_ms(request, route.timeout_ms), route.timeout_ms)
+        left_ms = arrived_ms + timeout_ms - self._clock()
+        body = await self._read_body(request, routes.limits, hold, left_ms)
         return self._check(request, routes, body, arrived_ms, may_stream=True)
 
     def _check(
@@ -314,36 +319,68 @@
         return RequestId(request.headers.get(self._adapter.headers.request_id, ""))
 
     async def _read_body(
-        self, request: web.BaseRequest, limits: CallerLimits, hold: BodyHold
+        self,
+        request: web.BaseRequest,
+        limits: CallerLimits,
+        hold: BodyHold,
+        left_ms: float,
     ) -> RequestBody:
         """Return the whole body, once there is room for it.
 
+        ``left_ms`` is the time until the deadline of the request.
+
         Raises:
-            _RefusedError: it is malformed or too long, or there is no room in time.
+            _RefusedError: it is malformed, too long or too slow, or there is no room
+                in time.
         """
         if not request.body_exists:
             return b""
         announced = request.content_length or 0
         if announced > limits.body_bytes:
             raise _RefusedError(router_response(413))
-        timeout_ms = self._timeout_ms(request, DEFAULT_TIMEOUT_MS)
-        if not await hold.reserve(announced, ROOM_WAIT_SHARE * timeout_ms / 1000):
+        if not await hold.reserve(announced, ROOM_WAIT_SHARE * left_ms / 1000):
             raise self._no_room(request)
-        # One buffer that grows: joining pieces would hold the body twice.
-        body = bytearray()
         try:
-            while chunk := await request.content.readany():
-                length = len(body) + len(chunk)
-                if length > limits.body_bytes:
-                    raise _RefusedError(router_response(413))
-                if not hold.grow_to(length):
-                    raise self._no_room(request)
-                body += chunk
+            if request.content.is_eof():
+                return request.content.read_nowait()
+            async with asyncio.timeout(max(0.0, left_ms) / 1000) as timeout:
+                hold.call_on_evict(lambda: _expire(timeout))
+                body = await self._read_pieces(request, limits, hold)
+        except TimeoutError:
+            raise self._too_slow(request, hold) from None
         except HttpProcessingError as error:
             log_event("malformed_request", status=error.code, error=str(error))
             raise _RefusedError(router_response(400)) from error
+        hold.complete()
         return bytes(body) if len(body) <= SMALL_BYTES else body
 
+    async def _read_pieces(
+        self, request: web.BaseRequest, limits: CallerLimits, hold: BodyHold
+    ) -> bytearray:
+        # One buffer that grows: joining pieces would hold the body twice.
+        body = bytearray()
+        while chunk := await request.content.readany():
+            length = len(body) + len(chunk)
+            if length > limits.body_bytes:
+                raise _RefusedError(router_response(413))
+            if not hold.grow_to(length):
+                raise self._no_room(request)
+            body += chunk
+        return body
+
+    def _too_slow(self, request: web.BaseRequest, hold: BodyHold) -> _RefusedError:
+        """Return the refusal of a request whose body did not arrive in time.
+
+        It has not run, which its status states.
+        """
+        log_event(
+            "body_too_slow",
+            request_id=self._request_id(request),
+            length=request.content_length,
+            arrived_bytes=hold.arrived_bytes,
+        )
+        return _RefusedError(router_response(BODY_TOO_SLOW_STATUS))
+
     def _no_room(self, request: web.BaseRequest) -> _RefusedError:
         """Return the refusal of a request whose body there is no room for."""
         log_event(
@@ -366,6 +403,11 @@
         connection.transport.abort()
 
 
+def _expire(timeout: asyncio.Timeout) -> None:
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
+
+
 def _parse_number(text: str | None, default: float) -> float:
     """Return the number in a header, or the default if it is absent or invalid."""
     if text is None:
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -6,7 +6,12 @@
 import tracemalloc
 
 from mulberryrelay_edge.callers import READ_AHEAD_BYTES
-from mulberryrelay_edge.requestbuffer import SMALL_BYTES, RequestBuffer
+from mulberryrelay_edge.requestbuffer import (
+    SMALL_BYTES,
+    STALL_S,
+    BodyHold,
+    RequestBuffer,
+)
 from mulberryrelay_platform.names import HEADERS
 
 from .fixtures import async_test
@@ -203,3 +208,73 @@
     assert await waiting
     second.close()
     assert buffer.held_bytes == 0
+
+
+@async_test
+async def test_bodies_without_progress_give_way_to_those_that_wait() -> None:
+    """Guards against callers that stop short of the end and keep all room."""
+    buffer = RequestBuffer(100_000)
+    evicted: list[str] = []
+
+    async def hold(name: str, length: int, arrived: int) -> BodyHold:
+        body = buffer.open()
+        assert await body.reserve(length, 0.1)
+        body.call_on_evict(lambda: evicted.append(name))
+        body.grow_to(arrived)
+        return body
+
+    complete = await hold("complete", 20_000, 20_000)
+    complete.complete()
+    stalled = await hold("stalled", 40_000, 39_999)
+    trickling = await hold("trickling", 30_000, 10_000)
+    waiting = asyncio.create_task(buffer.open().reserve(50_000, 4 * STALL_S))
+    left = asyncio.create_task(buffer.open().reserve(20_000, 4 * STALL_S))
+    for arrived in range(10_001, 10_020):
+        await asyncio.sleep(STALL_S / 10)
+        if trickling.taken_bytes:
+            trickling.grow_to(arrived)
+    assert await waiting
+    assert evicted == ["stalled", "trickling"] and not stalled.taken_bytes
+    assert await left
+    assert buffer.held_bytes == 90_000
+
+
+@async_test
+async def test_a_body_that_progresses_keeps_its_room() -> None:
+    """Guards against slow callers that lose their request to others."""
+    buffer = RequestBuffer(100_000)
+    evicted: list[str] = []
+    slow = buffer.open()
+    assert await slow.reserve(64_000, 0.1)
+    slow.call_on_evict(lambda: evicted.append("slow"))
+    waiting = asyncio.create_task(buffer.open().reserve(50_000, 2 * STALL_S))
+    for arrived in range(1000, 40_000, 1000):
+        await asyncio.sleep(STALL_S / 10)
+        assert slow.grow_to(arrived)
+    assert not await waiting and not evicted
+
+
+@async_test
+async def test_a_body_that_does_not_end_is_refused_at_its_deadline() -> None:
+    """Guards against bodies whose connections wait for them without an end.
+
+    The server gets nothing of them. A request without a route is refused at once.
+    """
+    async with (
+        CountingServer() as server,
+        edge_router(False, PAYMENTS) as router,
+    ):
+        router.register_address(server.port)
+        await router.callers.start()
+        for path, status in (("/pay/1", b"408"), ("/unknown/1", b"404")):
+            reader, writer = await asyncio.open_connection(HOST, router.callers.port)
+            writer.write(
+                f"POST {path} HTTP/1.1\r\nHost: app.example\r\n"
+                f"{HEADERS.request_id}: 1\r\n{HEADERS.deadline_ms}: 200\r\n"
+                f"Content-Length: {len(BODY)}\r\n\r\n".encode()
+                + BODY[:-1]
+            )
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                assert status in await reader.readline()
+            writer.close()
+        assert not server.lengths
