--- a/packages/kernel/mulberryrelay_kernel/limitedconnections.py
+++ b/packages/kernel/mulberryrelay_kernel/limitedconnections.py
@@ -35,6 +35,8 @@
 
 Requests with a body may wait as long as they take no more bytes than these.
 """
+PARSED_REQUEST_BYTES = 4096
+"""Memory of the objects of a parsed request, beside its bytes."""
 REFUSED_STATUSES = {
     DisconnectReason.HEAD_TOO_LONG: 431,
     DisconnectReason.HEAD_TOO_SLOW: 408,
@@ -121,7 +123,7 @@
         for message, payload in self._messages:
             if isinstance(message, _ErrInfo):
                 continue
-            queued += len(message.method) + len(message.path) + payload.total_bytes
+            queued += PARSED_REQUEST_BYTES + len(message.path) + payload.total_bytes
             for name, value in message.raw_headers:
                 queued += len(name) + len(value)
         return queued
