Let a body beyond the bound borrow from the other holders

Callers saw: a single body of the largest legal size beside a crowd took a small machine past its memory, though each kind of holder kept to its bound. Cause: such a body has room beyond the bound of bodies, and nobody else gave way for it. Free memory inside the heap (13 MB after a crowd, of which a trial with malloc_trim got all back) counted as well. Change: what has arrived beyond the bound is taken from responses and connections in halves; each keeps a sixteenth of its share for small requests. Free memory of the heap is returned when a body begins to borrow, and once a second while clients are disconnected for their bytes. Two unit tests cover what is borrowed and what is kept.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -10,6 +10,8 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict, istr
 
+from mulberryrelay_kernel.allocator import return_free_memory
+from mulberryrelay_kernel.clientlimits import ClientLimiter
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestId
 from mulberryrelay_kernel.logs import log_event
@@ -83,6 +85,7 @@
         adapter: Adapter,
         catalog: Catalog,
         forwarder: RequestForwarder,
+        limiter: ClientLimiter,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
@@ -90,8 +93,10 @@
         self._forwarder = forwarder
         self._clock = clock
         self._matcher = RouteMatcher()
-        self._bodies = RequestBuffer(adapter.options.max_request_bytes)
+        self._limiter = limiter
         self._responses: ResponseBuffer = forwarder.response_buffer
+        self._bodies = RequestBuffer(adapter.options.max_request_bytes, self._lend)
+        self._has_lent = False
         self._shutdown = Shutdown()
         self._in_flight = 0
 
@@ -185,6 +190,14 @@
             connection.hold_body(0)
             self._in_flight -= 1
 
+    def _lend(self, body_bytes: int) -> None:
+        """Let a long body have bytes of the shares of responses and connections."""
+        if body_bytes and not self._has_lent:
+            return_free_memory()
+        self._has_lent = body_bytes > 0
+        self._responses.lend(body_bytes // 2)
+        self._limiter.lend(body_bytes // 2)
+
     def _is_ending(self, connection: web.RequestHandler) -> bool:
         """Return whether no further requests of a connection are forwarded."""
         assert isinstance(connection, PipelinedConnection)
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -104,12 +104,12 @@
         self._options: EdgeOptions = adapter.options
         self._catalog = catalog
         self._clock = clock
-        self._handler = CallerHandler(adapter, catalog, forwarder, clock)
         self._limiter = ClientLimiter(
             self._options.max_caller_connections,
             self._options.max_caller_bytes,
             lambda: caller_head_limits(catalog.routes),
         )
+        self._handler = CallerHandler(adapter, catalog, forwarder, self._limiter, clock)
         self._runner: web.ServerRunner | None = None
         self._listener: socket.socket | None = None
         self._site: web.SockSite | None = None
--- a/packages/edge/mulberryrelay_edge/requestbuffer.py
+++ b/packages/edge/mulberryrelay_edge/requestbuffer.py
@@ -22,6 +22,8 @@
 """Parts of a body, each of which counts as progress once it has arrived."""
 PROGRESS_BYTES = 4096
 """What counts as progress of a body of unknown length."""
+BORROW_STEP_BYTES = 1_048_576
+"""Bytes of a body beyond the bound that are taken from other holders at a time."""
 SWEEP_PERIOD_S = 0.25
 """Period in which stalled bodies are looked for while others wait."""
 
@@ -36,8 +38,17 @@
 class RequestBuffer:
     """The bytes of all bodies that are held."""
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self, max_bytes: int, on_borrow: Callable[[int], None] = lambda _: None
+    ) -> None:
+        """``on_borrow`` is called with the bytes that have arrived beyond the bound.
+
+        It must take them from other holders of memory. They count in steps.
+        """
         self._max_bytes = max_bytes
+        self._on_borrow = on_borrow
+        self._arrived_bytes = 0
+        self._borrowed_steps = 0
         self._held_bytes = 0
         self._waiting: deque[_Waiting] = deque()
         self._holds: set[BodyHold] = set()
@@ -65,7 +76,8 @@
     async def take(self, hold: "BodyHold", count: int, timeout_s: float) -> bool:
         """Wait for room for a body; return whether there was any in time.
 
-        A body longer than the bound gets room while no other is held.
+        A body longer than the bound gets room while no other is held. The rest of its
+        bytes is borrowed from other holders of memory as it arrives.
         """
         if not self._waiting and self.try_take(hold, count):
             return True
@@ -80,6 +92,15 @@
         self._held_bytes -= count
         self._grant_waiting()
 
+    def record_arrived(self, count: int) -> None:
+        """Count bytes that have arrived, or, if negative, that are dropped."""
+        self._arrived_bytes += count
+        excess_bytes = max(0, self._arrived_bytes - self._max_bytes)
+        steps = -(-excess_bytes // BORROW_STEP_BYTES)
+        if steps != self._borrowed_steps:
+            self._borrowed_steps = steps
+            self._on_borrow(steps * BORROW_STEP_BYTES)
+
     async def _wait(self, count: int, timeout_s: float) -> bool:
         loop = asyncio.get_running_loop()
         granted = loop.create_future()
@@ -195,6 +216,7 @@
 
         It does not wait: bodies that have arrived in part could wait for each other.
         """
+        self._buffer.record_arrived(length - self._arrived_bytes)
         self._arrived_bytes = length
         if length - self._last_step_bytes >= self._step_bytes:
             self._last_step_bytes = length
@@ -220,4 +242,6 @@
     def close(self) -> None:
         """Give all room back."""
         taken_bytes, self._taken_bytes = self._taken_bytes, 0
+        self._buffer.record_arrived(-self._arrived_bytes)
+        self._arrived_bytes = 0
         self._buffer.give_back(self, taken_bytes)
--- a/packages/kernel/mulberryrelay_kernel/allocator.py
+++ b/packages/kernel/mulberryrelay_kernel/allocator.py
@@ -30,3 +30,10 @@
         return False
     is_set = bool(mallopt(MMAP_THRESHOLD_OPTION, LONG_BUFFER_BYTES))
     return bool(mallopt(TRIM_THRESHOLD_OPTION, SPARE_HEAP_BYTES)) and is_set
+
+
+def return_free_memory() -> None:
+    """Return the free pages inside the heap to the system, before a long body."""
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
--- a/packages/kernel/mulberryrelay_kernel/clientlimits.py
+++ b/packages/kernel/mulberryrelay_kernel/clientlimits.py
@@ -14,7 +14,9 @@
 
 import msgspec
 
+from .allocator import return_free_memory
 from .logs import log_event
+from .memoryshares import kept_bytes
 
 UNREAD_TIMEOUT_S = 15.0
 """Time for which a client may take no byte of a response before it is disconnected.
@@ -106,6 +108,7 @@
     ) -> None:
         """``head_limits`` returns the limits that are in force."""
         self._max_connections = max_connections
+        self._share_bytes = max_held_bytes
         self._max_held_bytes = max_held_bytes
         self._head_limits = head_limits
         self._max_finishing = FINISHING_SHARE * max_connections
@@ -117,6 +120,8 @@
         self._logged: dict[DisconnectReason, tuple[float, int]] = {}
         """Time and count of the last log line for each reason."""
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._has_freed = False
+        """Whether clients were disconnected for their bytes since the last check."""
 
     @property
     def connections(self) -> int:
@@ -176,6 +181,12 @@
         if self._held_bytes > self._max_held_bytes:
             self._reduce_held()
 
+    def lend(self, lent_bytes: int) -> None:
+        """Set how many bytes others may hold in place of connections."""
+        self._max_held_bytes = kept_bytes(self._share_bytes, lent_bytes)
+        if self._held_bytes > self._max_held_bytes:
+            self._reduce_held()
+
     def record_refusal(self, reason: DisconnectReason) -> None:
         """Count and log that a client was refused."""
         self._counts[reason] += 1
@@ -240,6 +251,7 @@
         while self._held_bytes > self._max_held_bytes:
             victim = max(self._entries, key=self._rank_held)
             self._disconnect(victim, DisconnectReason.MEMORY_FULL)
+            self._has_freed = True
 
     def _rank_held(self, client: Client) -> tuple[bool, bool, float, int]:
         """Return the rank of a client to be disconnected for its bytes.
@@ -253,6 +265,9 @@
     def _sweep(self) -> None:
         """Disconnect clients that have taken no byte for too long."""
         self._sweep_timer = None
+        if self._has_freed:
+            self._has_freed = False
+            return_free_memory()
         unread: list[Client] = []
         for client, entry in self._entries.items():
             unsent_bytes = client.unsent_bytes
--- a/packages/router/mulberryrelay_router/serverconnection.py
+++ b/packages/router/mulberryrelay_router/serverconnection.py
@@ -20,6 +20,7 @@
 from mulberryrelay_kernel.clock import boottime_ms
 from mulberryrelay_kernel.httpclient import InvalidStatusError, ResponseTooLongError
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.memoryshares import kept_bytes
 
 MAX_INTERIM_RESPONSES = 8
 """Interim responses (1xx) that a server may send before its response."""
@@ -271,6 +272,7 @@
 
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
+        self._lent_bytes = 0
         self._holds: set[ResponseHold] = set()
 
     @property
@@ -288,15 +290,21 @@
         """Release all bytes of a response."""
         self._holds.discard(hold)
 
+    def lend(self, lent_bytes: int) -> None:
+        """Set how many bytes others may hold in place of responses."""
+        self._lent_bytes = lent_bytes
+        self.enforce_limit()
+
     def enforce_limit(self) -> None:
         """Evict the largest responses until the others are within the limit."""
-        while self._holds and self.held_bytes > self._max_bytes:
+        limit_bytes = kept_bytes(self._max_bytes, self._lent_bytes)
+        while self._holds and self.held_bytes > limit_bytes:
             largest = max(self._holds, key=lambda hold: hold.held_bytes)
             log_event(
                 "response_evicted",
                 held_bytes=largest.held_bytes,
                 responses=len(self._holds),
-                limit_bytes=self._max_bytes,
+                limit_bytes=round(limit_bytes),
             )
             self._holds.discard(largest)
             largest.evict()
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -7,12 +7,15 @@
 
 from mulberryrelay_edge.callers import READ_AHEAD_BYTES
 from mulberryrelay_edge.requestbuffer import (
+    BORROW_STEP_BYTES,
     SMALL_BYTES,
     STALL_S,
     BodyHold,
     RequestBuffer,
 )
+from mulberryrelay_kernel.memoryshares import MIN_KEPT_SHARE
 from mulberryrelay_platform.names import HEADERS
+from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .fixtures import async_test
 from .fixtures.edgefleet import route
@@ -278,3 +281,33 @@
                 assert status in await reader.readline()
             writer.close()
         assert not server.lengths
+
+
+@async_test
+async def test_a_body_beyond_the_bound_borrows_what_has_arrived_of_it() -> None:
+    """Guards against a long body that is held beside full shares of others."""
+    borrowed: list[int] = []
+    buffer = RequestBuffer(2 * BORROW_STEP_BYTES, borrowed.append)
+    body = buffer.open()
+    assert await body.reserve(8 * BORROW_STEP_BYTES, 0.1)
+    for arrived in (1, 2 * BORROW_STEP_BYTES, 2 * BORROW_STEP_BYTES + 1):
+        assert body.grow_to(arrived)
+    assert borrowed == [BORROW_STEP_BYTES]
+    body.grow_to(8 * BORROW_STEP_BYTES)
+    body.close()
+    assert borrowed == [BORROW_STEP_BYTES, 6 * BORROW_STEP_BYTES, 0]
+
+
+@async_test
+async def test_responses_lend_their_share_but_for_a_part() -> None:
+    """Guards against responses that are kept beside a long body, and against none."""
+    buffer = ResponseBuffer(100_000)
+    evicted: list[str] = []
+    small = buffer.open(lambda: evicted.append("small"))
+    small.add(int(MIN_KEPT_SHARE * 100_000))
+    long = buffer.open(lambda: evicted.append("long"))
+    long.add(60_000)
+    buffer.lend(50_000)
+    assert evicted == ["long"]
+    buffer.lend(500_000)
+    assert evicted == ["long"]
