Bound what callers send between the bytes of a body

Cause: such fields belong to no head, so that the limits of heads did not reach them. The parser accepts 8 MB of them for each connection. Change: bytes that arrive during a body without any progress of it count like those of a partial head; beyond the limit of a head the caller is disconnected. No caller inside the limits reaches it: what stands between two chunks or behind the last one has to be longer than a whole head.

--- a/packages/kernel/mulberryrelay_kernel/limitedconnections.py
+++ b/packages/kernel/mulberryrelay_kernel/limitedconnections.py
@@ -166,13 +166,17 @@
     def data_received(self, data: bytes) -> None:
         if self._is_refused:
             return
-        was_receiving_body = self._is_receiving_body
+        payload = self._last_payload if self._is_receiving_body else None
+        body_bytes = payload.total_bytes if payload is not None else 0
         heads = self._request_count
         super().data_received(data)
         self._received_s = self._loop.time()
         if self._request_count != heads:
             self._record_head()
-        elif data and not was_receiving_body and not self._upgraded:
+        elif payload is not None:
+            has_progress = payload.total_bytes > body_bytes or payload.is_eof()
+            self._check_trailer(data, has_progress)
+        elif data and not self._upgraded:
             self._check_partial_head(data)
         self._record_held()
 
@@ -234,6 +238,17 @@
                 limits.timeout_s, self._refuse, DisconnectReason.HEAD_TOO_SLOW
             )
 
+    def _check_trailer(self, data: bytes, has_progress: bool) -> None:
+        """Disconnect a caller that sends too much between the bytes of a body.
+
+        That is fields behind the last chunk, or what stands between two chunks.
+        """
+        self._partial_bytes = 0 if has_progress else self._partial_bytes + len(data)
+        if self._partial_bytes > self._limiter.head_limits.max_bytes:
+            self._partial_bytes = 0
+            self._limiter.record_refusal(DisconnectReason.HEAD_TOO_LONG)
+            self.disconnect()
+
     def _refuse(self, reason: DisconnectReason) -> None:
         """Read no more, and refuse the head once earlier requests have responses."""
         self._cancel_head_timer()
--- a/tests/test_edge_client_bodies.py
+++ b/tests/test_edge_client_bodies.py
@@ -45,6 +45,9 @@
 """Largest legal body of the deployments."""
 SMALLEST_MACHINE_MB = 160
 """Memory of the smallest machine of the deployments."""
+TRAILER_FIELD = b"X-Filler: " + b"x" * 60_000 + b"\r\n"
+TRAILER_FIELDS = 120
+"""Fewer than the parser accepts."""
 LONG_BODIES = 60
 MEDIUM_BODIES = 200
 SHORT_BODIES = 300
@@ -142,6 +145,22 @@
         _add(crowd, SHORT_BODIES, _pipelined_bodies)
 
 
+def _endless_trailers() -> Iterable[bytes]:
+    """Yield a request whose chunked body is followed by fields without end."""
+    yield request_head("POST", "/listing/1", "Transfer-Encoding: chunked\r\n")
+    yield from body_pieces(1, is_chunked=True)
+    yield b"0\r\n"
+    for _ in range(TRAILER_FIELDS):
+        yield TRAILER_FIELD
+
+
+@async_test
+async def test_fields_behind_chunked_bodies_take_bounded_memory() -> None:
+    """Guards against header fields that belong to no head and have no bound."""
+    async with _attacked_router() as crowd:
+        _add(crowd, LONG_BODIES, _endless_trailers)
+
+
 @async_test
 async def test_long_responses_that_are_read_slowly_take_bounded_memory() -> None:
     """Guards against copies of long responses that wait for slow callers."""
