--- a/tests/test_edge_client_bodies.py
+++ b/tests/test_edge_client_bodies.py
@@ -33,6 +33,8 @@
 """Length of a body that was not counted."""
 LONG_BYTES = 1_200_000
 """Length of a long response, which the router still holds as a whole."""
+TOO_LONG_BYTES = 8_000_000
+"""Length of a response that the router rejects."""
 TIMEOUT_S = 60.0
 """Timeout of the route, so that requests end by no deadline while the crowd plays."""
 LIMITS: dict[str, Any] = {
@@ -168,6 +170,25 @@
         _add(crowd, SLOW_READERS, _long_responses)
 
 
+@async_test
+async def test_responses_over_the_limit_take_bounded_memory() -> None:
+    """Guards against rejected responses whose bytes wait for the collector.
+
+    An ordinary caller is served once their server gets no more of these requests.
+    """
+    async with router_process(
+        MEMORY_MB, MAX_FDS, LIMITS, long_bytes=TOO_LONG_BYTES, timeout_s=TIMEOUT_S
+    ) as router:
+        crowd = Crowd(router)
+        _add(crowd, SLOW_READERS, _long_responses)
+        await crowd.play()
+        await crowd.close()
+        assert router.is_running, router.recent_log
+        peak_mb = router.peak_memory_bytes() / BYTES_PER_MB
+        assert peak_mb <= MEMORY_MB, f"{peak_mb} MB"
+        assert await router.get() == 200, "after the callers"
+
+
 @async_test
 async def test_bodies_and_long_responses_together_take_bounded_memory() -> None:
     """Guards against holders that keep to their own bounds and not to the memory."""
