Bound what the bodies of all callers of mulberryrelay hold

Callers saw: 60 callers with bodies of 4 MB that lacked a byte took a router of the product's own interface to 327 MB; 2,000 connections with bodies of 8 MB are permitted. Cause: bodies that arrive or wait had no bound together, and up to 512 KB was read ahead of each. The frame of a cancelled request kept its body. Change: bodies count for their connections, so that those that hold most are disconnected beyond the new setting limits.caller_bytes (256 MiB, the constant for heads and responses before); 64 KB at a time are read ahead; a body that is given up is freed.

--- a/packages/kernel/mulberryrelay_kernel/options.py
+++ b/packages/kernel/mulberryrelay_kernel/options.py
@@ -102,6 +102,9 @@
     body_bytes: int = 8_388_608
     body_timeout_ms: int = 10_000
     """Timeout for receiving a complete request body."""
+    caller_bytes: int = 268_435_456
+    """Bytes of heads, bodies and unread responses that all callers together may hold;
+    those that hold most are disconnected beyond it."""
     deadline_ms: int = 120_000
     """Longest deadline that a caller may request."""
     buffered_answer_bytes: int = 1_048_576
--- a/packages/router/mulberryrelay_router/callers.py
+++ b/packages/router/mulberryrelay_router/callers.py
@@ -22,6 +22,7 @@
     RequestId,
     ServiceName,
 )
+from mulberryrelay_kernel.limitedconnections import LimitedConnection
 from mulberryrelay_kernel.logs import log_event
 from mulberryrelay_kernel.messages import ErrorBody
 from mulberryrelay_kernel.options import Options
@@ -330,8 +331,7 @@
     if expects_continue and request.transport is not None:
         request.transport.write(CONTINUE_RESPONSE)
     timeout_ms = options.limits.body_timeout_ms
-    chunks = []
-    size = 0
+    chunks: list[bytes] = []
     try:
         if request.content.is_eof():
             # Most bodies arrive together with their headers; they need no timer.
@@ -339,17 +339,30 @@
             _check_body_size(len(body), limit)
             return body
         async with asyncio.timeout(timeout_ms / 1000):
-            while chunk := await request.content.readany():
-                size += len(chunk)
-                _check_body_size(size, limit)
-                chunks.append(chunk)
+            await _read_chunks(request, limit, chunks)
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
     except TimeoutError:
         raise BadRequestError(
             408, "body-timeout", f"the body took more than {timeout_ms} ms"
         ) from None
     except (aiohttp.ClientError, HttpProcessingError, web.RequestPayloadError) as error:
         raise BadRequestError(400, "bad-body", repr(error)) from None
-    return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+    finally:
+        # The traceback of a request that was cancelled keeps this frame.
+        chunks.clear()
+
+
+async def _read_chunks(
+    request: web.BaseRequest, limit: int, chunks: list[bytes]
+) -> None:
+    """Append the chunks of a body to a list, and count them for its connection."""
+    size = 0
+    while chunk := await request.content.readany():
+        size += len(chunk)
+        _check_body_size(size, limit)
+        chunks.append(chunk)
+        if isinstance(request.protocol, LimitedConnection):
+            request.protocol.hold_body(size)
 
 
 def _check_body_size(size: int, limit: int) -> None:
--- a/packages/router/mulberryrelay_router/listener.py
+++ b/packages/router/mulberryrelay_router/listener.py
@@ -11,6 +11,7 @@
 from mulberryrelay_kernel.clientlimits import ClientLimiter, HeadLimits
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.limitedconnections import (
+    LimitedConnection,
     LimitedConnectionServer,
     head_limits,
 )
@@ -22,14 +23,12 @@
 LISTEN_BACKLOG = 1024
 # Maximum length of a header line; limits.header_bytes limits the sum of all lines.
 MAX_HEADER_LINE_BYTES = 8190
+READ_AHEAD_BYTES = 65_536
+"""Half of the bytes of a body that may arrive before they are read."""
 # Pause between checks for open connections during shutdown.
 CONNECTION_POLL_S = 0.01
 
 
-MAX_CALLER_BYTES = 268_435_456
-"""Bytes of heads and unread responses that all callers together may hold."""
-
-
 class CallerServer(LimitedConnectionServer):
     """Limits the number of connections and the time until their first headers arrive.
 
@@ -42,7 +41,10 @@
         # This class limits the connections, as it tells no idle ones from others. A
         # request may last until its deadline, and so may its response.
         limiter = ClientLimiter(
-            inf, MAX_CALLER_BYTES, self._head_limits, self._limits.deadline_ms / 1000
+            inf,
+            self._limits.caller_bytes,
+            self._head_limits,
+            self._limits.deadline_ms / 1000,
         )
         super().__init__(limiter, self._handle, **settings)
         self._request_handler = handler
@@ -81,8 +83,13 @@
         return head_limits(limits.header_bytes, MAX_HEADER_LINE_BYTES, timeout_s)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._cancel_header_timer(request.protocol)
-        return await self._request_handler(request)
+        connection = request.protocol
+        assert isinstance(connection, LimitedConnection)
+        self._cancel_header_timer(connection)
+        try:
+            return await self._request_handler(request)
+        finally:
+            connection.hold_body(0)
 
     def _abort_slow_connection(
         self, handler: RequestHandler, transport: asyncio.Transport
@@ -114,6 +121,7 @@
         auto_decompress=False,
         max_line_size=max_line_bytes,
         max_field_size=max_line_bytes,
+        read_bufsize=READ_AHEAD_BYTES,
     )
     runner = web.ServerRunner(
         server, shutdown_timeout=options.limits.deadline_ms / 1000
--- a/tests/test_edge_client_bodies.py
+++ b/tests/test_edge_client_bodies.py
@@ -20,6 +20,8 @@
 from .fixtures.routerprocess import (
     LONG_PATH,
     body_pieces,
+    get_status,
+    post_body,
     request_head,
     router_process,
 )
@@ -136,8 +138,8 @@
         crowd.add_returning(MEDIUM_BODIES, _body(MEDIUM_BYTES))
         await crowd.play()
         await crowd.close()
-        assert await crowd.router.get() == 200
-        assert await crowd.router.post(BODY_BYTES) == 200, crowd.router.recent_log
+        assert await get_status(crowd.port) == 200
+        assert await post_body(crowd.port, BODY_BYTES) == 200
 
 
 @async_test
@@ -179,7 +181,7 @@
     async with router_process(
         MEMORY_MB, MAX_FDS, LIMITS, long_bytes=TOO_LONG_BYTES, timeout_s=TIMEOUT_S
     ) as router:
-        crowd = Crowd(router)
+        crowd = Crowd(router.port)
         _add(crowd, SLOW_READERS, _long_responses)
         await crowd.play()
         await crowd.close()
