Relay long bodies in pieces, and refuse those that no router accepts

Cause: the relay's message was encoded with a copy of the body and written in one step, which copies it again. Other routers accept 32 MB of a message; a longer one was sent and refused with an unknown outcome. Change: long bodies are written in pieces between the other fields of the same message, so that routers of other versions decode it; a body over the limit is not sent, and its request is refused with 503 at once. Short bodies are sent as before. Open: what the receiving router holds of relayed bodies is not counted.

--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -6,17 +6,19 @@
 
 import zlib
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import TypeVar
 
 import aiohttp
 import msgspec
 from aiohttp import web
+from multidict import istr
 from yarl import URL
 
 from mulberryrelay_kernel.decoding import decode_msgpack
 from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER
 
 from .leaderproxy import CallLeader, no_proxy
 from .messages import (
@@ -29,7 +31,8 @@
     RouterReport,
     SuspectReport,
 )
-from .relay import RelayFailure, RelayReceiver
+from .relay import MAX_MESSAGE_BYTES, RelayFailure, RelayReceiver
+from .relayencoding import PIECE_BYTES, EncodedRelay
 from .reporthandler import MAX_WAIT_MS, ReportHandler
 from .suspectlink import SuspectLink
 
@@ -69,6 +72,13 @@
 """Reserves times at servers for a router; returns None if this is not the leader."""
 
 
+class _Body(msgspec.Struct, frozen=True):
+    """The body of a call to another router, and the headers that describe it."""
+
+    content: bytes | AsyncIterator[bytes | memoryview]
+    headers: dict[istr, str]
+
+
 class LinkServer:
     """HTTP endpoint for the reports of followers."""
 
@@ -99,7 +109,7 @@
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen for reports of other routers; return the port."""
-        app = web.Application(client_max_size=MAX_REPLY_BYTES)
+        app = web.Application(client_max_size=MAX_MESSAGE_BYTES)
         app.router.add_post(LINK_PATH, self._handle_report)
         app.router.add_post(RESERVE_PATH, self._handle_reservations)
         app.router.add_post(SUSPECTS_PATH, self._handle_suspects)
@@ -279,14 +289,16 @@
         self, url: str, request: RelayedRequest
     ) -> RelayedResponse | RelayFailure:
         """Send a request to another router; ``url`` is the one for reports."""
-        body = msgspec.msgpack.encode(request)
+        body = _relay_body(request)
         timeout = aiohttp.ClientTimeout(
             total=request.left_ms / 1000 + RELAY_TIMEOUT_S,
             sock_connect=RELAY_CONNECT_TIMEOUT_S,
         )
         target = URL(url).with_path(RELAY_PATH)
         try:
-            async with self._session.post(target, data=body, timeout=timeout) as reply:
+            async with self._session.post(
+                target, data=body.content, headers=body.headers, timeout=timeout
+            ) as reply:
                 if reply.status in (400, 409):
                     return RelayFailure.NOT_SENT
                 if reply.status != 200:
@@ -371,6 +383,14 @@
         await self._session.close()
 
 
+def _relay_body(request: RelayedRequest) -> _Body:
+    """Return the message with a relayed request, in pieces if it is long."""
+    if len(request.body) <= PIECE_BYTES:
+        return _Body(msgspec.msgpack.encode(request), {})
+    encoded = EncodedRelay(request)
+    return _Body(encoded.pieces(), {CONTENT_LENGTH_HEADER: str(encoded.length)})
+
+
 async def _decode_body(
     request: web.Request, message_type: type[Message], event: str
 ) -> Message:
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -37,6 +37,10 @@
 """Routers to which one request is sent, if those before did not get it."""
 MAX_FOR_DATA_CENTRES = 64
 """Requests that one router handles at a time for others that miss a data centre."""
+MAX_MESSAGE_BYTES = 33_554_432
+"""Length of a message that a router accepts from another one."""
+MAX_BODY_BYTES = MAX_MESSAGE_BYTES - 262_144
+"""Length of a body that is passed on; its head takes the rest of the message."""
 REPLY_RESERVE_MS = 20.0
 """Part of a request's time that is left for the way back of the response."""
 
@@ -182,6 +186,13 @@
     ``on_failure`` is called with the URL of a router that brought no response.
     ``data_centre`` is ``RelayedRequest.data_centre``.
     """
+    if len(request.body) > MAX_BODY_BYTES:
+        log_event(
+            "body_too_long_to_relay",
+            request_id=request.request_id,
+            length=len(request.body),
+        )
+        return RelayFailure.NOT_SENT
     failure = RelayFailure.NOT_SENT
     result: RelayedResponse | RelayFailure = RelayFailure.NOT_SENT
     for peer in peers:
