Check the length of bodies that arrive with their heads

Callers saw bodies in chunks that are longer than MaxBodyBytes answered with 200 instead of 413, if they arrived together with their heads, and such a body could be evicted although it was complete.

Evidence: the new test fails without the check (200 for 101 bytes of 100) and passes with it. The fast path now does what the slow one does, except for the timer, which a complete body doesn't need.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -1,16 +1,13 @@
 """Handles the requests of callers: reads and checks each one, and forwards it."""
 
-import asyncio
 from math import isnan, nan
 from typing import Any
 
 import msgspec
 from aiohttp import web
 from aiohttp.http import HttpVersion11
-from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict, istr
 
-from mulberryrelay_kernel.allocator import return_free_memory
 from mulberryrelay_kernel.clientlimits import ClientLimiter
 from mulberryrelay_kernel.clock import Clock
 from mulberryrelay_kernel.ids import RequestId
@@ -20,12 +17,12 @@
 from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .adapter import Adapter
+from .bodyreader import BODY_TOO_SLOW_STATUS, BodyReader, RefusedError
 from .catalog import Catalog
 from .forwarder import RequestForwarder
 from .heldresponse import HeldResponse
 from .messages import (
     LAST_KEY,
-    CallerLimits,
     EdgeRequest,
     EdgeResponse,
     RequestBody,
@@ -33,7 +30,7 @@
     RouteTable,
 )
 from .pipelining import EarlyResponse, PipelinedConnection
-from .requestbuffer import SMALL_BYTES, BodyHold, RequestBuffer
+from .requestbuffer import SMALL_BYTES, BodyHold
 from .responses import router_response
 from .routematcher import RouteMatcher
 from .streamedresponse import StreamedResponse
@@ -45,9 +42,6 @@
     istr("Expect"),
 )
 """Request headers that are not passed on to a server."""
-ROOM_WAIT_SHARE = 0.5
-"""Share of a request's time for which its body may wait for room in memory."""
-BODY_TOO_SLOW_STATUS = 408
 STOPPING_RETRY_AFTER_S = 0.05
 """Time after which a caller should return to another router."""
 RESPONSE_RESERVE_MS = 200.0
@@ -69,14 +63,6 @@
     """Time at which the router stops."""
 
 
-class _RefusedError(Exception):
-    """The router itself responds to a request, which is not forwarded."""
-
-    def __init__(self, response: EdgeResponse) -> None:
-        super().__init__(f"status {response.status}")
-        self.response = response
-
-
 class CallerHandler:
     """Handles requests and counts those that it is reading or processing."""
 
@@ -93,10 +79,10 @@
         self._forwarder = forwarder
         self._clock = clock
         self._matcher = RouteMatcher()
-        self._limiter = limiter
         self._responses: ResponseBuffer = forwarder.response_buffer
-        self._bodies = RequestBuffer(adapter.options.max_request_bytes, self._lend)
-        self._has_lent = False
+        self._bodies = BodyReader(
+            adapter.options.max_request_bytes, self._responses, limiter
+        )
         self._shutdown = Shutdown()
         self._in_flight = 0
 
@@ -143,7 +129,7 @@
             return None
         try:
             return self._check(request, routes, b"", arrived_ms, may_stream=False)
-        except _RefusedError:
+        except RefusedError:
             return None
 
     async def forward_early(
@@ -177,7 +163,7 @@
             edge_request = await self._read(request, connection.arrived_ms, hold)
             connection.hold_body(len(edge_request.body) - hold.taken_bytes)
             return await self.forward(edge_request)
-        except _RefusedError as refused:
+        except RefusedError as refused:
             return refused.response
         except (web.HTTPException, web.RequestPayloadError, ConnectionError):
             raise
@@ -190,14 +176,6 @@
             connection.hold_body(0)
             self._in_flight -= 1
 
-    def _lend(self, body_bytes: int) -> None:
-        """Let a long body have bytes of the shares of responses and connections."""
-        if body_bytes and not self._has_lent:
-            return_free_memory()
-        self._has_lent = body_bytes > 0
-        self._responses.lend(body_bytes // 2)
-        self._limiter.lend(body_bytes // 2)
-
     def _is_ending(self, connection: web.RequestHandler) -> bool:
         """Return whether no further requests of a connection are forwarded."""
         assert isinstance(connection, PipelinedConnection)
@@ -232,15 +210,18 @@
         """Read and check a request.
 
         Raises:
-            _RefusedError: it must not be forwarded.
+            RefusedError: it must not be forwarded.
         """
         routes = self._catalog.routes
         if routes is None:
-            raise _RefusedError(router_response(503))
+            raise RefusedError(router_response(503))
         route = self._find_route(request, routes)
         timeout_ms = min(self._timeout_ms(request, route.timeout_ms), route.timeout_ms)
         left_ms = arrived_ms + timeout_ms - self._clock()
-        body = await self._read_body(request, routes.limits, hold, left_ms)
+        request_id = self._request_id(request)
+        body = await self._bodies.read(
+            request, request_id, routes.limits, hold, left_ms
+        )
         return self._check(request, routes, body, arrived_ms, may_stream=True)
 
     def _check(
@@ -256,11 +237,11 @@
         ``may_stream`` states whether its response may be written at once.
 
         Raises:
-            _RefusedError: it must not be forwarded.
+            RefusedError: it must not be forwarded.
         """
         header_bytes = sum(len(k) + len(v) for k, v in request.raw_headers)
         if header_bytes > routes.limits.header_bytes:
-            raise _RefusedError(router_response(431))
+            raise RefusedError(router_response(431))
         route = self._find_route(request, routes)
         deadline_ms = self._deadline_ms(request, route, arrived_ms)
         names = self._adapter.headers
@@ -299,7 +280,7 @@
             path=request.rel_url.raw_path,
             routes_version=routes.version,
         )
-        raise _RefusedError(router_response(404))
+        raise RefusedError(router_response(404))
 
     def _deadline_ms(
         self, request: web.BaseRequest, route: Route, arrived_ms: float
@@ -321,7 +302,7 @@
             needed_ms=round(deadline_ms - self._clock()),
             left_ms=round(last_deadline_ms - self._clock()),
         )
-        raise _RefusedError(router_response(503, STOPPING_RETRY_AFTER_S))
+        raise RefusedError(router_response(503, STOPPING_RETRY_AFTER_S))
 
     def _timeout_ms(self, request: web.BaseRequest, default_ms: float) -> float:
         """Return the time for which the caller waits."""
@@ -331,79 +312,6 @@
     def _request_id(self, request: web.BaseRequest) -> RequestId:
         return RequestId(request.headers.get(self._adapter.headers.request_id, ""))
 
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-        limits: CallerLimits,
-        hold: BodyHold,
-        left_ms: float,
-    ) -> RequestBody:
-        """Return the whole body, once there is room for it.
-
-        ``left_ms`` is the time until the deadline of the request.
-
-        Raises:
-            _RefusedError: it is malformed, too long or too slow, or there is no room
-                in time.
-        """
-        if not request.body_exists:
-            return b""
-        announced = request.content_length or 0
-        if announced > limits.body_bytes:
-            raise _RefusedError(router_response(413))
-        if not await hold.reserve(announced, ROOM_WAIT_SHARE * left_ms / 1000):
-            raise self._no_room(request)
-        try:
-            if request.content.is_eof():
-                return request.content.read_nowait()
-            async with asyncio.timeout(max(0.0, left_ms) / 1000) as timeout:
-                hold.call_on_evict(lambda: _expire(timeout))
-                body = await self._read_pieces(request, limits, hold)
-        except TimeoutError:
-            raise self._too_slow(request, hold) from None
-        except HttpProcessingError as error:
-            log_event("malformed_request", status=error.code, error=str(error))
-            raise _RefusedError(router_response(400)) from error
-        hold.complete()
-        return bytes(body) if len(body) <= SMALL_BYTES else body
-
-    async def _read_pieces(
-        self, request: web.BaseRequest, limits: CallerLimits, hold: BodyHold
-    ) -> bytearray:
-        # One buffer that grows: joining pieces would hold the body twice.
-        body = bytearray()
-        while chunk := await request.content.readany():
-            length = len(body) + len(chunk)
-            if length > limits.body_bytes:
-                raise _RefusedError(router_response(413))
-            if not hold.grow_to(length):
-                raise self._no_room(request)
-            body += chunk
-        return body
-
-    def _too_slow(self, request: web.BaseRequest, hold: BodyHold) -> _RefusedError:
-        """Return the refusal of a request whose body did not arrive in time.
-
-        It has not run, which its status states.
-        """
-        log_event(
-            "body_too_slow",
-            request_id=self._request_id(request),
-            length=request.content_length,
-            arrived_bytes=hold.arrived_bytes,
-        )
-        return _RefusedError(router_response(BODY_TOO_SLOW_STATUS))
-
-    def _no_room(self, request: web.BaseRequest) -> _RefusedError:
-        """Return the refusal of a request whose body there is no room for."""
-        log_event(
-            "no_room_for_body",
-            request_id=self._request_id(request),
-            length=request.content_length,
-            held_bytes=self._bodies.held_bytes,
-        )
-        return _RefusedError(router_response(503))
-
 
 def _may_stream(request: web.BaseRequest, route: Route) -> bool:
     """Return whether a response to a request is recognised as incomplete."""
@@ -416,11 +324,6 @@
         connection.transport.abort()
 
 
-def _expire(timeout: asyncio.Timeout) -> None:
-    if not timeout.expired():
-        timeout.reschedule(asyncio.get_running_loop().time())
-
-
 def _parse_number(text: str | None, default: float) -> float:
     """Return the number in a header, or the default if it is absent or invalid."""
     if text is None:
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -311,3 +311,25 @@
     assert evicted == ["long"]
     buffer.lend(500_000)
     assert evicted == ["long"]
+
+
+@async_test
+async def test_bodies_that_arrive_with_their_heads_keep_to_the_limits() -> None:
+    """Guards against bodies that are not checked since nobody waits for them."""
+    async with (
+        CountingServer() as server,
+        edge_router(False, PAYMENTS) as router,
+    ):
+        router.register_address(server.port)
+        await router.callers.start()
+        router.limit_bodies(100)
+        for length, status in ((100, b"200"), (101, b"413")):
+            reader, writer = await asyncio.open_connection(HOST, router.callers.port)
+            writer.write(
+                f"POST /pay/1 HTTP/1.1\r\nHost: app.example\r\n"
+                f"{HEADERS.request_id}: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                f"{length:x}\r\n{'x' * length}\r\n0\r\n\r\n".encode()
+            )
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                assert status in await reader.readline(), length
+            writer.close()
