Count the responses to relayed requests at both routers

Callers saw: while routers reach no server and relay, callers that pipeline requests for long responses and read them slowly end the router that serves for the others, and with it everything that the others relay.

Cause: neither the router that receives a relayed response nor the one that sends it counted it in ResponseBuffer. The sender held it three times (response, encoding, transport), and aiohttp keeps the last reply of each open connection, of which a cut-off router opens 100.

Change: relayed responses count from their first byte to their last write at both routers, are written in pieces and dropped once written; the connections for relays read 32 KB at once, and have a session of their own; errors of replies lose their tracebacks.

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -44,6 +44,7 @@
         catalog: Catalog,
         dispatcher: Dispatcher,
         pool: Pool,
+        responses: ResponseBuffer,
         key_load: KeyLoad,
         metrics: Metrics,
         suspect_runs: SuspectRuns,
@@ -63,7 +64,7 @@
         self._data_centres = data_centres
         self._regions = regions
         self._clock = clock
-        self._response_buffer = ResponseBuffer(adapter.options.max_buffered_bytes)
+        self._response_buffer = responses
         self._unread_headers = UnreadHeaders(
             "server", msgspec.structs.astuple(adapter.headers)
         )
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -11,6 +11,7 @@
 from mulberryrelay_kernel.peerproto.peer_pb2 import ServerDeath
 from mulberryrelay_kernel.supervision import run_supervised
 from mulberryrelay_router.deaths import ProbeResult, is_unreachable, probe_address
+from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .adapter import Adapter
 from .bulkupdates import BulkUpdates
@@ -70,6 +71,7 @@
         forward: Callable[[EdgeRequest], Awaitable[EdgeResponse]],
         on_relay_ready: Callable[[], None],
         on_data_centre_relay_ready: Callable[[], None],
+        responses: ResponseBuffer,
         clock: Clock,
     ) -> None:
         """``condition`` returns what this router observes of a server.
@@ -79,6 +81,7 @@
         ``forward`` handles a request that another router relays to this one, and
         ``on_relay_ready`` is called when this one can relay requests itself, and
         ``on_data_centre_relay_ready`` when it can relay those for a data centre.
+        ``responses`` counts those to relayed requests.
         """
         options = adapter.options
         self._adapter = adapter
@@ -141,7 +144,7 @@
             clock,
         )
         self._link_client = LinkClient(
-            lambda url: self._data_centre_relay.find_via(url)
+            responses, lambda url: self._data_centre_relay.find_via(url)
         )
         self._suspects = SuspectLink(
             options.instance,
@@ -207,6 +210,7 @@
             self._reservations.reserve_for_all,
             self._suspects,
             self._relay_receiver,
+            responses,
             lambda: self._peer_urls(report_handler),
             lambda: self._routers(report_handler),
             self._leader_proxy.forward,
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -11,6 +11,7 @@
 from mulberryrelay_kernel.metrics import Metrics
 from mulberryrelay_kernel.supervision import run_supervised
 from mulberryrelay_router.pool import Pool
+from mulberryrelay_router.serverconnection import ResponseBuffer
 from mulberryrelay_router.suspects import Suspects
 
 from .adapter import Adapter
@@ -106,6 +107,7 @@
         lambda server: control.catalog.cold.limit_per_s(server),
         lambda server: control.catalog.cold.states_cold(server),
     )
+    responses = ResponseBuffer(options.max_buffered_bytes)
     control = ControlPlane(
         adapter,
         boot_id,
@@ -118,6 +120,7 @@
         lambda: dispatcher.release_queued(
             control.data_centre_relay.reach.are_unreached
         ),
+        responses,
         clock,
     )
 
@@ -142,6 +145,7 @@
         control.ownership,
         dispatcher,
         pool,
+        responses,
         control.key_load,
         metrics,
         lambda: control.counted_routers,
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -6,19 +6,18 @@
 
 import zlib
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 import aiohttp
 import msgspec
 from aiohttp import web
-from multidict import istr
 from yarl import URL
 
 from mulberryrelay_kernel.decoding import decode_msgpack
 from mulberryrelay_kernel.httpclient import create_client_session, read_body
 from mulberryrelay_kernel.logs import log_event
-from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER
+from mulberryrelay_router.serverconnection import ResponseBuffer
 
 from .leaderproxy import CallLeader, no_proxy
 from .messages import (
@@ -32,7 +31,7 @@
     SuspectReport,
 )
 from .relay import MAX_MESSAGE_BYTES, RelayFailure, RelayReceiver
-from .relayencoding import PIECE_BYTES, EncodedRelay
+from .relayhttp import RELAY_PATH, create_relay_session, handle_relayed, relay_request
 from .reporthandler import MAX_WAIT_MS, ReportHandler
 from .suspectlink import SuspectLink
 
@@ -40,7 +39,6 @@
 RESERVE_PATH = "/reservations"
 SUSPECTS_PATH = "/suspects"
 PROBATION_PATH = "/probation"
-RELAY_PATH = "/relay"
 PEERS_PATH = "/peers"
 ROUTERS_PATH = "/routers"
 FOR_LEADER_PATH = "/leader"
@@ -52,9 +50,6 @@
 """Time that a reply may take beyond the wait time of the report."""
 SUSPECTS_TIMEOUT_S = 0.5
 """Time that the leader may take to record suspects, or for a permit."""
-RELAY_TIMEOUT_S = 0.1
-"""Time that a relayed response may take beyond the time of its request."""
-RELAY_CONNECT_TIMEOUT_S = 0.3
 MIN_COMPRESSED_BYTES = 2000
 """Size from which on a reply is compressed."""
 COMPRESSION_LEVEL = 1
@@ -72,13 +67,6 @@
 """Reserves times at servers for a router; returns None if this is not the leader."""
 
 
-class _Body(msgspec.Struct, frozen=True):
-    """The body of a call to another router, and the headers that describe it."""
-
-    content: bytes | AsyncIterator[bytes | memoryview]
-    headers: dict[istr, str]
-
-
 class LinkServer:
     """HTTP endpoint for the reports of followers."""
 
@@ -88,6 +76,7 @@
         reserve_for_all: ReserveForAll,
         suspects: SuspectLink,
         relays: RelayReceiver,
+        responses: ResponseBuffer,
         peer_urls: Callable[[], Sequence[str] | None],
         routers: Callable[[], Sequence[RouterPeer] | None] = lambda: None,
         call_leader: CallLeader = no_proxy,
@@ -102,6 +91,7 @@
         self._reserve_for_all = reserve_for_all
         self._suspects = suspects
         self._relays = relays
+        self._responses = responses
         self._peer_urls = peer_urls
         self._runner: web.AppRunner | None = None
         self._cached_bodies: OrderedDict[object, bytes] = OrderedDict()
@@ -157,12 +147,8 @@
             return web.Response(status=409)
         return web.Response(body=reply)
 
-    async def _handle_relayed(self, request: web.Request) -> web.Response:
-        relayed = await _decode_body(request, RelayedRequest, "bad_relayed_request")
-        response = await self._relays.handle(relayed)
-        if response is None:
-            return web.Response(status=409)
-        return web.Response(body=msgspec.msgpack.encode(response))
+    async def _handle_relayed(self, request: web.Request) -> web.StreamResponse:
+        return await handle_relayed(request, self._relays, self._responses)
 
     async def _list_peers(self, request: web.Request) -> web.Response:
         urls = self._peer_urls()
@@ -224,13 +210,21 @@
 class LinkClient:
     """HTTP client that sends reports to the leader."""
 
-    def __init__(self, find_via: Callable[[str], str | None] = lambda _: None) -> None:
-        """``find_via`` returns the URL of a router through which to call a leader.
+    def __init__(
+        self,
+        responses: ResponseBuffer,
+        find_via: Callable[[str], str | None] = lambda _: None,
+    ) -> None:
+        """``responses`` counts those to relayed requests.
+
+        ``find_via`` returns the URL of a router through which to call a leader.
 
         None if the leader is called directly.
         """
+        self._responses = responses
         self._find_via = find_via
         self._session = create_client_session()
+        self._relay_session = create_relay_session()
 
     async def send(self, url: str, report: RouterReport) -> LeaderReply | None:
         """Send a report to a leader's URL; implements ``SendReport``."""
@@ -288,34 +282,8 @@
     async def relay(
         self, url: str, request: RelayedRequest
     ) -> RelayedResponse | RelayFailure:
-        """Send a request to another router; ``url`` is the one for reports."""
-        body = _relay_body(request)
-        timeout = aiohttp.ClientTimeout(
-            total=request.left_ms / 1000 + RELAY_TIMEOUT_S,
-            sock_connect=RELAY_CONNECT_TIMEOUT_S,
-        )
-        target = URL(url).with_path(RELAY_PATH)
-        try:
-            async with self._session.post(
-                target, data=body.content, headers=body.headers, timeout=timeout
-            ) as reply:
-                if reply.status in (400, 409):
-                    return RelayFailure.NOT_SENT
-                if reply.status != 200:
-                    return RelayFailure.UNKNOWN
-                content = await read_body(reply, MAX_REPLY_BYTES)
-                return decode_msgpack(content, RelayedResponse)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            log_event("relay_failed", url=str(target), error=repr(error), is_sent=False)
-            return RelayFailure.NOT_SENT
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            msgspec.MsgspecError,
-        ) as error:
-            log_event("relay_failed", url=str(target), error=repr(error), is_sent=True)
-            return RelayFailure.UNKNOWN
+        """Relay a request to another router; ``url`` is the one for reports."""
+        return await relay_request(self._relay_session, self._responses, url, request)
 
     async def find_peers(self, url: str) -> list[str] | None:
         """Return the URLs of routers that reach servers, from the leader's URL."""
@@ -381,14 +349,7 @@
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
-
-
-def _relay_body(request: RelayedRequest) -> _Body:
-    """Return the message with a relayed request, in pieces if it is long."""
-    if len(request.body) <= PIECE_BYTES:
-        return _Body(msgspec.msgpack.encode(request), {})
-    encoded = EncodedRelay(request)
-    return _Body(encoded.pieces(), {CONTENT_LENGTH_HEADER: str(encoded.length)})
+        await self._relay_session.close()
 
 
 async def _decode_body(
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -54,6 +54,8 @@
     """The other router did not get the request, or did not accept it."""
     UNKNOWN = "unknown"
     """The other router may have got it; it may have run."""
+    INCOMPLETE = "incomplete"
+    """The other router responded, but not all of its response arrived."""
 
 
 class RelayCalls(Protocol):
@@ -183,7 +185,7 @@
 ) -> EdgeResponse | RelayFailure:
     """Send a request to other routers, one after the other, until one responds.
 
-    ``on_failure`` is called with the URL of a router that brought no response.
+    ``on_failure`` is called with the URL of a router that did not respond.
     ``data_centre`` is ``RelayedRequest.data_centre``.
     """
     if len(request.body) > MAX_BODY_BYTES:
@@ -216,7 +218,11 @@
                 # The router before may have run it.
                 return failure
             return _response(result)
-        on_failure(peer)
+        if result is RelayFailure.INCOMPLETE:
+            # The peer is alive; one of the two routers had no room for the response.
+            result = RelayFailure.UNKNOWN
+        else:
+            on_failure(peer)
         if failure is RelayFailure.NOT_SENT:
             failure = result
         if result is RelayFailure.UNKNOWN and not request.route.is_idempotent:
--- a/packages/edge/mulberryrelay_edge/relayencoding.py
+++ b/packages/edge/mulberryrelay_edge/relayencoding.py
@@ -1,14 +1,14 @@
-"""Encodes a relayed request in pieces, so that its body is not copied.
+"""Encodes relayed requests and responses in pieces, so that bodies are not copied.
 
-The pieces together are the MessagePack encoding of ``RelayedRequest``, an array of its
-fields. The formats are those of the MessagePack specification.
+The pieces together are the MessagePack encoding of the message, an array of its fields.
+The formats are those of the MessagePack specification.
 """
 
 from collections.abc import AsyncIterator
 
 import msgspec
 
-from .messages import RelayedRequest
+from .messages import RelayedRequest, RelayedResponse
 
 PIECE_BYTES = 65_536
 """Length of the pieces of the body."""
@@ -16,19 +16,19 @@
 """First byte of an array, with the number of its items in the lower half."""
 BINARY_8, BINARY_16, BINARY_32 = b"\xc4", b"\xc5", b"\xc6"
 """First byte of binary data whose length has 1, 2 or 4 bytes."""
-BODY_INDEX = RelayedRequest.__struct_fields__.index("body")
 
 
 class EncodedRelay:
-    """The encoding of one relayed request."""
+    """The encoding of one relayed request, or of the response to it."""
 
-    def __init__(self, request: RelayedRequest) -> None:
-        fields = msgspec.structs.astuple(request)
+    def __init__(self, message: RelayedRequest | RelayedResponse) -> None:
+        body_index = message.__struct_fields__.index("body")
+        fields = msgspec.structs.astuple(message)
         start = [bytes([FIXARRAY | len(fields)])]
-        start += [msgspec.msgpack.encode(field) for field in fields[:BODY_INDEX]]
-        end = [msgspec.msgpack.encode(field) for field in fields[BODY_INDEX + 1 :]]
-        self._start = b"".join(start) + _binary_start(len(request.body))
-        self._body = memoryview(request.body)
+        start += [msgspec.msgpack.encode(field) for field in fields[:body_index]]
+        end = [msgspec.msgpack.encode(field) for field in fields[body_index + 1 :]]
+        self._start = b"".join(start) + _binary_start(len(message.body))
+        self._body = memoryview(message.body)
         self._end = b"".join(end)
 
     @property
@@ -36,6 +36,15 @@
         """Number of bytes of all pieces."""
         return len(self._start) + len(self._body) + len(self._end)
 
+    @property
+    def is_short(self) -> bool:
+        """Whether it may be sent as a whole."""
+        return len(self._body) <= PIECE_BYTES
+
+    def whole(self) -> bytes:
+        """Return all pieces together."""
+        return b"".join((self._start, self._body, self._end))
+
     async def pieces(self) -> AsyncIterator[bytes | memoryview]:
         """Yield the pieces in order."""
         yield self._start
--- /dev/null
+++ b/packages/edge/mulberryrelay_edge/relayhttp.py
@@ -0,0 +1,167 @@
+"""HTTP calls with which routers relay requests to each other.
+
+The bodies of the responses count as held at both routers, from their first byte until
+they are passed on.
+"""
+
+import asyncio
+import weakref
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from mulberryrelay_kernel.decoding import decode_msgpack
+from mulberryrelay_kernel.httpclient import ResponseTooLongError, create_client_session
+from mulberryrelay_kernel.logs import log_event
+from mulberryrelay_kernel.transports import limit_reads
+from mulberryrelay_router.attempts import CONTENT_LENGTH_HEADER
+from mulberryrelay_router.serverconnection import (
+    ResponseBuffer,
+    ResponseHold,
+    set_connection_factory,
+)
+
+from .messages import RelayedRequest, RelayedResponse
+from .relay import MAX_MESSAGE_BYTES, RelayFailure, RelayReceiver
+from .relayencoding import EncodedRelay
+
+RELAY_PATH = "/relay"
+RESPONSE_TIMEOUT_S = 0.1
+"""Time that a relayed response may take beyond the time of its request."""
+CONNECT_TIMEOUT_S = 0.3
+MAX_CONNECTIONS = 100
+"""Connections on which one router relays requests; further ones wait."""
+READ_AHEAD_BYTES = 16_384
+"""Half of the bytes that are read from a connection before they are counted."""
+
+
+class _RelayConnection(ResponseHandler):
+    """A connection to another router, which reads little ahead."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        limit_reads(transport)
+        super().connection_made(transport)
+
+
+def create_relay_session() -> aiohttp.ClientSession:
+    """Return a session for relayed requests alone, so that no other call waits."""
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
+    loop = asyncio.get_running_loop()
+    set_connection_factory(connector, lambda: _RelayConnection(loop))
+    return create_client_session(connector, read_ahead_bytes=READ_AHEAD_BYTES)
+
+
+async def relay_request(
+    session: aiohttp.ClientSession,
+    responses: ResponseBuffer,
+    url: str,
+    request: RelayedRequest,
+) -> RelayedResponse | RelayFailure:
+    """Relay a request to another router; ``url`` is the one for reports."""
+    target = URL(url).with_path(RELAY_PATH)
+    timeout = aiohttp.ClientTimeout(
+        total=request.left_ms / 1000 + RESPONSE_TIMEOUT_S,
+        sock_connect=CONNECT_TIMEOUT_S,
+    )
+    failure = RelayFailure.UNKNOWN
+    encoded = EncodedRelay(request)
+    try:
+        async with session.post(
+            target,
+            data=encoded.whole() if encoded.is_short else encoded.pieces(),
+            headers={CONTENT_LENGTH_HEADER: str(encoded.length)},
+            timeout=timeout,
+        ) as reply:
+            if reply.status in (400, 409):
+                return RelayFailure.NOT_SENT
+            if reply.status != 200:
+                return RelayFailure.UNKNOWN
+            failure = RelayFailure.INCOMPLETE
+            return decode_msgpack(await _read(reply, responses), RelayedResponse)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        log_event("relay_failed", url=str(target), error=repr(error), is_sent=False)
+        return RelayFailure.NOT_SENT
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        msgspec.MsgspecError,
+    ) as error:
+        log_event("relay_failed", url=str(target), error=repr(error), is_sent=True)
+        # The reply keeps the error; its traceback would keep the reply and its body.
+        error.with_traceback(None)
+        return failure
+
+
+async def handle_relayed(
+    request: web.Request, receiver: RelayReceiver, responses: ResponseBuffer
+) -> web.StreamResponse:
+    """Return the reply to a router that relays a request to this one.
+
+    Its body is the encoded ``RelayedResponse``. Status 409 states that the request is
+    not accepted.
+
+    Raises:
+        web.HTTPBadRequest: the request cannot be decoded.
+    """
+    try:
+        relayed = decode_msgpack(await request.read(), RelayedRequest)
+    except msgspec.MsgspecError as error:
+        log_event("bad_relayed_request", error=str(error))
+        raise web.HTTPBadRequest from error
+    response = await receiver.handle(relayed)
+    if response is None:
+        return web.Response(status=409)
+    encoded = EncodedRelay(response)
+    if encoded.is_short:
+        return web.Response(body=encoded.whole())
+    hold = responses.open(lambda: _disconnect(request))
+    hold.add(encoded.length)
+    return _RelayReply(encoded, hold)
+
+
+class _RelayReply(web.StreamResponse):
+    """A long reply, which counts as held until it is written."""
+
+    def __init__(self, encoded: EncodedRelay, hold: ResponseHold) -> None:
+        super().__init__()
+        self.content_length = encoded.length
+        self._encoded: EncodedRelay | None = encoded
+        self._hold = hold
+        # If the other router has left, the reply is never written.
+        weakref.finalize(self, hold.close)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        assert self._encoded is not None
+        try:
+            async for piece in self._encoded.pieces():
+                await self.write(piece)
+            await super().write_eof(data)
+        finally:
+            self._hold.close()
+            # aiohttp keeps the last reply of each open connection.
+            self._encoded = None
+
+
+async def _read(reply: aiohttp.ClientResponse, responses: ResponseBuffer) -> bytearray:
+    """Return the body of a reply, whose connection is closed if there is no room."""
+    body = bytearray()
+    hold = responses.open(reply.close)
+    try:
+        while chunk := await reply.content.readany():
+            body += chunk
+            if len(body) > MAX_MESSAGE_BYTES:
+                reply.close()
+                raise ResponseTooLongError(f"more than {MAX_MESSAGE_BYTES} bytes")
+            hold.add(len(chunk))
+    finally:
+        hold.close()
+    return body
+
+
+def _disconnect(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/packages/kernel/mulberryrelay_kernel/decoding.py
+++ b/packages/kernel/mulberryrelay_kernel/decoding.py
@@ -20,7 +20,7 @@
         raise msgspec.DecodeError("nested too deeply") from error
 
 
-def decode_msgpack(content: bytes, message_type: type[Message]) -> Message:
+def decode_msgpack(content: bytes | bytearray, message_type: type[Message]) -> Message:
     """Return the message in a MessagePack document; raises as ``decode_json`` does."""
     try:
         return msgspec.msgpack.decode(content, type=message_type)
--- a/packages/kernel/mulberryrelay_kernel/httpclient.py
+++ b/packages/kernel/mulberryrelay_kernel/httpclient.py
@@ -10,17 +10,21 @@
 # with a call every 100 ms or 150 ms to each peer they are a large part of the bytes
 # sent.
 UNUSED_HEADERS = frozenset({"Accept", "Accept-Encoding", "User-Agent"})
+READ_AHEAD_BYTES = 65_536
+"""Half of the bytes of a response that are read before they are asked for."""
 
 
 def create_client_session(
     connector: aiohttp.TCPConnector | None = None,
     timeout: aiohttp.ClientTimeout | None = None,
     headers: dict[str, str] | None = None,
+    read_ahead_bytes: int = READ_AHEAD_BYTES,
 ) -> aiohttp.ClientSession:
     """Return a client session that sends no cookies and no unused default headers.
 
     Responses are not decompressed: no recipient is asked to compress them, and a small
-    compressed body may be very large.
+    compressed body may be very large. Up to twice ``read_ahead_bytes`` of each are read
+    before they are asked for.
     """
     return aiohttp.ClientSession(
         connector=connector,
@@ -29,6 +33,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=UNUSED_HEADERS,
         auto_decompress=False,
+        read_bufsize=read_ahead_bytes,
     )
 
 
--- a/packages/kernel/mulberryrelay_kernel/limitedconnections.py
+++ b/packages/kernel/mulberryrelay_kernel/limitedconnections.py
@@ -14,12 +14,8 @@
 
 from .callerconnections import CallerConnection, CallerConnectionServer
 from .clientlimits import ClientLimiter, DisconnectReason, HeadLimits
+from .transports import limit_reads
 
-READ_BYTES = 32_768
-"""Bytes read from a connection at once.
-
-A connection whose reading stops may hold this much unparsed; asyncio reads 256 KB.
-"""
 WRITE_BUFFER_BYTES = 16_384
 """Unsent bytes of a connection from which on its responses wait to be written."""
 EMPTY_LINE = b"\r\n"
@@ -147,9 +143,7 @@
         client_transport = cast(asyncio.Transport, transport)
         self._client_transport = client_transport
         client_transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        if hasattr(client_transport, "max_size"):
-            # asyncio has no public way to set it; uvloop has no such bound.
-            client_transport.max_size = READ_BYTES
+        limit_reads(transport)
         super().connection_made(transport)
         self._limiter.open(self)
 
--- a/tests/test_edge_bulkupdates.py
+++ b/tests/test_edge_bulkupdates.py
@@ -19,7 +19,7 @@
     BulkUpdates,
 )
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient, _compress_body
+from mulberryrelay_edge.linkhttp import LINK_PATH, _compress_body
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.reporthandler import ReportHandler
@@ -44,7 +44,7 @@
     start_settled_fleet,
 )
 from .fixtures.rawserver import HOST
-from .fixtures.relays import link_server_to
+from .fixtures.relays import link_client, link_server_to
 from .fixtures.suspects import leaders_suspects
 
 ROUTERS = 71
@@ -374,7 +374,7 @@
         monotonic_ms,
     )
     server = link_server_to(report_handler, suspects, monotonic_ms)
-    client = LinkClient()
+    client = link_client()
     url = f"http://{HOST}:{await server.start(HOST, 0)}{LINK_PATH}"
     report = RouterReport("f", KeyReport({}, {}), {}, {ROUTES_TABLE: 1}, True, 0.0)
     found = []
--- /dev/null
+++ b/tests/test_edge_client_relays.py
@@ -0,0 +1,50 @@
+"""Callers that misbehave at routers which relay all of their requests to another one.
+
+The routers that relay and the one that reaches the server are processes with little
+memory. Each must live on, stay within its memory and its descriptors, and answer an
+ordinary request beside the callers, as in ``test_edge_client_bodies``.
+"""
+
+from collections.abc import Iterable
+from contextlib import AbstractAsyncContextManager
+
+from .fixtures import async_test
+from .fixtures.crowd import BUFFER_BYTES, Crowd, attacked_cut_off_routers
+from .fixtures.routerprocess import LONG_PATH, request_head
+
+ROUTERS = 3
+"""Routers that relay to one."""
+MEMORY_MB = 80
+MAX_FDS = 1000
+MAX_BODY_BYTES = 16 << 20
+LONG_BYTES = 1_200_000
+"""Length of a long response, which is relayed as a whole."""
+TIMEOUT_S = 60.0
+LIMITS = {
+    "MaxHeaderBytes": 16_384,
+    "MaxBodyBytes": MAX_BODY_BYTES,
+    "HeaderTimeoutS": 1.0,
+    "IdleTimeoutS": 2.0,
+}
+SLOW_READERS = 30
+"""Callers that read slowly at each router."""
+PIPELINED_REQUESTS = 5
+"""Long responses that each slow reader requests at once."""
+
+
+def _attacked_routers() -> AbstractAsyncContextManager[list[Crowd]]:
+    return attacked_cut_off_routers(
+        ROUTERS, MEMORY_MB, MAX_FDS, LIMITS, long_bytes=LONG_BYTES, timeout_s=TIMEOUT_S
+    )
+
+
+def _long_responses() -> Iterable[bytes]:
+    yield request_head("GET", LONG_PATH) * PIPELINED_REQUESTS
+
+
+@async_test
+async def test_long_responses_that_are_relayed_take_bounded_memory() -> None:
+    """Guards against relayed responses that are not counted, at either router."""
+    async with _attacked_routers() as crowds:
+        for crowd in crowds:
+            crowd.add(SLOW_READERS, _long_responses, read_bytes=BUFFER_BYTES)
--- a/tests/test_edge_data_centres.py
+++ b/tests/test_edge_data_centres.py
@@ -49,6 +49,7 @@
     respond_with,
 )
 from .fixtures.relays import (
+    link_client,
     link_server_of,
     link_server_to,
     no_request,
@@ -249,7 +250,7 @@
 
     store_sync = StoreSync()
     leader = _leader(store_sync)
-    client = LinkClient()
+    client = link_client()
     unreached = False
     with silent_address() as silent_port:
         known_url = f"http://{HOST}:{silent_port}{LINK_PATH}"
@@ -263,7 +264,7 @@
             proxy.forward,
         )
         third_url = f"http://{HOST}:{await third.start(HOST, 0)}{LINK_PATH}"
-        follower = LinkClient(lambda url: third_url)
+        follower = link_client(lambda url: third_url)
         leader_url = f"http://{HOST}:{await leader.start(HOST, 0)}{LINK_PATH}"
         state = RouterState("http://a", unreached=(FAR,))
         report = RouterReport("a", KeyReport({}, {}), {}, {}, True, 0.0, state=state)
@@ -347,7 +348,7 @@
     Routers of earlier builds and those that reach no server are told apart.
     """
     server = _leader(StoreSync())
-    client = LinkClient()
+    client = link_client()
     try:
         url = f"http://{HOST}:{await server.start(HOST, 0)}{LINK_PATH}"
         for name, state in (
--- a/tests/test_edge_leaderlink.py
+++ b/tests/test_edge_leaderlink.py
@@ -16,7 +16,7 @@
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
 from mulberryrelay_edge.leaserow import LEADER_TABLE
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
+from mulberryrelay_edge.linkhttp import LINK_PATH
 from mulberryrelay_edge.messages import (
     KeyReport,
     RangeChange,
@@ -62,7 +62,7 @@
 )
 from .fixtures.edgerouter import EdgeAdapter
 from .fixtures.rawserver import HOST
-from .fixtures.relays import link_server_to
+from .fixtures.relays import link_client, link_server_to
 from .fixtures.suspects import leaders_suspects
 
 SEED = 20261204
@@ -456,7 +456,7 @@
     )
     server = link_server_to(report_handler, suspects, monotonic_ms)
     key_report = KeyReport({SERVICE: [7, 7]}, {SERVICE: ServiceTimeSum(2, 240.0)})
-    client = LinkClient()
+    client = link_client()
     try:
         port = await server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
--- a/tests/test_edge_relayed_bodies.py
+++ b/tests/test_edge_relayed_bodies.py
@@ -6,7 +6,6 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mulberryrelay_edge.linkhttp import LinkClient
 from mulberryrelay_edge.messages import EdgeRequest, RelayedRequest, RelayedResponse
 from mulberryrelay_edge.relay import MAX_BODY_BYTES, RelayFailure, pass_on
 from mulberryrelay_edge.relayencoding import EncodedRelay
@@ -16,6 +15,7 @@
 from .fixtures import async_test
 from .fixtures.edgefleet import route
 from .fixtures.rawserver import HOST
+from .fixtures.relays import link_client
 
 BODY_BYTES = 16 << 20
 DEADLINE_MS = 5000.0
@@ -66,7 +66,7 @@
     await runner.setup()
     await web.TCPSite(runner, HOST, 0).start()
     relayed = _relayed(BODY_BYTES)
-    client = LinkClient()
+    client = link_client()
     tracemalloc.start()
     result = await client.relay(f"http://{HOST}:{runner.addresses[0][1]}", relayed)
     _, peak = tracemalloc.get_traced_memory()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,7 +20,7 @@
 
 from mulberryrelay_edge.bulkupdates import BulkUpdates
 from mulberryrelay_edge.keyload import KeyLoad
-from mulberryrelay_edge.linkhttp import LINK_PATH, LinkClient
+from mulberryrelay_edge.linkhttp import LINK_PATH
 from mulberryrelay_edge.messages import KeyReport, LeaderReply, RouterReport
 from mulberryrelay_edge.ownership import Ownership
 from mulberryrelay_edge.reporthandler import ReportHandler
@@ -35,7 +35,7 @@
 from .fixtures.edgefleet import LINK_BYTES_PER_S, backend
 from .fixtures.edgerouter import EdgeRouter, edge_response, edge_router, get
 from .fixtures.rawserver import HOST, RawRequest, raw_server, respond_with
-from .fixtures.relays import link_server_to
+from .fixtures.relays import link_client, link_server_to
 from .fixtures.suspects import leaders_suspects
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
@@ -249,7 +249,7 @@
             monotonic_ms,
         )
         link_server = link_server_to(handler, suspects, monotonic_ms)
-        client = LinkClient()
+        client = link_client()
         port = await link_server.start(HOST, 0)
         url = f"http://{HOST}:{port}{LINK_PATH}"
         try:
