Count the bodies that other routers relay

Callers saw: while routers reach no server, long bodies at them end the router that serves for them, even if each router holds no more than its own share.

Cause: the receiving router read a relayed request of any length at once, kept the message and the decoded body until the response, and counted neither. What it holds grows with the number of routers that relay.

Change: a relayed body takes room in the same RequestBuffer as those of the router's own callers and waits for it for 0.5 s; without room the request is refused with 503 as not run, which keeps the peer in use (a status of its own would remove it). The message is freed once it is decoded. A router that accepts no relayed requests says so before it reads their bodies: one that is cut off can be in its own list of peers, and then had its body twice.

--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -96,6 +96,10 @@
         """How far the shutdown has come; changed by who runs it."""
         return self._shutdown
 
+    def open_body(self) -> BodyHold:
+        """Return a hold for a body that another router relays; it has to be closed."""
+        return self._bodies.open()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to a request."""
         connection = request.protocol
--- a/packages/edge/mulberryrelay_edge/callers.py
+++ b/packages/edge/mulberryrelay_edge/callers.py
@@ -25,6 +25,7 @@
 from .forwarder import RequestForwarder
 from .options import EdgeOptions
 from .pipelining import PipelinedConnection
+from .requestbuffer import BodyHold
 
 IDLE_TIMEOUT_S = 60.0
 """Time after which an idle connection is closed, unless operators permit more."""
@@ -131,6 +132,10 @@
         assert self._runner is not None
         return int(self._runner.addresses[0][1])
 
+    def open_body(self) -> BodyHold:
+        """Return a hold for a body that another router relays; it has to be closed."""
+        return self._handler.open_body()
+
     async def start(self) -> None:
         """Listen for callers and for readiness checks."""
         server = _ConnectionServer(
--- a/packages/edge/mulberryrelay_edge/controlplane.py
+++ b/packages/edge/mulberryrelay_edge/controlplane.py
@@ -47,6 +47,7 @@
 from .regions import RegionRules, own_region
 from .relay import Relay, RelayReceiver
 from .reporthandler import ReportHandler
+from .requestbuffer import BodyHold
 from .reservations import ReservationSource
 from .routershares import RouterShares
 from .serverreach import PROBE_TIMEOUT_S, ServerReach
@@ -72,6 +73,7 @@
         on_relay_ready: Callable[[], None],
         on_data_centre_relay_ready: Callable[[], None],
         responses: ResponseBuffer,
+        open_body: Callable[[], BodyHold],
         clock: Clock,
     ) -> None:
         """``condition`` returns what this router observes of a server.
@@ -81,7 +83,8 @@
         ``forward`` handles a request that another router relays to this one, and
         ``on_relay_ready`` is called when this one can relay requests itself, and
         ``on_data_centre_relay_ready`` when it can relay those for a data centre.
-        ``responses`` counts those to relayed requests.
+        ``responses`` counts those to relayed requests, and ``open_body`` returns a hold
+        for the body of one.
         """
         options = adapter.options
         self._adapter = adapter
@@ -211,6 +214,7 @@
             self._suspects,
             self._relay_receiver,
             responses,
+            open_body,
             lambda: self._peer_urls(report_handler),
             lambda: self._routers(report_handler),
             self._leader_proxy.forward,
--- a/packages/edge/mulberryrelay_edge/instance.py
+++ b/packages/edge/mulberryrelay_edge/instance.py
@@ -121,6 +121,7 @@
             control.data_centre_relay.reach.are_unreached
         ),
         responses,
+        lambda: callers.open_body(),
         clock,
     )
 
--- a/packages/edge/mulberryrelay_edge/linkhttp.py
+++ b/packages/edge/mulberryrelay_edge/linkhttp.py
@@ -31,8 +31,15 @@
     SuspectReport,
 )
 from .relay import MAX_MESSAGE_BYTES, RelayFailure, RelayReceiver
-from .relayhttp import RELAY_PATH, create_relay_session, handle_relayed, relay_request
+from .relayhttp import (
+    READ_AHEAD_BYTES,
+    RELAY_PATH,
+    create_relay_session,
+    handle_relayed,
+    relay_request,
+)
 from .reporthandler import MAX_WAIT_MS, ReportHandler
+from .requestbuffer import BodyHold
 from .suspectlink import SuspectLink
 
 LINK_PATH = "/link"
@@ -50,6 +57,8 @@
 """Time that a reply may take beyond the wait time of the report."""
 SUSPECTS_TIMEOUT_S = 0.5
 """Time that the leader may take to record suspects, or for a permit."""
+REFUSED_BODY_S = 1.0
+"""Time in which the rest of a refused body is dropped before its connection closes."""
 MIN_COMPRESSED_BYTES = 2000
 """Size from which on a reply is compressed."""
 COMPRESSION_LEVEL = 1
@@ -77,6 +86,7 @@
         suspects: SuspectLink,
         relays: RelayReceiver,
         responses: ResponseBuffer,
+        open_body: Callable[[], BodyHold],
         peer_urls: Callable[[], Sequence[str] | None],
         routers: Callable[[], Sequence[RouterPeer] | None] = lambda: None,
         call_leader: CallLeader = no_proxy,
@@ -91,6 +101,7 @@
         self._reserve_for_all = reserve_for_all
         self._suspects = suspects
         self._relays = relays
+        self._open_body = open_body
         self._responses = responses
         self._peer_urls = peer_urls
         self._runner: web.AppRunner | None = None
@@ -110,7 +121,13 @@
         for path in LEADER_PATHS:
             app.router.add_post(FOR_LEADER_PATH + path, self._pass_to_leader)
         # A relayed request ends when the router that has sent it gives it up.
-        self._runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            read_bufsize=READ_AHEAD_BYTES,
+            lingering_time=REFUSED_BODY_S,
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
         return int(self._runner.addresses[0][1])
@@ -148,7 +165,9 @@
         return web.Response(body=reply)
 
     async def _handle_relayed(self, request: web.Request) -> web.StreamResponse:
-        return await handle_relayed(request, self._relays, self._responses)
+        return await handle_relayed(
+            request, self._relays, self._responses, self._open_body()
+        )
 
     async def _list_peers(self, request: web.Request) -> web.Response:
         urls = self._peer_urls()
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -258,10 +258,16 @@
         self._is_stopping = False
         self._in_flight: set[asyncio.Task[EdgeResponse]] = set()
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether requests are accepted, as far as it does not depend on them."""
+        is_ready = self._routes() is not None and not self._is_stopping
+        return is_ready and not self._reach.is_cut_off
+
     async def handle(self, relayed: RelayedRequest) -> RelayedResponse | None:
         """Return the response to a relayed request; None if it is not accepted."""
         routes = self._routes()
-        if self._is_stopping or self._reach.is_cut_off or routes is None:
+        if not self.is_accepting or routes is None:
             return None
         if relayed.data_centre:
             is_full = self._for_data_centres >= MAX_FOR_DATA_CENTRES
@@ -309,12 +315,7 @@
             self._for_data_centres += 1
             task.add_done_callback(self._record_end)
         response = await task
-        return RelayedResponse(
-            response.status,
-            _pairs(response.headers),
-            response.body,
-            response.is_from_router,
-        )
+        return relayed_response(response)
 
     def _record_end(self, task: "asyncio.Task[EdgeResponse]") -> None:
         self._for_data_centres -= 1
@@ -326,6 +327,16 @@
             await asyncio.wait(self._in_flight, timeout=timeout_s)
 
 
+def relayed_response(response: EdgeResponse) -> RelayedResponse:
+    """Return the message with a response to a relayed request."""
+    return RelayedResponse(
+        response.status,
+        _pairs(response.headers),
+        response.body,
+        response.is_from_router,
+    )
+
+
 def _relayed(
     request: EdgeRequest, left_ms: float, data_centre: DataCentre
 ) -> RelayedRequest:
--- a/packages/edge/mulberryrelay_edge/relayhttp.py
+++ b/packages/edge/mulberryrelay_edge/relayhttp.py
@@ -1,7 +1,7 @@
 """HTTP calls with which routers relay requests to each other.
 
-The bodies of the responses count as held at both routers, from their first byte until
-they are passed on.
+The bodies of requests count as held at the router that receives them, until they have
+a response. Those of responses count at both routers, until they are passed on.
 """
 
 import asyncio
@@ -25,13 +25,22 @@
 )
 
 from .messages import RelayedRequest, RelayedResponse
-from .relay import MAX_MESSAGE_BYTES, RelayFailure, RelayReceiver
+from .relay import (
+    MAX_MESSAGE_BYTES,
+    RelayFailure,
+    RelayReceiver,
+    relayed_response,
+)
 from .relayencoding import EncodedRelay
+from .requestbuffer import BodyHold
+from .responses import router_response
 
 RELAY_PATH = "/relay"
 RESPONSE_TIMEOUT_S = 0.1
 """Time that a relayed response may take beyond the time of its request."""
 CONNECT_TIMEOUT_S = 0.3
+ROOM_TIMEOUT_S = 0.5
+"""Time for which a relayed body waits for room in memory."""
 MAX_CONNECTIONS = 100
 """Connections on which one router relays requests; further ones wait."""
 READ_AHEAD_BYTES = 16_384
@@ -97,22 +106,23 @@
 
 
 async def handle_relayed(
-    request: web.Request, receiver: RelayReceiver, responses: ResponseBuffer
+    request: web.Request,
+    receiver: RelayReceiver,
+    responses: ResponseBuffer,
+    body_hold: BodyHold,
 ) -> web.StreamResponse:
     """Return the reply to a router that relays a request to this one.
 
     Its body is the encoded ``RelayedResponse``. Status 409 states that the request is
-    not accepted.
+    not accepted. ``body_hold`` counts the body of the request, and is closed.
 
     Raises:
         web.HTTPBadRequest: the request cannot be decoded.
+        web.HTTPRequestEntityTooLarge: it is longer than any router sends.
     """
-    try:
-        relayed = decode_msgpack(await request.read(), RelayedRequest)
-    except msgspec.MsgspecError as error:
-        log_event("bad_relayed_request", error=str(error))
-        raise web.HTTPBadRequest from error
-    response = await receiver.handle(relayed)
+    response = None
+    if receiver.is_accepting:
+        response = await _respond(request, receiver, body_hold)
     if response is None:
         return web.Response(status=409)
     encoded = EncodedRelay(response)
@@ -123,6 +133,19 @@
     return _RelayReply(encoded, hold)
 
 
+async def _respond(
+    request: web.Request, receiver: RelayReceiver, hold: BodyHold
+) -> RelayedResponse | None:
+    """Return the response to a relayed request, or None if it is not accepted."""
+    try:
+        relayed = await _receive(request, hold)
+        if relayed is None:
+            return relayed_response(router_response(503))
+        return await receiver.handle(relayed)
+    finally:
+        hold.close()
+
+
 class _RelayReply(web.StreamResponse):
     """A long reply, which counts as held until it is written."""
 
@@ -146,6 +169,36 @@
             self._encoded = None
 
 
+async def _receive(request: web.Request, hold: BodyHold) -> RelayedRequest | None:
+    """Return a relayed request; None if there is no room for it in time."""
+    length = request.content_length or 0
+    _check_length(length)
+    if request.transport is not None:
+        limit_reads(request.transport)
+    hold.call_on_evict(lambda: _disconnect(request))
+    if not await hold.reserve(length, ROOM_TIMEOUT_S):
+        log_event("no_room_for_relayed_body", length=length)
+        return None
+    message = bytearray()
+    while chunk := await request.content.readany():
+        message += chunk
+        _check_length(len(message))
+        if not hold.grow_to(len(message)):
+            log_event("no_room_for_relayed_body", length=len(message))
+            return None
+    hold.complete()
+    try:
+        return decode_msgpack(message, RelayedRequest)
+    except msgspec.MsgspecError as error:
+        log_event("bad_relayed_request", error=str(error))
+        raise web.HTTPBadRequest from error
+
+
+def _check_length(length: int) -> None:
+    if length > MAX_MESSAGE_BYTES:
+        raise web.HTTPRequestEntityTooLarge(MAX_MESSAGE_BYTES, length)
+
+
 async def _read(reply: aiohttp.ClientResponse, responses: ResponseBuffer) -> bytearray:
     """Return the body of a reply, whose connection is closed if there is no room."""
     body = bytearray()
--- a/tests/test_edge_client_relays.py
+++ b/tests/test_edge_client_relays.py
@@ -10,13 +10,16 @@
 
 from .fixtures import async_test
 from .fixtures.crowd import BUFFER_BYTES, Crowd, attacked_cut_off_routers
-from .fixtures.routerprocess import LONG_PATH, request_head
+from .fixtures.routerprocess import LONG_PATH, SLOW_PATH, body_pieces, request_head
 
 ROUTERS = 3
 """Routers that relay to one."""
+ROUTERS_WITH_BODIES = 6
+"""Routers that relay to one, each no more than it may hold itself."""
 MEMORY_MB = 80
 MAX_FDS = 1000
 MAX_BODY_BYTES = 16 << 20
+BODY_BYTES = 1 << 20
 LONG_BYTES = 1_200_000
 """Length of a long response, which is relayed as a whole."""
 TIMEOUT_S = 60.0
@@ -26,18 +29,26 @@
     "HeaderTimeoutS": 1.0,
     "IdleTimeoutS": 2.0,
 }
+BODIES = 40
+"""Callers with long bodies at each router."""
 SLOW_READERS = 30
 """Callers that read slowly at each router."""
 PIPELINED_REQUESTS = 5
 """Long responses that each slow reader requests at once."""
 
 
-def _attacked_routers() -> AbstractAsyncContextManager[list[Crowd]]:
+def _attacked_routers(count: int) -> AbstractAsyncContextManager[list[Crowd]]:
     return attacked_cut_off_routers(
-        ROUTERS, MEMORY_MB, MAX_FDS, LIMITS, long_bytes=LONG_BYTES, timeout_s=TIMEOUT_S
+        count, MEMORY_MB, MAX_FDS, LIMITS, long_bytes=LONG_BYTES, timeout_s=TIMEOUT_S
     )
 
 
+def _long_bodies() -> Iterable[bytes]:
+    """Yield a request with a whole body, which takes its server some time."""
+    yield request_head("POST", SLOW_PATH, f"Content-Length: {BODY_BYTES}\r\n")
+    yield from body_pieces(BODY_BYTES)
+
+
 def _long_responses() -> Iterable[bytes]:
     yield request_head("GET", LONG_PATH) * PIPELINED_REQUESTS
 
@@ -45,6 +56,14 @@
 @async_test
 async def test_long_responses_that_are_relayed_take_bounded_memory() -> None:
     """Guards against relayed responses that are not counted, at either router."""
-    async with _attacked_routers() as crowds:
+    async with _attacked_routers(ROUTERS) as crowds:
         for crowd in crowds:
             crowd.add(SLOW_READERS, _long_responses, read_bytes=BUFFER_BYTES)
+
+
+@async_test
+async def test_long_bodies_that_are_relayed_take_bounded_memory() -> None:
+    """Guards against a router that is killed for the bodies that others relay to it."""
+    async with _attacked_routers(ROUTERS_WITH_BODIES) as crowds:
+        for crowd in crowds:
+            crowd.add(BODIES, _long_bodies, read_bytes=BUFFER_BYTES)
