Count the wait for room in the time of a relayed request

Callers saw: nothing yet.

Evidence: the new test fails without the change (a deadline after the release of the room plus the stated time). Result: the test passes.

The settings that both tests of crowds share move to their fixture, unchanged.

--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -264,8 +264,13 @@
         is_ready = self._routes() is not None and not self._is_stopping
         return is_ready and not self._reach.is_cut_off
 
-    async def handle(self, relayed: RelayedRequest) -> RelayedResponse | None:
-        """Return the response to a relayed request; None if it is not accepted."""
+    async def handle(
+        self, relayed: RelayedRequest, waited_ms: float = 0.0
+    ) -> RelayedResponse | None:
+        """Return the response to a relayed request; None if it is not accepted.
+
+        ``waited_ms`` is the time since its first byte arrived.
+        """
         routes = self._routes()
         if not self.is_accepting or routes is None:
             return None
@@ -287,7 +292,7 @@
                 region=self._region(),
             )
             return None
-        now_ms = self._clock()
+        arrived_ms = self._clock() - waited_ms
         # A route may have changed its kind between the versions of the two routers.
         is_idempotent = route.is_idempotent and relayed.is_idempotent
         route = msgspec.structs.replace(
@@ -303,8 +308,8 @@
             relayed.body,
             route,
             self._matcher.pick_service(route),
-            now_ms,
-            now_ms + relayed.left_ms,
+            arrived_ms,
+            arrived_ms + relayed.left_ms,
             relayed.caller_address,
             is_relayed=True,
         )
--- a/packages/edge/mulberryrelay_edge/relayhttp.py
+++ b/packages/edge/mulberryrelay_edge/relayhttp.py
@@ -55,6 +55,29 @@
         super().connection_made(transport)
 
 
+class _RelayReply(web.StreamResponse):
+    """A long reply, which counts as held until it is written."""
+
+    def __init__(self, encoded: EncodedRelay, hold: ResponseHold) -> None:
+        super().__init__()
+        self.content_length = encoded.length
+        self._encoded: EncodedRelay | None = encoded
+        self._hold = hold
+        # If the other router has left, the reply is never written.
+        weakref.finalize(self, hold.close)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        assert self._encoded is not None
+        try:
+            async for piece in self._encoded.pieces():
+                await self.write(piece)
+            await super().write_eof(data)
+        finally:
+            self._hold.close()
+            # aiohttp keeps the last reply of each open connection.
+            self._encoded = None
+
+
 def create_relay_session() -> aiohttp.ClientSession:
     """Return a session for relayed requests alone, so that no other call waits."""
     connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
@@ -88,8 +111,9 @@
                 return RelayFailure.NOT_SENT
             if reply.status != 200:
                 return RelayFailure.UNKNOWN
+            # From here on the other router is known to be alive.
             failure = RelayFailure.INCOMPLETE
-            return decode_msgpack(await _read(reply, responses), RelayedResponse)
+            return decode_msgpack(await _read_reply(reply, responses), RelayedResponse)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         log_event("relay_failed", url=str(target), error=repr(error), is_sent=False)
         return RelayFailure.NOT_SENT
@@ -137,38 +161,17 @@
     request: web.Request, receiver: RelayReceiver, hold: BodyHold
 ) -> RelayedResponse | None:
     """Return the response to a relayed request, or None if it is not accepted."""
+    loop = asyncio.get_running_loop()
+    arrived_s = loop.time()
     try:
         relayed = await _receive(request, hold)
         if relayed is None:
             return relayed_response(router_response(503))
-        return await receiver.handle(relayed)
+        return await receiver.handle(relayed, 1000 * (loop.time() - arrived_s))
     finally:
         hold.close()
 
 
-class _RelayReply(web.StreamResponse):
-    """A long reply, which counts as held until it is written."""
-
-    def __init__(self, encoded: EncodedRelay, hold: ResponseHold) -> None:
-        super().__init__()
-        self.content_length = encoded.length
-        self._encoded: EncodedRelay | None = encoded
-        self._hold = hold
-        # If the other router has left, the reply is never written.
-        weakref.finalize(self, hold.close)
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        assert self._encoded is not None
-        try:
-            async for piece in self._encoded.pieces():
-                await self.write(piece)
-            await super().write_eof(data)
-        finally:
-            self._hold.close()
-            # aiohttp keeps the last reply of each open connection.
-            self._encoded = None
-
-
 async def _receive(request: web.Request, hold: BodyHold) -> RelayedRequest | None:
     """Return a relayed request; None if there is no room for it in time."""
     length = request.content_length or 0
@@ -199,7 +202,9 @@
         raise web.HTTPRequestEntityTooLarge(MAX_MESSAGE_BYTES, length)
 
 
-async def _read(reply: aiohttp.ClientResponse, responses: ResponseBuffer) -> bytearray:
+async def _read_reply(
+    reply: aiohttp.ClientResponse, responses: ResponseBuffer
+) -> bytearray:
     """Return the body of a reply, whose connection is closed if there is no room."""
     body = bytearray()
     hold = responses.open(reply.close)
--- a/tests/test_edge_client_bodies.py
+++ b/tests/test_edge_client_bodies.py
@@ -7,12 +7,17 @@
 
 from collections.abc import Iterable
 from contextlib import AbstractAsyncContextManager
-from typing import Any
 
 from .fixtures import async_test
 from .fixtures.crowd import (
     BUFFER_BYTES,
     BYTES_PER_MB,
+    LIMITS,
+    LONG_BYTES,
+    MAX_BODY_BYTES,
+    MAX_FDS,
+    MEMORY_MB,
+    TIMEOUT_S,
     Crowd,
     Pieces,
     attacked_router,
@@ -26,25 +31,11 @@
     router_process,
 )
 
-MEMORY_MB = 80
-MAX_FDS = 1000
-BODY_BYTES = 16 << 20
-"""Largest legal body; a body of 64 MB takes as much of a machine with 160 MB."""
 MEDIUM_BYTES = 1 << 20
 SHORT_BYTES = 16_000
 """Length of a body that was not counted."""
-LONG_BYTES = 1_200_000
-"""Length of a long response, which the router still holds as a whole."""
 TOO_LONG_BYTES = 8_000_000
 """Length of a response that the router rejects."""
-TIMEOUT_S = 60.0
-"""Timeout of the route, so that requests end by no deadline while the crowd plays."""
-LIMITS: dict[str, Any] = {
-    "MaxHeaderBytes": 16_384,
-    "MaxBodyBytes": BODY_BYTES,
-    "HeaderTimeoutS": 1.0,
-    "IdleTimeoutS": 2.0,
-}
 LARGEST_BODY_BYTES = 64 << 20
 """Largest legal body of the deployments."""
 SMALLEST_MACHINE_MB = 160
@@ -107,14 +98,14 @@
 async def test_long_bodies_that_lack_a_byte_take_bounded_memory() -> None:
     """Guards against callers that stop just short of the end of a body and stay."""
     async with _attacked_router() as crowd:
-        _add(crowd, LONG_BODIES, _body(BODY_BYTES, missing_bytes=1))
+        _add(crowd, LONG_BODIES, _body(MAX_BODY_BYTES, missing_bytes=1))
 
 
 @async_test
 async def test_chunked_bodies_without_an_end_take_bounded_memory() -> None:
     """Guards against bodies of unknown length that never end."""
     async with _attacked_router() as crowd:
-        _add(crowd, LONG_BODIES, _endless_body(BODY_BYTES - 1))
+        _add(crowd, LONG_BODIES, _endless_body(MAX_BODY_BYTES - 1))
 
 
 @async_test
@@ -139,7 +130,7 @@
         await crowd.play()
         await crowd.close()
         assert await get_status(crowd.port) == 200
-        assert await post_body(crowd.port, BODY_BYTES) == 200
+        assert await post_body(crowd.port, MAX_BODY_BYTES) == 200
 
 
 @async_test
@@ -196,8 +187,8 @@
     """Guards against holders that keep to their own bounds and not to the memory."""
     async with _attacked_router() as crowd:
         _add(crowd, SLOW_READERS, _long_responses)
-        _add(crowd, LONG_BODIES, _body(BODY_BYTES, missing_bytes=1))
-        _add(crowd, LONG_BODIES, _endless_body(BODY_BYTES - 1))
+        _add(crowd, LONG_BODIES, _body(MAX_BODY_BYTES, missing_bytes=1))
+        _add(crowd, LONG_BODIES, _endless_body(MAX_BODY_BYTES - 1))
         _add(crowd, MEDIUM_BODIES, _body(MEDIUM_BYTES, missing_bytes=1))
         _add(crowd, SLOW_READERS, _pipelined_bodies)
 
--- a/tests/test_edge_client_relays.py
+++ b/tests/test_edge_client_relays.py
@@ -9,26 +9,23 @@
 from contextlib import AbstractAsyncContextManager
 
 from .fixtures import async_test
-from .fixtures.crowd import BUFFER_BYTES, Crowd, attacked_cut_off_routers
+from .fixtures.crowd import (
+    BUFFER_BYTES,
+    LIMITS,
+    LONG_BYTES,
+    MAX_FDS,
+    MEMORY_MB,
+    TIMEOUT_S,
+    Crowd,
+    attacked_cut_off_routers,
+)
 from .fixtures.routerprocess import LONG_PATH, SLOW_PATH, body_pieces, request_head
 
 ROUTERS = 3
 """Routers that relay to one."""
 ROUTERS_WITH_BODIES = 6
 """Routers that relay to one, each no more than it may hold itself."""
-MEMORY_MB = 80
-MAX_FDS = 1000
-MAX_BODY_BYTES = 16 << 20
 BODY_BYTES = 1 << 20
-LONG_BYTES = 1_200_000
-"""Length of a long response, which is relayed as a whole."""
-TIMEOUT_S = 60.0
-LIMITS = {
-    "MaxHeaderBytes": 16_384,
-    "MaxBodyBytes": MAX_BODY_BYTES,
-    "HeaderTimeoutS": 1.0,
-    "IdleTimeoutS": 2.0,
-}
 BODIES = 40
 """Callers with long bodies at each router."""
 SLOW_READERS = 30
--- a/tests/test_edge_relayed_bodies.py
+++ b/tests/test_edge_relayed_bodies.py
@@ -1,5 +1,6 @@
 """Long bodies of requests that a router passes on to another one."""
 
+import asyncio
 import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -22,11 +23,12 @@
     pass_on,
 )
 from mulberryrelay_edge.relayencoding import EncodedRelay
+from mulberryrelay_edge.relayhttp import ROOM_TIMEOUT_S
 from mulberryrelay_edge.requestbuffer import RequestBuffer
 from mulberryrelay_kernel.clock import monotonic_ms
 from mulberryrelay_kernel.ids import RequestId, ServiceName
 
-from .fixtures import async_test
+from .fixtures import async_test, wait_until
 from .fixtures.edgefleet import route, route_table
 from .fixtures.rawserver import HOST
 from .fixtures.relays import link_client, link_server_of, unused_reach
@@ -155,6 +157,25 @@
     await client.close()
 
 
+@async_test
+async def test_a_relayed_body_that_waits_for_room_gets_no_more_time() -> None:
+    """Guards against servers that are told of time which the caller does not have."""
+    client = link_client()
+    async with _receiving_router() as (url, bodies, forwarded):
+        other_body = bodies.open()
+        assert await other_body.reserve(MAX_BUFFERED_BYTES, timeout_s=0)
+        relayed = _relayed(LONG_BYTES)
+        relaying = asyncio.create_task(client.relay(url, relayed))
+        await wait_until(lambda: bool(bodies._waiting))
+        await asyncio.sleep(ROOM_TIMEOUT_S / 4)
+        released_ms = monotonic_ms()
+        other_body.close()
+        result = await relaying
+        assert isinstance(result, RelayedResponse) and result.status == 200, result
+        assert forwarded[0].deadline_ms < released_ms + relayed.left_ms
+    await client.close()
+
+
 @async_test
 async def test_a_router_that_accepts_no_requests_refuses_before_their_bodies() -> None:
     """Guards against bodies that take memory at a router which cannot send them on."""
