Count the bodies of attempts whose callers have left

Callers saw: callers that send whole bodies to a route that is not safe, leave and return, end a router; with it everyone else loses it.

Cause: an attempt of such a request is not cancelled when its caller leaves, since it may run, and keeps the body for a retry. The room of the body was given back as the caller left, so that the next body took it.

Change: an attempt that outlives its request keeps the room of the body until its end, for relayed requests at both routers (shielding.py, which also takes the place of the two shields that stood apart).

--- a/packages/edge/mulberryrelay_edge/attemptsender.py
+++ b/packages/edge/mulberryrelay_edge/attemptsender.py
@@ -29,6 +29,7 @@
 from .responses import had_free_slot
 from .responsestream import StreamEnd
 from .serverreach import ServerReach
+from .shielding import run_to_end
 from .suspectruns import SuspectRuns
 
 SLOW_CONNECT_S = 0.15
@@ -91,7 +92,7 @@
             return await attempt
         # A non-idempotent request that was started is not cancelled if its caller
         # disconnects.
-        return await asyncio.shield(asyncio.ensure_future(attempt))
+        return await run_to_end(request, attempt)
 
     async def _send_watched(
         self,
--- a/packages/edge/mulberryrelay_edge/callerhandler.py
+++ b/packages/edge/mulberryrelay_edge/callerhandler.py
@@ -226,7 +226,10 @@
         body = await self._bodies.read(
             request, request_id, routes.limits, hold, left_ms
         )
-        return self._check(request, routes, body, arrived_ms, may_stream=True)
+        checked = self._check(request, routes, body, arrived_ms, may_stream=True)
+        if hold.taken_bytes:
+            checked = msgspec.structs.replace(checked, body_hold=hold)
+        return checked
 
     def _check(
         self,
--- a/packages/edge/mulberryrelay_edge/messages.py
+++ b/packages/edge/mulberryrelay_edge/messages.py
@@ -22,6 +22,7 @@
 from mulberryrelay_kernel.messages import ServerEntry
 from mulberryrelay_kernel.states import ServerState
 
+from .requestbuffer import BodyHold
 from .responsestream import ResponseStream
 from .speedmessages import SpeedChanges, SpeedReport
 from .tablemirror import TableUpdate
@@ -172,6 +173,8 @@
     """Whether another router, which reaches no server, has passed it on."""
     may_stream: bool = False
     """Whether its caller may receive the response while it is still being read."""
+    body_hold: BodyHold | None = None
+    """The room of a long body."""
 
     def fingerprint(self) -> Fingerprint:
         """Return a digest that a request has in common with its repetitions.
--- a/packages/edge/mulberryrelay_edge/relay.py
+++ b/packages/edge/mulberryrelay_edge/relay.py
@@ -28,6 +28,7 @@
     RouteTable,
 )
 from .regions import intersection, is_allowed
+from .requestbuffer import BodyHold
 from .routematcher import RouteMatcher
 from .serverreach import ServerReach
 
@@ -265,7 +266,10 @@
         return is_ready and not self._reach.is_cut_off
 
     async def handle(
-        self, relayed: RelayedRequest, waited_ms: float = 0.0
+        self,
+        relayed: RelayedRequest,
+        waited_ms: float = 0.0,
+        body_hold: BodyHold | None = None,
     ) -> RelayedResponse | None:
         """Return the response to a relayed request; None if it is not accepted.
 
@@ -312,6 +316,7 @@
             arrived_ms + relayed.left_ms,
             relayed.caller_address,
             is_relayed=True,
+            body_hold=body_hold,
         )
         task = asyncio.ensure_future(self._forward(request))
         self._in_flight.add(task)
--- a/packages/edge/mulberryrelay_edge/relayhttp.py
+++ b/packages/edge/mulberryrelay_edge/relayhttp.py
@@ -167,7 +167,8 @@
         relayed = await _receive(request, hold)
         if relayed is None:
             return relayed_response(router_response(503))
-        return await receiver.handle(relayed, 1000 * (loop.time() - arrived_s))
+        waited_ms = 1000 * (loop.time() - arrived_s)
+        return await receiver.handle(relayed, waited_ms, hold)
     finally:
         hold.close()
 
--- a/packages/edge/mulberryrelay_edge/requestbuffer.py
+++ b/packages/edge/mulberryrelay_edge/requestbuffer.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -181,6 +182,9 @@
         """Bytes that had arrived at the last progress."""
         self._progressed_s = asyncio.get_running_loop().time()
         self._on_evict: Callable[[], None] | None = None
+        self._tasks = 0
+        """Tasks that still use the body."""
+        self._is_closed = False
 
     @property
     def taken_bytes(self) -> int:
@@ -239,8 +243,21 @@
         if self._on_evict is not None:
             self._on_evict()
 
+    def close_after(self, task: asyncio.Future[Any]) -> None:
+        """Keep the room until a task has ended, even if it is closed before."""
+        self._tasks += 1
+        task.add_done_callback(self._on_task_end)
+
+    def _on_task_end(self, task: asyncio.Future[Any]) -> None:
+        self._tasks -= 1
+        if self._is_closed:
+            self.close()
+
     def close(self) -> None:
-        """Give all room back."""
+        """Give all room back, once no task uses the body."""
+        self._is_closed = True
+        if self._tasks:
+            return
         taken_bytes, self._taken_bytes = self._taken_bytes, 0
         self._buffer.record_arrived(-self._arrived_bytes)
         self._arrived_bytes = 0
--- a/packages/edge/mulberryrelay_edge/requestrelay.py
+++ b/packages/edge/mulberryrelay_edge/requestrelay.py
@@ -4,8 +4,6 @@
 data centre while it reaches others.
 """
 
-import asyncio
-
 from mulberryrelay_kernel.ids import DataCentre
 from mulberryrelay_kernel.metrics import Metrics
 
@@ -16,6 +14,7 @@
 from .relay import Relay, RelayFailure
 from .retrybudget import RetryBudget
 from .serverreach import ServerReach
+from .shielding import run_to_end
 
 
 class RequestRelay:
@@ -76,6 +75,6 @@
             response = await relaying
         else:
             # As with a server: it is not cancelled if its caller disconnects.
-            response = await asyncio.shield(asyncio.ensure_future(relaying))
+            response = await run_to_end(request, relaying)
         self._metrics.count("relayed")
         return response
--- a/tests/test_edge_client_bodies.py
+++ b/tests/test_edge_client_bodies.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from contextlib import AbstractAsyncContextManager
 
+from mulberryrelay_platform.names import KIND_UNSAFE
+
 from .fixtures import async_test
 from .fixtures.crowd import (
     BUFFER_BYTES,
@@ -24,6 +26,7 @@
 )
 from .fixtures.routerprocess import (
     LONG_PATH,
+    SLOW_PATH,
     body_pieces,
     get_status,
     post_body,
@@ -46,6 +49,10 @@
 LONG_BODIES = 60
 MEDIUM_BODIES = 200
 SHORT_BODIES = 300
+STAY_S = 0.05
+"""Time for which a caller stays that leaves after its body."""
+LEAVING_CALLERS = 20
+"""Callers that leave after their bodies, which then run, and return."""
 SLOW_READERS = 100
 PIPELINED_REQUESTS = 5
 """Long responses that each slow reader requests at once."""
@@ -72,6 +79,13 @@
     return pieces
 
 
+def _slow_bodies() -> Iterable[bytes]:
+    """Yield a request with a whole body, which takes its server some time."""
+    framing = f"Content-Length: {MAX_BODY_BYTES}\r\n"
+    yield request_head("POST", SLOW_PATH, framing)
+    yield from body_pieces(MAX_BODY_BYTES)
+
+
 def _endless_body(length: int) -> Pieces:
     """Return the pieces of a request whose chunked body lacks its last chunk."""
 
@@ -122,6 +136,15 @@
         crowd.add_returning(MEDIUM_BODIES, _body(MEDIUM_BYTES))
 
 
+@async_test
+async def test_bodies_whose_callers_have_left_take_bounded_memory() -> None:
+    """Guards against bodies that a server still gets although nobody waits for it."""
+    async with attacked_router(
+        MEMORY_MB, MAX_FDS, LIMITS, timeout_s=TIMEOUT_S, kind=KIND_UNSAFE
+    ) as crowd:
+        crowd.add_returning(LEAVING_CALLERS, _slow_bodies, stay_s=STAY_S)
+
+
 @async_test
 async def test_a_long_body_is_served_after_a_crowd_has_left() -> None:
     """Guards against room for bodies that is lost for good."""
--- a/tests/test_edge_requestbuffer.py
+++ b/tests/test_edge_requestbuffer.py
@@ -333,3 +333,20 @@
             async with asyncio.timeout(DEADLINE_MS / 1000):
                 assert status in await reader.readline(), length
             writer.close()
+
+
+@async_test
+async def test_a_body_keeps_its_room_until_its_last_attempt_has_ended() -> None:
+    """Guards against room that is given to others while a server still gets a body."""
+    buffer = RequestBuffer(100_000)
+    hold = buffer.open()
+    assert await hold.reserve(100_000, timeout_s=0)
+    attempts = [asyncio.get_running_loop().create_future() for _ in range(2)]
+    for attempt in attempts:
+        hold.close_after(attempt)
+    hold.close()
+    for attempt in attempts:
+        assert buffer.held_bytes == 100_000
+        attempt.cancel()
+        await asyncio.sleep(0)
+    assert buffer.held_bytes == 0
